Set up the toolchain and the interfaces between the parts

Cause: the request path and the control path are built side by side, so the types at which they meet come first: the engine client, the object API, the list of instances, the configuration value and the supervisor tree.

--- /dev/null
+++ b/bin/shallotshuntd.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/shallotshuntd.mjs';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,18 @@
+// Bundles the daemon and the command-line tool, each into one file, so that a daemon loads only
+// what it uses.
+import { build } from 'esbuild';
+
+await build({
+  entryPoints: { shallotshuntd: 'src/daemon/main.ts', shallotshunt: 'src/cli/main.ts' },
+  outdir: 'dist',
+  outExtension: { '.js': '.mjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  sourcemap: true,
+  logLevel: 'warning',
+  banner: {
+    js: "import { createRequire } from 'node:module';\nconst require = createRequire(import.meta.url);",
+  },
+});
--- /dev/null
+++ b/src/common/log.ts
@@ -0,0 +1,70 @@
+/**
+ * Structured logging: one line of key=value pairs for each event. Values with spaces, quotes or
+ * equals signs are quoted as JSON strings. Nothing secret is passed in: callers log key names,
+ * never keys.
+ */
+import { createConsola } from 'consola/basic';
+import type { ConsolaInstance, LogType } from 'consola/basic';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+export type LogValue = string | number | boolean | undefined | readonly (string | number)[];
+
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** Where log events go; tests hand in one that collects them. */
+export interface Log {
+  /** @param event a lower-case name with underscores, such as `route` or `lease_taken` */
+  event(level: LogLevel, event: string, fields?: LogFields): void;
+}
+
+const LEVELS: Readonly<Record<LogLevel, number>> = {
+  error: 0, warn: 1, info: 3, debug: 4,
+};
+
+const PLAIN = /^[^\s"=]+$/;
+
+function format(value: Exclude<LogValue, undefined>): string {
+  const text = Array.isArray(value) ? value.join(',') : String(value);
+  return PLAIN.test(text) ? text : JSON.stringify(text);
+}
+
+/** One log line without its line end. Fields that are undefined are left out. */
+export function formatLine(level: LogLevel, event: string, fields: LogFields, time: Date): string {
+  const pairs = Object.entries(fields)
+    .flatMap(([key, value]) => (value === undefined ? [] : [`${key}=${format(value)}`]));
+  return [`time=${time.toISOString()}`, `level=${level}`, `event=${event}`, ...pairs].join(' ');
+}
+
+/** Writes log lines to standard error through consola. */
+export class ConsoleLog implements Log {
+  readonly #consola: ConsolaInstance;
+
+  readonly #common: LogFields;
+
+  private constructor(level: LogLevel, common: LogFields) {
+    this.#common = common;
+    this.#consola = createConsola({
+      level: LEVELS[level],
+      reporters: [{
+        log: (entry) => {
+          process.stderr.write(`${String(entry.args[0])}\n`);
+        },
+      }],
+    });
+  }
+
+  /** @param common fields put on every line, such as the instance's name */
+  static of(level: LogLevel, common: LogFields = {}): ConsoleLog {
+    return new ConsoleLog(level, common);
+  }
+
+  event(level: LogLevel, event: string, fields: LogFields = {}): void {
+    if (this.#consola.level < LEVELS[level]) return;
+    const type: LogType = level;
+    this.#consola[type](formatLine(level, event, { ...this.#common, ...fields }, new Date()));
+  }
+}
+
+/** Drops every event. */
+export const silentLog: Log = { event: () => undefined };
--- /dev/null
+++ b/src/common/time.ts
@@ -0,0 +1,15 @@
+/**
+ * Time for the whole program. Every module takes an rxjs scheduler, so that tests can hand in
+ * virtual time; this is the one the daemon uses. Its clock is monotonic and counts in
+ * milliseconds.
+ */
+import { asyncScheduler } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+
+export const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Schedules on the event loop and tells the time of the process's monotonic clock. */
+export const monotonicScheduler: SchedulerLike = {
+  now: () => performance.now(),
+  schedule: (asyncScheduler as SchedulerLike).schedule.bind(asyncScheduler),
+};
--- /dev/null
+++ b/src/configuration/defaults.ts
@@ -0,0 +1,30 @@
+/** Values of the settings that an operator's folder leaves out. */
+import type { Configuration, Limits, Placement } from './configuration.js';
+
+export const DEFAULT_LIMITS: Limits = {
+  queueWaitMs: { interactive: 500, standard: 5_000, batch: 30_000 },
+  queueLength: 1_000,
+  callerBufferBytes: 65_536,
+  callerStallMs: 30_000,
+};
+
+export const DEFAULT_PLACEMENT: Placement = {
+  enabled: true,
+  concurrentLoads: 2,
+  loadsPerMinute: 12,
+  leaseMs: 5_000,
+  orderTimeoutMs: 2_000,
+};
+
+/** What is in force before any revision has been accepted: nothing is served. */
+export const EMPTY_CONFIGURATION: Configuration = {
+  revision: 0,
+  deployment: { name: 'unconfigured', favour: 'latency', zones: [] },
+  models: {},
+  servers: {},
+  pools: {},
+  services: {},
+  workspaces: {},
+  limits: DEFAULT_LIMITS,
+  placement: DEFAULT_PLACEMENT,
+};
