--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,9 @@
 // what it uses.
 import { build } from 'esbuild';
 
+const REQUIRE = `import { createRequire } from 'node:module';
+const require = createRequire(import.meta.url);`;
+
 await build({
   entryPoints: { shallotshuntd: 'src/daemon/main.ts', shallotshunt: 'src/cli/main.ts' },
   outdir: 'dist',
@@ -12,7 +15,6 @@
   format: 'esm',
   sourcemap: true,
   logLevel: 'warning',
-  banner: {
-    js: "import { createRequire } from 'node:module';\nconst require = createRequire(import.meta.url);",
-  },
+  // Bundled CommonJS libraries ask for Node's own modules through `require`.
+  banner: { js: REQUIRE },
 });
