Add the object API's client, call budget, settled writes and following

The HTTP client separates a write that cannot have been sent from one whose fate is open; settledPut settles the latter by reading back the writer's own nonce and repeats only the same conditional write. The budget reserves calls for the configuration before claims, leases and status, and shrinks when the store complains. follow() lists, watches, renews the watch after 10 s and polls after 60 s, so that a silent watch, compaction and stale reads lose or revert nothing. The watch's first event is now 'opened', so that a follower knows it was heard.

--- /dev/null
+++ b/src/store/backoff.ts
@@ -0,0 +1,23 @@
+/** Pauses between tries of a store call. */
+import { timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Random } from '../common/random.js';
+
+const FIRST_MS = 100;
+const MAX_MS = 5_000;
+
+/**
+ * The pause before try `tries + 1`, spread over its whole range so that instances which failed
+ * together do not come back together.
+ */
+export function backoffMs(tries: number, random: Random): number {
+  const bound = Math.min(MAX_MS, FIRST_MS * 2 ** Math.min(tries, 16));
+  return Math.ceil(bound * (0.1 + 0.9 * random.fraction()));
+}
+
+/** Resolves after `delayMs`. */
+export function pause(delayMs: number, scheduler: SchedulerLike): Promise<void> {
+  return new Promise((resolve) => {
+    timer(delayMs, scheduler).subscribe(() => resolve());
+  });
+}
--- /dev/null
+++ b/src/store/client.ts
@@ -0,0 +1,269 @@
+/**
+ * The object API over HTTP. It tells apart what a failed write can have done: a connection that was
+ * never made leaves the object as it was, and once a write's bytes may have left, only an answer
+ * that can be read says what became of it.
+ */
+import { Agent, request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { map, Observable, timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import { z } from 'zod';
+import type {
+  CallClass, Expectation, Listing, ObjectApi, StoredObject, StoreError, WatchEvent,
+} from './objects.js';
+
+/** Longest time from sending a call to the end of its answer. */
+const DEADLINE_MS = 1_000;
+const MAX_ANSWER_CHARS = 16_777_216;
+const MAX_SOCKETS = 16;
+
+const OBJECT = z.object({
+  name: z.string(), version: z.number().int().positive(), value: z.string(),
+});
+const LISTING = z.object({ version: z.number().int().min(0), objects: z.array(OBJECT) });
+const NOTHING = z.object({}).transform(() => undefined);
+const EVENT = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('opened'), version: z.number().int().min(0) }),
+  z.object({ kind: z.literal('put'), object: OBJECT }),
+  z.object({ kind: z.literal('delete'), name: z.string(), version: z.number().int().positive() }),
+]);
+/** The answers that say that a call had no effect. */
+const REFUSAL = z.object({
+  code: z.enum([
+    'unavailable', 'conflict', 'not_found', 'too_large', 'rate_limited', 'version_too_old',
+  ]),
+  message: z.string(),
+});
+
+type Headers = Readonly<Record<string, string>>;
+
+interface Call {
+  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly headers: Headers;
+  readonly body?: string;
+}
+
+interface Answer { readonly status: number; readonly text: string }
+
+/** `sent` is whether bytes of the call may have left. */
+interface Loss { readonly sent: boolean; readonly message: string }
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function lossError(call: Call, loss: Loss): StoreError {
+  const code = call.method !== 'GET' && loss.sent ? 'ambiguous' : 'unavailable';
+  return { code, message: `${call.method} ${call.path}: ${loss.message}` };
+}
+
+function readAnswer<Value>(
+  call: Call,
+  { status, text }: Answer,
+  schema: z.ZodType<Value>,
+): Result<Value, StoreError> {
+  const body = parseJson(text);
+  if (status === 200) {
+    const value = schema.safeParse(body);
+    if (value.success) return ok(value.data);
+  }
+  const refusal = REFUSAL.safeParse(body);
+  if (status !== 200 && refusal.success) return err(refusal.data);
+  return err(lossError(call, { sent: true, message: `unreadable answer, status ${status}` }));
+}
+
+/** Calls `onSent` as soon as bytes of the request may leave. */
+function trackSending(request: ClientRequest, onSent: () => void): void {
+  request.once('socket', (socket) => {
+    if (socket.connecting) socket.once('connect', onSent);
+    else onSent();
+  });
+}
+
+function expectationHeaders(expected: Expectation): Headers {
+  return expected.kind === 'absent'
+    ? { 'if-none-match': '*' }
+    : { 'if-match': String(expected.version) };
+}
+
+/** The whole answer; rejects if it ends early or is too long. */
+function collect(response: IncomingMessage): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    let text = '';
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => {
+      text += chunk;
+      if (text.length > MAX_ANSWER_CHARS) reject(new Error('the answer is too long'));
+    });
+    response.once('end', () => resolve({ status: response.statusCode ?? 0, text }));
+    response.once('error', reject);
+    response.once('close', () => reject(new Error('the answer ended early')));
+  });
+}
+
+/** Emits whole lines of a text stream; completes and errors with it. */
+function linesOf(response: IncomingMessage): Observable<string> {
+  return new Observable((subscriber) => {
+    let rest = '';
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => {
+      const lines = (rest + chunk).split('\n');
+      rest = lines.pop() ?? '';
+      if (rest.length > MAX_ANSWER_CHARS) subscriber.error(new Error('an event is too long'));
+      lines.forEach((line) => subscriber.next(line));
+    });
+    response.once('end', () => subscriber.complete());
+    response.once('close', () => subscriber.error(new Error('closed')));
+    response.once('error', (error) => subscriber.error(error));
+  });
+}
+
+/** The changes in a watch's answer; errors with a plain Error when it is cut off. */
+function eventsOf(response: IncomingMessage): Observable<WatchEvent> {
+  return linesOf(response).pipe(map((line) => EVENT.parse(parseJson(line))));
+}
+
+export class HttpObjects implements ObjectApi {
+  readonly #host: string;
+
+  readonly #port: string;
+
+  readonly #scheduler: SchedulerLike;
+
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
+
+  readonly #watchAgent = new Agent({ keepAlive: false });
+
+  private constructor(address: string, scheduler: SchedulerLike) {
+    const separator = address.lastIndexOf(':');
+    this.#host = address.slice(0, separator);
+    this.#port = address.slice(separator + 1);
+    this.#scheduler = scheduler;
+  }
+
+  /** @param address `host:port` of the object API, by IP */
+  static of(address: string, scheduler: SchedulerLike): HttpObjects {
+    return new HttpObjects(address, scheduler);
+  }
+
+  /** Closes the connections that are kept for reuse. */
+  close(): void {
+    this.#agent.destroy();
+    this.#watchAgent.destroy();
+  }
+
+  get(name: string, use: CallClass): Promise<Result<StoredObject, StoreError>> {
+    const path = `/objects/${encodeURIComponent(name)}`;
+    return this.#call({ method: 'GET', path, headers: { 'call-class': use } }, OBJECT);
+  }
+
+  list(prefix: string, use: CallClass): Promise<Result<Listing, StoreError>> {
+    const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
+    return this.#call({ method: 'GET', path, headers: { 'call-class': use } }, LISTING);
+  }
+
+  put(
+    name: string,
+    value: string,
+    expected: Expectation,
+    use: CallClass,
+  ): Promise<Result<StoredObject, StoreError>> {
+    return this.#call({
+      method: 'PUT',
+      path: `/objects/${encodeURIComponent(name)}`,
+      headers: { 'call-class': use, ...expectationHeaders(expected) },
+      body: value,
+    }, OBJECT);
+  }
+
+  remove(name: string, version: number, use: CallClass): Promise<Result<void, StoreError>> {
+    return this.#call({
+      method: 'DELETE',
+      path: `/objects/${encodeURIComponent(name)}`,
+      headers: { 'call-class': use, ...expectationHeaders({ kind: 'version', version }) },
+    }, NOTHING);
+  }
+
+  watch(prefix: string, from: number, use: CallClass): Observable<WatchEvent> {
+    const path = `/watch?prefix=${encodeURIComponent(prefix)}&from=${from}`;
+    const call: Call = { method: 'GET', path, headers: { 'call-class': use } };
+    return new Observable((subscriber) => {
+      const fail = (error: Error) => {
+        subscriber.error(lossError(call, { sent: true, message: error.message }));
+      };
+      const refuse = (answer: Answer) => {
+        readAnswer(call, answer, z.never()).mapErr((error) => subscriber.error(error));
+      };
+      const opening = timer(DEADLINE_MS, this.#scheduler)
+        .subscribe(() => fail(new Error(`not opened within ${DEADLINE_MS} ms`)));
+      const request = this.#request(call, this.#watchAgent);
+      request.once('error', fail);
+      request.once('response', (response) => {
+        opening.unsubscribe();
+        if (response.statusCode === 200) {
+          const next = (event: WatchEvent) => subscriber.next(event);
+          const complete = () => subscriber.complete();
+          subscriber.add(eventsOf(response).subscribe({ next, error: fail, complete }));
+        } else {
+          collect(response).then(refuse, fail);
+        }
+      });
+      request.end();
+      return () => {
+        opening.unsubscribe();
+        request.destroy();
+      };
+    });
+  }
+
+  async #call<Value>(call: Call, schema: z.ZodType<Value>): Promise<Result<Value, StoreError>> {
+    const answer = await this.#send(call);
+    return answer.match(
+      (value) => readAnswer(call, value, schema),
+      (loss) => err(lossError(call, loss)),
+    );
+  }
+
+  #send(call: Call): Promise<Result<Answer, Loss>> {
+    return new Promise((resolve) => {
+      let sent = false;
+      const request = this.#request(call, this.#agent);
+      const lose = (message: string) => resolve(err({ sent, message }));
+      const deadline = timer(DEADLINE_MS, this.#scheduler).subscribe(() => {
+        lose(`no answer within ${DEADLINE_MS} ms`);
+        request.destroy();
+      });
+      trackSending(request, () => {
+        sent = true;
+      });
+      request.once('error', (error) => lose(error.message));
+      request.once('close', () => deadline.unsubscribe());
+      request.once('response', (response) => {
+        collect(response).then(
+          (answer) => resolve(ok(answer)),
+          (error: unknown) => {
+            lose(String(error));
+            request.destroy();
+          },
+        );
+      });
+      request.end(call.body);
+    });
+  }
+
+  #request({
+    method, path, headers, body,
+  }: Call, agent: Agent): ClientRequest {
+    const length = body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) };
+    return httpRequest({
+      host: this.#host, port: this.#port, method, path, headers: { ...headers, ...length }, agent,
+    });
+  }
+}
--- /dev/null
+++ b/src/store/follow.ts
@@ -0,0 +1,111 @@
+/**
+ * Following objects in the store: a listing first, then a watch that goes on from it. Each object's
+ * changes come in the order of their versions, whatever the store's reads and watches say. A watch
+ * that falls silent shows nothing, so every watch is renewed after a while and a slow poll reads
+ * the objects themselves.
+ */
+import {
+  catchError, concat, defer, from, merge, mergeMap, Observable, repeat, retry, takeUntil, tap,
+  throwError, timer,
+} from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Random } from '../common/random.js';
+import { backoffMs } from './backoff.js';
+import type { CallClass, ObjectApi, StoreError } from './objects.js';
+import { Sightings } from './sightings.js';
+import type { StoreChange } from './sightings.js';
+
+const RENEW_MS = 10_000;
+const POLL_MS = 60_000;
+/** Pause between the end of a watch and the next. */
+const REOPEN_MS = 50;
+const SPREAD = 0.2;
+
+/** `heard`: the store has just answered. `lost`: a call failed and is tried again. */
+export type FollowEvent = | StoreChange
+  | { readonly kind: 'heard' }
+  | { readonly kind: 'lost'; readonly error: StoreError };
+
+export interface FollowContext {
+  readonly api: ObjectApi;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  readonly use: CallClass;
+}
+
+function isStoreError(error: unknown): error is StoreError {
+  return typeof error === 'object' && error !== null && 'code' in error;
+}
+
+function asStoreError(error: unknown): StoreError {
+  return isStoreError(error) ? error : { code: 'unavailable', message: String(error) };
+}
+
+function read(prefix: string, context: FollowContext, seen: Sightings): Observable<FollowEvent> {
+  return defer(() => from(context.api.list(prefix, context.use))).pipe(
+    mergeMap((listing) => (listing.isErr()
+      ? throwError(() => listing.error)
+      : [{ kind: 'heard' } as const, ...seen.admitListing(listing.value)])),
+  );
+}
+
+/** One watch after another, each from where the one before has come to. */
+function watches(prefix: string, context: FollowContext, seen: Sightings): Observable<FollowEvent> {
+  const {
+    api, scheduler, random, use,
+  } = context;
+  return defer(() => api.watch(prefix, seen.position, use)).pipe(
+    takeUntil(defer(() => timer(random.jitter(RENEW_MS, SPREAD), scheduler))),
+    mergeMap((event): FollowEvent[] => (event.kind === 'opened'
+      ? [{ kind: 'heard' }]
+      : seen.admit(event))),
+    catchError((error: unknown) => (asStoreError(error).code === 'version_too_old'
+      ? read(prefix, context, seen)
+      : throwError(() => error))),
+    repeat({ delay: () => timer(random.jitter(REOPEN_MS, SPREAD), scheduler) }),
+  );
+}
+
+/** The slow poll. */
+function polls(prefix: string, context: FollowContext, seen: Sightings): Observable<FollowEvent> {
+  const { scheduler, random } = context;
+  const interval = () => timer(random.jitter(POLL_MS, SPREAD), scheduler);
+  return defer(interval).pipe(
+    mergeMap(() => read(prefix, context, seen)),
+    repeat(),
+  );
+}
+
+/** Tries `source` again whenever it errors, and shows each error as `lost`. */
+function persist(source: Observable<FollowEvent>, context: FollowContext): Observable<FollowEvent> {
+  const { scheduler, random } = context;
+  return new Observable((subscriber) => {
+    let tries = 0;
+    const delay = (error: unknown) => {
+      tries += 1;
+      subscriber.next({ kind: 'lost', error: asStoreError(error) });
+      return timer(backoffMs(tries, random), scheduler);
+    };
+    const reset = () => {
+      tries = 0;
+    };
+    return source.pipe(tap(reset), retry({ delay })).subscribe(subscriber);
+  });
+}
+
+/**
+ * Changes to the objects whose names start with `prefix`, beginning with what is there. Never
+ * errors and never completes; failures are tried again and shown as `lost`.
+ */
+export function follow(prefix: string, context: FollowContext): Observable<FollowEvent> {
+  return defer(() => {
+    const seen = Sightings.of();
+    return concat(
+      persist(read(prefix, context, seen), context),
+      merge(
+        persist(watches(prefix, context, seen), context),
+        persist(polls(prefix, context, seen), context),
+      ),
+    );
+  });
+}
--- a/src/store/objects.ts
+++ b/src/store/objects.ts
@@ -34,7 +34,12 @@
 export type Expectation = | { readonly kind: 'version'; readonly version: number }
   | { readonly kind: 'absent' };
 
-export type WatchEvent = | { readonly kind: 'put'; readonly object: StoredObject }
+/**
+ * `opened` comes first: the store has accepted the watch, and stood at `version` then. It says
+ * nothing about the changes in between having been delivered.
+ */
+export type WatchEvent = | { readonly kind: 'opened'; readonly version: number }
+  | { readonly kind: 'put'; readonly object: StoredObject }
   | { readonly kind: 'delete'; readonly name: string; readonly version: number };
 
 /** Which use a call serves; a budget under pressure serves the earlier classes first. */
@@ -55,7 +60,8 @@
 
   /**
    * Changes after version `from` to objects whose names start with `prefix`. Errors with a
-   * StoreError; `version_too_old` asks for a new listing.
+   * StoreError; `version_too_old` asks for a new listing. Completes when the store ends the watch
+   * in order, after its own longest time.
    */
   watch(prefix: string, from: number, use: CallClass): Observable<WatchEvent>;
 }
--- /dev/null
+++ b/src/store/paced.ts
@@ -0,0 +1,146 @@
+/**
+ * The object API within one instance's call budget, with retries. A call that the budget refuses
+ * waits for its turn as long as its use has patience. Reads are tried again after a failure; writes
+ * only where the failure says that they had no effect. An ambiguous write is the caller's to
+ * settle, see `settle`.
+ */
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import {
+  defer, from, switchMap, throwError,
+} from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
+import type { Random } from '../common/random.js';
+import { backoffMs, pause } from './backoff.js';
+import {
+  admit, FLEET_RATES, fullBucket, shareOf, slowDown,
+} from './budget.js';
+import type { Bucket, StoreRates } from './budget.js';
+import type {
+  CallClass, Expectation, Listing, ObjectApi, StoredObject, StoreError, WatchEvent,
+} from './objects.js';
+
+/** How long a call of each use may take to be admitted and to succeed, its retries included. */
+const PATIENCE_MS: Readonly<Record<CallClass, number>> = {
+  configuration: 5_000, claims: 1_000, lease: 1_000, status: 0,
+};
+
+type BucketName = 'reads' | 'writes';
+
+export interface StoreContext { readonly scheduler: SchedulerLike; readonly random: Random }
+
+function isRetryable(error: StoreError): boolean {
+  return error.code === 'unavailable' || error.code === 'rate_limited';
+}
+
+export class PacedObjects implements ObjectApi {
+  readonly #api: ObjectApi;
+
+  readonly #context: StoreContext;
+
+  #rates: StoreRates;
+
+  readonly #buckets: Record<BucketName, Bucket>;
+
+  private constructor(api: ObjectApi, context: StoreContext, rates: StoreRates) {
+    const now = context.scheduler.now();
+    this.#api = api;
+    this.#context = context;
+    this.#rates = rates;
+    this.#buckets = {
+      reads: fullBucket(rates.readsPerSecond, now),
+      writes: fullBucket(rates.writesPerSecond, now),
+    };
+  }
+
+  /** @param rates this instance's share, calls a second */
+  static of(
+    api: ObjectApi,
+    context: StoreContext,
+    rates: StoreRates = shareOf(FLEET_RATES, 1, 1),
+  ): PacedObjects {
+    return new PacedObjects(api, context, rates);
+  }
+
+  /** Sets the instance's share, after the members or the homes of the claim shards changed. */
+  setRates(rates: StoreRates): void {
+    this.#rates = rates;
+  }
+
+  get(name: string, use: CallClass): Promise<Result<StoredObject, StoreError>> {
+    return this.#call('reads', use, () => this.#api.get(name, use));
+  }
+
+  list(prefix: string, use: CallClass): Promise<Result<Listing, StoreError>> {
+    return this.#call('reads', use, () => this.#api.list(prefix, use));
+  }
+
+  put(
+    name: string,
+    value: string,
+    expected: Expectation,
+    use: CallClass,
+  ): Promise<Result<StoredObject, StoreError>> {
+    return this.#call('writes', use, () => this.#api.put(name, value, expected, use));
+  }
+
+  remove(name: string, version: number, use: CallClass): Promise<Result<void, StoreError>> {
+    return this.#call('writes', use, () => this.#api.remove(name, version, use));
+  }
+
+  /** Errors with `budget` when the budget has no room for one more call. */
+  watch(prefix: string, version: number, use: CallClass): Observable<WatchEvent> {
+    const until = () => this.#context.scheduler.now() + PATIENCE_MS[use];
+    return defer(() => from(this.#admitted('reads', use, until()))).pipe(
+      switchMap((refusal) => (refusal
+        ? throwError(() => refusal)
+        : this.#api.watch(prefix, version, use))),
+    );
+  }
+
+  async #call<Value>(
+    name: BucketName,
+    use: CallClass,
+    send: () => Promise<Result<Value, StoreError>>,
+    tries = 0,
+    until = this.#context.scheduler.now() + PATIENCE_MS[use],
+  ): Promise<Result<Value, StoreError>> {
+    const { scheduler, random } = this.#context;
+    const refusal = await this.#admitted(name, use, until);
+    if (refusal) return err(refusal);
+    const result = await send();
+    if (result.isOk() || !isRetryable(result.error)) return result;
+    if (result.error.code === 'rate_limited') this.#slowDown(name);
+    const delayMs = backoffMs(tries, random);
+    if (scheduler.now() + delayMs >= until) return result;
+    await pause(delayMs, scheduler);
+    return this.#call(name, use, send, tries + 1, until);
+  }
+
+  /** Waits for a token at most until `until`; the refusal, if there is none by then. */
+  async #admitted(
+    name: BucketName,
+    use: CallClass,
+    until: number,
+  ): Promise<StoreError | undefined> {
+    const { scheduler, random } = this.#context;
+    const now = scheduler.now();
+    const { bucket, waitMs } = admit(this.#buckets[name], this.#rate(name), use, now);
+    this.#buckets[name] = bucket;
+    if (waitMs === 0) return undefined;
+    if (now + waitMs > until) {
+      return { code: 'budget', message: `the budget for ${use} ${name} is spent` };
+    }
+    await pause(random.jitter(waitMs, 0.1), scheduler);
+    return this.#admitted(name, use, until);
+  }
+
+  #slowDown(name: BucketName): void {
+    const now = this.#context.scheduler.now();
+    this.#buckets[name] = slowDown(this.#buckets[name], this.#rate(name), now);
+  }
+
+  #rate(name: BucketName): number {
+    return name === 'reads' ? this.#rates.readsPerSecond : this.#rates.writesPerSecond;
+  }
+}
--- /dev/null
+++ b/src/store/settle.ts
@@ -0,0 +1,95 @@
+/**
+ * A conditional write whose fate is known. When the answer is lost, the object is read back and the
+ * writer's own nonce looked for in it. The same conditional write may be sent again while the
+ * object is unchanged: at most one of the copies can take effect.
+ */
+import type { SchedulerLike } from 'rxjs';
+import type { Random } from '../common/random.js';
+import { backoffMs, pause } from './backoff.js';
+import type {
+  CallClass, Expectation, ObjectApi, StoredObject, StoreError,
+} from './objects.js';
+
+export interface Write {
+  readonly name: string;
+  readonly value: string;
+  readonly expected: Expectation;
+  readonly use: CallClass;
+  /**
+   * Whether this write is contained in the object's value. It has to hold as well when others have
+   * written since, so that a write which took effect is never taken for one that did not.
+   */
+  readonly wrote: (value: string) => boolean;
+}
+
+/**
+ * `applied`: the write took effect; the object is as it was read last. `superseded`: another change
+ * came first, and this write can no longer take effect. `refused`: it was not sent, or not taken;
+ * it will not take effect. `unsettled`: it may have taken effect or may yet do so.
+ */
+export type Settlement = | { readonly kind: 'applied'; readonly object: StoredObject }
+  | { readonly kind: 'superseded'; readonly object: StoredObject | undefined }
+  | { readonly kind: 'refused'; readonly error: StoreError }
+  | { readonly kind: 'unsettled'; readonly error: StoreError };
+
+export interface SettleContext {
+  readonly api: ObjectApi;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+}
+
+type Sight = | { readonly kind: 'settled'; readonly settlement: Settlement }
+  /** Nothing has changed as far as the store shows; the read may be out of date. */
+  | { readonly kind: 'unchanged' }
+  | { readonly kind: 'unseen'; readonly error: StoreError };
+
+async function readBack({ api }: SettleContext, write: Write): Promise<Sight> {
+  const read = await api.get(write.name, write.use);
+  if (read.isErr() && read.error.code !== 'not_found') {
+    return { kind: 'unseen', error: read.error };
+  }
+  const object = read.isOk() ? read.value : undefined;
+  if (object && write.wrote(object.value)) {
+    return { kind: 'settled', settlement: { kind: 'applied', object } };
+  }
+  const expected = write.expected.kind === 'version' ? write.expected.version : 0;
+  if (object && object.version > expected) {
+    return { kind: 'settled', settlement: { kind: 'superseded', object } };
+  }
+  return { kind: 'unchanged' };
+}
+
+const LOST: StoreError = { code: 'ambiguous', message: 'the write is not seen and may yet come' };
+
+/**
+ * Writes once, and settles a lost answer.
+ * @param until when to give up settling, in the scheduler's time
+ */
+export async function settledPut(
+  context: SettleContext,
+  write: Write,
+  until: number,
+): Promise<Settlement> {
+  const { api, scheduler, random } = context;
+  let ambiguous = false;
+  let last = LOST;
+  /* eslint-disable no-await-in-loop -- each try depends on how the one before ended */
+  for (let tries = 0; tries === 0 || scheduler.now() < until; tries += 1) {
+    const put = await api.put(write.name, write.value, write.expected, write.use);
+    if (put.isOk()) return { kind: 'applied', object: put.value };
+    last = put.error;
+    const { code } = put.error;
+    if (!ambiguous && code !== 'ambiguous' && code !== 'conflict') {
+      return { kind: 'refused', error: put.error };
+    }
+    ambiguous ||= code === 'ambiguous';
+    const sight = await readBack(context, write);
+    if (sight.kind === 'settled') return sight.settlement;
+    if (sight.kind === 'unseen') last = sight.error;
+    const delayMs = backoffMs(tries, random);
+    if (scheduler.now() + delayMs >= until) break;
+    await pause(delayMs, scheduler);
+  }
+  /* eslint-enable no-await-in-loop */
+  return ambiguous ? { kind: 'unsettled', error: last } : { kind: 'refused', error: last };
+}
--- /dev/null
+++ b/src/store/sightings.ts
@@ -0,0 +1,49 @@
+/** Which versions of followed objects have been seen, so that nothing older is taken for news. */
+import type { Listing, WatchEvent } from './objects.js';
+
+/** A change to one object. */
+export type StoreChange = Exclude<WatchEvent, { kind: 'opened' }>;
+
+interface Seen { readonly version: number; readonly present: boolean }
+
+export class Sightings {
+  readonly #seen = new Map<string, Seen>();
+
+  #position = 0;
+
+  /** Nothing seen yet. */
+  static of(): Sightings {
+    return new Sightings();
+  }
+
+  /** The version to watch from. */
+  get position(): number {
+    return this.#position;
+  }
+
+  /** The change itself if it is newer than what was seen of its object. */
+  admit(change: StoreChange): StoreChange[] {
+    const [name, version] = change.kind === 'put'
+      ? [change.object.name, change.object.version]
+      : [change.name, change.version];
+    const before = this.#seen.get(name);
+    if (before && before.version >= version) return [];
+    this.#seen.set(name, { version, present: change.kind === 'put' });
+    this.#position = Math.max(this.#position, version);
+    if (change.kind === 'delete' && !before?.present) return [];
+    return [change];
+  }
+
+  /** What a listing shows that is new. An out-of-date one shows nothing. */
+  admitListing({ version, objects }: Listing): StoreChange[] {
+    const listed = new Set(objects.map((object) => object.name));
+    const gone = [...this.#seen].filter(([name, seen]) => seen.present && !listed.has(name))
+      .map(([name]) => ({ kind: 'delete', name, version } as const));
+    const changes = [
+      ...objects.map((object) => ({ kind: 'put', object } as const)),
+      ...gone,
+    ].flatMap((change) => this.admit(change));
+    this.#position = Math.max(this.#position, version);
+    return changes;
+  }
+}
--- /dev/null
+++ b/test/store-client.test.ts
@@ -0,0 +1,122 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { monotonicScheduler } from '../src/common/time.js';
+import { Random } from '../src/common/random.js';
+import { MemoryObjects } from '../src/standin/objects.js';
+import { ObjectServer } from '../src/standin/objectserver.js';
+import { HttpObjects } from '../src/store/client.js';
+import type { StoreError, WatchEvent } from '../src/store/objects.js';
+import { codeOf, expectOk } from './fakes/objects.js';
+
+const ABSENT = { kind: 'absent' } as const;
+
+async function startStore(t: ExecutionContext) {
+  const objects = MemoryObjects.of(monotonicScheduler, Random.of(1));
+  const server = await ObjectServer.listen(objects, monotonicScheduler, '127.0.0.1', 0);
+  const client = HttpObjects.of(server.address, monotonicScheduler);
+  t.teardown(async () => {
+    client.close();
+    await server.close();
+  });
+  return { objects, server, client };
+}
+
+/** A server that meets each connection with `behave`. */
+async function startRaw(t: ExecutionContext, behave: (socket: Socket) => void) {
+  const sockets: Socket[] = [];
+  const server = await new Promise<Server>((resolve) => {
+    const made = createServer((socket) => {
+      sockets.push(socket.on('error', () => undefined));
+      behave(socket);
+    });
+    made.listen(0, '127.0.0.1', () => resolve(made));
+  });
+  const client = HttpObjects.of(
+    `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    monotonicScheduler,
+  );
+  t.teardown(() => {
+    client.close();
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return client;
+}
+
+test('objects go through HTTP unchanged, up to their largest size', async (t) => {
+  const { client } = await startStore(t);
+  const name = 'a/ř?&%';
+  const first = expectOk(await client.put(name, 'x'.repeat(1_048_576), ABSENT, 'status'));
+  t.deepEqual(expectOk(await client.get(name, 'status')), first);
+  t.is(expectOk(await client.list('a/', 'status')).objects.length, 1);
+  const expected = { kind: 'version', version: first.version } as const;
+  t.is(codeOf(await client.put(name, 'y', ABSENT, 'status')), 'conflict');
+  t.is(codeOf(await client.put(name, 'y'.repeat(1_048_577), expected, 'status')), 'too_large');
+  t.is(codeOf(await client.remove(name, first.version, 'status')), 'ok');
+  t.is(codeOf(await client.get(name, 'status')), 'not_found');
+});
+
+test('a watch delivers changes, and says when its version is too old', async (t) => {
+  const { client, objects } = await startStore(t);
+  const seen: (WatchEvent['kind'] | StoreError['code'])[] = [];
+  const watchFrom = (from: number) => new Promise<void>((resolve) => {
+    client.watch('a', from, 'configuration').subscribe({
+      next: (event) => {
+        seen.push(event.kind);
+        if (event.kind === 'opened') resolve();
+      },
+      error: (error: StoreError) => {
+        seen.push(error.code);
+        resolve();
+      },
+    });
+  });
+  await watchFrom(0);
+  const object = expectOk(await client.put('a', '1', ABSENT, 'status'));
+  await client.remove('a', object.version, 'status');
+  await client.get('a', 'status');
+  t.deepEqual(seen, ['opened', 'put', 'delete']);
+  objects.compact();
+  await watchFrom(0);
+  t.is(seen.at(-1), 'version_too_old');
+  t.is(objects.counts().byClass.configuration, 2);
+});
+
+test('a refused connection leaves writes undone, a lost answer leaves them open', async (t) => {
+  const { client, server, objects } = await startStore(t);
+  objects.setFaults({ lostAnswers: 1 });
+  t.is(codeOf(await client.put('a', '1', ABSENT, 'status')), 'ambiguous');
+  t.is(codeOf(await client.get('a', 'status')), 'ok');
+  objects.setFaults({ outage: true });
+  t.is(codeOf(await client.put('b', '1', ABSENT, 'status')), 'unavailable');
+  const fresh = HttpObjects.of(server.address, monotonicScheduler);
+  await server.close();
+  t.is(codeOf(await fresh.put('b', '1', ABSENT, 'status')), 'unavailable');
+});
+
+const behaviours: readonly [string, (socket: Socket) => void][] = [
+  ['resets', (socket) => socket.once('data', () => socket.resetAndDestroy())],
+  ['never answers', () => undefined],
+  ['answers with nonsense', (socket) => socket.once('data', () => {
+    socket.end('HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{"a"');
+  })],
+  ['fails without saying what it did', (socket) => socket.once('data', () => {
+    socket.end('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n');
+  })],
+  ['breaks off its answer', (socket) => socket.once('data', () => {
+    socket.end('HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{"name"');
+  })],
+];
+
+behaviours.forEach(([name, behave]) => {
+  test(`a store that ${name} leaves a write ambiguous and a read unavailable`, async (t) => {
+    const client = await startRaw(t, behave);
+    const [put, get] = await Promise.all([
+      client.put('a', '1', ABSENT, 'status'), client.get('a', 'status'),
+    ]);
+    t.is(codeOf(put), 'ambiguous');
+    t.is(codeOf(get), 'unavailable');
+  });
+});
