--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,6 +27,8 @@
     rules: {
       // An exhaustive switch over a discriminated union is checked by the compiler.
       'consistent-return': 'off',
+      // A union type starts on its own line.
+      '@stylistic/operator-linebreak': ['error', 'before', { overrides: { '=': 'ignore' } }],
       'default-case': 'off',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
       '@typescript-eslint/no-floating-promises': 'error',
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,2 @@
+/** The command-line tool `shallotshunt`. */
+process.stdout.write('usage: shallotshunt COMMAND\n');
--- a/src/engines/engine.ts
+++ b/src/engines/engine.ts
@@ -8,7 +8,8 @@
 
 export interface Message { readonly role: string; readonly content: string }
 
-export type Input = | { readonly kind: 'prompt'; readonly text: string }
+export type Input =
+  | { readonly kind: 'prompt'; readonly text: string }
   | { readonly kind: 'chat'; readonly messages: readonly Message[] };
 
 /** The text an answer has so far, and how many tokens it is made of. */
@@ -48,7 +49,8 @@
 /**
  * Positions count tokens of the whole answer from 0; a finish's position is the answer's length.
  */
-export type EngineEvent = | { readonly kind: 'opened'; readonly incarnation: string }
+export type EngineEvent =
+  | { readonly kind: 'opened'; readonly incarnation: string }
   | { readonly kind: 'token'; readonly position: number; readonly text: string }
   | { readonly kind: 'finish'; readonly position: number; readonly reason: FinishReason }
   | AttemptFailure;
@@ -94,7 +96,8 @@
 
 type AdapterOrder = ModelOrder & { readonly adapter: string };
 
-export type Order = | ({ readonly kind: 'load' } & ModelOrder)
+export type Order =
+  | ({ readonly kind: 'load' } & ModelOrder)
   | ({ readonly kind: 'unload' } & ModelOrder)
   | ({ readonly kind: 'load_adapter' } & AdapterOrder)
   | ({ readonly kind: 'unload_adapter' } & AdapterOrder)
@@ -114,7 +117,8 @@
 export type OrderOutcome = 'accepted' | 'fenced' | 'refused' | 'unknown';
 
 /** `made` is how many tokens the engine had made when it stopped; the stream ends after it. */
-export type CancelOutcome = | { readonly kind: 'cancelled'; readonly made: number }
+export type CancelOutcome =
+  | { readonly kind: 'cancelled'; readonly made: number }
   | { readonly kind: 'not_found' }
   | { readonly kind: 'unknown' };
 
--- /dev/null
+++ b/src/generation/request.ts
@@ -0,0 +1,42 @@
+/**
+ * A caller's request for a generation, checked and with its workspace known, and the answer to it.
+ */
+import type {
+  FinishReason, Input, Priority, Sampling,
+} from '../engines/engine.js';
+import type { Refusal } from '../common/refusal.js';
+import type { Repeat } from '../configuration/configuration.js';
+
+export interface GenerationRequest {
+  /** Names the generation across attempts and instances. */
+  readonly id: string;
+  readonly workspace: string;
+  readonly model: string;
+  readonly adapter: string | undefined;
+  readonly input: Input;
+  readonly sampling: Sampling;
+  readonly priority: Priority;
+  readonly repeat: Repeat;
+  readonly idempotencyKey: string | undefined;
+}
+
+export interface AnswerToken {
+  readonly kind: 'token';
+  readonly position: number;
+  readonly text: string;
+}
+
+export interface AnswerFinish {
+  readonly kind: 'finish';
+  readonly reason: FinishReason;
+  /** The answer's length in tokens. */
+  readonly tokens: number;
+}
+
+export interface AnswerRefusal {
+  readonly kind: 'refusal';
+  readonly refusal: Refusal;
+}
+
+/** What the caller gets, in order; the last event is a finish or a refusal. */
+export type AnswerEvent = AnswerToken | AnswerFinish | AnswerRefusal;
--- /dev/null
+++ b/src/standin/stream.ts
@@ -0,0 +1,76 @@
+/** One attempt as a stand-in engine runs it. */
+import { Subject } from 'rxjs';
+import type { AttemptRequest, EngineEvent } from '../engines/engine.js';
+import {
+  answerLength, chainAfter, chainNext, tokenAfter,
+} from './tokens.js';
+
+export class Stream {
+  readonly request: AttemptRequest;
+
+  readonly out = new Subject<EngineEvent>();
+
+  /** Uncached tokens of the prompt and the accepted text. */
+  readonly prefillTokens: number;
+
+  readonly #made: string[] = [];
+
+  readonly #length: number;
+
+  #state: number;
+
+  #ended = false;
+
+  private constructor(request: AttemptRequest, prefillTokens: number) {
+    this.request = request;
+    this.prefillTokens = prefillTokens;
+    this.#length = answerLength(request);
+    this.#state = chainAfter(request, request.accepted);
+  }
+
+  static of(request: AttemptRequest, prefillTokens: number): Stream {
+    return new Stream(request, prefillTokens);
+  }
+
+  get ended(): boolean {
+    return this.#ended;
+  }
+
+  /** Tokens of the whole answer so far. */
+  get position(): number {
+    return this.request.accepted.tokens + this.#made.length;
+  }
+
+  /** Whether the answer has its full length. */
+  get full(): boolean {
+    return this.position >= this.#length;
+  }
+
+  /** Tokens from `position` on, or undefined when the stream does not have that position. */
+  since(position: number): readonly EngineEvent[] | undefined {
+    const start = this.request.accepted.tokens;
+    if (position < start || position > this.position) return undefined;
+    return this.#made.slice(position - start).map((text, offset) => (
+      { kind: 'token', position: position + offset, text }));
+  }
+
+  /** Makes the next token. */
+  make(variant: number): void {
+    const { position } = this;
+    const text = tokenAfter(this.#state, variant);
+    this.#state = chainNext(this.#state, text);
+    this.#made.push(text);
+    this.out.next({ kind: 'token', position, text });
+  }
+
+  finish(): EngineEvent {
+    const { position } = this;
+    const reason = position >= this.request.sampling.maxTokens ? 'length' : 'stop';
+    return { kind: 'finish', position, reason };
+  }
+
+  end(): void {
+    this.#ended = true;
+    this.out.complete();
+  }
+}
--- a/src/store/objects.ts
+++ b/src/store/objects.ts
@@ -19,7 +19,8 @@
  * may not have taken effect. `conflict`: the version given is not the current one. `budget`: the
  * instance's own call budget refused the call before it was sent.
  */
-export type StoreErrorCode = | 'unavailable'
+export type StoreErrorCode =
+  | 'unavailable'
   | 'ambiguous'
   | 'conflict'
   | 'not_found'
@@ -31,10 +32,12 @@
 export interface StoreError { readonly code: StoreErrorCode; readonly message: string }
 
 /** What a conditional update expects: the object at this version, or that it does not exist. */
-export type Expectation = | { readonly kind: 'version'; readonly version: number }
+export type Expectation =
+  | { readonly kind: 'version'; readonly version: number }
   | { readonly kind: 'absent' };
 
-export type WatchEvent = | { readonly kind: 'put'; readonly object: StoredObject }
+export type WatchEvent =
+  | { readonly kind: 'put'; readonly object: StoredObject }
   | { readonly kind: 'delete'; readonly name: string; readonly version: number };
 
 /** Which use a call serves; a budget under pressure serves the earlier classes first. */
