Keep decisions by request and start the command-line tool

Cause: operators ask why a request went the way it did, and the tool needs one way to read arguments and print.

--- /dev/null
+++ b/src/admin/decisions.ts
@@ -0,0 +1,48 @@
+/**
+ * Keeps the log events of recent requests, so that an operator can ask why a request went the way
+ * it did. It is a log itself: every event passes through, and those that name a request are kept.
+ */
+import { LRUCache } from 'lru-cache';
+import type { SchedulerLike } from 'rxjs';
+import type { Log, LogFields, LogLevel } from '../common/log.js';
+
+const KEPT_REQUESTS = 2_000;
+const EVENTS_PER_REQUEST = 32;
+
+export interface Decision {
+  /** Scheduler time. */
+  readonly atMs: number;
+  readonly event: string;
+  readonly fields: LogFields;
+}
+
+export class DecisionLog implements Log {
+  readonly #target: Log;
+
+  readonly #scheduler: SchedulerLike;
+
+  readonly #requests = new LRUCache<string, readonly Decision[]>({ max: KEPT_REQUESTS });
+
+  private constructor(target: Log, scheduler: SchedulerLike) {
+    this.#target = target;
+    this.#scheduler = scheduler;
+  }
+
+  static of(target: Log, scheduler: SchedulerLike): DecisionLog {
+    return new DecisionLog(target, scheduler);
+  }
+
+  event(level: LogLevel, event: string, fields: LogFields = {}): void {
+    this.#target.event(level, event, fields);
+    const { request } = fields;
+    if (typeof request !== 'string') return;
+    const decision: Decision = { atMs: this.#scheduler.now(), event, fields };
+    const kept = this.#requests.get(request) ?? [];
+    if (kept.length < EVENTS_PER_REQUEST) this.#requests.set(request, [...kept, decision]);
+  }
+
+  /** The decisions behind a request, oldest first; empty when it is not known or no longer kept. */
+  why(request: string): readonly Decision[] {
+    return this.#requests.get(request) ?? [];
+  }
+}
--- /dev/null
+++ b/src/cli/command.ts
@@ -0,0 +1,92 @@
+/** What a command of the tool is, and how its arguments are read. */
+import { parseArgs } from 'node:util';
+import type { ParseArgsConfig } from 'node:util';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Terminal } from './terminal.js';
+
+/**
+ * 0: done. 1: refused, with findings or a reason. 2: the command line is wrong. 3: another
+ * operator's change conflicts. 4: no daemon could be reached, or it did not answer in time.
+ */
+export type ExitCode = 0 | 1 | 2 | 3 | 4;
+
+export interface Option {
+  readonly type: 'string' | 'boolean';
+  readonly short?: string;
+  readonly help: string;
+}
+
+export type Options = Readonly<Record<string, Option>>;
+
+export interface Invocation {
+  readonly positionals: readonly string[];
+  readonly values: Readonly<Record<string, string | boolean | undefined>>;
+  readonly terminal: Terminal;
+}
+
+export interface Command {
+  readonly name: string;
+  readonly summary: string;
+  /** What follows the command's name, such as `DIR`. */
+  readonly operands: string;
+  /** Fewest and most operands. */
+  readonly arity: readonly [number, number];
+  readonly options: Options;
+  run(invocation: Invocation): Promise<ExitCode>;
+}
+
+/** Options of every command. */
+export const COMMON_OPTIONS: Options = {
+  json: { type: 'boolean', help: 'print JSON for scripts' },
+  help: { type: 'boolean', short: 'h', help: 'print this help' },
+};
+
+/** Options of the commands that talk to a daemon. */
+export const DAEMON_OPTIONS: Options = {
+  daemon: {
+    type: 'string',
+    short: 'd',
+    help: 'administration address host:port of any daemon (SHALLOTSHUNT_DAEMON)',
+  },
+  key: { type: 'string', help: 'administrator key (better: SHALLOTSHUNT_KEY)' },
+};
+
+function optionHelp([name, option]: [string, Option]): string {
+  const short = option.short ? `-${option.short}, ` : '    ';
+  const value = option.type === 'string' ? ' VALUE' : '';
+  return `  ${`${short}--${name}${value}`.padEnd(26)} ${option.help}`;
+}
+
+export function commandHelp(command: Command): string {
+  const options = { ...command.options, ...COMMON_OPTIONS };
+  return [
+    `usage: shallotshunt ${command.name} ${command.operands}`.trimEnd(),
+    '',
+    command.summary,
+    '',
+    'options:',
+    ...Object.entries(options).map(optionHelp),
+  ].join('\n');
+}
+
+/** Reads a command's arguments; the error says what is wrong with them. */
+export function readArguments(
+  command: Command,
+  args: readonly string[],
+): Result<Omit<Invocation, 'terminal'>, string> {
+  const options: ParseArgsConfig['options'] = Object.fromEntries(
+    Object.entries({ ...command.options, ...COMMON_OPTIONS })
+      .map(([name, { type, short }]) => [name, short ? { type, short } : { type }]),
+  );
+  try {
+    const { values, positionals } = parseArgs({ args: [...args], options, allowPositionals: true });
+    const [fewest, most] = command.arity;
+    if (!values.help && (positionals.length < fewest || positionals.length > most)) {
+      return err(`${command.name} takes ${command.operands || 'no operands'}`);
+    }
+    return ok({ positionals, values: values as Invocation['values'] });
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+}
