Add membership by heartbeats with shared soft state

Cause: daemons need to know each other and share load, revision and demand within a bounded number of bytes. Change: a pure state machine with neighbours on two hash rings, probes through others, suspicion, refutation and deltas acknowledged by sequence.

--- /dev/null
+++ b/src/membership/contacts.ts
@@ -0,0 +1,79 @@
+/** Whom a daemon exchanges heartbeats with, and when it doesn't wait for the next period. */
+import type { Random } from '../common/random.js';
+import { plainHeartbeat, syncHeartbeat } from './merge.js';
+import { PROTOCOL } from './message.js';
+import type { Heartbeat } from './message.js';
+import { successors } from './neighbours.js';
+import { isUrgent } from './publication.js';
+import type { State } from './state.js';
+
+/** Members that are only listed and tried in one period. */
+const FIRST_CONTACTS = 3;
+
+/** A heartbeat to send; the peer's answer comes back as an event. */
+export interface Exchange {
+  readonly kind: 'exchange';
+  readonly peer: string;
+  readonly peerAddress: string;
+  readonly message: Heartbeat;
+}
+
+function exchangeWith(state: State, peer: string, whole: boolean): readonly Exchange[] {
+  const peerAddress = state.records.get(peer)?.peerAddress
+    ?? state.listed.get(peer)?.peerAddress;
+  if (peerAddress === undefined) return [];
+  const message = whole
+    ? syncHeartbeat(state, peer, PROTOCOL)
+    : plainHeartbeat(state, peer, PROTOCOL);
+  return [{
+    kind: 'exchange', peer, peerAddress, message,
+  }];
+}
+
+/** Members other than this daemon that are not dead. */
+export function presentPeers(state: State): readonly string[] {
+  return [...state.records.values()]
+    .filter((record) => record.condition !== 'dead' && record.name !== state.self)
+    .map((record) => record.name);
+}
+
+/** Up to `size` of `names`, each at most once. */
+export function sample(names: readonly string[], size: number, random: Random): readonly string[] {
+  const left = [...names];
+  return Array.from({ length: Math.min(size, left.length) }, () => (
+    left.splice(random.integer(0, left.length - 1), 1)[0]!
+  ));
+}
+
+/** Members to try beside the neighbours: one known at random, some of those only listed. */
+function strangers(state: State, met: readonly string[], random: Random): readonly string[] {
+  const known = [...state.records.keys()]
+    .filter((name) => name !== state.self && !met.includes(name));
+  const unmet = [...state.listed.values()]
+    .filter((instance) => instance.state === 'live' && !state.records.has(instance.name))
+    .map((instance) => instance.name);
+  return [...sample(known, 1, random), ...sample(unmet, FIRST_CONTACTS, random)];
+}
+
+/** The exchanges that one period begins with. */
+export function exchanges(state: State, random: Random): readonly Exchange[] {
+  const neighbours = successors(state.self, presentPeers(state));
+  const others = strangers(state, neighbours, random);
+  return [
+    ...neighbours.flatMap((peer) => exchangeWith(state, peer, true)),
+    ...others.flatMap((peer) => exchangeWith(state, peer, false)),
+  ];
+}
+
+/** Exchanges with the neighbours, out of turn. */
+export function exchangesNow(state: State): readonly Exchange[] {
+  return successors(state.self, presentPeers(state))
+    .flatMap((peer) => exchangeWith(state, peer, true));
+}
+
+/** Exchanges at once when `after` has urgent news that `before` had not. */
+export function hasten(before: State, after: State): readonly Exchange[] {
+  const urgent = [...after.entries.values()]
+    .some((entry) => entry.changed > before.sequence && isUrgent(entry.key));
+  return urgent ? exchangesNow(after) : [];
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,256 @@
+/**
+ * Membership as a pure state machine. In each period a daemon exchanges heartbeats with its
+ * neighbours and with one other member at random. A member that doesn't answer is tried through
+ * others before it is suspect, and a suspect has time to deny it before it is dead. A dead member
+ * that the platform still lists is tried now and then, so that a partition heals.
+ *
+ * A daemon that finds that it was itself paused gives every suspect a fresh deadline, and takes
+ * failures of exchanges begun before the pause for its own.
+ */
+import type { Random } from '../common/random.js';
+import type { ListedInstance } from './instances.js';
+import {
+  exchanges, exchangesNow, hasten, presentPeers, sample,
+} from './contacts.js';
+import type { Exchange } from './contacts.js';
+import {
+  mergeHeartbeat, plainHeartbeat, setRecord, syncHeartbeat,
+} from './merge.js';
+import { PROTOCOL } from './message.js';
+import type { Heartbeat, PeerAnswer, Probe } from './message.js';
+import { publishDue, publishNow, isUrgent } from './publication.js';
+import { ownRecord, recordMessage } from './state.js';
+import type { State } from './state.js';
+
+export const PERIOD_MS = 1_000;
+export const EXCHANGE_DEADLINE_MS = 500;
+/** Covers the exchange that the peer makes and the way to it and back. */
+export const PROBE_DEADLINE_MS = 1_000;
+
+const SUSPICION_MS = 3_000;
+const MAX_STRAIN = 3;
+/** A tick that comes this much later than its period means that the daemon was paused. */
+const PAUSE_MS = 500;
+const RELAYS = 2;
+const DEAD_RETAINED_MS = 600_000;
+
+export type Event = | { readonly kind: 'tick' }
+  /** The platform's list was read. */
+  | { readonly kind: 'listed'; readonly instances: readonly ListedInstance[] }
+  /** A peer began an exchange; the transaction's `reply` answers it. */
+  | { readonly kind: 'received'; readonly heartbeat: Heartbeat }
+  | { readonly kind: 'answered'; readonly peer: string; readonly answer: PeerAnswer }
+  | { readonly kind: 'lost'; readonly peer: string; readonly sentAt: number }
+  /** A relay tried `target`, or (`undefined`) did not answer itself. */
+  | { readonly kind: 'probed';
+    readonly target: string;
+    readonly reached: boolean | undefined;
+    readonly sentAt: number; }
+  | { readonly kind: 'publish'; readonly key: string; readonly value: unknown }
+  | { readonly kind: 'leave' };
+
+export type Effect = | Exchange
+  | { readonly kind: 'probe';
+    readonly relay: string;
+    readonly peerAddress: string;
+    readonly message: Probe; }
+  | { readonly kind: 'condition';
+    readonly name: string;
+    readonly condition: 'alive' | 'suspect' | 'dead';
+    readonly reason: string; }
+  | { readonly kind: 'resumed'; readonly pausedMs: number };
+
+export interface Transaction {
+  readonly state: State;
+  readonly effects: readonly Effect[];
+  /** Answers a `received` heartbeat. */
+  readonly reply?: Heartbeat;
+}
+
+export interface Context { readonly now: number; readonly random: Random }
+
+function suspicionMs(state: State): number {
+  const spread = Math.max(1, Math.log10(state.records.size));
+  return SUSPICION_MS * spread * (1 + state.strain);
+}
+
+/** Suspects whose time has run out are dead; the dead that nobody lists are forgotten. */
+function expire(state: State, now: number): Transaction {
+  const effects: Effect[] = [];
+  let next = state;
+  state.records.forEach((record) => {
+    const elapsed = now - record.since;
+    if (record.condition === 'suspect' && elapsed >= suspicionMs(state)) {
+      const dead = { ...recordMessage(record), condition: 'dead' as const };
+      next = setRecord(next, dead, state.self, now);
+      effects.push({
+        kind: 'condition', name: record.name, condition: 'dead', reason: 'suspicion_expired',
+      });
+    }
+    const listed = state.listed.has(record.name);
+    if (record.condition === 'dead' && !listed && elapsed >= DEAD_RETAINED_MS) {
+      const records = new Map(next.records);
+      records.delete(record.name);
+      next = { ...next, records };
+    }
+  });
+  return { state: next, effects };
+}
+
+function resume(state: State, now: number): Transaction {
+  const pausedMs = now - state.tickedAt - PERIOD_MS;
+  if (pausedMs < PAUSE_MS) return { state, effects: [] };
+  const records = new Map([...state.records].map(([name, record]) => (
+    [name, record.condition === 'suspect' ? { ...record, since: now } : record] as const
+  )));
+  const next: State = {
+    ...state, records, checks: new Map(), resumedAt: now,
+  };
+  return { state: next, effects: [{ kind: 'resumed', pausedMs }] };
+}
+
+function tick(state: State, { now, random }: Context): Transaction {
+  const resumed = resume(state, now);
+  const expired = expire({ ...resumed.state, tickedAt: now }, now);
+  const next = publishDue(expired.state, now);
+  return {
+    state: next,
+    effects: [...resumed.effects, ...expired.effects, ...exchanges(next, random)],
+  };
+}
+
+/** A suspect that speaks to this daemon is not dead to it, whatever its answers' way is like. */
+function heardFrom(state: State, peer: string, now: number): State {
+  const checks = new Map(state.checks);
+  checks.delete(peer);
+  const record = state.records.get(peer);
+  const records = record?.condition === 'suspect'
+    ? new Map(state.records).set(peer, { ...record, since: now })
+    : state.records;
+  return {
+    ...state, records, checks, contactAt: now,
+  };
+}
+
+function received(state: State, heartbeat: Heartbeat, { now }: Context): Transaction {
+  const merged = heardFrom(mergeHeartbeat(state, heartbeat, now), heartbeat.sender.name, now);
+  const peer = heartbeat.sender.name;
+  const reply = heartbeat.sync
+    ? syncHeartbeat(merged, peer, PROTOCOL)
+    : plainHeartbeat(merged, peer, PROTOCOL);
+  return { state: merged, effects: hasten(state, merged), reply };
+}
+
+function answered(state: State, peer: string, answer: PeerAnswer, { now }: Context): Transaction {
+  const rested = { ...heardFrom(state, peer, now), strain: Math.max(0, state.strain - 1) };
+  if (answer.kind !== 'heartbeat') return { state: rested, effects: [] };
+  const merged = mergeHeartbeat(rested, answer, now);
+  return { state: merged, effects: hasten(state, merged) };
+}
+
+function suspect(state: State, name: string, reason: string, now: number): Transaction {
+  const checks = new Map(state.checks);
+  checks.delete(name);
+  const record = state.records.get(name);
+  if (record?.condition !== 'alive') return { state: { ...state, checks }, effects: [] };
+  const message = { ...recordMessage(record), condition: 'suspect' as const };
+  return {
+    state: { ...setRecord(state, message, state.self, now), checks },
+    effects: [{
+      kind: 'condition', name, condition: 'suspect', reason,
+    }],
+  };
+}
+
+/** An exchange failed: others are asked to try the peer before it is suspect. */
+function lost(state: State, peer: string, sentAt: number, { now, random }: Context): Transaction {
+  const record = state.records.get(peer);
+  if (sentAt < state.resumedAt || now - state.tickedAt >= PERIOD_MS + PAUSE_MS) {
+    return { state, effects: [] };
+  }
+  if (record?.condition !== 'alive' || state.checks.has(peer)) return { state, effects: [] };
+  const relays = sample(presentPeers(state).filter((name) => name !== peer), RELAYS, random);
+  if (relays.length === 0) return suspect(state, peer, 'no_answer', now);
+  const { name, incarnation } = ownRecord(state);
+  const message: Probe = {
+    kind: 'probe',
+    protocol: PROTOCOL,
+    sender: { name, incarnation },
+    target: peer,
+    peerAddress: record.peerAddress,
+  };
+  const checks = new Map(state.checks).set(peer, { outstanding: relays.length });
+  return {
+    state: { ...state, checks },
+    effects: relays.map((relay) => ({
+      kind: 'probe', relay, peerAddress: state.records.get(relay)!.peerAddress, message,
+    })),
+  };
+}
+
+function probed(state: State, event: Extract<Event, { kind: 'probed' }>, now: number): Transaction {
+  const { target, reached } = event;
+  const check = state.checks.get(target);
+  if (!check || event.sentAt < state.resumedAt) return { state, effects: [] };
+  const checks = new Map(state.checks);
+  if (reached === true) {
+    checks.delete(target);
+    return { state: { ...state, checks }, effects: [] };
+  }
+  // A relay that doesn't answer speaks against this daemon's own network as well.
+  const strain = reached === undefined ? Math.min(MAX_STRAIN, state.strain + 1) : state.strain;
+  checks.set(target, { outstanding: check.outstanding - 1 });
+  const next = { ...state, checks, strain };
+  if (check.outstanding > 1) return { state: next, effects: [] };
+  return suspect(next, target, 'no_answer_through_others', now);
+}
+
+/** The list is a hint of whom to try; it neither makes nor removes a member. */
+function seed(state: State, instances: readonly ListedInstance[]): Transaction {
+  const others = instances.filter((instance) => instance.name !== state.self);
+  const next = { ...state, listed: new Map(others.map((item) => [item.name, item])) };
+  return { state: next, effects: [] };
+}
+
+function publish(state: State, key: string, value: unknown, { now }: Context): Transaction {
+  const waiting = { ...state, pending: new Map(state.pending).set(key, value) };
+  const next = isUrgent(key) ? publishNow(waiting, key, value, now) : publishDue(waiting, now);
+  return { state: next, effects: hasten(state, next) };
+}
+
+function leave(state: State, now: number): Transaction {
+  const own = ownRecord(state);
+  if (own.leaving) return { state, effects: [] };
+  const message = { ...recordMessage(own), leaving: true, refutation: own.refutation + 1 };
+  const next = setRecord(state, message, state.self, now);
+  return { state: next, effects: exchangesNow(next) };
+}
+
+function conditions(before: State, after: State): readonly Effect[] {
+  return [...after.records.values()].flatMap((record): readonly Effect[] => {
+    const known = before.records.get(record.name);
+    if (known === record || record.name === after.self) return [];
+    if (known?.condition === record.condition) return [];
+    return [{
+      kind: 'condition', name: record.name, condition: record.condition, reason: 'reported',
+    }];
+  });
+}
+
+function withReported(before: State, tr: Transaction): Transaction {
+  return { ...tr, effects: [...conditions(before, tr.state), ...tr.effects] };
+}
+
+export function transaction(state: State, event: Event, context: Context): Transaction {
+  switch (event.kind) {
+    case 'tick': return tick(state, context);
+    case 'listed': return seed(state, event.instances);
+    case 'received': return withReported(state, received(state, event.heartbeat, context));
+    case 'answered':
+      return withReported(state, answered(state, event.peer, event.answer, context));
+    case 'lost': return lost(state, event.peer, event.sentAt, context);
+    case 'probed': return probed(state, event, context.now);
+    case 'publish': return publish(state, event.key, event.value, context);
+    case 'leave': return leave(state, context.now);
+  }
+}
--- /dev/null
+++ b/src/membership/merge.ts
@@ -0,0 +1,229 @@
+/**
+ * Taking in what a peer says, and choosing what to tell it. Records are merged by incarnation,
+ * refutation and condition, entries by incarnation and version, so that the order in which
+ * messages arrive makes no difference.
+ */
+import type {
+  EntryMessage, Heartbeat, RecordMessage, Sync,
+} from './message.js';
+import {
+  compareRecords, entryId, entryMessage, ownRecord, recordMessage,
+} from './state.js';
+import type {
+  Entry, MemberRecord, Progress, State,
+} from './state.js';
+
+/** JSON of the items in one message; the rest follows in the next exchange. */
+const MAX_MESSAGE_BYTES = 32_768;
+/** JSON of a member's record, near enough. */
+const RECORD_BYTES = 150;
+const MAX_HOLDERS = 8;
+
+const NO_PROGRESS: Progress = { incarnation: 0, received: 0, acked: 0 };
+
+function withHolder(holders: readonly string[], peer: string): readonly string[] {
+  if (holders.includes(peer) || holders.length >= MAX_HOLDERS) return holders;
+  return [...holders, peer];
+}
+
+/** Publishes all of this daemon's own entries anew. */
+function republish(state: State, incarnation: number, now: number): State {
+  const entries = new Map(state.entries);
+  let { sequence, version } = state;
+  state.entries.forEach((entry, id) => {
+    if (entry.origin !== state.self) return;
+    sequence += 1;
+    version += 1;
+    entries.set(id, {
+      ...entry, incarnation, version, changed: sequence, holders: [], changedAt: now,
+    });
+  });
+  return {
+    ...state, entries, sequence, version,
+  };
+}
+
+/** Denies a claim that this daemon is suspect or dead, or one that a later self of it exists. */
+function refute(state: State, claim: RecordMessage, now: number): State {
+  const own = ownRecord(state);
+  const incarnation = claim.incarnation > own.incarnation
+    ? claim.incarnation + 1
+    : own.incarnation;
+  const refutation = incarnation > own.incarnation ? 0 : claim.refutation + 1;
+  // Whoever took this daemon for dead has dropped its entries.
+  const dropped = claim.condition === 'dead' || incarnation > own.incarnation;
+  const next = dropped ? republish(state, incarnation, now) : state;
+  const sequence = next.sequence + 1;
+  const record: MemberRecord = {
+    ...own, incarnation, refutation, changed: sequence, holders: [],
+  };
+  return { ...next, sequence, records: new Map(next.records).set(state.self, record) };
+}
+
+function withoutEntries(
+  state: State,
+  origin: string,
+  before: number,
+): ReadonlyMap<string, Entry> {
+  const stale = (entry: Entry) => entry.origin === origin && entry.incarnation < before;
+  if (![...state.entries.values()].some(stale)) return state.entries;
+  return new Map([...state.entries].filter(([, entry]) => !stale(entry)));
+}
+
+/** Puts `message` in force, as told by `peer`, or by this daemon itself. */
+export function setRecord(state: State, message: RecordMessage, peer: string, now: number): State {
+  const sequence = state.sequence + 1;
+  const record: MemberRecord = {
+    ...message, changed: sequence, holders: peer === state.self ? [] : [peer], since: now,
+  };
+  const records = new Map(state.records).set(message.name, record);
+  const gone = message.condition === 'dead' ? message.incarnation + 1 : message.incarnation;
+  return {
+    ...state, sequence, records, entries: withoutEntries(state, message.name, gone),
+  };
+}
+
+function mergeRecord(state: State, message: RecordMessage, peer: string, now: number): State {
+  const known = state.records.get(message.name);
+  if (message.name === state.self) {
+    const own = ownRecord(state);
+    const denied = message.condition !== 'alive' || message.incarnation > own.incarnation;
+    const later = compareRecords(message, { ...own, condition: 'alive' }) > 0;
+    return denied && later ? refute(state, message, now) : state;
+  }
+  const order = known ? compareRecords(message, known) : 1;
+  if (order > 0) return setRecord(state, message, peer, now);
+  if (order < 0 || !known) return state;
+  const records = new Map(state.records);
+  records.set(known.name, { ...known, holders: withHolder(known.holders, peer) });
+  return { ...state, records };
+}
+
+function compareEntries(left: EntryMessage, right: EntryMessage): number {
+  return left.incarnation - right.incarnation || left.version - right.version;
+}
+
+function accepts(state: State, message: EntryMessage): boolean {
+  if (message.origin === state.self) return false;
+  const record = state.records.get(message.origin);
+  if (!record) return true;
+  return record.condition === 'dead'
+    ? message.incarnation > record.incarnation
+    : message.incarnation >= record.incarnation;
+}
+
+function mergeEntries(
+  state: State,
+  messages: readonly EntryMessage[],
+  peer: string,
+  now: number,
+): State {
+  if (messages.length === 0) return state;
+  const entries = new Map(state.entries);
+  let { sequence } = state;
+  messages.filter((message) => accepts(state, message)).forEach((message) => {
+    const id = entryId(message.origin, message.key);
+    const known = entries.get(id);
+    const order = known ? compareEntries(message, known) : 1;
+    if (order > 0) {
+      sequence += 1;
+      const size = JSON.stringify(message).length;
+      entries.set(id, {
+        ...message, changed: sequence, holders: [peer], size, changedAt: now,
+      });
+    } else if (order === 0 && known) {
+      entries.set(id, { ...known, holders: withHolder(known.holders, peer) });
+    }
+  });
+  return { ...state, entries, sequence };
+}
+
+function mergeSync(state: State, heartbeat: Heartbeat, sync: Sync): State {
+  const { name, incarnation } = heartbeat.sender;
+  const known = state.progress.get(name);
+  const before = known?.incarnation === incarnation ? known : { ...NO_PROGRESS, incarnation };
+  const current = sync.ackIncarnation === ownRecord(state).incarnation;
+  const progress: Progress = {
+    incarnation,
+    received: sync.from <= before.received
+      ? Math.max(before.received, sync.upto)
+      : before.received,
+    acked: current ? sync.ack : 0,
+  };
+  return { ...state, progress: new Map(state.progress).set(name, progress) };
+}
+
+/** Takes in all that a peer's heartbeat says. */
+export function mergeHeartbeat(state: State, heartbeat: Heartbeat, now: number): State {
+  const peer = heartbeat.sender.name;
+  const records = heartbeat.records.reduce(
+    (next, record) => mergeRecord(next, record, peer, now),
+    state,
+  );
+  const entries = mergeEntries(records, heartbeat.entries, peer, now);
+  return heartbeat.sync ? mergeSync(entries, heartbeat, heartbeat.sync) : entries;
+}
+
+interface Item { readonly changed: number; readonly bytes: number }
+
+interface Batch {
+  readonly records: readonly MemberRecord[];
+  readonly entries: readonly Entry[];
+  readonly upto: number;
+}
+
+/** What changed since the peer was last told, up to the size of a message, oldest first. */
+function batchFor(state: State, peer: string, acked: number): Batch {
+  const news = (item: { changed: number; holders: readonly string[] }) => (
+    item.changed > acked && !item.holders.includes(peer)
+  );
+  const records = [...state.records.values()].filter(news);
+  const entries = [...state.entries.values()].filter(news);
+  const items: Item[] = [
+    ...records.map((record) => ({ changed: record.changed, bytes: RECORD_BYTES })),
+    ...entries.map((entry) => ({ changed: entry.changed, bytes: entry.size })),
+  ].sort((left, right) => left.changed - right.changed);
+  let bytes = 0;
+  const excess = items.findIndex((item) => {
+    bytes += item.bytes;
+    return bytes > MAX_MESSAGE_BYTES;
+  });
+  // One item always goes, so that a large one cannot hold up the rest for ever.
+  const upto = excess < 0 ? state.sequence : items[Math.max(0, excess - 1)]!.changed;
+  const fits = (item: { changed: number }) => item.changed <= upto;
+  return { records: records.filter(fits), entries: entries.filter(fits), upto };
+}
+
+/** Records that go with every message: the sender's own, and the receiver's for it to deny. */
+function introductions(state: State, peer: string): readonly MemberRecord[] {
+  return [ownRecord(state), state.records.get(peer)].filter((record) => record !== undefined);
+}
+
+/** A heartbeat that carries this daemon's changes to `peer`. */
+export function syncHeartbeat(state: State, peer: string, protocol: number): Heartbeat {
+  const progress = state.progress.get(peer) ?? NO_PROGRESS;
+  const { records, entries, upto } = batchFor(state, peer, progress.acked);
+  const { name, incarnation } = ownRecord(state);
+  return {
+    kind: 'heartbeat',
+    protocol,
+    sender: { name, incarnation },
+    records: [...new Set([...introductions(state, peer), ...records])].map(recordMessage),
+    entries: entries.map(entryMessage),
+    sync: {
+      from: progress.acked, upto, ack: progress.received, ackIncarnation: progress.incarnation,
+    },
+  };
+}
+
+/** A heartbeat that asks for no more than a sign of life. */
+export function plainHeartbeat(state: State, peer: string, protocol: number): Heartbeat {
+  const { name, incarnation } = ownRecord(state);
+  return {
+    kind: 'heartbeat',
+    protocol,
+    sender: { name, incarnation },
+    records: introductions(state, peer).map(recordMessage),
+    entries: [],
+  };
+}
--- /dev/null
+++ b/src/membership/publication.ts
@@ -0,0 +1,57 @@
+/**
+ * What a daemon publishes to all others. A key rests between two changes for a time that grows
+ * with the whole shared state, so that the bytes per second stay the same in a larger deployment
+ * and the values get older instead. Urgent keys don't rest.
+ */
+import {
+  CONFIGURATION_KEY, entryId, entryMessage, ownRecord,
+} from './state.js';
+import type { Entry, State } from './state.js';
+
+/** The shortest time between two changes of one key. */
+const PUBLISH_INTERVAL_MS = 1_000;
+/** JSON that all daemons together may publish in a second. */
+const FRESH_BYTES_PER_SECOND = 12_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Keys whose changes don't wait for the next period. */
+const URGENT_PREFIXES = [CONFIGURATION_KEY, 'leaving/'];
+
+export function isUrgent(key: string): boolean {
+  return URGENT_PREFIXES.some((prefix) => key.startsWith(prefix));
+}
+
+/** Puts one waiting value in force as this daemon's next version. */
+export function publishNow(state: State, key: string, value: unknown, now: number): State {
+  const { name: origin, incarnation } = ownRecord(state);
+  const version = state.version + 1;
+  const sequence = state.sequence + 1;
+  const pending = new Map(state.pending);
+  pending.delete(key);
+  const message = entryMessage({
+    origin, incarnation, key, version, value, changed: 0, holders: [], size: 0, changedAt: now,
+  });
+  const size = JSON.stringify(message).length;
+  const entry: Entry = {
+    ...message, changed: sequence, holders: [], size, changedAt: now,
+  };
+  const entries = new Map(state.entries).set(entryId(origin, key), entry);
+  return {
+    ...state, version, sequence, pending, entries,
+  };
+}
+
+/** How long a key rests between two changes: longer as the shared state grows. */
+export function publishIntervalMs(state: State): number {
+  const bytes = [...state.entries.values()].reduce((sum, entry) => sum + entry.size, 0);
+  return Math.max(PUBLISH_INTERVAL_MS, (bytes * MILLISECONDS_PER_SECOND) / FRESH_BYTES_PER_SECOND);
+}
+
+/** Publishes the waiting values whose keys have rested long enough. */
+export function publishDue(state: State, now: number): State {
+  if (state.pending.size === 0) return state;
+  const interval = publishIntervalMs(state);
+  return [...state.pending].reduce((next, [key, value]) => {
+    const last = state.entries.get(entryId(state.self, key));
+    return last && now - last.changedAt < interval ? next : publishNow(next, key, value, now);
+  }, state);
+}
--- /dev/null
+++ b/test/membershipentries.test.ts
@@ -0,0 +1,111 @@
+import test from 'ava';
+import { VirtualTimeScheduler } from 'rxjs';
+import { EXCHANGE_DEADLINE_MS, PERIOD_MS } from '../src/membership/membership.js';
+import type { PeerAnswer, PeerRequest } from '../src/membership/message.js';
+import { Cluster, namesOf, runTo } from './fakes/peers.js';
+
+const SETTLED_MS = 5 * PERIOD_MS;
+const MESSAGE_LIMIT_BYTES = 40_000;
+
+interface Setting {
+  readonly cluster: Cluster;
+  readonly names: readonly string[];
+  readonly sent: { entries: number; largest: number };
+  run(ms: number): void;
+}
+
+function settingOf(count: number): Setting {
+  const scheduler = new VirtualTimeScheduler(undefined, 0);
+  const names = namesOf(count);
+  const sent = { entries: 0, largest: 0 };
+  const onMessage = (_from: string, _to: string, message: PeerRequest | PeerAnswer) => {
+    if (message.kind === 'heartbeat') sent.entries += message.entries.length;
+    sent.largest = Math.max(sent.largest, JSON.stringify(message).length);
+  };
+  const cluster = Cluster.of({
+    scheduler, names, seed: 7, onMessage,
+  });
+  const run = (ms: number) => runTo(scheduler, scheduler.frame + ms);
+  run(SETTLED_MS);
+  return {
+    cluster, names, sent, run,
+  };
+}
+
+function publish({ cluster }: Setting, name: string, key: string, value: unknown): void {
+  cluster.event(name, { kind: 'publish', key, value });
+}
+
+/** The values of `id` that the daemons hold, each once. */
+function valuesOf({ cluster }: Setting, names: readonly string[], id: string): readonly unknown[] {
+  return [...new Set(names.map((name) => cluster.state(name).entries.get(id)?.value))];
+}
+
+test('a value reaches everyone, and at rest nothing is sent again', (t) => {
+  const setting = settingOf(24);
+  publish(setting, 'd003', 'load/e', 5);
+  setting.run(8 * PERIOD_MS);
+  t.deepEqual(valuesOf(setting, setting.names, 'd003\nload/e'), [5]);
+  const before = setting.sent.entries;
+  t.true(before < 3 * setting.names.length);
+  setting.run(20 * PERIOD_MS);
+  t.is(setting.sent.entries, before);
+});
+
+test('a revision reaches 40 daemons without waiting for a period', (t) => {
+  const setting = settingOf(40);
+  publish(setting, 'd003', 'configuration', { revision: 9 });
+  setting.run(PERIOD_MS / 10);
+  const revisions = setting.names
+    .map((name) => setting.cluster.members(name).find((member) => member.name === 'd003'));
+  t.true(revisions.every((member) => member?.revision === 9));
+});
+
+test('of several values in quick succession the last one is published, at a bounded rate', (t) => {
+  const setting = settingOf(3);
+  for (let value = 1; value <= 50; value += 1) {
+    publish(setting, 'd000', 'load/e', value);
+    setting.run(PERIOD_MS / 10);
+  }
+  setting.run(3 * PERIOD_MS);
+  t.deepEqual(valuesOf(setting, setting.names, 'd000\nload/e'), [50]);
+  t.true(setting.cluster.state('d000').version <= 8);
+});
+
+test('values lost on the way are sent again', (t) => {
+  const setting = settingOf(2);
+  setting.cluster.cut(['d000'], ['d001']);
+  publish(setting, 'd000', 'load/e', 5);
+  setting.run(EXCHANGE_DEADLINE_MS + PERIOD_MS);
+  t.deepEqual(valuesOf(setting, ['d001'], 'd000\nload/e'), [undefined]);
+  setting.cluster.mend();
+  setting.run(2 * PERIOD_MS);
+  t.deepEqual(valuesOf(setting, ['d001'], 'd000\nload/e'), [5]);
+});
+
+test('a large state reaches a daemon that starts again, in messages of bounded size', (t) => {
+  const setting = settingOf(3);
+  const keys = Array.from({ length: 200 }, (_, index) => `load/${index}`);
+  keys.forEach((key) => publish(setting, 'd000', key, 'x'.repeat(400)));
+  setting.run(10 * PERIOD_MS);
+  setting.cluster.crash('d001');
+  setting.cluster.start('d001');
+  setting.run(10 * PERIOD_MS);
+  t.is(setting.cluster.state('d001').entries.size, keys.length);
+  t.true(setting.sent.largest < MESSAGE_LIMIT_BYTES, `largest was ${setting.sent.largest} bytes`);
+});
+
+test('the values of a removed member go, and come back with it', (t) => {
+  const setting = settingOf(6);
+  const { cluster, names } = setting;
+  const others = names.slice(1);
+  publish(setting, 'd000', 'load/e', 5);
+  setting.run(SETTLED_MS);
+  cluster.cut(['d000'], others);
+  cluster.cut(others, ['d000']);
+  setting.run(30 * PERIOD_MS);
+  t.deepEqual(valuesOf(setting, others, 'd000\nload/e'), [undefined]);
+  cluster.mend();
+  setting.run(8 * PERIOD_MS);
+  t.deepEqual(valuesOf(setting, names, 'd000\nload/e'), [5]);
+});
