--- a/src/store/objects.ts
+++ b/src/store/objects.ts
@@ -19,7 +19,8 @@
  * may not have taken effect. `conflict`: the version given is not the current one. `budget`: the
  * instance's own call budget refused the call before it was sent.
  */
-export type StoreErrorCode = | 'unavailable'
+export type StoreErrorCode =
+  | 'unavailable'
   | 'ambiguous'
   | 'conflict'
   | 'not_found'
@@ -31,14 +32,16 @@
 export interface StoreError { readonly code: StoreErrorCode; readonly message: string }
 
 /** What a conditional update expects: the object at this version, or that it does not exist. */
-export type Expectation = | { readonly kind: 'version'; readonly version: number }
+export type Expectation =
+  | { readonly kind: 'version'; readonly version: number }
   | { readonly kind: 'absent' };
 
 /**
  * `opened` comes first: the store has accepted the watch, and stood at `version` then. It says
  * nothing about the changes in between having been delivered.
  */
-export type WatchEvent = | { readonly kind: 'opened'; readonly version: number }
+export type WatchEvent =
+  | { readonly kind: 'opened'; readonly version: number }
   | { readonly kind: 'put'; readonly object: StoredObject }
   | { readonly kind: 'delete'; readonly name: string; readonly version: number };
 
