Read, merge, check and explain a folder of configuration files

All findings are reported at once with file, line and column, unknown keys and names with the nearest known one. Maps by name have no prototype, since callers choose the names that are looked up.

--- /dev/null
+++ b/src/configuration/assemble.ts
@@ -0,0 +1,109 @@
+/** Makes the effective configuration from a folder's checked settings. */
+import type {
+  BackendServer, Configuration, Limits, Model, Placement, Pool, Route, Service, Workspace,
+} from './configuration.js';
+import type {
+  FolderSettings, ModelSettings, PoolSettings, RouteSettings, ServerSettings, ServiceSettings,
+  WorkspaceSettings,
+} from './schema.js';
+
+const SAFE_METHODS = ['GET', 'HEAD'];
+
+/** Names come from callers too, so a lookup must not find what every object inherits. */
+function mapNamed<From, To>(
+  records: Readonly<Record<string, From>>,
+  make: (name: string, settings: From) => To,
+): Readonly<Record<string, To>> {
+  const made = Object.create(null) as Record<string, To>;
+  Object.entries(records).forEach(([name, settings]) => {
+    made[name] = make(name, settings);
+  });
+  return made;
+}
+
+function modelOf(name: string, settings: ModelSettings): Model {
+  const { max_tokens: maxTokens, ...rest } = settings;
+  return { ...rest, name, maxTokens };
+}
+
+function poolOf(name: string, settings: PoolSettings): Pool {
+  return {
+    name,
+    kind: settings.kind,
+    models: settings.models,
+    retryRatio: settings.retry_ratio,
+    concurrencyPerServer: settings.concurrency_per_server,
+  };
+}
+
+function serverOf(name: string, settings: ServerSettings, folder: FolderSettings): BackendServer {
+  const { checks_fence: checksFence, ...rest } = settings;
+  return {
+    ...rest, name, checksFence, kind: folder.pools[settings.pool]!.kind,
+  };
+}
+
+/** A route that does not say whether requests may repeat becomes one for each kind of method. */
+function routesOf({ timeout, repeat, ...rest }: RouteSettings): readonly Route[] {
+  const route = { ...rest, timeoutMs: timeout };
+  if (repeat !== undefined) return [{ ...route, repeat }];
+  const named = route.methods.length > 0;
+  const safe = SAFE_METHODS.filter((method) => !named || route.methods.includes(method));
+  const others = route.methods.filter((method) => !SAFE_METHODS.includes(method));
+  return [
+    ...(safe.length > 0 ? [{ ...route, methods: safe, repeat: 'safe' } as const] : []),
+    ...(!named || others.length > 0
+      ? [{ ...route, methods: others, repeat: 'never' } as const]
+      : []),
+  ];
+}
+
+const DEFAULT_ROUTE: RouteSettings = {
+  path: '/', methods: [], repeat: undefined, priority: 'standard', timeout: 30_000,
+};
+
+function serviceOf(name: string, { pool, routes }: ServiceSettings): Service {
+  const given = routes.length > 0 ? routes : [DEFAULT_ROUTE];
+  return { name, pool, routes: given.flatMap(routesOf) };
+}
+
+function workspaceOf(name: string, settings: WorkspaceSettings): Workspace {
+  const { key_hashes: keyHashes, requests_per_second: requestsPerSecond, ...rest } = settings;
+  return {
+    ...rest, name, keyHashes, requestsPerSecond,
+  };
+}
+
+function limitsOf(settings: FolderSettings['limits']): Limits {
+  return {
+    queueWaitMs: settings.queue_wait,
+    queueLength: settings.queue_length,
+    callerBufferBytes: settings.caller_buffer,
+    callerStallMs: settings.caller_stall,
+  };
+}
+
+function placementOf(settings: FolderSettings['placement']): Placement {
+  return {
+    enabled: settings.enabled,
+    concurrentLoads: settings.concurrent_loads,
+    loadsPerMinute: settings.loads_per_minute,
+    leaseMs: settings.lease,
+    orderTimeoutMs: settings.order_timeout,
+  };
+}
+
+/** @param folder settings without error findings */
+export function assemble(folder: FolderSettings, revision: number): Configuration {
+  return {
+    revision,
+    deployment: folder.deployment,
+    models: mapNamed(folder.models, modelOf),
+    servers: mapNamed(folder.servers, (name, server) => serverOf(name, server, folder)),
+    pools: mapNamed(folder.pools, poolOf),
+    services: mapNamed(folder.services, serviceOf),
+    workspaces: mapNamed(folder.workspaces, workspaceOf),
+    limits: limitsOf(folder.limits),
+    placement: placementOf(folder.placement),
+  };
+}
--- /dev/null
+++ b/src/configuration/check.ts
@@ -0,0 +1,159 @@
+/**
+ * Checks a folder of configuration files and makes the effective configuration of it. All findings
+ * are reported together, whatever the files hold.
+ */
+import type { z } from 'zod';
+import { hasErrors } from '../common/finding.js';
+import type { Finding, Place } from '../common/finding.js';
+import { assemble } from './assemble.js';
+import type { Configuration } from './configuration.js';
+import { readDocument } from './document.js';
+import { descriptions } from './fields.js';
+import { suggestion } from './nearest.js';
+import { ReferenceCheck } from './references.js';
+import { defOf, FOLDER, unwrap } from './schema.js';
+import type { Schema } from './schema.js';
+import {
+  formatPath, merge, nodeAt, placeOf, plainOf,
+} from './tree.js';
+import type { Node, Path, Table } from './tree.js';
+
+/** File texts by file name. */
+export type Folder = Readonly<Record<string, string>>;
+
+export interface Check {
+  /** Undefined when there are error findings. */
+  readonly configuration: Configuration | undefined;
+  readonly findings: readonly Finding[];
+  /** The merged files. */
+  readonly table: Table;
+}
+
+const FILE_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,126}\.toml$/;
+
+/** The names of a folder's files in the order in which they are merged. */
+export function fileNames(folder: Folder): readonly string[] {
+  return Object.keys(folder).sort((left, right) => (left < right ? -1 : 1));
+}
+
+function mergeFiles(folder: Folder): { table: Table; findings: readonly Finding[] } {
+  const findings: Finding[] = [];
+  const empty: Table = {
+    kind: 'table', place: { file: '', line: 1, column: 1 }, entries: new Map(), hidden: [],
+  };
+  const table = fileNames(folder).reduce((merged, name) => {
+    if (!FILE_PATTERN.test(name)) {
+      const place = { file: name, line: 1, column: 1 };
+      const message = 'must be letters, digits, dots, hyphens and underscores, ending in .toml';
+      findings.push({
+        severity: 'error', place, path: 'file name', message,
+      });
+      return merged;
+    }
+    const document = readDocument(name, folder[name]!);
+    const result = merge(merged, document.table);
+    findings.push(...document.findings, ...result.findings);
+    return result.table;
+  }, empty);
+  return { table, findings };
+}
+
+/** The keys that the table at `path` may have. */
+function knownKeys(path: Path): readonly string[] {
+  let schema: Schema = FOLDER;
+  path.forEach((key) => {
+    const def = defOf(unwrap(schema));
+    if (def.type === 'object') schema = def.shape[String(key)]!;
+    else if (def.type === 'record') schema = def.valueType;
+    else if (def.type === 'array') schema = def.element;
+  });
+  const def = defOf(unwrap(schema));
+  return def.type === 'object' ? Object.keys(def.shape) : [];
+}
+
+function issueFindings(root: Table, issue: z.core.$ZodIssue): readonly Finding[] {
+  const path = issue.path.map((key) => (typeof key === 'number' ? key : String(key)));
+  const finding = (at: Path, message: string): Finding => ({
+    severity: 'error', place: placeOf(root, at), path: formatPath(at), message,
+  });
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => (
+      finding([...path, key], `is not known; ${suggestion(key, knownKeys(path))}`)));
+  }
+  if (issue.code === 'invalid_key') {
+    return [finding(path, issue.issues[0]?.message ?? issue.message)];
+  }
+  return [finding(path, issue.message)];
+}
+
+function comparePlaces(left: Finding, right: Finding): number {
+  const [a, b] = [left.place, right.place];
+  if (!a || !b) return Number(a !== undefined) - Number(b !== undefined);
+  if (a.file !== b.file) return a.file < b.file ? -1 : 1;
+  return a.line - b.line || a.column - b.column;
+}
+
+/** @param revision the revision that the configuration is to carry */
+export function checkFolder(folder: Folder, revision = 0): Check {
+  const { table, findings: merged } = mergeFiles(folder);
+  const parsed = FOLDER.safeParse(plainOf(table));
+  const issues = parsed.error?.issues ?? [];
+  const findings = [
+    ...merged,
+    ...issues.flatMap((issue) => issueFindings(table, issue)),
+    ...ReferenceCheck.run(table),
+  ].sort(comparePlaces);
+  const configuration = parsed.success && !hasErrors(findings)
+    ? assemble(parsed.data, revision)
+    : undefined;
+  return { configuration, findings, table };
+}
+
+/** Where the value of one key comes from. */
+export interface Origin {
+  readonly path: string;
+  /** As JSON; undefined when no file sets the key. */
+  readonly value: string | undefined;
+  readonly place: Place | undefined;
+  /** What the key would be without the file that decides, the next first. */
+  readonly hidden: readonly { readonly value: string; readonly place: Place }[];
+  /** What the key is when no file sets it, as JSON. */
+  readonly fallback: string | undefined;
+}
+
+function leaves(node: Node, path: Path): readonly [Path, Node][] {
+  if (node.kind !== 'table') return [[path, node]];
+  return [...node.entries].flatMap(([key, entry]) => leaves(entry, [...path, key]));
+}
+
+function fallbackOf(path: Path): string | undefined {
+  let schema: Schema | undefined = FOLDER;
+  path.forEach((key) => {
+    const def = defOf(unwrap(schema!));
+    if (def.type === 'object') schema = def.shape[String(key)];
+    else schema = def.type === 'record' ? def.valueType : undefined;
+  });
+  return schema && descriptions.get(schema)?.fallback;
+}
+
+/** The origin of `key`, or of every key below it. A name with dots in it is matched as a whole. */
+export function explain({ table }: Check, key: string): readonly Origin[] {
+  const asJson = (node: Node) => JSON.stringify(plainOf(node));
+  const found = leaves(table, [])
+    .filter(([path]) => `${formatPath(path)}.`.startsWith(`${key}.`))
+    .map(([path, node]): Origin => ({
+      path: formatPath(path),
+      value: asJson(node),
+      place: node.place,
+      hidden: node.hidden.map((earlier) => ({ value: asJson(earlier), place: earlier.place })),
+      fallback: fallbackOf(path),
+    }));
+  if (found.length > 0) return found;
+  const path = key.split('.');
+  const fallback = nodeAt(table, path) ? undefined : fallbackOf(path);
+  return fallback === undefined
+    ? []
+    : [{
+      path: key, value: undefined, place: undefined, hidden: [], fallback,
+    }];
+}
--- /dev/null
+++ b/src/configuration/document.ts
@@ -0,0 +1,191 @@
+/** Reads one TOML file into a tree. Whatever the text is, the outcome is a tree or findings. */
+import { ParseError, parseTOML } from 'toml-eslint-parser';
+import type { AST } from 'toml-eslint-parser';
+import type { Finding, Place } from '../common/finding.js';
+import type { List, Node, Table } from './tree.js';
+
+const MAX_FILE_BYTES = 262_144;
+const MAX_DEPTH = 16;
+
+export interface Document {
+  /** Empty when the file can't be read. */
+  readonly table: Table;
+  readonly findings: readonly Finding[];
+}
+
+interface OpenTable { readonly place: Place; readonly entries: Map<string, Entry> }
+
+interface OpenList { readonly place: Place; readonly tables: OpenTable[] }
+
+/** What a key holds while its file is read: tables and lists of tables can still grow. */
+type Entry =
+  | { readonly kind: 'node'; readonly node: Node }
+  | { readonly kind: 'table'; readonly table: OpenTable }
+  | { readonly kind: 'tables'; readonly list: OpenList };
+
+interface Located { readonly loc: AST.TOMLKeyValue['loc'] }
+
+function syntaxError(place: Place, message: string): Finding {
+  return {
+    severity: 'error', place, path: 'syntax', message,
+  };
+}
+
+function placeIn(file: string, { loc }: Located): Place {
+  return { file, line: loc.start.line, column: loc.start.column + 1 };
+}
+
+function keyText(key: AST.TOMLBare | AST.TOMLQuoted): string {
+  return key.type === 'TOMLBare' ? key.name : key.value;
+}
+
+/** The finished table, with everything below it. */
+function seal({ place, entries }: OpenTable): Table {
+  const sealEntry = (entry: Entry): Node => {
+    switch (entry.kind) {
+      case 'node': return entry.node;
+      case 'table': return seal(entry.table);
+      case 'tables': return {
+        kind: 'list', place: entry.list.place, items: entry.list.tables.map(seal), hidden: [],
+      };
+    }
+  };
+  const sealed = new Map([...entries].map(([key, entry]) => [key, sealEntry(entry)] as const));
+  return {
+    kind: 'table', place, entries: sealed, hidden: [],
+  };
+}
+
+class Reader {
+  readonly #file: string;
+
+  readonly #findings: Finding[] = [];
+
+  private constructor(file: string) {
+    this.#file = file;
+  }
+
+  static of(file: string): Reader {
+    return new Reader(file);
+  }
+
+  get findings(): readonly Finding[] {
+    return this.#findings;
+  }
+
+  read(program: AST.TOMLProgram): Table {
+    const root: OpenTable = { place: { file: this.#file, line: 1, column: 1 }, entries: new Map() };
+    program.body[0].body.forEach((item) => {
+      if (item.type === 'TOMLKeyValue') this.#assign(root, item);
+      else this.#section(root, item);
+    });
+    return seal(root);
+  }
+
+  #section(root: OpenTable, section: AST.TOMLTable): void {
+    const { keys } = section.key;
+    const parent = this.#descend(root, keys.slice(0, -1));
+    const last = keys.at(-1)!;
+    const target = section.kind === 'array'
+      ? this.#append(parent, last)
+      : this.#descend(parent, [last]);
+    section.body.forEach((item) => this.#assign(target, item));
+  }
+
+  #append(parent: OpenTable, key: AST.TOMLBare | AST.TOMLQuoted): OpenTable {
+    const place = placeIn(this.#file, key);
+    const name = keyText(key);
+    const held = parent.entries.get(name);
+    const list = held?.kind === 'tables' ? held.list : { place, tables: [] };
+    const table = { place, entries: new Map() };
+    list.tables.push(table);
+    parent.entries.set(name, { kind: 'tables', list });
+    return table;
+  }
+
+  /** The table under `keys`, made where it is missing; in a list of tables the last one counts. */
+  #descend(from: OpenTable, keys: readonly (AST.TOMLBare | AST.TOMLQuoted)[]): OpenTable {
+    return keys.reduce((parent, key) => {
+      const held = parent.entries.get(keyText(key));
+      if (held?.kind === 'table') return held.table;
+      if (held?.kind === 'tables') return held.list.tables.at(-1)!;
+      const table: OpenTable = { place: placeIn(this.#file, key), entries: new Map() };
+      parent.entries.set(this.#name(key), { kind: 'table', table });
+      return table;
+    }, from);
+  }
+
+  #assign(table: OpenTable, { key, value }: AST.TOMLKeyValue, depth = 0): void {
+    const parent = this.#descend(table, key.keys.slice(0, -1));
+    const last = key.keys.at(-1)!;
+    const node = this.#node(value, placeIn(this.#file, last), depth);
+    parent.entries.set(this.#name(last), { kind: 'node', node });
+  }
+
+  #node(content: AST.TOMLContentNode, place: Place, depth: number): Node {
+    if (depth > MAX_DEPTH) {
+      this.#report(place, `is nested deeper than ${MAX_DEPTH} levels`);
+      return {
+        kind: 'value', place, value: '', hidden: [],
+      };
+    }
+    switch (content.type) {
+      case 'TOMLValue': return {
+        kind: 'value', place, value: content.value, hidden: [],
+      };
+      case 'TOMLArray': return this.#list(content, place, depth);
+      case 'TOMLInlineTable': {
+        const table: OpenTable = { place, entries: new Map() };
+        content.body.forEach((item) => this.#assign(table, item, depth + 1));
+        return seal(table);
+      }
+    }
+  }
+
+  #list(array: AST.TOMLArray, place: Place, depth: number): List {
+    const items = array.elements
+      .map((element) => this.#node(element, placeIn(this.#file, element), depth + 1));
+    return {
+      kind: 'list', place, items, hidden: [],
+    };
+  }
+
+  /** The key's text; the one name that JavaScript objects treat as their own is refused. */
+  #name(key: AST.TOMLBare | AST.TOMLQuoted): string {
+    const name = keyText(key);
+    if (name !== '__proto__') return name;
+    this.#report(placeIn(this.#file, key), 'is not allowed as a key');
+    return 'proto';
+  }
+
+  #report(place: Place, message: string): void {
+    this.#findings.push(syntaxError(place, message));
+  }
+}
+
+function emptyTable(file: string): Table {
+  return {
+    kind: 'table', place: { file, line: 1, column: 1 }, entries: new Map(), hidden: [],
+  };
+}
+
+function failureOf(file: string, error: unknown): Finding {
+  return error instanceof ParseError
+    ? syntaxError({ file, line: error.lineNumber, column: error.column + 1 }, error.message)
+    : syntaxError({ file, line: 1, column: 1 }, `can't be read as TOML: ${String(error)}`);
+}
+
+/** @param file the file's name, for places */
+export function readDocument(file: string, text: string): Document {
+  const start = { file, line: 1, column: 1 };
+  if (Buffer.byteLength(text) > MAX_FILE_BYTES) {
+    const finding = syntaxError(start, `is larger than ${MAX_FILE_BYTES} bytes`);
+    return { table: emptyTable(file), findings: [finding] };
+  }
+  try {
+    const reader = Reader.of(file);
+    return { table: reader.read(parseTOML(text)), findings: reader.findings };
+  } catch (error) {
+    return { table: emptyTable(file), findings: [failureOf(file, error)] };
+  }
+}
