Publish the stored folder by conditional updates with a three-way merge

The folder, its revision and its history are one object. A change is merged by file against the revision it was made from; a file that two operators changed in different ways is a conflict that names the other's change. Lost answers are settled by the write id in the history. The first revision follows the store's version, so a deleted object does not bring lower revisions back.

Measured in tests: 50 racing edits with 20% lost answers and 10% lost writes: at least 45 accepted, none lost, revisions unique; refused ones not written.

--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -7,6 +7,7 @@
 import type { Finding, Place } from '../common/finding.js';
 import { assemble } from './assemble.js';
 import type { Configuration } from './configuration.js';
+import { EMPTY_CONFIGURATION } from './defaults.js';
 import { readDocument } from './document.js';
 import { descriptions } from './fields.js';
 import { suggestion } from './nearest.js';
@@ -93,9 +94,17 @@
   return a.line - b.line || a.column - b.column;
 }
 
-/** @param revision the revision that the configuration is to carry */
+/**
+ * An empty folder is valid and configures nothing.
+ * @param revision the revision that the configuration is to carry
+ */
 export function checkFolder(folder: Folder, revision = 0): Check {
   const { table, findings: merged } = mergeFiles(folder);
+  if (Object.keys(folder).length === 0) {
+    const message = 'the folder is empty; nothing would be served';
+    const finding: Finding = { severity: 'warning', path: 'folder', message };
+    return { configuration: { ...EMPTY_CONFIGURATION, revision }, findings: [finding], table };
+  }
   const parsed = FOLDER.safeParse(plainOf(table));
   const issues = parsed.error?.issues ?? [];
   const findings = [
--- a/src/configuration/defaults.ts
+++ b/src/configuration/defaults.ts
@@ -16,15 +16,18 @@
   orderTimeoutMs: 2_000,
 };
 
+/** Has no prototype: callers choose the names that are looked up. */
+const NOTHING = Object.freeze(Object.create(null) as Record<string, never>);
+
 /** What is in force before any revision has been accepted: nothing is served. */
 export const EMPTY_CONFIGURATION: Configuration = {
   revision: 0,
   deployment: { name: 'unconfigured', favour: 'latency', zones: [] },
-  models: {},
-  servers: {},
-  pools: {},
-  services: {},
-  workspaces: {},
+  models: NOTHING,
+  servers: NOTHING,
+  pools: NOTHING,
+  services: NOTHING,
+  workspaces: NOTHING,
   limits: DEFAULT_LIMITS,
   placement: DEFAULT_PLACEMENT,
 };
--- a/src/configuration/page.ts
+++ b/src/configuration/page.ts
@@ -12,9 +12,10 @@
 uncovers what it hid. File names are letters, digits, dots, hyphens and underscores, ending in
 \`.toml\`.
 
-Durations are strings such as \`"250ms"\`, \`"5s"\`, \`"2m"\` or \`"1h"\`, sizes are strings such as
-\`"64KiB"\` or \`"40GiB"\`, and the keys of rates name their unit. \`shallotshunt check DIR\` reports
-everything that is wrong at once, each with file, line, column and key.
+Durations are strings such as \`"250ms"\`, \`"5s"\`, \`"2m"\` or \`"1h"\`, sizes are strings
+such as \`"64KiB"\` or \`"40GiB"\`, and the keys of rates name their unit. The command
+\`shallotshunt check DIR\` reports everything that is wrong at once, each with file, line, column
+and key.
 
 Findings are errors or warnings. A folder with errors is not accepted. Warnings point at a key that
 two files set to the same value, a table that replaces a value, a pool without backend servers and a
--- /dev/null
+++ b/test/configuration-publisher.test.ts
@@ -0,0 +1,211 @@
+import test from 'ava';
+import { Random } from '../src/common/random.js';
+import type { Folder } from '../src/configuration/check.js';
+import { Publisher } from '../src/configuration/publisher.js';
+import type { Publication } from '../src/configuration/publisher.js';
+import type { ObjectFaults } from '../src/standin/objects.js';
+import { memoryObjects } from './fakes/objects.js';
+
+const BASE: Folder = { 'a.toml': '[deployment]\nname = "lisbon"\nzones = ["lis-a"]\n' };
+const EDIT = { who: 'ana' };
+
+/** A file that defines one model, so that any number of them is a valid folder. */
+function model(name: string, version = '1'): string {
+  return `models.${name}.version = "${version}"\n`;
+}
+
+function start(seed = 1) {
+  const { clock, objects } = memoryObjects(seed);
+  const publisherOf = (operator: number) => Publisher.of({
+    api: objects, scheduler: clock, random: Random.of(operator), wallClock: () => clock.now(),
+  });
+  const run = async <Value>(work: Promise<Value>): Promise<Value> => {
+    await clock.advance(20_000);
+    return work;
+  };
+  return {
+    clock, objects, publisherOf, run,
+  };
+}
+
+async function startStored(files: Folder = BASE) {
+  const world = start();
+  const publisher = world.publisherOf(99);
+  await publisher.apply(files, { ...EDIT, base: 0 });
+  return { ...world, publisher };
+}
+
+async function filesOf(publisher: Publisher): Promise<Folder> {
+  return (await publisher.pull()).unwrapOr({ revision: 0, files: {}, history: [] }).files;
+}
+
+const refusals: readonly [string, Folder, number, Publication['kind']][] = [
+  ['no files', {}, 1, 'empty'],
+  ['error findings', { 'a.toml': 'x = 1' }, 1, 'invalid'],
+  ['what is stored already', BASE, 1, 'unchanged'],
+  ['a base that was never accepted', BASE, 9, 'base_unknown'],
+  ['a file name that JavaScript treats as its own', { ...BASE, ['__proto__']: '' }, 1, 'invalid'],
+  ['too much', {
+    ...BASE,
+    ...Object.fromEntries(Array.from({ length: 9 }, (_, i) => [
+      `${i}.toml`, `# ${'x'.repeat(120_000)}`,
+    ])),
+  }, 1, 'too_large'],
+];
+
+refusals.forEach(([name, folder, base, kind]) => {
+  test(`applying ${name} ends as ${kind} and changes nothing`, async (t) => {
+    const { publisher } = await startStored();
+    t.is((await publisher.apply(folder, { ...EDIT, base })).kind, kind);
+    t.deepEqual(await filesOf(publisher), BASE);
+  });
+});
+
+test('an empty folder is accepted when it is meant', async (t) => {
+  const { publisher } = await startStored();
+  const ended = await publisher.apply({}, { ...EDIT, base: 1, allowEmpty: true });
+  t.like(ended, { kind: 'accepted', revision: 2 });
+});
+
+interface Race {
+  readonly name: string;
+  readonly theirs: Folder;
+  readonly mine: Folder;
+  readonly outcome: Folder | readonly string[];
+}
+
+const X1 = model('x');
+const X2 = model('x', '2');
+const X3 = model('x', '3');
+const START: Folder = { ...BASE, 'x.toml': X1 };
+
+const races: readonly Race[] = [
+  {
+    name: 'different files',
+    theirs: { ...START, 'y.toml': model('y') },
+    mine: { ...START, 'x.toml': X2 },
+    outcome: { ...BASE, 'x.toml': X2, 'y.toml': model('y') },
+  },
+  {
+    name: 'the same file in the same way',
+    theirs: { ...START, 'x.toml': X2 },
+    mine: { ...START, 'x.toml': X2, 'y.toml': model('y') },
+    outcome: { ...BASE, 'x.toml': X2, 'y.toml': model('y') },
+  },
+  {
+    name: 'the same file',
+    theirs: { ...START, 'x.toml': X2 },
+    mine: { ...START, 'x.toml': X3 },
+    outcome: ['x.toml changed, changed by ben in 2'],
+  },
+  {
+    name: 'a file that the other removed',
+    theirs: BASE,
+    mine: { ...START, 'x.toml': X3 },
+    outcome: ['x.toml changed, removed by ben in 2'],
+  },
+  {
+    name: 'a file that the other edited, by removing it',
+    theirs: { ...START, 'x.toml': X2 },
+    mine: BASE,
+    outcome: ['x.toml removed, changed by ben in 2'],
+  },
+  {
+    name: 'two files by renaming one over the other',
+    theirs: { ...START, 'z.toml': model('z') },
+    mine: { ...BASE, 'z.toml': X1 },
+    outcome: ['z.toml changed, changed by ben in 2'],
+  },
+];
+
+races.forEach(({
+  name, theirs, mine, outcome,
+}) => {
+  test(`operators who change ${name}`, async (t) => {
+    const { publisher } = await startStored(START);
+    await publisher.apply(theirs, { who: 'ben', base: 1 });
+    const ended = await publisher.apply(mine, { ...EDIT, base: 1 });
+    if (ended.kind === 'conflict') {
+      t.deepEqual(ended.conflicts.map((c) => (
+        `${c.file} ${c.mine}, ${c.theirs.change} by ${c.theirs.who} in ${c.theirs.revision}`
+      )), outcome);
+      t.deepEqual(await filesOf(publisher), theirs);
+    } else {
+      t.is(ended.kind, 'accepted');
+      t.deepEqual(await filesOf(publisher), outcome);
+    }
+  });
+});
+
+test('files that are valid alone but not together are refused with findings', async (t) => {
+  const { publisher } = await startStored({ ...BASE, 'p.toml': '[pools.p]' });
+  await publisher.remove('p.toml', EDIT);
+  const server = '[servers.s]\naddress = "10.0.0.1:80"\nzone = "lis-a"\npool = "p"\n';
+  const ended = await publisher.put('s.toml', server, { ...EDIT, base: 1 });
+  t.is(ended.kind, 'invalid');
+});
+
+test('history names who changed what, and a removed object does not start from 1', async (t) => {
+  const { publisher, objects } = await startStored();
+  await publisher.put('x.toml', X1, { who: 'ben' });
+  await publisher.remove('x.toml', { who: 'ana' });
+  t.is((await publisher.remove('x.toml', EDIT)).kind, 'no_such_file');
+  const entries = (await publisher.history()).unwrapOr([]);
+  t.deepEqual(entries.map((entry) => [entry.revision, entry.who, entry.changes[0]?.file]), [
+    [3, 'ana', 'x.toml'], [2, 'ben', 'x.toml'], [1, 'ana', 'a.toml'],
+  ]);
+  t.is((await publisher.diff(START)).unwrapOr([]).length, 1);
+  const held = await objects.get('configuration', 'status');
+  await objects.remove('configuration', held.isOk() ? held.value.version : 0, 'status');
+  t.like(await publisher.apply(BASE, { ...EDIT, base: 0 }), { kind: 'accepted', revision: 5 });
+});
+
+test('a history that has grown past its bound no longer knows old bases', async (t) => {
+  const { publisher } = await startStored();
+  for (let version = 0; version < 101; version += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one change after the other
+    await publisher.put('x.toml', model('x', String(version)), EDIT);
+  }
+  t.is((await publisher.apply(BASE, { ...EDIT, base: 1 })).kind, 'base_unknown');
+  t.is((await publisher.apply(BASE, { ...EDIT, base: 102 })).kind, 'accepted');
+});
+
+const faults: readonly [Partial<ObjectFaults>, Publication['kind'], boolean][] = [
+  [{ lostAnswers: 1 }, 'accepted', true],
+  [{ lostAnswers: 1, latencyMs: 400 }, 'accepted', true],
+  [{ lostAnswers: 1, staleReads: true }, 'unsettled', true],
+  [{ lostWrites: 1 }, 'unsettled', false],
+  [{ outage: true }, 'unavailable', false],
+];
+
+faults.forEach(([fault, kind, written]) => {
+  test(`with ${Object.keys(fault).join(' and ')} a change ends as ${kind}`, async (t) => {
+    const { publisher, objects, run } = await startStored();
+    objects.setFaults(fault);
+    const ended = await run(publisher.put('x.toml', X1, EDIT));
+    t.is(ended.kind, kind);
+    objects.setFaults({
+      ...fault, staleReads: false, outage: false, latencyMs: 0,
+    });
+    t.is('x.toml' in await filesOf(publisher), written);
+    if (ended.kind !== 'unsettled') return;
+    t.is((await publisher.outcomeOf(ended.writeId)).unwrapOr(undefined) !== undefined, written);
+  });
+});
+
+test('50 racing operators under lost answers lose no accepted edit', async (t) => {
+  const { objects, publisherOf, run } = await startStored();
+  objects.setFaults({ lostAnswers: 0.2, lostWrites: 0.1, latencyMs: 10 });
+  const edits = Array.from({ length: 50 }, (_, operator) => (
+    publisherOf(operator).put(`m${operator}.toml`, model(`m${operator}`), EDIT)));
+  const ends = await run(Promise.all(edits));
+  objects.setFaults({ lostAnswers: 0, lostWrites: 0, latencyMs: 0 });
+  const files = await filesOf(publisherOf(99));
+  const accepted = ends.flatMap((end, operator) => (end.kind === 'accepted' ? [operator] : []));
+  t.true(accepted.length >= 45, `${accepted.length} accepted`);
+  t.deepEqual(accepted.filter((operator) => !(`m${operator}.toml` in files)), []);
+  const revisions = ends.flatMap((end) => (end.kind === 'accepted' ? [end.revision] : []));
+  t.is(new Set(revisions).size, revisions.length);
+  const refused = ends.flatMap((end, operator) => (end.kind === 'unavailable' ? [operator] : []));
+  t.deepEqual(refused.filter((operator) => `m${operator}.toml` in files), []);
+});
