--- a/src/daemon/demo.ts
+++ b/src/daemon/demo.ts
@@ -104,11 +104,15 @@
     backendServer(engine.options.name, await listen(server, 0)))));
   const configurations = new BehaviorSubject(configuration(servers));
   const dial = ({ address }: BackendServer) => HttpEngineClient.of(address);
-  const monitor = EngineMonitor.of(dial, monotonicScheduler);
+  const monitor = EngineMonitor.of(dial, monotonicScheduler, log);
   const running = monitor.start(configurations);
   const dispatcher = LeastLoaded.of(monitor, () => configurations.value, log);
   const gateway = Gateway.of({
-    dispatcher, directory: monitor, log, configuration: () => configurations.value,
+    dispatcher,
+    directory: monitor,
+    watcher: monitor,
+    log,
+    configuration: () => configurations.value,
   });
   const entry = EntryServer.of(gateway, random);
   const address = await listen(entry, port);
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -49,10 +49,15 @@
   private constructor(settings: InstanceSettings, adapters: Adapters) {
     const { scheduler, log } = adapters;
     this.settings = settings;
-    const monitor = EngineMonitor.of(adapters.dial, scheduler);
+    const monitor = EngineMonitor.of(adapters.dial, scheduler, log);
     const dispatcher = LeastLoaded.of(monitor, () => this.#configuration.value, log);
     this.gateway = Gateway.of({
-      dispatcher, directory: monitor, log, configuration: () => this.#configuration.value,
+      dispatcher,
+      directory: monitor,
+      watcher: monitor,
+      scheduler,
+      log,
+      configuration: () => this.#configuration.value,
     });
     this.run = Supervisor.of('instance', [
       childOf('configuration', () => {
--- a/src/engines/engine.ts
+++ b/src/engines/engine.ts
@@ -41,7 +41,9 @@
 /** `ran` tells whether the engine can have been given the request. */
 export interface AttemptFailure {
   readonly kind: 'failed';
-  readonly cause: 'refused' | 'connect' | 'reset' | 'ended_early' | 'protocol' | 'version_missing';
+  readonly cause:
+    | 'refused' | 'connect' | 'reset' | 'ended_early' | 'protocol' | 'version_missing'
+    | 'silent' | 'restarted';
   readonly ran: 'no' | 'unknown';
   readonly message: string;
 }
@@ -125,11 +127,17 @@
 export interface EngineClient {
   /**
    * Starts the attempt on subscription; unsubscribing stops reading, and `cancel` stops the work.
+   * While `held` last said true, the stream is not read on.
    */
-  generate(request: AttemptRequest): Observable<EngineEvent>;
+  generate(request: AttemptRequest, held?: Observable<boolean>): Observable<EngineEvent>;
 
   /** Joins a running or just finished stream at token `position`. */
-  join(generation: string, attempt: number, position: number): Observable<EngineEvent>;
+  join(
+    generation: string,
+    attempt: number,
+    position: number,
+    held?: Observable<boolean>,
+  ): Observable<EngineEvent>;
 
   cancel(generation: string, attempt: number): Promise<CancelOutcome>;
 
--- /dev/null
+++ b/src/engines/watch.ts
@@ -0,0 +1,239 @@
+/**
+ * Watches the streams that this daemon reads from one engine, and feeds the engine's failure
+ * detector with what they show. Time is counted by a clock that stands still while the daemon
+ * itself is paused.
+ */
+import type { SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Favour } from '../configuration/configuration.js';
+import {
+  FRESH_DETECTOR, detect, firstTokenMs, healthOf, streamSilenceMs, suspectAfterMs,
+} from './detector.js';
+import type {
+  DetectorEffect, DetectorState, Observation, Pace,
+} from './detector.js';
+import type { Health } from './directory.js';
+import type { AttemptFailure, EngineClient, LoadReport } from './engine.js';
+import { Watched } from './watched.js';
+import type { StreamListener, StreamOwner, WatchedStream } from './watched.js';
+
+/** A silence of one stream, as a multiple of the time that makes it suspect, that loses it. */
+const LOST_FACTOR = 4;
+/** How much of the longest gap between tokens is remembered from one check to the next. */
+const GAP_DECAY = 0.998;
+/** Share of a deadline that the daemon has to have been awake for a miss to count. */
+const AWAKE_SHARE = 0.7;
+
+export interface Watcher {
+  /** Watches a new stream of `server`; undefined when there is no such engine. */
+  watch(
+    server: string,
+    prefillTokens: number,
+    listener: StreamListener,
+  ): WatchedStream | undefined;
+}
+
+/** When, in awake time, an answer was asked for, and until when. */
+export interface Asked { readonly awakeAt: number; readonly deadlineMs: number }
+
+export interface WatchContext {
+  readonly name: string;
+  readonly client: EngineClient;
+  readonly scheduler: SchedulerLike;
+  readonly log: Log;
+  readonly favour: () => Favour;
+  /** Time that this daemon has been awake, in milliseconds. */
+  readonly awake: () => number;
+  /** Takes a report that answered a ping. */
+  readonly report: (report: LoadReport) => void;
+}
+
+function lossOf(cause: 'silent' | 'restarted', message: string): AttemptFailure {
+  return {
+    kind: 'failed', cause, ran: 'unknown', message,
+  };
+}
+
+export class EngineWatch implements StreamOwner {
+  readonly context: WatchContext;
+
+  readonly #streams = new Set<Watched>();
+
+  #state: DetectorState = FRESH_DETECTOR;
+
+  #report: LoadReport | undefined;
+
+  /** Awake time of the last token of any stream. */
+  #tokenAt = 0;
+
+  #gapMs = 0;
+
+  private constructor(context: WatchContext) {
+    this.context = context;
+  }
+
+  static of(context: WatchContext): EngineWatch {
+    return new EngineWatch(context);
+  }
+
+  get health(): Health {
+    return healthOf(this.#state);
+  }
+
+  awake(): number {
+    return this.context.awake();
+  }
+
+  now(): number {
+    return this.context.scheduler.now();
+  }
+
+  get streams(): number {
+    return this.#streams.size;
+  }
+
+  add(prefillTokens: number, listener: StreamListener): WatchedStream {
+    const stream = Watched.of(this, prefillTokens, listener);
+    this.#streams.add(stream);
+    return stream;
+  }
+
+  remove(stream: WatchedStream): void {
+    this.#streams.delete(stream as Watched);
+  }
+
+  /** A stream gave a token at awake time `at`. */
+  token(at: number): void {
+    const gap = at - this.#tokenAt;
+    this.#tokenAt = at;
+    if (this.health === 'up') this.#gapMs = Math.max(this.#gapMs, gap);
+    else this.#observe({ kind: 'token' });
+  }
+
+  /** Tokens are due from `at` on; what came before says nothing. */
+  restart(at: number): void {
+    this.#tokenAt = Math.max(this.#tokenAt, at);
+  }
+
+  /** Takes a load report that was asked for at scheduler time `askedAt`. */
+  reported(report: LoadReport, askedAt: number, to: 'ping' | 'report'): void {
+    this.#report = report;
+    this.#observe({ kind: 'answered', to });
+    [...this.#streams]
+      .filter(({ incarnation, openedAt }) => (
+        incarnation !== undefined && incarnation !== report.incarnation && openedAt < askedAt))
+      .forEach((stream) => this.#lose(stream, lossOf('restarted', 'the engine restarted')));
+  }
+
+  /** A load report failed to come. */
+  unreported(error: unknown, to: 'ping' | 'report', asked: Asked): void {
+    const refused = (error as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+    const waitedMs = this.context.awake() - asked.awakeAt;
+    if (refused) this.#observe({ kind: 'connection_refused' });
+    else if (waitedMs >= asked.deadlineMs * AWAKE_SHARE) this.#observe({ kind: 'unanswered', to });
+    else if (to === 'ping') this.#observe({ kind: 'inconclusive' });
+  }
+
+  /** Looks for silence; called every few milliseconds while streams are open. */
+  check(): void {
+    const now = this.context.awake();
+    this.#gapMs *= GAP_DECAY;
+    const decoding = [...this.#streams].some(({ phase, isHeld }) => phase === 'decode' && !isHeld);
+    if (!decoding) this.#tokenAt = now;
+    this.#observe({ kind: 'silence', silentMs: now - this.#tokenAt });
+    this.#streams.forEach((stream) => this.#checkStream(stream, now));
+  }
+
+  #pace(): Pace {
+    return {
+      favour: this.context.favour(), stepMs: this.#report?.stepMs ?? 0, gapMs: this.#gapMs,
+    };
+  }
+
+  #dueMs({ phase, prefillTokens }: Watched, pace: Pace): number {
+    const { waiting = 0, running = 0, slots = 1 } = this.#report ?? {};
+    switch (phase) {
+      case 'opening': return streamSilenceMs(pace);
+      case 'prefill':
+        return firstTokenMs(pace, prefillTokens, { waiting, full: running >= slots });
+      case 'decode': return streamSilenceMs(pace);
+    }
+  }
+
+  #checkStream(stream: Watched, now: number): void {
+    if (stream.isHeld) return;
+    const silentMs = now - stream.at;
+    // The usual case is decided without working out the thresholds.
+    if (silentMs < suspectAfterMs(this.#pace())) return;
+    const dueMs = this.#dueMs(stream, this.#pace());
+    if (silentMs >= dueMs * LOST_FACTOR) {
+      this.#lose(stream, lossOf('silent', `no token within ${Math.round(silentMs)} ms`));
+    } else if (silentMs >= dueMs) {
+      this.#suspect(stream, silentMs);
+    }
+  }
+
+  #observe(seen: Observation): void {
+    const { state, effects } = detect(this.#state, seen, this.#pace());
+    this.#state = state;
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: DetectorEffect): void {
+    switch (effect.kind) {
+      case 'ping':
+        this.#ping(effect.deadlineMs);
+        break;
+      case 'suspect':
+        this.#log('engine_suspected');
+        [...this.#streams].forEach((stream) => this.#suspect(stream));
+        break;
+      case 'lose':
+        this.#log('engine_lost');
+        [...this.#streams].forEach((stream) => (
+          this.#lose(stream, lossOf('silent', 'the engine does not answer'))));
+        break;
+      case 'recovered':
+        this.#log('engine_recovered');
+        break;
+    }
+  }
+
+  #log(event: string): void {
+    this.context.log.event('info', event, {
+      server: this.context.name,
+      streams: this.#streams.size,
+      silent_ms: Math.round(this.context.awake() - this.#tokenAt),
+      threshold_ms: Math.round(suspectAfterMs(this.#pace())),
+    });
+  }
+
+  #suspect(stream: Watched, silentMs = 0): void {
+    if (stream.suspected || stream.isHeld) return;
+    Object.assign(stream, { suspected: true });
+    if (silentMs > 0) {
+      this.context.log.event('info', 'stream_suspected', {
+        server: this.context.name, phase: stream.phase, silent_ms: Math.round(silentMs),
+      });
+    }
+    stream.listener.suspected();
+  }
+
+  #lose(stream: Watched, failure: AttemptFailure): void {
+    this.#streams.delete(stream);
+    stream.listener.lost(failure);
+  }
+
+  #ping(deadlineMs: number): void {
+    const { client, scheduler, awake } = this.context;
+    const askedAt = scheduler.now();
+    const awakeAt = awake();
+    client.load(deadlineMs).then(
+      (report) => {
+        this.reported(report, askedAt, 'ping');
+        this.context.report(report);
+      },
+      (error: unknown) => this.unreported(error, 'ping', { awakeAt, deadlineMs }),
+    );
+  }
+}
--- /dev/null
+++ b/src/engines/watched.ts
@@ -0,0 +1,92 @@
+/** One stream as its engine's watch sees it. */
+import type { AttemptFailure } from './engine.js';
+
+/** Told by the watch what becomes of a stream. */
+export interface StreamListener {
+  suspected(): void;
+  lost(failure: AttemptFailure): void;
+}
+
+/** One stream that is being read; its reader says what arrives. */
+export interface WatchedStream {
+  opened(incarnation: string): void;
+  /** A token was taken into the answer. */
+  progressed(): void;
+  /** Whether reading is held up by a slow caller. */
+  held(held: boolean): void;
+  close(): void;
+}
+
+/** The watch of the engine that a stream is read from. */
+export interface StreamOwner {
+  /** Time that this daemon has been awake, in milliseconds. */
+  awake(): number;
+
+  /** Scheduler time. */
+  now(): number;
+
+  token(at: number): void;
+
+  restart(at: number): void;
+
+  remove(stream: WatchedStream): void;
+}
+
+export type StreamPhase = 'opening' | 'prefill' | 'decode';
+
+export class Watched implements WatchedStream {
+  readonly listener: StreamListener;
+
+  readonly prefillTokens: number;
+
+  readonly #owner: StreamOwner;
+
+  phase: StreamPhase = 'opening';
+
+  isHeld = false;
+
+  suspected = false;
+
+  incarnation: string | undefined;
+
+  /** Awake time of the last progress. */
+  at: number;
+
+  /** Scheduler time at which the engine opened the stream. */
+  openedAt = 0;
+
+  private constructor(owner: StreamOwner, prefillTokens: number, listener: StreamListener) {
+    this.#owner = owner;
+    this.prefillTokens = prefillTokens;
+    this.listener = listener;
+    this.at = owner.awake();
+  }
+
+  static of(owner: StreamOwner, prefillTokens: number, listener: StreamListener): Watched {
+    return new Watched(owner, prefillTokens, listener);
+  }
+
+  opened(incarnation: string): void {
+    if (this.phase === 'opening') this.phase = 'prefill';
+    this.incarnation = incarnation;
+    this.at = this.#owner.awake();
+    this.openedAt = this.#owner.now();
+  }
+
+  progressed(): void {
+    this.phase = 'decode';
+    this.suspected = false;
+    this.at = this.#owner.awake();
+    this.#owner.token(this.at);
+  }
+
+  held(held: boolean): void {
+    this.isHeld = held;
+    this.at = this.#owner.awake();
+    if (!held) this.#owner.restart(this.at);
+  }
+
+  close(): void {
+    this.#owner.remove(this);
+  }
+}
--- /dev/null
+++ b/src/generation/attempt.ts
@@ -0,0 +1,134 @@
+/** Reads one attempt's stream, and keeps what has to be given back when it ends. */
+import { Subscription } from 'rxjs';
+import type { Observable } from 'rxjs';
+import type {
+  Accepted, AttemptRequest, EngineClient, EngineEvent,
+} from '../engines/engine.js';
+import { inputText } from '../engines/prefix.js';
+import type { Watcher } from '../engines/watch.js';
+import type { WatchedStream } from '../engines/watched.js';
+import type { AttemptOutcome } from '../routing/dispatcher.js';
+import type { Placed } from './placing.js';
+import type { GenerationRequest } from './request.js';
+import type { Attempt } from './state.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+
+export interface AttemptContext {
+  readonly attempt: Attempt;
+  readonly request: GenerationRequest;
+  readonly accepted: Accepted;
+  readonly client: EngineClient;
+  readonly placed: Placed | undefined;
+  readonly held: Observable<boolean> | undefined;
+  readonly watcher: Watcher | undefined;
+}
+
+/** Told of what the attempt brings. */
+export interface AttemptListener {
+  event(event: EngineEvent): void;
+  suspected(): void;
+}
+
+function attemptRequest({ attempt, request, accepted }: AttemptContext): AttemptRequest {
+  const {
+    id, model, adapter, input, sampling, priority,
+  } = request;
+  return {
+    generation: id,
+    attempt: attempt.number,
+    model,
+    version: attempt.version,
+    adapter,
+    input,
+    accepted,
+    sampling,
+    priority,
+  };
+}
+
+export class AttemptReader {
+  readonly client: EngineClient;
+
+  /** Whether the engine has opened the stream. */
+  opened = false;
+
+  readonly #placed: Placed | undefined;
+
+  readonly #listener: AttemptListener;
+
+  readonly #stream = new Subscription();
+
+  #context: AttemptContext | undefined;
+
+  #watched: WatchedStream | undefined;
+
+  private constructor(context: AttemptContext, listener: AttemptListener) {
+    this.#context = context;
+    this.#placed = context.placed;
+    this.#listener = listener;
+    this.client = context.client;
+  }
+
+  static of(context: AttemptContext, listener: AttemptListener): AttemptReader {
+    return new AttemptReader(context, listener);
+  }
+
+  /** Gives the attempt to the engine and reads what comes back. */
+  start(): void {
+    const context = this.#context;
+    if (!context) return;
+    // The accepted text is needed to begin with only, and is not kept.
+    this.#context = undefined;
+    const { attempt, held, watcher } = context;
+    this.#watched = watcher?.watch(attempt.server, this.#prefillTokens(context), {
+      suspected: () => this.#listener.suspected(),
+      lost: (failure) => this.#listener.event(failure),
+    });
+    if (held) this.#stream.add(held.subscribe((value) => this.#watched?.held(value)));
+    const request = attemptRequest(context);
+    const events = attempt.kind === 'begin'
+      ? this.client.generate(request, held)
+      : this.client.join(request.generation, attempt.number, attempt.from, held);
+    this.#stream.add(events.subscribe({
+      next: (event) => this.#next(event),
+      error: (error: unknown) => this.#lose(String(error)),
+      complete: () => this.#lose('ended without a finish'),
+    }));
+  }
+
+  /** A token of the attempt was taken into the answer. */
+  progressed(): void {
+    this.#watched?.progressed();
+    this.#placed?.permit?.release();
+  }
+
+  close(outcome: AttemptOutcome): void {
+    this.#stream.unsubscribe();
+    this.#watched?.close();
+    this.#placed?.permit?.release();
+    this.#placed?.assignment.release(outcome);
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  #prefillTokens({ request, accepted }: AttemptContext): number {
+    const characters = inputText(request.input).length + accepted.text.length;
+    return Math.ceil(characters / CHARACTERS_PER_TOKEN);
+  }
+
+  #next(event: EngineEvent): void {
+    if (event.kind === 'opened') {
+      this.opened = true;
+      this.#watched?.opened(event.incarnation);
+    }
+    this.#listener.event(event);
+  }
+
+  /** Reports the loss; nothing comes of it when the attempt has already been closed. */
+  #lose(message: string): void {
+    if (this.#stream.closed) return;
+    this.#listener.event({
+      kind: 'failed', cause: 'ended_early', ran: 'unknown', message,
+    });
+  }
+}
--- a/src/generation/change.ts
+++ b/src/generation/change.ts
@@ -1,9 +1,16 @@
 /** What can happen to a generation, and what it asks of the outside. */
-import type { AttemptFailure, FinishReason } from '../engines/engine.js';
+import type { AttemptFailure, CancelOutcome, FinishReason } from '../engines/engine.js';
 import type { Refusal } from '../common/refusal.js';
+import type { AttemptOutcome } from '../routing/dispatcher.js';
 import type { AnswerFinish, AnswerToken } from './request.js';
 import type { Attempt } from './state.js';
 
+export interface OpenArrival {
+  readonly kind: 'opened';
+  readonly attempt: number;
+  readonly incarnation: string;
+}
+
 export interface TokenArrival {
   readonly kind: 'token';
   readonly attempt: number;
@@ -24,22 +31,53 @@
   readonly failure: AttemptFailure;
 }
 
+/** What an engine sent, or what became of its stream. */
+export type AttemptArrival = OpenArrival | TokenArrival | FinishArrival | FailureArrival;
+
+/** A caller's return to an attempt that was begun through another instance. */
+export interface Return {
+  readonly server: string;
+  readonly attempt: number;
+  readonly version: string;
+  /** The answer's length that the caller has. */
+  readonly tokens: number;
+  /** The text of those tokens, if the caller sent it. */
+  readonly text: string | undefined;
+}
+
 export type GenerationEvent =
+  | { readonly kind: 'begin' }
+  | { readonly kind: 'return'; readonly from: Return }
   | { readonly kind: 'assigned'; readonly server: string; readonly version: string }
   | { readonly kind: 'unassignable'; readonly refusal: Refusal }
+  | { readonly kind: 'suspected'; readonly attempt: number }
+  | { readonly kind: 'settled'; readonly attempt: number; readonly outcome: CancelOutcome }
+  | { readonly kind: 'expired'; readonly message: string }
   | { readonly kind: 'caller_gone' }
-  | TokenArrival
-  | FinishArrival
-  | FailureArrival;
+  | AttemptArrival;
 
 /** Why an event of an attempt was not taken into the answer. */
-export type DropCause = 'late_attempt' | 'repeated' | 'gap';
+export type DropCause = 'late_attempt' | 'repeated' | 'gap' | 'past_end';
+
+/** Why a backend server is asked for. */
+export type AssignReason = 'begin' | 'again' | 'resume' | 'hedge';
 
 export type GenerationEffect =
   | AnswerToken
   | AnswerFinish
   | { readonly kind: 'refuse'; readonly refusal: Refusal }
-  | { readonly kind: 'assign'; readonly exclude: readonly string[] }
+  | {
+    readonly kind: 'assign';
+    readonly reason: AssignReason;
+    readonly exclude: readonly string[];
+  }
+  /** Gives up the assignment that is being waited for. */
+  | { readonly kind: 'withdraw' }
   | { readonly kind: 'dispatch'; readonly attempt: Attempt }
-  | { readonly kind: 'cancel'; readonly attempt: Attempt }
+  /** Stops reading an attempt that the engine itself has ended or never begun. */
+  | { readonly kind: 'close'; readonly attempt: Attempt; readonly outcome: AttemptOutcome }
+  /** Stops reading an attempt and has the engine stop it. */
+  | { readonly kind: 'cancel'; readonly attempt: Attempt; readonly outcome: AttemptOutcome }
+  /** Cancels and reports the engine's answer as `settled`. */
+  | { readonly kind: 'settle'; readonly attempt: Attempt }
   | { readonly kind: 'drop'; readonly cause: DropCause };
--- /dev/null
+++ b/src/generation/loss.ts
@@ -0,0 +1,144 @@
+/**
+ * What a generation does when an attempt is lost: go on elsewhere, begin again where that can't run
+ * the request twice, or refuse honestly.
+ */
+import type { AttemptFailure, CancelOutcome } from '../engines/engine.js';
+import type { Refusal } from '../common/refusal.js';
+import type { AssignReason, DropCause, GenerationEffect } from './change.js';
+import type { Attempt, GenerationState, Phase } from './state.js';
+
+const RETRY_AFTER_MS = 1_000;
+
+export interface Transaction {
+  readonly state: GenerationState;
+  readonly effects: readonly GenerationEffect[];
+}
+
+export const ENDED: Phase = { kind: 'ended' };
+
+export function unchanged(state: GenerationState): Transaction {
+  return { state, effects: [] };
+}
+
+export function drop(state: GenerationState, cause: DropCause): Transaction {
+  return { state, effects: [{ kind: 'drop', cause }] };
+}
+
+export function liveAttempts({ phase }: GenerationState): readonly Attempt[] {
+  return phase.kind === 'running' ? phase.live : [];
+}
+
+/** Effects that stop every live attempt and the wait for another one. */
+export function stopAll(state: GenerationState, except?: Attempt): readonly GenerationEffect[] {
+  const { phase } = state;
+  const cancels = liveAttempts(state).filter((attempt) => attempt !== except)
+    .map((attempt): GenerationEffect => ({ kind: 'cancel', attempt, outcome: 'cancelled' }));
+  const waits = phase.kind === 'waiting' || (phase.kind === 'running' && phase.hedging);
+  return waits ? [...cancels, { kind: 'withdraw' }] : cancels;
+}
+
+export function refuse(state: GenerationState, refusal: Refusal): Transaction {
+  return {
+    state: { ...state, phase: ENDED },
+    effects: [...stopAll(state), { kind: 'refuse', refusal }],
+  };
+}
+
+/** What a refusal says has run, given what the caller already has. */
+export function honest(state: GenerationState, refusal: Refusal): Refusal {
+  if (state.accepted.tokens > 0) return { ...refusal, ran: 'partly' };
+  return { ...refusal, ran: state.begun ? 'unknown' : refusal.ran };
+}
+
+export function lossRefusal(state: GenerationState, message: string): Refusal {
+  return honest(state, {
+    code: state.accepted.tokens > 0 ? 'interrupted' : 'backend_failed',
+    message: `the backend server failed: ${message}`,
+    ran: 'no',
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
+export function assign(state: GenerationState, exclude: readonly string[]): Transaction {
+  let reason: AssignReason = state.attempts > 0 ? 'again' : 'begin';
+  if (state.accepted.tokens > 0) reason = 'resume';
+  return {
+    state: { ...state, phase: { kind: 'waiting' } },
+    effects: [{ kind: 'assign', reason, exclude }],
+  };
+}
+
+/** What follows after the last live attempt was lost. */
+function afterLoss(state: GenerationState, message: string): Transaction {
+  const { accepted } = state;
+  if (accepted.tokens >= state.maxTokens) {
+    return {
+      state: { ...state, phase: ENDED },
+      effects: [{ kind: 'finish', reason: 'length', tokens: accepted.tokens }],
+    };
+  }
+  if (state.fruitless >= state.maxAttempts || !state.textKnown) {
+    return refuse(state, lossRefusal(state, message));
+  }
+  // With nothing delivered, the version in force now is as good as the first one.
+  const version = accepted.tokens === 0 ? undefined : state.version;
+  return assign({ ...state, version }, state.excluded);
+}
+
+export function failed(
+  state: GenerationState,
+  attempt: Attempt,
+  failure: AttemptFailure,
+): Transaction {
+  const { phase } = state;
+  if (phase.kind !== 'running') return unchanged(state);
+  const live = phase.live.filter((other) => other !== attempt);
+  const begun = state.begun || failure.ran !== 'no';
+  // An engine that no longer has a joined stream may still be the best one to go on at.
+  const excluded = attempt.kind === 'join' && failure.ran === 'no'
+    ? state.excluded
+    : [...state.excluded, attempt.server];
+  const next: GenerationState = {
+    ...state, begun, excluded, phase: { ...phase, live },
+  };
+  const stop: GenerationEffect = failure.ran === 'no'
+    ? { kind: 'close', attempt, outcome: 'refused' }
+    : { kind: 'cancel', attempt, outcome: 'failed' };
+  if (live.length > 0) return { state: next, effects: [stop] };
+  if (phase.hedging) return { state: { ...next, phase: { kind: 'waiting' } }, effects: [stop] };
+  if (begun && state.accepted.tokens === 0 && !state.repeatable) {
+    return {
+      state: { ...next, phase: { kind: 'settling', attempt, message: failure.message } },
+      effects: [{ kind: 'settle', attempt }],
+    };
+  }
+  const tr = afterLoss(
+    { ...next, phase: { kind: 'running', live, hedging: false } },
+    failure.message,
+  );
+  return { ...tr, effects: [stop, ...tr.effects] };
+}
+
+export function protocolFailure(
+  state: GenerationState,
+  attempt: Attempt,
+  message: string,
+): Transaction {
+  return failed(state, attempt, {
+    kind: 'failed', cause: 'protocol', ran: 'unknown', message,
+  });
+}
+
+/** Only a confirmed cancel with nothing made allows beginning again. */
+export function settled(
+  state: GenerationState,
+  number: number,
+  outcome: CancelOutcome,
+): Transaction {
+  const { phase } = state;
+  if (phase.kind !== 'settling' || phase.attempt.number !== number) return unchanged(state);
+  if (outcome.kind === 'cancelled' && outcome.made === 0) {
+    return afterLoss({ ...state, begun: false }, phase.message);
+  }
+  return refuse(state, lossRefusal(state, phase.message));
+}
--- /dev/null
+++ b/src/generation/placing.ts
@@ -0,0 +1,140 @@
+/** Waits for the backend server of a generation's next attempt. */
+import { Subscription } from 'rxjs';
+import type { Assignment, Dispatcher } from '../routing/dispatcher.js';
+import type { AssignReason, GenerationEvent } from './change.js';
+import type { Permit, ResumePacer } from './pacing.js';
+import type { GenerationRequest } from './request.js';
+import type { GenerationState } from './state.js';
+
+/** A backend server that was found, with what has to be given back. */
+export interface Placed {
+  readonly reason: AssignReason;
+  readonly assignment: Assignment;
+  /** Held until the attempt's first token, for attempts that follow a loss. */
+  readonly permit: Permit | undefined;
+}
+
+export interface PlacingContext {
+  readonly dispatcher: Dispatcher;
+  readonly pacer?: ResumePacer;
+}
+
+export class Placing {
+  readonly #request: GenerationRequest;
+
+  readonly #context: PlacingContext;
+
+  readonly #receive: (event: GenerationEvent) => void;
+
+  #waiting: Subscription | undefined;
+
+  #permit: Permit | undefined;
+
+  #placed: Placed | undefined;
+
+  private constructor(
+    request: GenerationRequest,
+    context: PlacingContext,
+    receive: (event: GenerationEvent) => void,
+  ) {
+    this.#request = request;
+    this.#context = context;
+    this.#receive = receive;
+  }
+
+  static of(
+    request: GenerationRequest,
+    context: PlacingContext,
+    receive: (event: GenerationEvent) => void,
+  ): Placing {
+    return new Placing(request, context, receive);
+  }
+
+  /** Asks for a server and reports `assigned` or `unassignable`. */
+  start(reason: AssignReason, state: GenerationState, exclude: readonly string[]): void {
+    this.withdraw();
+    const waiting = new Subscription();
+    this.#waiting = waiting;
+    const ask = () => waiting.add(this.#ask(waiting, reason, state, exclude));
+    const { pacer } = this.#context;
+    if (reason === 'begin' || !pacer) {
+      ask();
+      return;
+    }
+    waiting.add(pacer.enter(this.#request.priority).subscribe((permit) => {
+      if (waiting.closed) {
+        permit.release();
+        return;
+      }
+      this.#permit = permit;
+      ask();
+    }));
+  }
+
+  /** The server that was just reported as assigned; its taker gives it back. */
+  take(): Placed | undefined {
+    const placed = this.#placed;
+    this.#placed = undefined;
+    return placed;
+  }
+
+  /** Stops waiting. */
+  withdraw(): void {
+    this.#waiting?.unsubscribe();
+    this.#waiting = undefined;
+    this.#permit?.release();
+    this.#permit = undefined;
+  }
+
+  #ask(
+    waiting: Subscription,
+    reason: AssignReason,
+    state: GenerationState,
+    exclude: readonly string[],
+  ): Subscription {
+    const {
+      id, workspace, priority, model, adapter, input,
+    } = this.#request;
+    return this.#context.dispatcher.assign({
+      request: id,
+      workspace,
+      priority,
+      target: {
+        kind: 'model', model, version: state.version, adapter, input,
+      },
+      resume: state.accepted.tokens > 0,
+      exclude,
+    }).subscribe((result) => {
+      if (waiting.closed) {
+        result.map((assignment) => assignment.release('cancelled'));
+        return;
+      }
+      result.match(
+        (assignment) => this.#found(reason, assignment),
+        (refusal) => {
+          // Where no other server is left, one that failed before may do.
+          if (exclude.length > 0 && reason !== 'hedge') {
+            waiting.add(this.#ask(waiting, reason, state, []));
+            return;
+          }
+          this.withdraw();
+          this.#receive({ kind: 'unassignable', refusal });
+        },
+      );
+    });
+  }
+
+  #found(reason: AssignReason, assignment: Assignment): void {
+    const permit = this.#permit;
+    this.#permit = undefined;
+    this.#waiting = undefined;
+    this.#placed = { reason, assignment, permit };
+    const { server, version } = assignment;
+    this.#receive({ kind: 'assigned', server, version });
+    // The generation may no longer want it.
+    if (this.#placed?.assignment !== assignment) return;
+    this.#placed = undefined;
+    assignment.release('cancelled');
+    permit?.release();
+  }
+}
--- a/src/generation/request.ts
+++ b/src/generation/request.ts
@@ -18,6 +18,8 @@
   readonly priority: Priority;
   readonly repeat: Repeat;
   readonly idempotencyKey: string | undefined;
+  /** Digest of the caller's body; a key that comes back with another one is refused. */
+  readonly bodyHash?: string;
 }
 
 export interface AnswerToken {
--- a/src/generation/run.ts
+++ b/src/generation/run.ts
@@ -1,22 +1,57 @@
 /** Runs one generation: performs the effects of its transactions and feeds back what happens. */
-import { Observable, Subscription } from 'rxjs';
+import { Observable, Subscription, timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
+import { monotonicScheduler } from '../common/time.js';
+import { cancelAttempt } from '../engines/cancellation.js';
 import type { Directory } from '../engines/directory.js';
-import type { AttemptRequest, EngineEvent } from '../engines/engine.js';
-import type { Assignment, AttemptOutcome, Dispatcher } from '../routing/dispatcher.js';
-import type { GenerationEffect, GenerationEvent } from './change.js';
+import type { AttemptFailure, EngineEvent } from '../engines/engine.js';
+import type { Watcher } from '../engines/watch.js';
+import type { AttemptOutcome, Dispatcher } from '../routing/dispatcher.js';
+import { AttemptReader } from './attempt.js';
+import type {
+  AssignReason, DropCause, GenerationEffect, GenerationEvent, Return,
+} from './change.js';
+import { silentMeter } from './meter.js';
+import type { GenerationMeter } from './meter.js';
+import type { ResumePacer } from './pacing.js';
+import { Placing } from './placing.js';
 import type { AnswerEvent, GenerationRequest } from './request.js';
 import { generationState } from './state.js';
 import type { Attempt, GenerationState } from './state.js';
-import { begin, transaction } from './transaction.js';
-import type { Transaction } from './transaction.js';
+import { transaction } from './transaction.js';
 
 const MAX_ATTEMPTS = 6;
+/** How long a caller that has part of an answer waits for the next token after a loss. */
+const RECOVERY_LIMIT_MS = 10_000;
+const TOTAL_LIMIT_MS = 60 * 60 * 1_000;
 
 export interface GenerationContext {
   readonly dispatcher: Dispatcher;
   readonly directory: Directory;
   readonly log: Log;
+  readonly scheduler?: SchedulerLike;
+  /** Watches streams for silence; without one, only a closed connection is noticed. */
+  readonly watcher?: Watcher;
+  readonly pacer?: ResumePacer;
+  readonly meter?: GenerationMeter;
+  /** Whether a second attempt may be started beside a silent one. */
+  readonly hedges?: () => boolean;
+}
+
+export interface GenerationOptions {
+  /** True while the caller does not read, so that the engine's stream is not read on. */
+  readonly held?: Observable<boolean>;
+  /** Set for a caller that returns to an attempt begun earlier. */
+  readonly from?: Return;
+  /** Told of every attempt that is dispatched. */
+  readonly dispatched?: (attempt: Attempt) => void;
+}
+
+function removed(server: string): AttemptFailure {
+  return {
+    kind: 'failed', cause: 'connect', ran: 'no', message: `${server} was removed`,
+  };
 }
 
 class GenerationRun {
@@ -24,53 +59,79 @@
 
   readonly #context: GenerationContext;
 
+  readonly #options: GenerationOptions;
+
   readonly #emit: (event: AnswerEvent) => void;
 
-  readonly #streams = new Map<number, Subscription>();
+  readonly #scheduler: SchedulerLike;
+
+  readonly #meter: GenerationMeter;
 
-  readonly #assignments = new Map<number, Assignment>();
+  readonly #readers = new Map<number, AttemptReader>();
 
-  #queued: Subscription | undefined;
+  readonly #startedAt: number;
 
-  #assignment: Assignment | undefined;
+  readonly #drops = new Map<DropCause, number>();
+
+  readonly #timers = new Subscription();
+
+  readonly #placing: Placing;
+
+  #recovery: Subscription | undefined;
+
+  #tokenAt: number;
+
+  /** The attempt that the last token came from. */
+  #source: number | undefined;
 
   #state: GenerationState;
 
   private constructor(
     request: GenerationRequest,
     context: GenerationContext,
+    options: GenerationOptions,
     emit: (event: AnswerEvent) => void,
   ) {
     this.#request = request;
     this.#context = context;
+    this.#options = options;
     this.#emit = emit;
+    this.#scheduler = context.scheduler ?? monotonicScheduler;
+    this.#meter = context.meter ?? silentMeter;
+    this.#startedAt = this.#scheduler.now();
+    this.#tokenAt = this.#startedAt;
     this.#state = generationState({
-      repeatable: request.repeat === 'safe', maxAttempts: MAX_ATTEMPTS,
+      repeatable: request.repeat === 'safe',
+      maxAttempts: MAX_ATTEMPTS,
+      hedges: context.hedges?.() ?? false,
+      maxTokens: request.sampling.maxTokens,
     });
+    this.#placing = Placing.of(request, context, (event) => this.#receive(event));
   }
 
   static of(
     request: GenerationRequest,
     context: GenerationContext,
+    options: GenerationOptions,
     emit: (event: AnswerEvent) => void,
   ): GenerationRun {
-    return new GenerationRun(request, context, emit);
+    return new GenerationRun(request, context, options, emit);
   }
 
   start(): void {
-    this.#apply(begin(this.#state));
+    const { from } = this.#options;
+    this.#timers.add(timer(TOTAL_LIMIT_MS, this.#scheduler)
+      .subscribe(() => this.#receive({ kind: 'expired', message: 'it took too long' })));
+    this.#receive(from ? { kind: 'return', from } : { kind: 'begin' });
   }
 
   stop(): void {
     this.#receive({ kind: 'caller_gone' });
-    this.#queued?.unsubscribe();
+    this.#end();
   }
 
   #receive(event: GenerationEvent): void {
-    this.#apply(transaction(this.#state, event));
-  }
-
-  #apply(tr: Transaction): void {
+    const tr = transaction(this.#state, event);
     this.#state = tr.state;
     tr.effects.forEach((effect) => this.#perform(effect));
   }
@@ -81,115 +142,162 @@
         this.#emit(effect);
         break;
       case 'finish':
-        this.#closeAll('answered');
+        this.#end();
         this.#emit(effect);
         break;
       case 'refuse':
+        this.#meter.refused(effect.refusal.code);
+        this.#log('refuse', {
+          code: effect.refusal.code,
+          ran: effect.refusal.ran,
+          reason: effect.refusal.message,
+        });
+        this.#end();
         this.#emit({ kind: 'refusal', refusal: effect.refusal });
         break;
       case 'assign':
-        this.#assign(effect.exclude);
+        this.#assign(effect.reason, effect.exclude);
+        break;
+      case 'withdraw':
+        this.#placing.withdraw();
         break;
       case 'dispatch':
         this.#dispatch(effect.attempt);
         break;
+      case 'close':
+        this.#close(effect.attempt, effect.outcome);
+        break;
       case 'cancel':
-        this.#cancel(effect.attempt);
+        this.#cancel(effect.attempt, effect.outcome, false);
+        break;
+      case 'settle':
+        this.#cancel(effect.attempt, 'failed', true);
         break;
       case 'drop':
-        this.#context.log.event('debug', 'token_dropped', {
-          request: this.#request.id, cause: effect.cause,
-        });
+        this.#drop(effect.cause);
         break;
     }
   }
 
-  #assign(exclude: readonly string[]): void {
-    const { model, adapter, input } = this.#request;
-    this.#queued = this.#context.dispatcher.assign({
-      request: this.#request.id,
-      workspace: this.#request.workspace,
-      priority: this.#request.priority,
-      target: {
-        kind: 'model', model, version: this.#state.version, adapter, input,
-      },
-      resume: this.#state.accepted.tokens > 0,
-      exclude,
-    }).subscribe((result) => result.match(
-      (assignment) => {
-        this.#assignment = assignment;
-        const { server, version } = assignment;
-        this.#receive({ kind: 'assigned', server, version });
-      },
-      (refusal) => this.#receive({ kind: 'unassignable', refusal }),
-    ));
+  #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
+    this.#context.log.event('info', event, {
+      request: this.#request.id, tokens: this.#state.accepted.tokens, ...fields,
+    });
+  }
+
+  /** Logs the first drop of each cause; a broken engine may cause one for every token. */
+  #drop(cause: DropCause): void {
+    const count = (this.#drops.get(cause) ?? 0) + 1;
+    this.#drops.set(cause, count);
+    this.#meter.dropped(cause);
+    if (count === 1) this.#log('drop', { cause });
+  }
+
+  #assign(reason: AssignReason, exclude: readonly string[]): void {
+    if (reason === 'resume') this.#limitRecovery();
+    if (reason !== 'begin') {
+      this.#log(reason, {
+        exclude: exclude.join(','),
+        silent_ms: Math.round(this.#scheduler.now() - this.#tokenAt),
+      });
+    }
+    this.#placing.start(reason, this.#state, exclude);
+  }
+
+  #limitRecovery(): void {
+    if (this.#recovery && !this.#recovery.closed) return;
+    this.#recovery = timer(RECOVERY_LIMIT_MS, this.#scheduler).subscribe(() => (
+      this.#receive({ kind: 'expired', message: 'no backend server went on in time' })));
   }
 
   #dispatch(attempt: Attempt): void {
-    const { number } = attempt;
-    if (this.#assignment) this.#assignments.set(number, this.#assignment);
-    const view = this.#context.directory.engine(attempt.server);
+    const { number, server } = attempt;
+    const placed = attempt.kind === 'begin' ? this.#placing.take() : undefined;
+    const view = this.#context.directory.engine(server);
     if (!view) {
-      this.#receive({
-        kind: 'failed',
-        attempt: number,
-        failure: {
-          kind: 'failed', cause: 'connect', ran: 'no', message: 'the engine was removed',
-        },
-      });
+      placed?.assignment.release('refused');
+      placed?.permit?.release();
+      this.#receive({ kind: 'failed', attempt: number, failure: removed(server) });
       return;
     }
-    const stream = new Subscription();
-    this.#streams.set(number, stream);
-    stream.add(view.client.generate(this.#attemptRequest(attempt))
-      .subscribe((event) => this.#arrive(number, event)));
-  }
-
-  #attemptRequest({ number, version }: Attempt): AttemptRequest {
-    const {
-      id, model, adapter, input, sampling, priority,
-    } = this.#request;
-    return {
-      generation: id,
-      attempt: number,
-      model,
-      version,
-      adapter,
-      input,
+    this.#meter.dispatched(placed?.reason ?? 'begin');
+    this.#log('dispatch', {
+      attempt: number, server, version: attempt.version, reason: placed?.reason ?? 'join',
+    });
+    this.#options.dispatched?.(attempt);
+    const reader = AttemptReader.of({
+      attempt,
+      request: this.#request,
       accepted: this.#state.accepted,
-      sampling,
-      priority,
-    };
+      client: view.client,
+      placed,
+      held: this.#options.held,
+      watcher: this.#context.watcher,
+    }, {
+      event: (event) => this.#arrive(number, event),
+      suspected: () => this.#receive({ kind: 'suspected', attempt: number }),
+    });
+    this.#readers.set(number, reader);
+    reader.start();
   }
 
   #arrive(attempt: number, event: EngineEvent): void {
-    switch (event.kind) {
-      case 'opened': break;
-      case 'token':
-      case 'finish':
-        this.#receive({ ...event, attempt });
-        break;
-      case 'failed':
-        this.#receive({ kind: 'failed', attempt, failure: event });
-        break;
+    if (event.kind === 'failed') {
+      this.#log('attempt_failed', {
+        attempt, cause: event.cause, ran: event.ran, reason: event.message,
+      });
+      this.#receive({ kind: 'failed', attempt, failure: event });
+      return;
     }
+    const before = this.#state.accepted.tokens;
+    this.#receive({ ...event, attempt });
+    if (event.kind === 'token' && this.#state.accepted.tokens > before) this.#progressed(attempt);
   }
 
-  #cancel({ number, server }: Attempt): void {
-    this.#close(number, 'cancelled');
-    const view = this.#context.directory.engine(server);
-    view?.client.cancel(this.#request.id, number).catch(() => undefined);
+  #progressed(attempt: number): void {
+    const now = this.#scheduler.now();
+    this.#readers.get(attempt)?.progressed();
+    if (this.#source !== attempt) {
+      if (this.#source !== undefined) {
+        this.#meter.resumed(now - this.#tokenAt);
+        this.#log('resumed', { attempt, pause_ms: Math.round(now - this.#tokenAt) });
+      } else if (!this.#options.from) {
+        this.#meter.firstToken(now - this.#startedAt);
+      }
+      this.#source = attempt;
+    }
+    this.#recovery?.unsubscribe();
+    this.#tokenAt = now;
   }
 
-  #close(attempt: number, outcome: AttemptOutcome): void {
-    this.#streams.get(attempt)?.unsubscribe();
-    this.#streams.delete(attempt);
-    this.#assignments.get(attempt)?.release(outcome);
-    this.#assignments.delete(attempt);
+  #cancel(attempt: Attempt, outcome: AttemptOutcome, settle: boolean): void {
+    const { number, server } = attempt;
+    const reader = this.#close(attempt, outcome);
+    if (!reader) {
+      if (settle) this.#receive({ kind: 'settled', attempt: number, outcome: { kind: 'unknown' } });
+      return;
+    }
+    this.#log('cancel', { attempt: number, server, outcome });
+    cancelAttempt(reader.client, this.#request.id, number, reader.opened, this.#scheduler)
+      .then((result) => {
+        if (settle) this.#receive({ kind: 'settled', attempt: number, outcome: result });
+      }, () => undefined);
   }
 
-  #closeAll(outcome: AttemptOutcome): void {
-    [...this.#streams.keys()].forEach((attempt) => this.#close(attempt, outcome));
+  #close({ number }: Attempt, outcome: AttemptOutcome): AttemptReader | undefined {
+    const reader = this.#readers.get(number);
+    reader?.close(outcome);
+    this.#readers.delete(number);
+    return reader;
+  }
+
+  #end(): void {
+    this.#placing.withdraw();
+    this.#timers.unsubscribe();
+    this.#recovery?.unsubscribe();
+    [...this.#readers.values()].forEach((reader) => reader.close('cancelled'));
+    this.#readers.clear();
+    if (this.#state.accepted.tokens > 0) this.#meter.tokens(this.#state.accepted.tokens);
   }
 }
 
@@ -200,13 +308,18 @@
 export function generate(
   request: GenerationRequest,
   context: GenerationContext,
+  options: GenerationOptions = {},
 ): Observable<AnswerEvent> {
   return new Observable((subscriber) => {
-    const run = GenerationRun.of(request, context, (event) => {
+    let ended = false;
+    const run = GenerationRun.of(request, context, options, (event) => {
+      ended = event.kind !== 'token';
       subscriber.next(event);
-      if (event.kind !== 'token') subscriber.complete();
+      if (ended) subscriber.complete();
     });
     run.start();
-    return () => run.stop();
+    return () => {
+      if (!ended) run.stop();
+    };
   });
 }
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -1,146 +1,205 @@
 /**
- * The decisions of one generation. A token enters the answer only when it comes from the current
- * attempt at the position that equals the answer's length, so that no failure can repeat, lose or
- * mix tokens.
+ * The decisions of one generation. A token enters the answer only when it comes from a live attempt
+ * at the position that equals the answer's length, so that no failure can repeat, lose or mix
+ * tokens. While two attempts race, the first next token decides between them.
  */
-import type { AttemptFailure } from '../engines/engine.js';
 import type { Refusal } from '../common/refusal.js';
 import type {
-  DropCause, FinishArrival, GenerationEffect, GenerationEvent, TokenArrival,
+  AttemptArrival, FinishArrival, GenerationEffect, GenerationEvent, OpenArrival, Return,
+  TokenArrival,
 } from './change.js';
+import {
+  assign, drop, ENDED, failed, honest, liveAttempts, lossRefusal, protocolFailure, refuse, settled,
+  stopAll, unchanged,
+} from './loss.js';
+import type { Transaction } from './loss.js';
 import type { Attempt, GenerationState } from './state.js';
 
-export interface Transaction {
-  readonly state: GenerationState;
-  readonly effects: readonly GenerationEffect[];
-}
-
-function unchanged(state: GenerationState): Transaction {
-  return { state, effects: [] };
-}
-
-function drop(state: GenerationState, cause: DropCause): Transaction {
-  return { state, effects: [{ kind: 'drop', cause }] };
-}
-
-function refuse(state: GenerationState, refusal: Refusal): Transaction {
-  return {
-    state: { ...state, phase: { kind: 'ended' } },
-    effects: [{ kind: 'refuse', refusal }],
-  };
-}
-
-/** The attempt that an event belongs to, if it is the current one. */
-function currentAttempt({ phase }: GenerationState, attempt: number): Attempt | undefined {
-  return phase.kind === 'running' && phase.attempt.number === attempt ? phase.attempt : undefined;
-}
+/** Numbers of attempts begun through different instances differ by at least this. */
+const ATTEMPTS_PER_INSTANCE = 64;
+/** Text is made contiguous once in so many tokens, which bounds the memory of its parts. */
+const FLATTEN_EVERY_TOKENS = 128;
 
 function assigned(state: GenerationState, server: string, version: string): Transaction {
-  if (state.phase.kind !== 'waiting') return unchanged(state);
+  const { phase } = state;
+  const expected = phase.kind === 'waiting' || (phase.kind === 'running' && phase.hedging);
+  if (!expected) return unchanged(state);
+  if (state.version !== undefined && state.version !== version) {
+    return refuse(state, lossRefusal(state, `no backend server runs version ${state.version}`));
+  }
   const attempt: Attempt = {
-    number: state.attempts + 1, server, version, from: state.accepted.tokens,
+    number: state.attempts + 1,
+    server,
+    version,
+    from: state.accepted.tokens,
+    kind: 'begin',
+    incarnation: undefined,
   };
   return {
     state: {
-      ...state, attempts: attempt.number, version, phase: { kind: 'running', attempt },
+      ...state,
+      attempts: attempt.number,
+      fruitless: state.fruitless + 1,
+      version,
+      phase: { kind: 'running', live: [...liveAttempts(state), attempt], hedging: false },
     },
     effects: [{ kind: 'dispatch', attempt }],
   };
 }
 
-/** What a refusal says has run, given what the caller already has. */
-function honest(state: GenerationState, refusal: Refusal): Refusal {
-  if (state.accepted.tokens > 0) return { ...refusal, ran: 'partly' };
-  return { ...refusal, ran: state.begun ? 'unknown' : refusal.ran };
+function unassignable(state: GenerationState, refusal: Refusal): Transaction {
+  const { phase } = state;
+  if (phase.kind === 'running') {
+    return unchanged({ ...state, phase: { ...phase, hedging: false } });
+  }
+  if (phase.kind !== 'waiting') return unchanged(state);
+  return {
+    state: { ...state, phase: ENDED },
+    effects: [{ kind: 'refuse', refusal: honest(state, refusal) }],
+  };
 }
 
-function failed(state: GenerationState, attempt: Attempt, failure: AttemptFailure): Transaction {
-  const begun = state.begun || failure.ran !== 'no';
-  const excluded = [...state.excluded, attempt.server];
-  const next: GenerationState = {
-    ...state, begun, excluded, phase: { kind: 'waiting' },
+/** Starts a second attempt beside a silent one, where that can't run the request twice. */
+function suspected(state: GenerationState, number: number): Transaction {
+  const { phase } = state;
+  if (phase.kind !== 'running' || phase.hedging || phase.live.length !== 1) return unchanged(state);
+  const [attempt] = phase.live;
+  const safe = state.repeatable || state.accepted.tokens > 0;
+  const allowed = state.hedges && safe && state.textKnown && state.fruitless < state.maxAttempts;
+  if (!attempt || attempt.number !== number || !allowed) return unchanged(state);
+  return {
+    state: { ...state, phase: { ...phase, hedging: true } },
+    effects: [
+      { kind: 'assign', reason: 'hedge', exclude: [...state.excluded, attempt.server] },
+    ],
   };
-  const cancel: GenerationEffect = { kind: 'cancel', attempt };
-  const repeats = begun && state.accepted.tokens === 0 && !state.repeatable;
-  if (repeats || state.attempts >= state.maxAttempts) {
-    const tr = refuse(next, honest(next, {
-      code: 'backend_failed', message: `the backend server failed: ${failure.message}`, ran: 'no',
-    }));
-    return { ...tr, effects: [cancel, ...tr.effects] };
+}
+
+function opened(state: GenerationState, attempt: Attempt, event: OpenArrival): Transaction {
+  const { phase } = state;
+  const { incarnation } = event;
+  if (phase.kind !== 'running') return unchanged(state);
+  if (attempt.incarnation !== undefined && attempt.incarnation !== incarnation) {
+    return failed(state, attempt, {
+      kind: 'failed', cause: 'restarted', ran: 'unknown', message: 'the engine restarted',
+    });
   }
-  return { state: next, effects: [cancel, { kind: 'assign', exclude: excluded }] };
+  const live = phase.live.map((other) => (
+    other === attempt ? { ...attempt, incarnation } : other));
+  return unchanged({ ...state, begun: true, phase: { ...phase, live } });
 }
 
-function tokenTaken(
-  state: GenerationState,
-  attempt: Attempt,
-  event: TokenArrival,
-): Transaction {
+/** Reading a character makes the runtime join the parts of a concatenated string. */
+function flatten(text: string): string {
+  return Number.isNaN(text.charCodeAt(0)) ? '' : text;
+}
+
+function tokenTaken(state: GenerationState, attempt: Attempt, event: TokenArrival): Transaction {
   const { position, text } = event;
-  const { accepted } = state;
+  const { accepted, phase } = state;
   if (position < accepted.tokens) return drop(state, 'repeated');
   if (position > accepted.tokens) {
-    const tr = failed(state, attempt, {
-      kind: 'failed', cause: 'protocol', ran: 'unknown', message: 'the engine skipped a token',
-    });
+    const tr = protocolFailure(state, attempt, 'the engine skipped a token');
     return { ...tr, effects: [{ kind: 'drop', cause: 'gap' }, ...tr.effects] };
   }
+  if (position >= state.maxTokens) {
+    return {
+      state: { ...state, phase: ENDED },
+      effects: [
+        { kind: 'drop', cause: 'past_end' },
+        ...stopAll(state),
+        { kind: 'finish', reason: 'length', tokens: accepted.tokens },
+      ],
+    };
+  }
+  const token: GenerationEffect = { kind: 'token', position, text };
+  const alone = phase.kind === 'running' && phase.live.length === 1 && !phase.hedging;
+  const tokens = position + 1;
+  const joined = accepted.text + text;
   return {
     state: {
       ...state,
       begun: true,
-      accepted: { text: accepted.text + text, tokens: accepted.tokens + 1 },
+      fruitless: 0,
+      excluded: state.excluded.length === 0 ? state.excluded : [],
+      phase: alone ? phase : { kind: 'running', live: [attempt], hedging: false },
+      accepted: { text: tokens % FLATTEN_EVERY_TOKENS === 0 ? flatten(joined) : joined, tokens },
     },
-    effects: [{ kind: 'token', position, text }],
+    effects: alone ? [token] : [token, ...stopAll(state, attempt)],
   };
 }
 
-function finished(
-  state: GenerationState,
-  attempt: Attempt,
-  event: FinishArrival,
-): Transaction {
+function finished(state: GenerationState, attempt: Attempt, event: FinishArrival): Transaction {
   const { tokens } = state.accepted;
   if (event.position !== tokens) {
-    return failed(state, attempt, {
-      kind: 'failed', cause: 'protocol', ran: 'unknown', message: 'the engine finished at a gap',
-    });
+    return protocolFailure(state, attempt, 'the engine finished at a gap');
+  }
+  // An engine that stops for length before the length asked for is believed when another agrees.
+  if (event.reason === 'length' && tokens < state.maxTokens && state.shortAt !== tokens) {
+    return protocolFailure({ ...state, shortAt: tokens }, attempt, 'the engine ended too early');
   }
   return {
-    state: { ...state, phase: { kind: 'ended' } },
-    effects: [{ kind: 'finish', reason: event.reason, tokens }],
+    state: { ...state, phase: ENDED },
+    effects: [
+      ...stopAll(state, attempt),
+      { kind: 'close', attempt, outcome: 'answered' },
+      { kind: 'finish', reason: event.reason, tokens },
+    ],
   };
 }
 
-function callerGone(state: GenerationState): Transaction {
-  const { phase } = state;
-  const effects: GenerationEffect[] = phase.kind === 'running'
-    ? [{ kind: 'cancel', attempt: phase.attempt }]
-    : [];
-  return { state: { ...state, phase: { kind: 'ended' } }, effects };
+function returned(state: GenerationState, from: Return): Transaction {
+  const attempt: Attempt = {
+    number: from.attempt,
+    server: from.server,
+    version: from.version,
+    from: from.tokens,
+    kind: 'join',
+    incarnation: undefined,
+  };
+  const epoch = Math.floor(from.attempt / ATTEMPTS_PER_INSTANCE) + 1;
+  return {
+    state: {
+      ...state,
+      accepted: { text: from.text ?? '', tokens: from.tokens },
+      textKnown: from.tokens === 0 || from.text !== undefined,
+      attempts: epoch * ATTEMPTS_PER_INSTANCE,
+      version: from.version,
+      begun: true,
+      phase: { kind: 'running', live: [attempt], hedging: false },
+    },
+    effects: [{ kind: 'dispatch', attempt }],
+  };
 }
 
-/** The first transaction: asks for a backend server. */
-export function begin(state: GenerationState): Transaction {
-  return { state, effects: [{ kind: 'assign', exclude: [] }] };
+function arrived(state: GenerationState, event: AttemptArrival): Transaction {
+  const attempt = liveAttempts(state).find(({ number }) => number === event.attempt);
+  if (!attempt) return event.kind === 'opened' ? unchanged(state) : drop(state, 'late_attempt');
+  switch (event.kind) {
+    case 'opened': return opened(state, attempt, event);
+    case 'token': return tokenTaken(state, attempt, event);
+    case 'finish': return finished(state, attempt, event);
+    case 'failed': return failed(state, attempt, event.failure);
+  }
 }
 
 /** Applies one event. */
 export function transaction(state: GenerationState, event: GenerationEvent): Transaction {
+  if (state.phase.kind === 'ended' && event.kind !== 'token') return unchanged(state);
   switch (event.kind) {
+    case 'begin': return assign(state, []);
+    case 'return': return returned(state, event.from);
     case 'assigned': return assigned(state, event.server, event.version);
-    case 'unassignable':
-      if (state.phase.kind !== 'waiting') return unchanged(state);
-      return refuse(state, honest(state, event.refusal));
-    case 'caller_gone': return callerGone(state);
+    case 'unassignable': return unassignable(state, event.refusal);
+    case 'suspected': return suspected(state, event.attempt);
+    case 'settled': return settled(state, event.attempt, event.outcome);
+    case 'expired': return refuse(state, lossRefusal(state, event.message));
+    case 'caller_gone': return {
+      state: { ...state, phase: ENDED }, effects: stopAll(state),
+    };
+    case 'opened':
     case 'token':
     case 'finish':
-    case 'failed': {
-      const attempt = currentAttempt(state, event.attempt);
-      if (!attempt) return drop(state, 'late_attempt');
-      if (event.kind === 'token') return tokenTaken(state, attempt, event);
-      if (event.kind === 'finish') return finished(state, attempt, event);
-      return failed(state, attempt, event.failure);
-    }
+    case 'failed': return arrived(state, event);
   }
 }
--- a/test/transaction.test.ts
+++ b/test/transaction.test.ts
@@ -1,61 +1,180 @@
 import test from 'ava';
+import type { CancelOutcome } from '../src/engines/engine.js';
 import type { GenerationEvent } from '../src/generation/change.js';
+import type { GenerationOptions } from '../src/generation/state.js';
 import { generationState } from '../src/generation/state.js';
 import { transaction } from '../src/generation/transaction.js';
 
+const BEGIN: GenerationEvent = { kind: 'begin' };
 const token = (attempt: number, position: number, text: string): GenerationEvent => (
   {
     kind: 'token', attempt, position, text,
   });
-const lost = (attempt: number): GenerationEvent => ({
+const lost = (attempt: number, ran: 'no' | 'unknown' = 'unknown'): GenerationEvent => ({
   kind: 'failed',
   attempt,
   failure: {
-    kind: 'failed', cause: 'reset', ran: 'unknown', message: 'reset',
+    kind: 'failed', cause: 'reset', ran, message: 'reset',
   },
 });
-const assigned = (server: string): GenerationEvent => ({ kind: 'assigned', server, version: '1' });
-const finish = (attempt: number, position: number): GenerationEvent => (
+const assigned = (server: string, version = '1'): GenerationEvent => (
+  { kind: 'assigned', server, version });
+const finish = (
+  attempt: number,
+  position: number,
+  reason: 'stop' | 'length' = 'stop',
+): GenerationEvent => (
   {
-    kind: 'finish', attempt, position, reason: 'stop',
+    kind: 'finish', attempt, position, reason,
   });
+const opened = (attempt: number, incarnation: string): GenerationEvent => (
+  { kind: 'opened', attempt, incarnation });
+const suspected = (attempt: number): GenerationEvent => ({ kind: 'suspected', attempt });
+const settled = (attempt: number, outcome: CancelOutcome): GenerationEvent => (
+  { kind: 'settled', attempt, outcome });
+const returned = (tokens: number, text?: string): GenerationEvent => ({
+  kind: 'return',
+  from: {
+    server: 'a', attempt: 3, version: '1', tokens, text,
+  },
+});
+const NOWHERE: GenerationEvent = {
+  kind: 'unassignable', refusal: { code: 'unavailable', message: 'none', ran: 'no' },
+};
 
-function play(events: readonly GenerationEvent[], repeatable = true) {
+const OPTIONS: GenerationOptions = {
+  repeatable: true, maxAttempts: 3, hedges: true, maxTokens: 100,
+};
+
+function play(events: readonly GenerationEvent[], options: Partial<GenerationOptions> = {}) {
   const effects: string[] = [];
-  let state = generationState({ repeatable, maxAttempts: 4 });
+  let state = generationState({ ...OPTIONS, ...options });
   events.forEach((event) => {
     const tr = transaction(state, event);
     state = tr.state;
     tr.effects.forEach((effect) => {
-      if (effect.kind === 'token') effects.push(effect.text);
-      else if (effect.kind === 'drop') effects.push(`drop:${effect.cause}`);
-      else if (effect.kind === 'refuse') effects.push(`refuse:${effect.refusal.ran}`);
-      else effects.push(effect.kind);
+      switch (effect.kind) {
+        case 'token': effects.push(effect.text); break;
+        case 'drop': effects.push(`drop:${effect.cause}`); break;
+        case 'refuse': effects.push(`refuse:${effect.refusal.ran}`); break;
+        case 'assign': effects.push([effect.reason, ...effect.exclude].join('-')); break;
+        case 'dispatch':
+          effects.push(`${effect.attempt.kind === 'join' ? 'join' : 'run'}:${effect.attempt.number}`);
+          break;
+        case 'cancel': effects.push(`cancel:${effect.attempt.number}`); break;
+        case 'settle': effects.push(`settle:${effect.attempt.number}`); break;
+        case 'finish': effects.push(`finish:${effect.reason}@${effect.tokens}`); break;
+        case 'close':
+        case 'withdraw': break;
+      }
     });
   });
   return effects.join(' ');
 }
 
-const TABLE: readonly [string, readonly GenerationEvent[], string][] = [
-  ['plain', [assigned('a'), token(1, 0, 'x'), finish(1, 1)], 'dispatch x finish'],
+type Row = readonly [string, readonly GenerationEvent[], string, Partial<GenerationOptions>?];
+
+const NEVER = { repeatable: false };
+const START = [BEGIN, assigned('a'), token(1, 0, 'x')];
+
+const TABLE: readonly Row[] = [
+  ['plain', [...START, finish(1, 1)], 'begin run:1 x finish:stop@1'],
   ['late tokens of a lost attempt are dropped',
-    [assigned('a'), token(1, 0, 'x'), lost(1), assigned('b'), token(1, 1, 'old'), token(2, 1, 'y')],
-    'dispatch x cancel assign dispatch drop:late_attempt y'],
+    [...START, lost(1), assigned('b'), token(1, 1, 'old'), token(2, 1, 'y')],
+    'begin run:1 x cancel:1 resume-a run:2 drop:late_attempt y'],
+  ['a late finish of a lost attempt is dropped',
+    [...START, lost(1), assigned('b'), finish(1, 1), token(2, 1, 'y')],
+    'begin run:1 x cancel:1 resume-a run:2 drop:late_attempt y'],
   ['a repeated token is dropped',
-    [assigned('a'), token(1, 0, 'x'), token(1, 0, 'x'), token(1, 1, 'y')],
-    'dispatch x drop:repeated y'],
+    [...START, token(1, 0, 'x'), token(1, 1, 'y')], 'begin run:1 x drop:repeated y'],
   ['a skipped token is a loss',
-    [assigned('a'), token(1, 1, 'y')], 'dispatch drop:gap cancel assign'],
+    [BEGIN, assigned('a'), token(1, 1, 'y')], 'begin run:1 drop:gap cancel:1 again-a'],
   ['a finish at the wrong position is a loss',
-    [assigned('a'), token(1, 0, 'x'), finish(1, 3)], 'dispatch x cancel assign'],
+    [...START, finish(1, 3)], 'begin run:1 x cancel:1 resume-a'],
+  ['a finish for length that comes early is a loss until another engine agrees',
+    [...START, finish(1, 1, 'length'), assigned('b'), finish(2, 1, 'length')],
+    'begin run:1 x cancel:1 resume-a run:2 finish:length@1'],
+  ['a token past the end ends the answer',
+    [...START, token(1, 1, 'y')], 'begin run:1 x drop:past_end cancel:1 finish:length@1',
+    { maxTokens: 1 }],
+  ['a loss after the last token needs no further attempt',
+    [...START, lost(1)], 'begin run:1 x cancel:1 finish:length@1', { maxTokens: 1 }],
+  ['a new incarnation on an old stream is a loss',
+    [BEGIN, assigned('a'), opened(1, 'i'), token(1, 0, 'x'), opened(1, 'j'), token(1, 1, 'z')],
+    'begin run:1 x cancel:1 resume-a drop:late_attempt'],
+  ['a resume on another version is refused',
+    [...START, lost(1), assigned('b', '2')], 'begin run:1 x cancel:1 resume-a refuse:partly'],
+  ['no engine to resume on is an honest refusal',
+    [...START, lost(1), NOWHERE], 'begin run:1 x cancel:1 resume-a refuse:partly'],
+  ['with nothing delivered a new version may begin again',
+    [BEGIN, assigned('a'), lost(1), assigned('b', '2'), token(2, 0, 'x')],
+    'begin run:1 cancel:1 again-a run:2 x'],
+  ['attempts without a token are bounded',
+    [BEGIN, assigned('a'), lost(1), assigned('b'), lost(2), assigned('c'), lost(3)],
+    'begin run:1 cancel:1 again-a run:2 cancel:2 again-a-b run:3 cancel:3 refuse:unknown'],
+  ['a token clears the excluded servers and the count of attempts',
+    [...START, lost(1), assigned('b'), token(2, 1, 'y'), lost(2)],
+    'begin run:1 x cancel:1 resume-a run:2 y cancel:2 resume-b'],
+  ['the first next token of two live attempts wins: the hedge',
+    [...START, suspected(1), assigned('b'), token(2, 1, 'h'), token(1, 1, 'old'), token(2, 2, 'i')],
+    'begin run:1 x hedge-a run:2 h cancel:1 drop:late_attempt i'],
+  ['the first next token of two live attempts wins: the first',
+    [...START, suspected(1), assigned('b'), token(1, 1, 'y'), token(2, 1, 'h'), finish(1, 2)],
+    'begin run:1 x hedge-a run:2 y cancel:2 drop:late_attempt finish:stop@2'],
+  ['a loser that repeats old tokens does not win',
+    [...START, suspected(1), assigned('b'), token(1, 0, 'x'), token(2, 1, 'h')],
+    'begin run:1 x hedge-a run:2 drop:repeated h cancel:1'],
+  ['a hedge that was not yet assigned is given up when the engine speaks',
+    [...START, suspected(1), token(1, 1, 'y'), assigned('b'), token(1, 2, 'z')],
+    'begin run:1 x hedge-a y z'],
+  ['a suspicion hedges once',
+    [...START, suspected(1), suspected(1), assigned('b'), suspected(1)],
+    'begin run:1 x hedge-a run:2'],
+  ['a hedge outlives the loss of the first',
+    [...START, suspected(1), lost(1), assigned('b'), token(2, 1, 'h')],
+    'begin run:1 x hedge-a cancel:1 run:2 h'],
+  ['a hedge that can not be placed leaves the first alone',
+    [...START, suspected(1), NOWHERE, token(1, 1, 'y')], 'begin run:1 x hedge-a y'],
+  ['resources never hedges', [...START, suspected(1)], 'begin run:1 x', { hedges: false }],
+  ['never: not hedged at 0', [BEGIN, assigned('a'), suspected(1)], 'begin run:1', NEVER],
+  ['never: hedged once the answer has begun',
+    [...START, suspected(1)], 'begin run:1 x hedge-a', NEVER],
+  ['never: goes on from a position past 0',
+    [...START, lost(1), assigned('b')], 'begin run:1 x cancel:1 resume-a run:2', NEVER],
+  ['never: a refused attempt may begin elsewhere',
+    [BEGIN, assigned('a'), lost(1, 'no'), assigned('b')], 'begin run:1 again-a run:2', NEVER],
+  ['never: begun again after a confirmed cancel with nothing made',
+    [BEGIN, assigned('a'), lost(1), settled(1, { kind: 'cancelled', made: 0 }), assigned('b')],
+    'begin run:1 settle:1 again-a run:2', NEVER],
+  ['never: a loss at 0 is not begun again when the engine made tokens',
+    [BEGIN, assigned('a'), lost(1), settled(1, { kind: 'cancelled', made: 2 })],
+    'begin run:1 settle:1 refuse:unknown', NEVER],
+  ['never: a loss at 0 is not begun again when the engine forgot it',
+    [BEGIN, assigned('a'), lost(1), settled(1, { kind: 'not_found' })],
+    'begin run:1 settle:1 refuse:unknown', NEVER],
+  ['never: a loss at 0 is not begun again without a confirmation',
+    [BEGIN, assigned('a'), lost(1), settled(1, { kind: 'unknown' })],
+    'begin run:1 settle:1 refuse:unknown', NEVER],
+  ['an expired generation ends with its attempts',
+    [...START, { kind: 'expired', message: 'time' }, token(1, 1, 'y')],
+    'begin run:1 x cancel:1 refuse:partly drop:late_attempt'],
+  ['a caller that goes away cancels both attempts',
+    [...START, suspected(1), assigned('b'), { kind: 'caller_gone' }],
+    'begin run:1 x hedge-a run:2 cancel:1 cancel:2'],
+  ['a returning caller joins the stream',
+    [returned(2, 'xy'), token(3, 2, 'z'), finish(3, 3)], 'join:3 z finish:stop@3'],
+  ['a returning caller with its text goes on elsewhere',
+    [returned(2, 'xy'), lost(3, 'no'), assigned('b'), token(65, 2, 'z')],
+    'join:3 resume run:65 z'],
+  ['a returning caller without its text is refused once the engine is gone',
+    [returned(2), lost(3, 'no')], 'join:3 refuse:partly'],
+  ['never: a returning caller with nothing is not begun again',
+    [returned(0), lost(3, 'no'), settled(3, { kind: 'not_found' })],
+    'join:3 settle:3 refuse:unknown', NEVER],
 ];
 
-TABLE.forEach(([title, events, expected]) => {
+TABLE.forEach(([title, events, expected, options]) => {
   test(title, (t) => {
-    t.is(play(events), expected);
+    t.is(play(events, options), expected);
   });
 });
-
-test('a request that may not repeat is not begun again at 0 after a loss', (t) => {
-  t.is(play([assigned('a'), lost(1)], false), 'dispatch cancel refuse:unknown');
-});
