--- /dev/null
+++ b/test/generation.test.ts
@@ -0,0 +1,226 @@
+import test from 'ava';
+import {
+  NEVER, Observable, concat, filter, merge, of,
+} from 'rxjs';
+import type { EngineClient, EngineEvent } from '../src/engines/engine.js';
+import type { StandInEngine } from '../src/standin/engine.js';
+import {
+  deployment, longestPause, requestOf, wholeAnswer,
+} from './fakes/deployment.js';
+
+/** A stand-in whose client is changed in some of its methods. */
+function altered(engine: StandInEngine, change: Partial<EngineClient>): EngineClient {
+  return {
+    generate: (request) => engine.generate(request),
+    join: (generation, attempt, position) => engine.join(generation, attempt, position),
+    cancel: (generation, attempt) => engine.cancel(generation, attempt),
+    load: () => engine.load(),
+    cacheEvents: () => engine.cacheEvents(),
+    order: (order) => engine.order(order),
+    ...change,
+  };
+}
+
+const REQUEST = requestOf();
+
+test('an answer goes on after its engine dies, with every token once', async (t) => {
+  const { clock, call, busy } = deployment();
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  busy().crash('next');
+  await clock.advance(500);
+  t.is(caller.end()?.kind, 'finish');
+  t.true(wholeAnswer(REQUEST, caller.text()));
+  t.true(longestPause(caller) < 20);
+});
+
+['latency' as const, 'resources' as const].forEach((favour) => {
+  test(`${favour}: an answer goes on when its engine freezes and later wakes`, async (t) => {
+    const {
+      clock, call, busy, engines,
+    } = deployment({ favour });
+    // A frozen process answers nothing at all.
+    const frozen = new Set<StandInEngine>();
+    engines.forEach((engine) => {
+      const load = engine.load.bind(engine);
+      Object.assign(engine, {
+        load: (deadlineMs: number) => (frozen.has(engine)
+          ? new Promise((_, reject) => {
+            clock.schedule(() => reject(new Error('deadline')), deadlineMs);
+          })
+          : load()),
+      });
+    });
+    await clock.advance(50);
+    const caller = call(REQUEST);
+    await clock.advance(40);
+    const engine = busy();
+    frozen.add(engine);
+    engine.pause();
+    await clock.advance(700);
+    frozen.delete(engine);
+    engine.wake();
+    await clock.advance(500);
+    t.is(caller.end()?.kind, 'finish');
+    t.true(wholeAnswer(REQUEST, caller.text()));
+    t.true(longestPause(caller) < (favour === 'latency' ? 100 : 600), `${longestPause(caller)}`);
+    // What the frozen engine would still have made is cancelled.
+    t.is((await engine.load()).running, 0);
+  });
+});
+
+test('resources: a pause under 100 ms moves nothing', async (t) => {
+  const {
+    clock, call, busy, engines,
+  } = deployment({ favour: 'resources' });
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  busy().pause();
+  await clock.advance(95);
+  busy().wake();
+  await clock.advance(500);
+  t.true(wholeAnswer(REQUEST, caller.text()));
+  t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
+});
+
+test('an engine that accepts and never answers is left for another', async (t) => {
+  const { clock, call } = deployment({
+    wrap: (engine) => altered(engine, engine.options.name === 'e1'
+      ? { generate: () => concat(of({ kind: 'opened' as const, incarnation: 'e1/1' }), NEVER) }
+      : {}),
+  });
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(1_500);
+  t.true(wholeAnswer(REQUEST, caller.text()));
+  t.true(caller.times[0]! < 600, `${caller.times[0]}`);
+});
+
+test('an engine that answers pings but makes no more tokens is left', async (t) => {
+  const { clock, call, busy } = deployment({ favour: 'resources' });
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  busy().pause();
+  await clock.advance(9_000);
+  t.true(wholeAnswer(REQUEST, caller.text()));
+});
+
+const broken: readonly [string, (events: Observable<EngineEvent>) => Observable<EngineEvent>][] = [
+  ['repeats tokens', (events) => new Observable((subscriber) => events.subscribe((event) => {
+    subscriber.next(event);
+    subscriber.next(event);
+  }))],
+  ['skips a token', (events) => events.pipe(
+    filter((event) => event.kind !== 'token' || event.position !== 20),
+  )],
+  ['ends early and says it is done', (events) => new Observable((subscriber) => (
+    events.subscribe((event) => subscriber.next(event.kind === 'token' && event.position === 20
+      ? { kind: 'finish', position: 60, reason: 'length' }
+      : event))))],
+  ['ends without a finish', (events) => new Observable((subscriber) => (
+    events.subscribe((event) => {
+      if (event.kind === 'token' && event.position === 20) subscriber.complete();
+      else subscriber.next(event);
+    })))],
+  ['repeats one token for ever', (events) => new Observable((subscriber) => (
+    events.subscribe((event) => subscriber.next(event.kind === 'token' && event.position > 20
+      ? { ...event, position: 20 }
+      : event))))],
+  ['speaks with two voices', (events) => merge(events, events)],
+];
+
+broken.forEach(([title, change]) => {
+  test(`an engine that ${title} does not spoil the answer`, async (t) => {
+    const { clock, call } = deployment({
+      wrap: (engine) => altered(engine, engine.options.name === 'e1'
+        ? { generate: (request) => change(engine.generate(request)) }
+        : {}),
+    });
+    await clock.advance(50);
+    const caller = call(REQUEST);
+    await clock.advance(3_000);
+    t.is(caller.end()?.kind, 'finish');
+    t.true(wholeAnswer(REQUEST, caller.text()));
+  });
+});
+
+test('never: a loss at 0 is not begun again without a confirmation', async (t) => {
+  const { clock, call, engines } = deployment({ engine: { stepMs: 50 } });
+  await clock.advance(50);
+  const caller = call(requestOf({ repeat: 'never' }));
+  await clock.advance(10);
+  [...engines.values()].find(({ begun }) => begun.length > 0)!.crash('next');
+  await clock.advance(2_000);
+  t.like(caller.end(), { kind: 'refusal', refusal: { ran: 'unknown' } });
+  t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
+});
+
+test('a caller that leaves has its work cancelled', async (t) => {
+  const { clock, call, busy } = deployment();
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(20);
+  caller.leave();
+  await clock.advance(20);
+  t.is((await busy().load()).running, 0);
+});
+
+test('an answer with no engine left on its version is refused as partly run', async (t) => {
+  const {
+    clock, call, busy, engines,
+  } = deployment({ engines: 2 });
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  const engine = busy();
+  await Promise.all([...engines.values()].filter((other) => other !== engine).map((other) => (
+    other.order({
+      order: { kind: 'unload', model: 'm', version: '1' }, fence: 1, validForMs: 1_000,
+    }))));
+  await clock.advance(250);
+  // The answer may have ended meanwhile; a longer one is cut.
+  const long = call(requestOf({ id: 'long', sampling: { ...REQUEST.sampling, maxTokens: 400 } }));
+  await clock.advance(40);
+  await engine.order({
+    order: { kind: 'unload', model: 'm', version: '1' }, fence: 1, validForMs: 1_000,
+  });
+  await clock.advance(250);
+  engine.crash('next');
+  await clock.advance(12_000);
+  t.is(caller.end()?.kind, 'finish');
+  const end = long.end();
+  t.true(end?.kind === 'finish' || (end?.kind === 'refusal' && end.refusal.ran === 'partly'));
+});
+
+test('a daemon that was paused suspects no engine on waking', async (t) => {
+  const {
+    clock, call, engines, paused,
+  } = deployment();
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  // Nothing of the daemon or its timers ran for two seconds; the engine's tokens wait unread.
+  const engine = [...engines.values()].find(({ begun }) => begun.length > 0)!;
+  engine.pause();
+  paused.forMs = 2_000;
+  await clock.advance(15);
+  engine.wake();
+  await clock.advance(500);
+  t.true(wholeAnswer(REQUEST, caller.text()));
+  t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
+});
+
+test('the loss of a busy engine is made up by the others a few streams at a time', async (t) => {
+  const { clock, call, engines } = deployment({ engines: 4, engine: { slots: 64 } });
+  await clock.advance(50);
+  const callers = Array.from({ length: 40 }, (_, index) => call(requestOf({ id: `g${index}` })));
+  await clock.advance(40);
+  const [first] = [...engines.values()];
+  first!.crash('next');
+  await clock.advance(1_000);
+  callers.forEach((caller) => t.true(wholeAnswer(REQUEST, caller.text())));
+  t.true(Math.max(...callers.map(longestPause)) < 100);
+});
