--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -3,15 +3,15 @@
  * to every running stream, admits waiting streams by priority and charges uncached prompt text as
  * extra step time. It keeps a bounded prefix cache, obeys orders, and can be told to fail.
  */
-import {
-  Observable, Subject, concat, from as fromList,
-} from 'rxjs';
+import { Observable, concat, from as fromList } from 'rxjs';
 import type { SchedulerLike, Subscription } from 'rxjs';
 import type {
   AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder, LoadReport,
-  LoadedModel, Order, OrderOutcome, Priority, EngineRole,
+  LoadedModel, OrderOutcome, Priority,
 } from '../engines/engine.js';
 import { inputText, prefixBlocks } from '../engines/prefix.js';
+import { EngineCache } from './enginecache.js';
+import { EngineModels } from './enginemodels.js';
 import { Stream } from './stream.js';
 
 const RANK: Readonly<Record<Priority, number>> = { interactive: 0, standard: 1, batch: 2 };
@@ -47,6 +47,13 @@
 /** Work done, in the units that extra resource use is measured in. */
 export interface WorkCount { readonly streamSteps: number; readonly prefillTokens: number }
 
+/** An attempt that was begun, when, and the stream that tells how far it came. */
+export interface BegunAttempt {
+  readonly request: AttemptRequest;
+  readonly at: number;
+  readonly stream: Pick<Stream, 'position'>;
+}
+
 function streamKey(generation: string, attempt: number): string {
   return `${generation}/${attempt}`;
 }
@@ -68,36 +75,27 @@
 
   readonly #running = new Set<Stream>();
 
-  readonly #cache = new Set<string>();
-
-  readonly #events = new Subject<CacheEvent>();
+  readonly #cache: EngineCache;
 
-  readonly #loading = new Map<string, Subscription>();
-
-  #models: readonly LoadedModel[];
+  readonly models: EngineModels;
 
   #incarnation: string;
 
-  #sequence = 0;
-
-  #fence = 0;
-
-  #role: EngineRole = 'serve';
-
   #paused = false;
 
   #step: Subscription | undefined;
 
   #work = { streamSteps: 0, prefillTokens: 0 };
 
-  /** Every attempt begun here, as `generation/attempt`, for checkers of at-most-once. */
-  readonly begun: string[] = [];
+  /** Every attempt begun here, for checkers of at-most-once. */
+  readonly begun: BegunAttempt[] = [];
 
   private constructor(options: EngineOptions, scheduler: SchedulerLike, incarnation: string) {
     this.options = options;
     this.#scheduler = scheduler;
     this.#incarnation = incarnation;
-    this.#models = options.models;
+    this.#cache = EngineCache.of(options.cacheCapacityBlocks, incarnation);
+    this.models = EngineModels.of(options, scheduler);
   }
 
   static of(
@@ -162,21 +160,24 @@
       stepMs: this.options.stepMs,
       cachedTokens: this.#cache.size,
       cacheCapacityTokens: this.options.cacheCapacityBlocks,
-      role: this.#role,
-      models: this.#models,
-      loading: [...this.#loading.keys()],
-      fence: this.#fence,
+      role: this.models.role,
+      models: this.models.loaded,
+      loading: this.models.loading,
+      fence: this.models.fence,
     });
   }
 
   cacheEvents(): Observable<CacheEvent> {
-    return this.#events.asObservable();
+    return this.#cache.events;
+  }
+
+  order(order: FencedOrder): Promise<OrderOutcome> {
+    return Promise.resolve(this.models.order(order));
   }
 
-  order({ order, fence }: FencedOrder): Promise<OrderOutcome> {
-    if (this.options.checksFence && fence < this.#fence) return Promise.resolve('fenced');
-    this.#fence = Math.max(this.#fence, fence);
-    return Promise.resolve(this.#obey(order));
+  /** Takes no new attempt from now on, and goes on with those it has. */
+  leave(): void {
+    this.models.leave();
   }
 
   /** Stops making tokens, as a frozen process would; streams stay open. */
@@ -199,31 +200,26 @@
     this.#streams.clear();
     this.#running.clear();
     this.#waiting.length = 0;
-    this.#cache.clear();
-    this.#loading.forEach((loading) => loading.unsubscribe());
-    this.#loading.clear();
+    this.#cache.restart(nextIncarnation);
+    this.models.restart();
     this.#incarnation = nextIncarnation;
-    this.#sequence = 0;
-    this.#fence = 0;
+    this.#paused = false;
     streams.forEach(({ out }) => out.complete());
   }
 
   #refusal(request: AttemptRequest): EngineEvent | undefined {
-    if (this.#role === 'leaving') return failure('refused', 'leaving');
-    const loaded = this.#models.find(({ model, version }) => (
-      model === request.model && version === request.version));
-    if (!loaded) return failure('version_missing', `${request.model}@${request.version}`);
-    if (request.adapter !== undefined && !loaded.adapters.includes(request.adapter)) {
-      return failure('version_missing', `adapter ${request.adapter}`);
+    if (this.models.role === 'leaving') return failure('refused', 'leaving');
+    if (!this.models.holds(request)) {
+      const adapter = request.adapter === undefined ? '' : ` with adapter ${request.adapter}`;
+      return failure('version_missing', `${request.model}@${request.version}${adapter}`);
     }
     return undefined;
   }
 
   #begin(request: AttemptRequest): Stream {
-    const key = streamKey(request.generation, request.attempt);
-    this.begun.push(key);
     const stream = Stream.of(request, this.#prefill(request));
-    this.#streams.set(key, stream);
+    this.begun.push({ request, at: this.#scheduler.now(), stream });
+    this.#streams.set(streamKey(request.generation, request.attempt), stream);
     this.#waiting.push(stream);
     this.#schedule();
     return stream;
@@ -233,29 +229,10 @@
   #prefill(request: AttemptRequest): number {
     const text = inputText(request.input) + request.accepted.text;
     const blocks = prefixBlocks(request.model, text);
-    const missing = blocks.filter((block) => !this.#cache.has(block));
-    const share = blocks.length === 0 ? 1 : missing.length / blocks.length;
-    missing.forEach((block) => this.#cache.add(block));
-    if (missing.length > 0) this.#publish('stored', missing);
-    this.#evict();
+    const share = this.#cache.add(blocks);
     return Math.ceil((text.length / CHARACTERS_PER_TOKEN) * share);
   }
 
-  #evict(): void {
-    const excess = this.#cache.size - this.options.cacheCapacityBlocks;
-    if (excess <= 0) return;
-    const oldest = [...this.#cache].slice(0, excess);
-    oldest.forEach((block) => this.#cache.delete(block));
-    this.#publish('evicted', oldest);
-  }
-
-  #publish(kind: CacheEvent['kind'], blocks: readonly string[]): void {
-    this.#sequence += 1;
-    this.#events.next({
-      incarnation: this.#incarnation, sequence: this.#sequence, kind, blocks,
-    });
-  }
-
   #schedule(): void {
     if (this.#paused || this.#step || this.#running.size + this.#waiting.length === 0) return;
     const prefill = this.#admit();
@@ -299,45 +276,4 @@
       if (this.#streams.get(key) === stream) this.#streams.delete(key);
     }, FINISHED_KEPT_MS);
   }
-
-  #obey(order: Order): OrderOutcome {
-    switch (order.kind) {
-      case 'role':
-        this.#role = order.role;
-        return 'accepted';
-      case 'load': {
-        const name = `${order.model}@${order.version}`;
-        if (this.#loading.has(name) || this.#find(order)) return 'accepted';
-        this.#loading.set(name, this.#scheduler.schedule(() => {
-          this.#loading.delete(name);
-          this.#models = [...this.#models, {
-            model: order.model, version: order.version, adapters: [],
-          }];
-        }, this.options.loadMs));
-        return 'accepted';
-      }
-      case 'unload':
-        this.#models = this.#models.filter((loaded) => loaded !== this.#find(order));
-        return 'accepted';
-      case 'load_adapter': return this.#adapters(order, (adapters) => (
-        [...adapters.filter((name) => name !== order.adapter), order.adapter]));
-      case 'unload_adapter': return this.#adapters(order, (adapters) => (
-        adapters.filter((name) => name !== order.adapter)));
-    }
-  }
-
-  #find({ model, version }: { model: string; version: string }): LoadedModel | undefined {
-    return this.#models.find((loaded) => loaded.model === model && loaded.version === version);
-  }
-
-  #adapters(
-    order: { model: string; version: string },
-    change: (adapters: readonly string[]) => readonly string[],
-  ): OrderOutcome {
-    const found = this.#find(order);
-    if (!found) return 'refused';
-    this.#models = this.#models.map((loaded) => (
-      loaded === found ? { ...loaded, adapters: change(loaded.adapters) } : loaded));
-    return 'accepted';
-  }
 }
--- a/test/fakes/clock.ts
+++ b/test/fakes/clock.ts
@@ -1,28 +1,54 @@
-/** Virtual time for code that mixes scheduled work and promises. */
-import { VirtualTimeScheduler } from 'rxjs';
+/**
+ * Virtual time. `advance` runs scheduled actions in order of time, and lets promises settle after
+ * each, so that a run with the same seed is the same run.
+ */
+import type { SchedulerLike, Subscription } from 'rxjs';
+import { Action } from './action.js';
+import type { Gate, Work } from './action.js';
+import { Queue } from './queue.js';
 
-const SETTLE_ROUNDS = 3;
+/** Lets every promise that can settle do so. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+export class VirtualClock implements SchedulerLike {
+  readonly #queue = new Queue();
+
+  #now = 0;
 
-async function settlePromises(): Promise<void> {
-  for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
-    // eslint-disable-next-line no-await-in-loop -- each round lets one more turn of the loop pass
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
+  #order = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  /** Calls `fire` when time has come to `at`. */
+  at(at: number, fire: () => void): void {
+    this.#order += 1;
+    this.#queue.push({ at, order: this.#order, fire });
+  }
+
+  schedule<Value>(work: Work<Value>, delay = 0, state?: Value): Subscription {
+    return new Action<Value>(this, work, (fire) => fire()).schedule(state, delay);
+  }
+
+  gated<Value>(work: Work<Value>, delay: number, state: Value, gate: Gate): Subscription {
+    return new Action<Value>(this, work, gate).schedule(state, delay);
   }
-}
 
-export class VirtualClock extends VirtualTimeScheduler {
-  /** Runs what is due in the next `durationMs` in order; promises settle between two moments. */
-  async advance(durationMs: number): Promise<void> {
-    const until = this.frame + durationMs;
-    await settlePromises();
-    while (this.actions[0] && this.actions[0].delay <= until) {
-      this.maxFrames = this.actions[0].delay;
-      this.flush();
-      // eslint-disable-next-line no-await-in-loop -- time stands still until the promises settle
-      await settlePromises();
+  async advance(ms: number): Promise<void> {
+    const until = this.#now + ms;
+    await settle();
+    for (let next = this.#queue.first; next && next.at <= until; next = this.#queue.first) {
+      this.#queue.pop();
+      this.#now = next.at;
+      next.fire();
+      // eslint-disable-next-line no-await-in-loop -- actions run one after the other
+      await settle();
     }
-    this.frame = until;
+    this.#now = until;
   }
 }
--- /dev/null
+++ b/test/fakes/network.ts
@@ -0,0 +1,200 @@
+/**
+ * Links between named processes. A message on a cut link is held, as by retransmission, and comes
+ * late when the link is mended; messages of one channel keep their order, those of different
+ * channels may cross. A process that died answers with a reset, one whose machine died says
+ * nothing.
+ */
+import { Observable } from 'rxjs';
+import type { Random } from '../../src/common/random.js';
+import { Channel } from './channel.js';
+import type { VirtualClock } from './clock.js';
+import { NodeClock } from './nodeclock.js';
+
+const MIN_LATENCY_MS = 1;
+const MAX_LATENCY_MS = 3;
+
+export type Liveness = 'up' | 'ended' | 'silent';
+
+/** How a connection ended without an end from the other side. */
+export type Loss = 'refused' | 'reset';
+
+interface Node { readonly clock: NodeClock; liveness: Liveness }
+
+interface Link { cut: boolean; delayMs: number; readonly held: (() => void)[] }
+
+export class Network {
+  readonly #clock: VirtualClock;
+
+  readonly #random: Random;
+
+  readonly #nodes = new Map<string, Node>();
+
+  readonly #links = new Map<string, Link>();
+
+  readonly #resets = new Map<string, Set<() => void>>();
+
+  private constructor(clock: VirtualClock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  static of(clock: VirtualClock, random: Random): Network {
+    return new Network(clock, random);
+  }
+
+  node(name: string): Node {
+    let node = this.#nodes.get(name);
+    if (!node) {
+      node = { clock: NodeClock.of(this.#clock), liveness: 'up' };
+      this.#nodes.set(name, node);
+    }
+    return node;
+  }
+
+  /** @param how whether the machine still answers for its dead process */
+  end(name: string, how: 'ended' | 'silent'): void {
+    const node = this.node(name);
+    node.liveness = how;
+    node.clock.end();
+    const resets = this.#resets.get(name);
+    this.#resets.delete(name);
+    if (how === 'ended') resets?.forEach((reset) => reset());
+  }
+
+  start(name: string): void {
+    this.node(name).liveness = 'up';
+  }
+
+  link(from: string, to: string): Link {
+    const key = `${from}>${to}`;
+    let link = this.#links.get(key);
+    if (!link) {
+      link = { cut: false, delayMs: 0, held: [] };
+      this.#links.set(key, link);
+    }
+    return link;
+  }
+
+  mend(from: string, to: string): void {
+    const link = this.link(from, to);
+    link.cut = false;
+    link.delayMs = 0;
+    link.held.splice(0).forEach((send) => send());
+  }
+
+  mendAll(): void {
+    [...this.#links.keys()].forEach((key) => {
+      const [from = '', to = ''] = key.split('>');
+      this.mend(from, to);
+    });
+  }
+
+  /** Calls `work` at `to` and brings its result back; rejects on a loss or past the deadline. */
+  call<Value>(
+    from: string,
+    to: string,
+    deadlineMs: number,
+    work: () => Promise<Value>,
+  ): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      const { clock } = this.node(from);
+      const { epoch } = clock;
+      const deadline = clock.schedule(() => reject(new Error('deadline')), deadlineMs);
+      const back = (settleCall: () => void) => this.#send(to, from, new Channel(), () => {
+        if (epoch !== clock.epoch) return;
+        deadline.unsubscribe();
+        settleCall();
+      });
+      const lose = (loss: Loss) => back(() => reject(new Error(loss)));
+      this.#send(from, to, new Channel(), () => {
+        const forget = this.#onReset(to, () => lose('reset'));
+        const done = (settleCall: () => void) => {
+          if (forget()) back(settleCall);
+        };
+        work().then(
+          (value) => done(() => resolve(value)),
+          (error: unknown) => done(() => reject(error)),
+        );
+      }, () => lose('refused'));
+    });
+  }
+
+  /** Subscribes at `to`; `lost` tells what the reader sees of a loss. */
+  stream<Value>(
+    from: string,
+    to: string,
+    open: () => Observable<Value>,
+    lost: (loss: Loss) => Value | undefined,
+  ): Observable<Value> {
+    return new Observable((subscriber) => {
+      const there = new Channel();
+      const back = new Channel();
+      let close = () => {};
+      const { clock } = this.node(from);
+      const { epoch } = clock;
+      const reply = (action: () => void) => this.#send(to, from, back, () => {
+        if (epoch === clock.epoch && !subscriber.closed) action();
+      });
+      const lose = (loss: Loss) => {
+        const value = lost(loss);
+        if (value === undefined) subscriber.error(new Error(loss));
+        else subscriber.next(value);
+        subscriber.complete();
+      };
+      const accept = () => {
+        const forget = this.#onReset(to, () => reply(() => lose('reset')));
+        const serving = open().subscribe({
+          next: (value) => reply(() => subscriber.next(value)),
+          complete: () => {
+            if (forget()) reply(() => lose('reset'));
+          },
+        });
+        close = () => {
+          forget();
+          serving.unsubscribe();
+        };
+      };
+      const refuse = () => reply(() => lose('refused'));
+      // The request leaves once the connection stands; from then on it may arrive at any time.
+      this.#send(from, to, there, () => reply(() => this.#send(from, to, there, accept)), refuse);
+      return () => this.#send(from, to, there, () => close());
+    });
+  }
+
+  #send(
+    from: string,
+    to: string,
+    channel: Channel,
+    deliver: () => void,
+    refused?: () => void,
+  ): void {
+    if (this.node(from).liveness === 'silent') return;
+    const link = this.link(from, to);
+    const latency = this.#random.integer(MIN_LATENCY_MS, MAX_LATENCY_MS) + link.delayMs;
+    this.#clock.at(channel.next(this.#clock.now() + latency), () => {
+      if (link.cut) link.held.push(() => this.#send(from, to, channel, deliver, refused));
+      else this.#arrive(to, deliver, refused);
+    });
+  }
+
+  #arrive(to: string, deliver: () => void, refused?: () => void): void {
+    const { clock, liveness } = this.node(to);
+    switch (liveness) {
+      case 'up':
+        clock.run(clock.epoch, deliver);
+        break;
+      case 'ended':
+        refused?.();
+        break;
+      case 'silent': break;
+    }
+  }
+
+  /** Calls `reset` if the process ends first; the function returned tells whether it did not. */
+  #onReset(name: string, reset: () => void): () => boolean {
+    const resets = this.#resets.get(name) ?? new Set();
+    this.#resets.set(name, resets);
+    resets.add(reset);
+    return () => resets.delete(reset) && this.#resets.get(name) === resets;
+  }
+}
--- /dev/null
+++ b/test/fakes/nodeclock.ts
@@ -0,0 +1,83 @@
+/**
+ * The time of one process under test, which can be paused, as by SIGSTOP, and ended. What is due
+ * while it is paused runs, late, when it wakes.
+ */
+import type { SchedulerLike, Subscription } from 'rxjs';
+import type { Work } from './action.js';
+import type { VirtualClock } from './clock.js';
+
+export class NodeClock implements SchedulerLike {
+  readonly #clock: VirtualClock;
+
+  readonly #held: (() => void)[] = [];
+
+  #epoch = 0;
+
+  #paused = false;
+
+  /** How far the monotonic clock is behind wall time, in milliseconds. */
+  #behind = 0;
+
+  #suspendedAt: number | undefined;
+
+  private constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  static of(clock: VirtualClock): NodeClock {
+    return new NodeClock(clock);
+  }
+
+  /** Grows with each `end`. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  get paused(): boolean {
+    return this.#paused;
+  }
+
+  /** Monotonic time. */
+  now(): number {
+    return this.#clock.now() - this.#behind;
+  }
+
+  /** Wall time; goes on while the machine is suspended. */
+  readonly wall = (): number => this.#clock.now();
+
+  schedule<Value>(work: Work<Value>, delay = 0, state?: Value): Subscription {
+    const epoch = this.#epoch;
+    return this.#clock.gated<Value>(work, delay, state as Value, (fire) => this.run(epoch, fire));
+  }
+
+  /** Runs `action` now, or on waking, unless the process of `epoch` has ended. */
+  run(epoch: number, action: () => void): void {
+    if (epoch !== this.#epoch) return;
+    if (this.#paused) this.#held.push(action);
+    else action();
+  }
+
+  /** @param suspended whether the monotonic clock stands still meanwhile */
+  pause(suspended = false): void {
+    this.#paused = true;
+    if (suspended) this.#suspendedAt = this.#clock.now();
+  }
+
+  wake(): void {
+    if (this.#suspendedAt !== undefined) this.#behind += this.#clock.now() - this.#suspendedAt;
+    this.#suspendedAt = undefined;
+    this.#paused = false;
+    const epoch = this.#epoch;
+    this.#held.splice(0).forEach((action) => {
+      this.#clock.schedule(() => this.run(epoch, action));
+    });
+  }
+
+  /** Ends the process: nothing that it scheduled, or that was sent to it, runs any more. */
+  end(): void {
+    this.#epoch += 1;
+    this.#held.length = 0;
+    this.#paused = false;
+    this.#suspendedAt = undefined;
+  }
+}
--- /dev/null
+++ b/test/fakes/queue.ts
@@ -0,0 +1,43 @@
+/** A binary heap of what is due, earliest first and in the order of entry at one time. */
+
+export interface Entry { readonly at: number; readonly order: number; readonly fire: () => void }
+
+function before(left: Entry, right: Entry): boolean {
+  return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
+
+export class Queue {
+  readonly #entries: Entry[] = [];
+
+  get first(): Entry | undefined {
+    return this.#entries[0];
+  }
+
+  push(entry: Entry): void {
+    const entries = this.#entries;
+    let at = entries.push(entry) - 1;
+    while (at > 0) {
+      const parent = Math.floor((at - 1) / 2);
+      if (!before(entry, entries[parent]!)) break;
+      entries[at] = entries[parent]!;
+      at = parent;
+    }
+    entries[at] = entry;
+  }
+
+  pop(): void {
+    const entries = this.#entries;
+    const last = entries.pop()!;
+    if (entries.length === 0) return;
+    let at = 0;
+    for (;;) {
+      let child = 2 * at + 1;
+      if (child >= entries.length) break;
+      if (child + 1 < entries.length && before(entries[child + 1]!, entries[child]!)) child += 1;
+      if (!before(entries[child]!, last)) break;
+      entries[at] = entries[child]!;
+      at = child;
+    }
+    entries[at] = last;
+  }
+}
