--- /dev/null
+++ b/test/fakes/deployment.ts
@@ -0,0 +1,66 @@
+/** The configuration that the worlds under test begin with. */
+import { sha256 } from '../../src/common/hash.js';
+import type {
+  BackendServer, Configuration, Favour, Model, Repeat,
+} from '../../src/configuration/configuration.js';
+import { EMPTY_CONFIGURATION } from '../../src/configuration/defaults.js';
+
+export const VERSION = '1';
+export const MODELS = ['listing', 'billing'] as const;
+export const WORKSPACE = 'hotel';
+export const WORKSPACE_KEY = 'hotel-key';
+
+const MAX_TOKENS = 64;
+
+function model(name: string, repeat: Repeat): Model {
+  return {
+    name,
+    version: VERSION,
+    adapters: [],
+    replicas: 2,
+    memory: 1,
+    maxTokens: MAX_TOKENS,
+    priority: 'standard',
+    repeat,
+  };
+}
+
+export function engineEntry(name: string, checksFence: boolean): BackendServer {
+  return {
+    name,
+    kind: 'engine',
+    address: name,
+    zone: 'lis-a',
+    pool: 'engines',
+    checksFence,
+    memory: 4,
+    drained: false,
+  };
+}
+
+export function deployment(servers: readonly BackendServer[], favour: Favour): Configuration {
+  return {
+    ...EMPTY_CONFIGURATION,
+    revision: 1,
+    deployment: { name: 'lisbon', favour, zones: ['lis-a'] },
+    models: { listing: model('listing', 'safe'), billing: model('billing', 'never') },
+    servers: Object.fromEntries(servers.map((server) => [server.name, server])),
+    pools: {
+      engines: {
+        name: 'engines', kind: 'engine', models: [], retryRatio: 1, concurrencyPerServer: 64,
+      },
+    },
+    workspaces: {
+      [WORKSPACE]: {
+        name: WORKSPACE,
+        keyHashes: [sha256(WORKSPACE_KEY)],
+        weight: 1,
+        requestsPerSecond: 1_000,
+        burst: 1_000,
+        concurrency: 1_000,
+        priority: 'standard',
+        models: [],
+      },
+    },
+  };
+}
--- /dev/null
+++ b/test/fakes/links.ts
@@ -0,0 +1,159 @@
+/** The outside world as one daemon reaches it: each adapter's calls go over the fake network. */
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import {
+  concatMap, defer, from as fromList, takeWhile,
+} from 'rxjs';
+import type { Observable } from 'rxjs';
+import type { Random } from '../../src/common/random.js';
+import type {
+  AttemptRequest, CacheEvent, EngineClient, EngineEvent, LoadReport,
+} from '../../src/engines/engine.js';
+import type { InstanceList, ListedInstance } from '../../src/membership/instances.js';
+import type { StandInEngine } from '../../src/standin/engine.js';
+import type { ObjectApi, StoreError } from '../../src/store/objects.js';
+import type { Loss, Network } from './network.js';
+
+const CANCEL_DEADLINE_MS = 1_000;
+const STORE_DEADLINE_MS = 1_000;
+
+/** The store's and the list's names on the network. */
+export const STORE = 'store';
+export const LIST = 'list';
+
+/** How what an engine publishes differs from what happens. */
+export interface EngineFaults {
+  /** Load reports are this old. */
+  readonly reportLagMs: number;
+  /** Fractions of cache events that are lost, and that come twice. */
+  readonly cacheLoss: number;
+  readonly cacheRepeat: number;
+}
+
+export interface EngineNode {
+  readonly engine: StandInEngine;
+  readonly faults: EngineFaults;
+  /** Load reports by time, oldest first. */
+  readonly reports: { readonly at: number; readonly report: LoadReport }[];
+}
+
+/** An attempt as a daemon sent it, whether or not it ever arrived. */
+export interface Dispatch {
+  readonly daemon: string;
+  readonly server: string;
+  readonly at: number;
+  readonly request: AttemptRequest;
+}
+
+interface Links {
+  readonly network: Network;
+  readonly random: Random;
+  readonly daemon: string;
+}
+
+function lostAttempt(loss: Loss): EngineEvent {
+  return loss === 'refused'
+    ? {
+      kind: 'failed', cause: 'connect', ran: 'no', message: 'refused',
+    }
+    : {
+      kind: 'failed', cause: 'reset', ran: 'unknown', message: 'reset',
+    };
+}
+
+async function laggingReport({ engine, faults, reports }: EngineNode, now: number) {
+  const report = await engine.load();
+  reports.push({ at: now, report });
+  while (reports.length > 1 && reports[1]!.at <= now - faults.reportLagMs) reports.shift();
+  return reports[0]!.report;
+}
+
+export function engineLink(
+  { network, random, daemon }: Links,
+  node: () => EngineNode,
+  dispatched: (dispatch: Dispatch) => void,
+): EngineClient {
+  const { engine } = node();
+  const to = engine.options.name;
+  const now = () => network.node(daemon).clock.wall();
+  const attempt = (open: () => Observable<EngineEvent>) => (
+    network.stream(daemon, to, open, lostAttempt)
+      .pipe(takeWhile(({ kind }) => kind !== 'finish' && kind !== 'failed', true)));
+  return {
+    generate: (request) => defer(() => {
+      dispatched({
+        daemon, server: to, at: now(), request,
+      });
+      return attempt(() => engine.generate(request));
+    }),
+    join: (generation, number, position) => (
+      attempt(() => engine.join(generation, number, position))),
+    cancel: (generation, number) => (
+      network.call(daemon, to, CANCEL_DEADLINE_MS, () => engine.cancel(generation, number))
+        .catch(() => ({ kind: 'unknown' as const }))),
+    load: (deadlineMs) => network.call(daemon, to, deadlineMs, () => laggingReport(node(), now())),
+    cacheEvents: () => network.stream<CacheEvent>(daemon, to, () => engine.cacheEvents(), () => (
+      undefined)).pipe(concatMap((event) => {
+      const { faults } = node();
+      if (random.fraction() < faults.cacheLoss) return fromList([]);
+      return fromList(random.fraction() < faults.cacheRepeat ? [event, event] : [event]);
+    })),
+    order: (order) => network.call(daemon, to, order.validForMs, () => engine.order(order))
+      .catch(() => 'unknown' as const),
+  };
+}
+
+export function objectLink({ network, daemon }: Links, objects: ObjectApi): ObjectApi {
+  const lost = (code: StoreError['code']) => (error: unknown): Result<never, StoreError> => (
+    err({ code, message: String(error) }));
+  const call = <Value>(
+    write: boolean,
+    work: () => Promise<Result<Value, StoreError>>,
+  ): Promise<Result<Value, StoreError>> => (
+    network.call(daemon, STORE, STORE_DEADLINE_MS, work)
+      .catch(lost(write ? 'ambiguous' : 'unavailable')));
+  return {
+    get: (name, use) => call(false, () => objects.get(name, use)),
+    list: (prefix, use) => call(false, () => objects.list(prefix, use)),
+    put: (name, value, expected, use) => (
+      call(true, () => objects.put(name, value, expected, use))),
+    remove: (name, version, use) => call(true, () => objects.remove(name, version, use)),
+    watch: (prefix, since, use) => network.stream(
+      daemon,
+      STORE,
+      () => objects.watch(prefix, since, use),
+      () => undefined,
+    ),
+  };
+}
+
+/** The platform's list, which tells what was true `lagMs` ago. */
+export class LaggingList {
+  readonly #network: Network;
+
+  readonly #history: { readonly at: number; readonly listed: readonly ListedInstance[] }[] = [];
+
+  lagMs = 0;
+
+  private constructor(network: Network) {
+    this.#network = network;
+  }
+
+  static of(network: Network): LaggingList {
+    return new LaggingList(network);
+  }
+
+  publish(at: number, listed: readonly ListedInstance[]): void {
+    this.#history.push({ at, listed });
+  }
+
+  link(daemon: string): InstanceList {
+    return {
+      read: () => this.#network.call(daemon, LIST, STORE_DEADLINE_MS, () => {
+        const until = this.#network.node(LIST).clock.wall() - this.lagMs;
+        const known = this.#history.filter(({ at }) => at <= until);
+        return Promise.resolve((known.at(-1) ?? this.#history[0])?.listed ?? []);
+      }),
+    };
+  }
+}
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -65,18 +65,16 @@
     this.node(name).liveness = 'up';
   }
 
-  link(from: string, to: string): Link {
-    const key = `${from}>${to}`;
-    let link = this.#links.get(key);
-    if (!link) {
-      link = { cut: false, delayMs: 0, held: [] };
-      this.#links.set(key, link);
-    }
-    return link;
+  cut(from: string, to: string): void {
+    this.#link(from, to).cut = true;
+  }
+
+  delay(from: string, to: string, delayMs: number): void {
+    this.#link(from, to).delayMs = delayMs;
   }
 
   mend(from: string, to: string): void {
-    const link = this.link(from, to);
+    const link = this.#link(from, to);
     link.cut = false;
     link.delayMs = 0;
     link.held.splice(0).forEach((send) => send());
@@ -161,6 +159,16 @@
     });
   }
 
+  #link(from: string, to: string): Link {
+    const key = `${from}>${to}`;
+    let link = this.#links.get(key);
+    if (!link) {
+      link = { cut: false, delayMs: 0, held: [] };
+      this.#links.set(key, link);
+    }
+    return link;
+  }
+
   #send(
     from: string,
     to: string,
@@ -169,7 +177,7 @@
     refused?: () => void,
   ): void {
     if (this.node(from).liveness === 'silent') return;
-    const link = this.link(from, to);
+    const link = this.#link(from, to);
     const latency = this.#random.integer(MIN_LATENCY_MS, MAX_LATENCY_MS) + link.delayMs;
     this.#clock.at(channel.next(this.#clock.now() + latency), () => {
       if (link.cut) link.held.push(() => this.#send(from, to, channel, deliver, refused));
--- /dev/null
+++ b/test/fakes/world.ts
@@ -0,0 +1,239 @@
+/**
+ * Several daemons in one process under one virtual clock, with small fakes of what they meet:
+ * engines, the object API, the instance list, callers, and the network between all of them.
+ */
+import { BehaviorSubject, Observable } from 'rxjs';
+import type { Subscription } from 'rxjs';
+import { silentLog } from '../../src/common/log.js';
+import { Random } from '../../src/common/random.js';
+import type { Configuration, Favour } from '../../src/configuration/configuration.js';
+import { Instance } from '../../src/daemon/instance.js';
+import type { Priority } from '../../src/engines/engine.js';
+import type { GenerationRequest } from '../../src/generation/request.js';
+import type { InstanceSettings } from '../../src/daemon/instance.js';
+import { StandInEngine } from '../../src/standin/engine.js';
+import { MemoryObjects } from '../../src/standin/objects.js';
+import { cut, Oracle } from '../fuzz/oracle.js';
+import type { Call } from '../fuzz/oracle.js';
+import { VirtualClock } from './clock.js';
+import {
+  deployment, engineEntry, MODELS, VERSION, WORKSPACE,
+} from './deployment.js';
+import { engineLink, LaggingList, objectLink } from './links.js';
+import type { Dispatch, EngineFaults, EngineNode } from './links.js';
+import { Network } from './network.js';
+
+const STEP_MS = 20;
+const SLOTS = 4;
+
+interface Daemon {
+  readonly settings: InstanceSettings;
+  instance: Instance | undefined;
+  incarnation: number;
+}
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly engines: number;
+  readonly favour: Favour;
+}
+
+export interface Question {
+  readonly daemon: string;
+  readonly model: typeof MODELS[number];
+  readonly tokens: number;
+  readonly priority: Priority;
+}
+
+export class World {
+  readonly clock = new VirtualClock();
+
+  readonly random: Random;
+
+  readonly network: Network;
+
+  readonly objects: MemoryObjects;
+
+  readonly list: LaggingList;
+
+  readonly oracle: Oracle;
+
+  readonly engines = new Map<string, EngineNode>();
+
+  readonly daemons = new Map<string, Daemon>();
+
+  readonly dispatches: Dispatch[] = [];
+
+  readonly configuration: BehaviorSubject<Configuration>;
+
+  readonly #answers = new Map<Call, Subscription>();
+
+  #names = 0;
+
+  private constructor({
+    seed, daemons, engines, favour,
+  }: WorldOptions) {
+    this.random = Random.of(seed);
+    this.network = Network.of(this.clock, this.random);
+    this.objects = MemoryObjects.of(this.clock, this.random);
+    this.list = LaggingList.of(this.network);
+    const servers = Array.from({ length: engines }, (_, index) => (
+      engineEntry(`engine-${index}`, index % 2 === 0)));
+    this.configuration = new BehaviorSubject(deployment(servers, favour));
+    this.oracle = Oracle.of(() => this.clock.now(), () => this.configuration.value);
+    servers.forEach((server, variant) => this.#addEngine(server.name, server.checksFence, variant));
+    Array.from({ length: daemons }, (_, index) => `daemon-${index}`).forEach((name) => {
+      const settings = { name, zone: 'lis-a', peerAddress: name };
+      this.daemons.set(name, { settings, instance: undefined, incarnation: 0 });
+    });
+    this.daemons.forEach((_, name) => this.startDaemon(name));
+  }
+
+  static of(options: WorldOptions): World {
+    return new World(options);
+  }
+
+  daemon(name: string): Daemon {
+    return this.daemons.get(name)!;
+  }
+
+  engine(name: string): EngineNode {
+    return this.engines.get(name)!;
+  }
+
+  /** Whether the process runs and is not paused. */
+  runs(name: string): boolean {
+    const { clock, liveness } = this.network.node(name);
+    return liveness === 'up' && !clock.paused;
+  }
+
+  startDaemon(name: string): void {
+    const daemon = this.daemon(name);
+    daemon.incarnation += 1;
+    this.network.start(name);
+    const { clock } = this.network.node(name);
+    const { epoch } = clock;
+    const links = { network: this.network, random: this.random, daemon: name };
+    const instance = Instance.of(daemon.settings, {
+      scheduler: clock,
+      random: Random.of(this.random.integer(0, 0x7fff_ffff)),
+      log: silentLog,
+      dial: (server) => engineLink(links, () => this.engine(server.name), (dispatch) => {
+        this.dispatches.push(dispatch);
+      }),
+      objects: objectLink(links, this.objects),
+      list: this.list.link(name),
+      network: { exchange: () => Promise.reject(new Error('not connected')) },
+      configurations: new Observable((subscriber) => this.configuration.subscribe((value) => {
+        clock.run(epoch, () => subscriber.next(value));
+      })),
+    });
+    instance.run.subscribe();
+    daemon.instance = instance;
+    this.#publishList();
+  }
+
+  /** Ends the daemon at once; its callers see their connections end. */
+  killDaemon(name: string, how: 'ended' | 'silent'): void {
+    this.network.end(name, how);
+    this.daemon(name).instance = undefined;
+    this.oracle.open.filter((call) => call.daemon === name).forEach((call) => cut(call));
+    this.#publishList();
+  }
+
+  crashEngine(name: string, how: 'ended' | 'silent'): void {
+    this.network.end(name, how);
+    this.engine(name).engine.crash(this.#name('incarnation'));
+    this.engine(name).reports.length = 0;
+  }
+
+  setFaults(name: string, faults: Partial<EngineFaults>): void {
+    const node = this.engine(name);
+    this.engines.set(name, { ...node, faults: { ...node.faults, ...faults } });
+  }
+
+  ask({
+    daemon, model, tokens, priority,
+  }: Question): void {
+    const { instance } = this.daemon(daemon);
+    if (!instance) return;
+    const name = this.#name('request');
+    const { repeat } = this.configuration.value.models[model]!;
+    const request: GenerationRequest = {
+      id: name,
+      workspace: WORKSPACE,
+      model,
+      adapter: undefined,
+      input: { kind: 'prompt', text: `${name} `.repeat(40) },
+      sampling: {
+        seed: this.#names, temperature: 1, maxTokens: tokens, stop: [],
+      },
+      priority,
+      repeat,
+      idempotencyKey: undefined,
+    };
+    const call = this.oracle.asked(daemon, name, request);
+    const { clock } = this.network.node(daemon);
+    const { epoch } = clock;
+    clock.run(epoch, () => {
+      if (call.outcome.kind !== 'open') return;
+      this.#answers.set(call, instance.gateway.generate(request).subscribe((event) => {
+        if (clock.epoch === epoch) this.oracle.answered(call, event);
+      }));
+    });
+  }
+
+  /** The caller of an open request goes away. */
+  hangUp(call: Call): void {
+    const { clock } = this.network.node(call.daemon);
+    cut(call);
+    clock.run(clock.epoch, () => this.#answers.get(call)?.unsubscribe());
+    this.#answers.delete(call);
+  }
+
+  async advance(ms: number): Promise<void> {
+    await this.clock.advance(ms);
+    this.oracle.checkWaiting((call) => this.runs(call.daemon));
+  }
+
+  /** Ends every fault and lets what is open end; then checks what has run. */
+  async finish(maxMs: number): Promise<void> {
+    this.network.mendAll();
+    [...this.engines.keys(), ...this.daemons.keys()].forEach((name) => {
+      if (this.network.node(name).clock.paused) this.network.node(name).clock.wake();
+    });
+    this.oracle.disturb();
+    for (let passed = 0; passed < maxMs && this.oracle.open.length > 0; passed += 1_000) {
+      // eslint-disable-next-line no-await-in-loop -- time passes in order
+      await this.advance(1_000);
+    }
+    await this.advance(3_000);
+    this.oracle.checkRuns([...this.engines.values()].flatMap(({ engine }) => engine.begun));
+  }
+
+  #addEngine(name: string, checksFence: boolean, variant: number): void {
+    const engine = StandInEngine.of({
+      name,
+      checksFence,
+      variant,
+      stepMs: STEP_MS,
+      slots: SLOTS,
+      models: MODELS.map((model) => ({ model, version: VERSION, adapters: [] })),
+    }, this.network.node(name).clock, this.#name('incarnation'));
+    this.engines.set(name, {
+      engine, faults: { reportLagMs: 0, cacheLoss: 0, cacheRepeat: 0 }, reports: [],
+    });
+  }
+
+  #publishList(): void {
+    const listed = [...this.daemons.values()].filter(({ instance }) => instance)
+      .map(({ settings }) => ({ ...settings, state: 'live' as const }));
+    this.list.publish(this.clock.now(), listed);
+  }
+
+  #name(kind: string): string {
+    this.#names += 1;
+    return `${kind}-${this.#names}`;
+  }
+}
--- /dev/null
+++ b/test/fuzz/main.ts
@@ -0,0 +1,25 @@
+/** `npm run fuzz -- --seed N --runs M`: long runs, and one run again by its path. */
+import { parseArgs } from 'node:util';
+import { describeFailure, fuzz } from './property.js';
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    runs: { type: 'string', default: '1000' },
+    path: { type: 'string' },
+    replay: { type: 'string' },
+  },
+});
+
+const startedAt = performance.now();
+const details = await fuzz({
+  seed: Number(values.seed),
+  runs: Number(values.runs),
+  ...(values.path === undefined ? {} : { path: values.path }),
+  ...(values.replay === undefined ? {} : { replayPath: values.replay }),
+});
+if (details.failed) process.stdout.write(`${describeFailure(details)}\n`);
+const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+process.stdout.write(`${details.numRuns} sequences in ${seconds} s, seed ${details.seed}: ${
+  details.failed ? 'a promise was broken' : 'every promise held'}\n`);
+process.exit(details.failed ? 1 : 0);
--- /dev/null
+++ b/test/fuzz/oracle.ts
@@ -0,0 +1,152 @@
+/**
+ * Checks what callers and backend servers saw against the users' promises. It knows nothing of how
+ * the system keeps them: it sees requests, answers, and what engines did, and no state of a daemon.
+ */
+import type { Configuration } from '../../src/configuration/configuration.js';
+import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
+import type { BegunAttempt } from '../../src/standin/engine.js';
+import { answerLength, firstBadToken } from '../../src/standin/tokens.js';
+import type { Subject } from '../../src/standin/tokens.js';
+
+/** The longest that a caller waits for the next token or a refusal, queueing aside. */
+export const WAIT_BOUND_MS = 6_000;
+/** A leaving server may be sent new work for this long, 1 s for reports and messages included. */
+export const LEAVING_BOUND_MS = 3_000;
+
+type Outcome =
+  | { readonly kind: 'open' }
+  | { readonly kind: 'answered' }
+  | { readonly kind: 'refused'; readonly ran: string }
+  /** The caller went away, or the daemon was killed under it. */
+  | { readonly kind: 'cut' };
+
+/** One request as its caller knows it. */
+export interface Call {
+  readonly request: GenerationRequest;
+  readonly daemon: string;
+  /** The caller's own name for the request; retries of one key share it. */
+  readonly name: string;
+  text: string;
+  tokens: number;
+  lastAt: number;
+  outcome: Outcome;
+}
+
+/** Ends a call that is open, without an answer that its caller sees. */
+export function cut(call: Call): void {
+  const target = call;
+  if (call.outcome.kind === 'open') target.outcome = { kind: 'cut' };
+}
+
+export class Oracle {
+  readonly violations: string[] = [];
+
+  readonly calls: Call[] = [];
+
+  readonly #now: () => number;
+
+  readonly #configuration: () => Configuration;
+
+  /** When the last fault began or ended; waiting is counted from it. */
+  #disturbedAt = 0;
+
+  private constructor(now: () => number, configuration: () => Configuration) {
+    this.#now = now;
+    this.#configuration = configuration;
+  }
+
+  static of(now: () => number, configuration: () => Configuration): Oracle {
+    return new Oracle(now, configuration);
+  }
+
+  get open(): readonly Call[] {
+    return this.calls.filter(({ outcome }) => outcome.kind === 'open');
+  }
+
+  disturb(): void {
+    this.#disturbedAt = this.#now();
+  }
+
+  asked(daemon: string, name: string, request: GenerationRequest): Call {
+    const call: Call = {
+      request, daemon, name, text: '', tokens: 0, lastAt: this.#now(), outcome: { kind: 'open' },
+    };
+    this.calls.push(call);
+    return call;
+  }
+
+  answered(call: Call, event: AnswerEvent): void {
+    const target = call;
+    if (call.outcome.kind !== 'open') this.#report(call, `${event.kind} after the end`);
+    target.lastAt = this.#now();
+    switch (event.kind) {
+      case 'token':
+        if (event.position !== call.tokens) this.#report(call, `token at ${event.position}`);
+        target.text += event.text;
+        target.tokens += 1;
+        break;
+      case 'finish':
+        target.outcome = { kind: 'answered' };
+        this.#checkWhole(call, event.tokens);
+        break;
+      case 'refusal':
+        target.outcome = { kind: 'refused', ran: event.refusal.ran };
+        if (call.tokens > 0 && event.refusal.ran === 'no') {
+          this.#report(call, 'says that it was not run after tokens');
+        }
+        break;
+    }
+    if (this.#firstBad(call) !== -1) this.#report(call, `bad token at ${this.#firstBad(call)}`);
+  }
+
+  /** @param waits whether the call's daemon is up and runs */
+  checkWaiting(waits: (call: Call) => boolean): void {
+    const now = this.#now();
+    this.open.filter(waits).forEach((call) => {
+      const { queueWaitMs } = this.#configuration().limits;
+      const since = Math.max(call.lastAt, this.#disturbedAt);
+      const bound = WAIT_BOUND_MS + queueWaitMs[call.request.priority];
+      if (now - since > bound) this.#report(call, `waited more than ${bound} ms`);
+    });
+  }
+
+  /** Checks at the end, when nothing runs any more, what the engines have run. */
+  checkRuns(begun: readonly BegunAttempt[]): void {
+    this.calls.forEach((call) => {
+      const runs = begun.filter(({ request }) => request.generation === call.request.id);
+      if (call.outcome.kind === 'refused' && call.outcome.ran === 'no' && runs.length > 0) {
+        this.#report(call, `told "not run" and begun ${runs.length} times`);
+      }
+      const fromStart = runs.filter(({ request, stream }) => (
+        request.accepted.tokens === 0 && stream.position > 0));
+      if (call.request.repeat === 'never' && fromStart.length > 1) {
+        this.#report(call, `run ${fromStart.length} times`);
+      }
+      if (call.outcome.kind === 'open') this.#report(call, 'never ended');
+    });
+  }
+
+  report(what: string): void {
+    if (!this.violations.includes(what)) this.violations.push(what);
+  }
+
+  #report({ name, request }: Call, what: string): void {
+    this.report(`${name} (${request.model}, ${request.repeat}): ${what}`);
+  }
+
+  #subject({ request }: Call): Subject {
+    const version = this.#configuration().models[request.model]?.version ?? '';
+    return { ...request, version };
+  }
+
+  #firstBad(call: Call): number {
+    return firstBadToken(this.#subject(call), call.text);
+  }
+
+  #checkWhole(call: Call, told: number): void {
+    const length = answerLength(this.#subject(call));
+    if (call.tokens !== length || told !== length) {
+      this.#report(call, `ended with ${call.tokens} tokens, told ${told}, of ${length}`);
+    }
+  }
+}
--- /dev/null
+++ b/test/fuzz/property.ts
@@ -0,0 +1,63 @@
+/** The fuzzing's property: after any sequence of commands, every promise holds. */
+import fc from 'fast-check';
+import type { AsyncCommand, RunDetails } from 'fast-check';
+import type { Favour } from '../../src/configuration/configuration.js';
+import { World } from '../fakes/world.js';
+import { commandsOf } from './commands.js';
+import type { Model } from './commands.js';
+
+const DAEMONS = 3;
+const ENGINES = 4;
+const MAX_COMMANDS = 60;
+const FINISH_MS = 60_000;
+const FAVOURS: readonly Favour[] = ['latency', 'resources'];
+
+type Commands = Iterable<AsyncCommand<Model, World>>;
+
+export interface FuzzOptions {
+  readonly seed: number;
+  readonly runs: number;
+  /** fast-check's path to one counterexample. */
+  readonly path?: string;
+  readonly replayPath?: string;
+}
+
+async function run(seed: number, favour: Favour, commands: Commands): Promise<void> {
+  const world = World.of({
+    seed, favour, daemons: DAEMONS, engines: ENGINES,
+  });
+  const model: Model = { ended: new Set(), paused: new Set() };
+  // The first load reports and heartbeats have passed.
+  await world.advance(1_000);
+  await fc.asyncModelRun(() => ({ model, real: world }), commands);
+  await world.finish(FINISH_MS);
+  if (world.oracle.violations.length > 0) throw new Error(world.oracle.violations.join('; '));
+}
+
+export function fuzz({
+  seed, runs, path, replayPath,
+}: FuzzOptions): Promise<RunDetails<[number, Favour, Commands]>> {
+  const names = (kind: string, count: number) => (
+    Array.from({ length: count }, (_, index) => `${kind}-${index}`));
+  const commands = commandsOf(
+    names('daemon', DAEMONS),
+    names('engine', ENGINES),
+    MAX_COMMANDS,
+    replayPath,
+  );
+  return fc.check(
+    fc.asyncProperty(fc.nat(0xffff), fc.constantFrom(...FAVOURS), commands, run),
+    { seed, numRuns: runs, ...(path === undefined ? {} : { path }) },
+  ) as Promise<RunDetails<[number, Favour, Commands]>>;
+}
+
+/** What a failed run says: how to play it again, and the shrunk commands one a line. */
+export function describeFailure(details: RunDetails<[number, Favour, Commands]>): string {
+  const [seed, favour, commands] = details.counterexample ?? [];
+  return [
+    `seed=${details.seed} path=${details.counterexamplePath} runs=${details.numRuns}`,
+    `shrinks=${details.numShrinks} world=${seed} favour=${favour}`,
+    String(commands),
+    String(details.errorInstance ?? ''),
+  ].join('\n');
+}
--- /dev/null
+++ b/test/fuzz/steps.ts
@@ -0,0 +1,78 @@
+/**
+ * What can be done to a world: requests, what the platform and operators do, and what fails. A
+ * step is plain data, so that a run can be printed and played again.
+ */
+import { LIST, STORE } from '../fakes/links.js';
+import type { EngineFaults } from '../fakes/links.js';
+import type { Question, World } from '../fakes/world.js';
+
+interface Link { readonly from: string; readonly to: string }
+
+type CacheFaults = Pick<EngineFaults, 'cacheLoss' | 'cacheRepeat'>;
+
+export type Step =
+  | { readonly kind: 'ask' } & Question
+  | { readonly kind: 'hang_up'; readonly call: number }
+  | { readonly kind: 'advance'; readonly ms: number }
+  | { readonly kind: 'crash_engine'; readonly engine: string; readonly how: 'ended' | 'silent' }
+  | { readonly kind: 'start_engine'; readonly engine: string }
+  | { readonly kind: 'pause' | 'suspend' | 'wake'; readonly node: string }
+  | { readonly kind: 'kill_daemon'; readonly daemon: string; readonly how: 'ended' | 'silent' }
+  | { readonly kind: 'start_daemon'; readonly daemon: string }
+  | { readonly kind: 'cut'; readonly both: boolean } & Link
+  | { readonly kind: 'isolate'; readonly node: string }
+  | { readonly kind: 'delay'; readonly ms: number } & Link
+  | { readonly kind: 'mend' } & Link
+  | { readonly kind: 'mend_all' }
+  | { readonly kind: 'reports_lag'; readonly engine: string; readonly ms: number }
+  | ({ readonly kind: 'cache_events'; readonly engine: string } & CacheFaults);
+
+function cutLinks(world: World, links: readonly Link[]): void {
+  links.forEach(({ from, to }) => world.network.cut(from, to));
+}
+
+async function perform(world: World, step: Step): Promise<void> {
+  const { network } = world;
+  switch (step.kind) {
+    case 'ask': return world.ask(step);
+    case 'hang_up': {
+      const { open } = world.oracle;
+      const call = open[step.call % Math.max(1, open.length)];
+      return call && world.hangUp(call);
+    }
+    case 'advance': return world.advance(step.ms);
+    case 'crash_engine': return world.crashEngine(step.engine, step.how);
+    case 'start_engine': return network.start(step.engine);
+    case 'pause': return network.node(step.node).clock.pause();
+    case 'suspend': return network.node(step.node).clock.pause(true);
+    case 'wake': return network.node(step.node).clock.wake();
+    case 'kill_daemon': return world.killDaemon(step.daemon, step.how);
+    case 'start_daemon': return world.startDaemon(step.daemon);
+    case 'cut': {
+      const { from, to } = step;
+      return cutLinks(world, step.both ? [{ from, to }, { from: to, to: from }] : [{ from, to }]);
+    }
+    case 'isolate': {
+      const others = [...world.daemons.keys(), ...world.engines.keys(), STORE, LIST]
+        .filter((name) => name !== step.node);
+      return cutLinks(world, others.flatMap((other) => (
+        [{ from: step.node, to: other }, { from: other, to: step.node }])));
+    }
+    case 'delay': return network.delay(step.from, step.to, step.ms);
+    case 'mend': return network.mend(step.from, step.to);
+    case 'mend_all': return network.mendAll();
+    case 'reports_lag': return world.setFaults(step.engine, { reportLagMs: step.ms });
+    case 'cache_events': return world.setFaults(step.engine, {
+      cacheLoss: step.cacheLoss, cacheRepeat: step.cacheRepeat,
+    });
+  }
+}
+
+/** Performs the step and checks what the oracle has seen. */
+export async function play(world: World, step: Step): Promise<void> {
+  if (step.kind !== 'ask' && step.kind !== 'advance') world.oracle.disturb();
+  await perform(world, step);
+  if (step.kind !== 'advance') await world.advance(0);
+  const [first] = world.oracle.violations;
+  if (first !== undefined) throw new Error(first);
+}
