--- /dev/null
+++ b/src/daemon/peerserver.ts
@@ -0,0 +1,207 @@
+/**
+ * The listener for calls from other daemons: tRPC over HTTP on the peer address. A call is
+ * refused unless it is signed with the peers' key, recent, and not seen before. A call in another
+ * protocol version is answered with this daemon's own.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { initTRPC, TRPCError } from '@trpc/server';
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
+import { LRUCache } from 'lru-cache';
+import { Observable } from 'rxjs';
+import { z } from 'zod';
+import type { Log } from '../common/log.js';
+import { PROTOCOL, protocolOf, requestSchema } from '../membership/message.js';
+import type { PeerAnswer, PeerRequest } from '../membership/message.js';
+import {
+  ENCODING_HEADER, encodingOf, MAX_SKEW_MS, NONCE_HEADER, pack, PEER_PATH, readBody,
+  SIGNATURE_HEADER, signatureOf, TIME_HEADER, unpack, verifies,
+} from '../membership/peerwire.js';
+import type { Packed, Signed } from '../membership/peerwire.js';
+import type { Child } from './supervisor.js';
+
+const MAX_NONCES = 65_536;
+const MAX_HEADER_BYTES = 8_192;
+const REQUEST_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_MS = 30_000;
+const HTTP_OK = 200;
+const HTTP_REFUSED = 403;
+
+/** A call's body is checked by its handler, which throws on one that it can't read. */
+export type CallHandler = (body: unknown) => Promise<unknown>;
+
+/** What peers may ask for; a handler left out is answered as not found. */
+export interface PeerHandlers {
+  readonly heartbeat: (request: PeerRequest) => Promise<PeerAnswer>;
+  /** Commits a claim for another instance. */
+  readonly claim?: CallHandler;
+  /** Hands out the configuration that this instance holds. */
+  readonly configuration?: CallHandler;
+}
+
+export interface PeerServerOptions {
+  readonly host: string;
+  /** 0 for any free one. */
+  readonly port: number;
+  readonly key: string;
+  readonly handlers: PeerHandlers;
+  readonly log: Log;
+  /** Milliseconds of the wall clock, for the age of a signature. */
+  readonly wallClock: () => number;
+  readonly onListening?: (port: number) => void;
+}
+
+const t = initTRPC.create();
+
+const callSchema = z.object({ protocol: z.number().int(), body: z.unknown() });
+
+const unsupported = { kind: 'unsupported' as const, protocol: PROTOCOL };
+
+export type CallAnswer = typeof unsupported
+  | { readonly kind: 'answer'; readonly protocol: number; readonly body: unknown };
+
+function callProcedure(handler: CallHandler | undefined) {
+  return t.procedure.input(z.unknown()).mutation(async ({ input }): Promise<CallAnswer> => {
+    if (protocolOf(input) !== PROTOCOL) return unsupported;
+    if (!handler) throw new TRPCError({ code: 'NOT_FOUND' });
+    const { body } = callSchema.parse(input);
+    return { kind: 'answer', protocol: PROTOCOL, body: await handler(body) };
+  });
+}
+
+function routerOf(handlers: PeerHandlers) {
+  return t.router({
+    heartbeat: t.procedure.input(z.unknown()).mutation(async ({ input }): Promise<PeerAnswer> => {
+      if (protocolOf(input) !== PROTOCOL) return unsupported;
+      return handlers.heartbeat(requestSchema.parse(input));
+    }),
+    claim: callProcedure(handlers.claim),
+    configuration: callProcedure(handlers.configuration),
+  });
+}
+
+export type PeerRouter = ReturnType<typeof routerOf>;
+
+/** Why a call was refused before it was read. */
+type Reason = 'unsigned' | 'signature' | 'stale' | 'replayed';
+
+interface Call { readonly signed: Signed; readonly body: Packed; readonly signature: string }
+
+function headerOf(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+export class PeerServer implements Child {
+  readonly name = 'peer_server';
+
+  readonly run: Observable<never>;
+
+  readonly #options: PeerServerOptions;
+
+  readonly #router: PeerRouter;
+
+  readonly #nonces = new LRUCache<string, true>({ max: MAX_NONCES });
+
+  private constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#router = routerOf(options.handlers);
+    this.run = new Observable<never>((subscriber) => {
+      const server = this.#listen((error) => subscriber.error(error));
+      return () => {
+        server.close();
+        server.closeIdleConnections();
+      };
+    });
+  }
+
+  static of(options: PeerServerOptions): PeerServer {
+    return new PeerServer(options);
+  }
+
+  #listen(failed: (error: Error) => void): Server {
+    const { host, port, onListening } = this.#options;
+    const server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      headersTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    }, (request, response) => {
+      this.#serve(request, response).catch((error: unknown) => {
+        this.#options.log.event('warn', 'peer_call_failed', { reason: String(error) });
+        response.destroy();
+      });
+    });
+    server.on('error', failed);
+    server.listen(port, host, () => {
+      const address = server.address();
+      if (typeof address === 'object' && address) onListening?.(address.port);
+    });
+    return server;
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const call: Call = {
+      signed: {
+        direction: 'request',
+        subject: request.url ?? '',
+        time: headerOf(request, TIME_HEADER),
+        nonce: headerOf(request, NONCE_HEADER),
+      },
+      body: {
+        encoding: encodingOf(request.headers[ENCODING_HEADER]),
+        bytes: await readBody(request),
+      },
+      signature: headerOf(request, SIGNATURE_HEADER),
+    };
+    const reason = this.#refusal(call);
+    if (reason) {
+      this.#refuse(request, response, reason);
+      return;
+    }
+    this.#nonces.set(call.signed.nonce, true);
+    await this.#answer(call, request, response);
+  }
+
+  #refusal({ signed, body, signature }: Call): Reason | undefined {
+    if (!signed.time || !signed.nonce || !signature) return 'unsigned';
+    if (!verifies(signed, body, this.#options.key, signature)) return 'signature';
+    const age = Math.abs(this.#options.wallClock() - Number(signed.time));
+    if (!(age <= MAX_SKEW_MS)) return 'stale';
+    return this.#nonces.has(signed.nonce) ? 'replayed' : undefined;
+  }
+
+  #refuse(request: IncomingMessage, response: ServerResponse, reason: Reason): void {
+    this.#options.log.event('warn', 'peer_refused', {
+      from: request.socket.remoteAddress, reason,
+    });
+    response.writeHead(HTTP_REFUSED, { connection: 'close' });
+    response.end(reason);
+  }
+
+  async #answer(call: Call, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const answer = await fetchRequestHandler({
+      endpoint: PEER_PATH,
+      req: new Request(`http://peer${request.url ?? ''}`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: unpack(call.body),
+      }),
+      router: this.#router,
+      onError: ({ path, error }) => {
+        this.#options.log.event('warn', 'peer_call_failed', { call: path, reason: error.code });
+      },
+    });
+    const body = pack(await answer.text());
+    const signed: Signed = {
+      ...call.signed, direction: 'answer', subject: String(answer.status),
+    };
+    response.writeHead(answer.status || HTTP_OK, {
+      'content-type': 'application/json',
+      'content-length': body.bytes.length,
+      [ENCODING_HEADER]: body.encoding,
+      [SIGNATURE_HEADER]: signatureOf(signed, body, this.#options.key),
+    });
+    response.end(body.bytes);
+  }
+}
--- /dev/null
+++ b/src/membership/heartbeats.ts
@@ -0,0 +1,220 @@
+/**
+ * Runs membership: ticks, reads the platform's list, sends heartbeats and answers those of peers.
+ * All decisions are in `membership`; this shell performs their effects.
+ */
+import {
+  BehaviorSubject, catchError, defer, distinctUntilChanged, EMPTY, ignoreElements, map, merge,
+  repeat, tap, timer,
+} from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
+import type { Child } from '../daemon/supervisor.js';
+import type {
+  InstanceList, Member, MembershipView, PeerNetwork,
+} from './instances.js';
+import {
+  EXCHANGE_DEADLINE_MS, PERIOD_MS, PROBE_DEADLINE_MS, transaction,
+} from './membership.js';
+import type { Effect, Event } from './membership.js';
+import { plainHeartbeat } from './merge.js';
+import { answerSchema, PROTOCOL } from './message.js';
+import type { PeerAnswer, PeerRequest, Probe } from './message.js';
+import { SoftState } from './softstate.js';
+import { initialState, membersOf } from './state.js';
+import type { Origin, State } from './state.js';
+
+/** Between two readings of the platform's list. */
+const LIST_PERIOD_MS = 30_000;
+/** While no other member is known. */
+const FIRST_LIST_PERIOD_MS = 2_000;
+const SPREAD = 0.1;
+
+export interface HeartbeatsOptions {
+  /** This daemon; its incarnation must be higher than at any earlier start. */
+  readonly origin: Origin;
+  readonly list: InstanceList;
+  readonly network: PeerNetwork;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  readonly log: Log;
+}
+
+function sameMembers(left: readonly Member[], right: readonly Member[]): boolean {
+  return left.length === right.length && left.every((member, index) => {
+    const other = right[index]!;
+    return member.name === other.name && member.state === other.state
+      && member.incarnation === other.incarnation && member.revision === other.revision
+      && member.peerAddress === other.peerAddress;
+  });
+}
+
+export class Heartbeats implements MembershipView, Child {
+  readonly name = 'heartbeats';
+
+  readonly run: Observable<never>;
+
+  readonly members: Observable<readonly Member[]>;
+
+  readonly softState: SoftState;
+
+  readonly #options: HeartbeatsOptions;
+
+  readonly #states: BehaviorSubject<State>;
+
+  readonly #unsupported = new Set<string>();
+
+  private constructor(options: HeartbeatsOptions) {
+    this.#options = options;
+    this.#states = new BehaviorSubject(initialState(options.origin, options.scheduler.now()));
+    this.members = this.#states.pipe(map(membersOf), distinctUntilChanged(sameMembers));
+    this.softState = SoftState.of(
+      this.#states,
+      () => this.#states.value,
+      (key, value) => this.#apply({ kind: 'publish', key, value }),
+    );
+    this.run = merge(this.#ticks(), this.#listings());
+  }
+
+  static of(options: HeartbeatsOptions): Heartbeats {
+    return new Heartbeats(options);
+  }
+
+  current(): readonly Member[] {
+    return membersOf(this.#states.value);
+  }
+
+  /** When any peer was last heard from, in scheduler time; the start when none was. */
+  contactAt(): number {
+    return this.#states.value.contactAt;
+  }
+
+  /** Tells everyone that this daemon is leaving. */
+  leave(): void {
+    this.#apply({ kind: 'leave' });
+  }
+
+  /** Answers a peer's heartbeat or probe. */
+  async receive(request: PeerRequest): Promise<PeerAnswer> {
+    if (request.kind === 'probe') return this.#probe(request);
+    return this.#apply({ kind: 'received', heartbeat: request })!;
+  }
+
+  #ticks(): Observable<never> {
+    const { scheduler, random } = this.#options;
+    return defer(() => timer(random.jitter(PERIOD_MS, SPREAD), scheduler)).pipe(
+      tap(() => this.#apply({ kind: 'tick' })),
+      repeat(),
+      ignoreElements(),
+    );
+  }
+
+  #listings(): Observable<never> {
+    const { scheduler, random } = this.#options;
+    const pause = () => {
+      const alone = this.#states.value.records.size <= 1;
+      return timer(random.jitter(alone ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS, SPREAD), scheduler);
+    };
+    return defer(() => this.#options.list.read()).pipe(
+      tap((instances) => this.#apply({ kind: 'listed', instances })),
+      catchError((error: unknown) => {
+        this.#options.log.event('warn', 'list_unread', { reason: String(error) });
+        return EMPTY;
+      }),
+      repeat({ delay: pause }),
+      ignoreElements(),
+    );
+  }
+
+  #apply(event: Event) {
+    const { scheduler, random } = this.#options;
+    const { state, effects, reply } = transaction(
+      this.#states.value,
+      event,
+      { now: scheduler.now(), random },
+    );
+    if (state !== this.#states.value) this.#states.next(state);
+    effects.forEach((effect) => this.#perform(effect));
+    return reply;
+  }
+
+  #perform(effect: Effect): void {
+    const { log } = this.#options;
+    switch (effect.kind) {
+      case 'exchange':
+        this.#exchange(effect).catch((error: unknown) => {
+          log.event('error', 'heartbeat_failed', { peer: effect.peer, reason: String(error) });
+        });
+        break;
+      case 'probe':
+        this.#ask(effect).catch((error: unknown) => {
+          log.event('error', 'probe_failed', { relay: effect.relay, reason: String(error) });
+        });
+        break;
+      case 'condition':
+        log.event(effect.condition === 'alive' ? 'info' : 'warn', 'member', {
+          member: effect.name, condition: effect.condition, reason: effect.reason,
+        });
+        break;
+      case 'resumed':
+        log.event('warn', 'resumed', { paused_ms: Math.round(effect.pausedMs) });
+        break;
+    }
+  }
+
+  async #send(
+    address: string,
+    message: PeerRequest,
+    deadlineMs: number,
+  ): Promise<PeerAnswer | undefined> {
+    try {
+      return answerSchema.parse(await this.#options.network.exchange(address, message, deadlineMs));
+    } catch (error) {
+      this.#options.log.event('debug', 'peer_silent', { peer: address, reason: String(error) });
+      return undefined;
+    }
+  }
+
+  async #exchange(effect: Extract<Effect, { kind: 'exchange' }>): Promise<void> {
+    const { peer, peerAddress, message } = effect;
+    const sentAt = this.#options.scheduler.now();
+    const answer = await this.#send(peerAddress, message, EXCHANGE_DEADLINE_MS);
+    this.#noteProtocol(peer, answer);
+    this.#apply(answer ? { kind: 'answered', peer, answer } : { kind: 'lost', peer, sentAt });
+  }
+
+  /** Logs once for each peer that it speaks another protocol version. */
+  #noteProtocol(peer: string, answer: PeerAnswer | undefined): void {
+    if (answer?.kind !== 'unsupported') {
+      if (answer) this.#unsupported.delete(peer);
+      return;
+    }
+    if (this.#unsupported.has(peer)) return;
+    this.#unsupported.add(peer);
+    this.#options.log.event('warn', 'peer_protocol', {
+      peer, theirs: answer.protocol, ours: PROTOCOL,
+    });
+  }
+
+  async #ask(effect: Extract<Effect, { kind: 'probe' }>): Promise<void> {
+    const sentAt = this.#options.scheduler.now();
+    const answer = await this.#send(effect.peerAddress, effect.message, PROBE_DEADLINE_MS);
+    const reached = answer?.kind === 'probed' ? answer.reached : undefined;
+    this.#apply({
+      kind: 'probed', target: effect.message.target, reached, sentAt,
+    });
+  }
+
+  async #probe({ target }: Probe): Promise<PeerAnswer> {
+    // Only members are tried, so that a peer cannot make this daemon call any address it likes.
+    const record = this.#states.value.records.get(target);
+    const answer = record && await this.#send(
+      record.peerAddress,
+      plainHeartbeat(this.#states.value, target, PROTOCOL),
+      EXCHANGE_DEADLINE_MS,
+    );
+    return {
+      kind: 'probed', protocol: PROTOCOL, target, reached: answer !== undefined,
+    };
+  }
+}
--- /dev/null
+++ b/src/membership/peerwire.ts
@@ -0,0 +1,80 @@
+/**
+ * How peers' calls are authenticated and packed. Every body, in both directions, is signed with
+ * the peers' common key; a request's signature covers its time and a nonce, an answer's covers
+ * the request's nonce, so that neither can be replayed. Larger bodies are compressed.
+ */
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import type { IncomingMessage } from 'node:http';
+import { equalSecrets, sign } from '../common/hash.js';
+
+export const TIME_HEADER = 'x-peer-time';
+export const NONCE_HEADER = 'x-peer-nonce';
+export const SIGNATURE_HEADER = 'x-peer-signature';
+export const ENCODING_HEADER = 'x-peer-encoding';
+export const PEER_PATH = '/peer';
+
+/** The largest body on the wire; a whole configuration, compressed, is smaller. */
+export const MAX_BODY_BYTES = 1_048_576;
+const MAX_INFLATED_BYTES = 4 * MAX_BODY_BYTES;
+/** How far two daemons' wall clocks may be apart. */
+export const MAX_SKEW_MS = 60_000;
+const COMPRESSED_FROM_BYTES = 512;
+const FASTEST = 1;
+
+export type Encoding = 'plain' | 'deflate';
+
+export interface Packed { readonly encoding: Encoding; readonly bytes: Buffer }
+
+export function pack(text: string): Packed {
+  const bytes = Buffer.from(text);
+  return bytes.length < COMPRESSED_FROM_BYTES
+    ? { encoding: 'plain', bytes }
+    : { encoding: 'deflate', bytes: deflateRawSync(bytes, { level: FASTEST }) };
+}
+
+/** Throws when the body doesn't inflate, or inflates to too much. */
+export function unpack({ encoding, bytes }: Packed): string {
+  const plain = encoding === 'plain'
+    ? bytes
+    : inflateRawSync(bytes, { maxOutputLength: MAX_INFLATED_BYTES });
+  return plain.toString();
+}
+
+/** What a signature covers beside the body. */
+export interface Signed {
+  readonly direction: 'request' | 'answer';
+  /** The request's path, or the answer's status. */
+  readonly subject: string;
+  readonly time: string;
+  readonly nonce: string;
+}
+
+export function signatureOf(signed: Signed, body: Packed, key: string): string {
+  const {
+    direction, subject, time, nonce,
+  } = signed;
+  const content = body.bytes.toString('base64');
+  return sign([direction, subject, time, nonce, body.encoding, content].join('\n'), key);
+}
+
+export function verifies(signed: Signed, body: Packed, key: string, signature: string): boolean {
+  return equalSecrets(signatureOf(signed, body, key), signature);
+}
+
+export function encodingOf(header: unknown): Encoding {
+  return header === 'deflate' ? 'deflate' : 'plain';
+}
+
+/** Reads a body of bounded size; rejects when it is larger or the connection ends. */
+export async function readBody(message: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  // eslint-disable-next-line no-restricted-syntax -- A stream is read in the order it comes.
+  for await (const chunk of message) {
+    const bytes = chunk as Buffer;
+    length += bytes.length;
+    if (length > MAX_BODY_BYTES) throw new RangeError('body too large');
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/test/membershippeers.test.ts
@@ -0,0 +1,194 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import type { Log, LogFields } from '../src/common/log.js';
+import { Random } from '../src/common/random.js';
+import { monotonicScheduler } from '../src/common/time.js';
+import { PeerServer } from '../src/daemon/peerserver.js';
+import type { PeerHandlers } from '../src/daemon/peerserver.js';
+import { Heartbeats } from '../src/membership/heartbeats.js';
+import type { ListedInstance } from '../src/membership/instances.js';
+import { PROTOCOL } from '../src/membership/message.js';
+import type { PeerAnswer } from '../src/membership/message.js';
+import { PeerClient } from '../src/membership/peernetwork.js';
+import { MAX_BODY_BYTES, MAX_SKEW_MS } from '../src/membership/peerwire.js';
+
+const KEY = 'a key that only peers know';
+const DEADLINE_MS = 2_000;
+const NOW = 1_700_000_000_000;
+
+const ALIVE: PeerAnswer = {
+  kind: 'probed', protocol: PROTOCOL, target: 'x', reached: true,
+};
+
+interface Listener {
+  readonly address: string;
+  readonly lines: string[];
+}
+
+async function listen(
+  t: ExecutionContext,
+  handlers: PeerHandlers = { heartbeat: async () => ALIVE },
+): Promise<Listener> {
+  const lines: string[] = [];
+  const log: Log = {
+    event: (_level, event, fields: LogFields = {}) => {
+      lines.push(`${event} ${JSON.stringify(fields)}`);
+    },
+  };
+  const port = await new Promise<number>((resolve) => {
+    const server = PeerServer.of({
+      host: '127.0.0.1',
+      port: 0,
+      key: KEY,
+      handlers,
+      log,
+      wallClock: () => NOW,
+      onListening: resolve,
+    });
+    const subscription = server.run.subscribe();
+    t.teardown(() => subscription.unsubscribe());
+  });
+  return { address: `127.0.0.1:${port}`, lines };
+}
+
+function clientOf(t: ExecutionContext, key = KEY, seed = 1, wallClock = () => NOW): PeerClient {
+  const client = PeerClient.of({
+    key, wallClock, scheduler: monotonicScheduler, random: Random.of(seed),
+  });
+  t.teardown(() => client.close());
+  return client;
+}
+
+const PROBE = {
+  kind: 'probe',
+  protocol: PROTOCOL,
+  sender: { name: 'a', incarnation: 1 },
+  target: 'x',
+  peerAddress: '127.0.0.1:1',
+};
+
+test('a signed heartbeat is answered, a long one too', async (t) => {
+  const { address } = await listen(t);
+  const client = clientOf(t);
+  t.deepEqual(await client.exchange(address, PROBE, DEADLINE_MS), ALIVE);
+  const long = { ...PROBE, padding: 'x'.repeat(100_000) };
+  t.deepEqual(await client.exchange(address, long, DEADLINE_MS), ALIVE);
+});
+
+const REFUSED = [
+  { what: 'another key', reason: 'signature', client: { key: 'another key' } },
+  { what: 'a late clock', reason: 'stale', client: { wallClock: () => NOW - MAX_SKEW_MS - 1 } },
+  { what: 'an early clock', reason: 'stale', client: { wallClock: () => NOW + MAX_SKEW_MS + 1 } },
+  { what: 'no clock', reason: 'stale', client: { wallClock: () => NaN } },
+];
+
+REFUSED.forEach(({ what, reason, client }) => {
+  test(`a call signed with ${what} is refused and no handler runs`, async (t) => {
+    const { address, lines } = await listen(t, { heartbeat: async () => t.fail() });
+    const stranger = clientOf(t, client.key, 1, client.wallClock);
+    await t.throwsAsync(stranger.exchange(address, PROBE, DEADLINE_MS));
+    t.regex(lines[0] ?? '', new RegExp(`peer_refused .*"${reason}"`));
+    t.false(lines.some((line) => line.includes(KEY) || line.includes('another key')));
+  });
+});
+
+test('a call that is sent again with its nonce is refused', async (t) => {
+  const { address, lines } = await listen(t);
+  await clientOf(t, KEY, 5).exchange(address, PROBE, DEADLINE_MS);
+  await t.throwsAsync(clientOf(t, KEY, 5).exchange(address, PROBE, DEADLINE_MS));
+  t.regex(lines[0] ?? '', /replayed/);
+});
+
+test('an answer that no peer has signed is not taken', async (t) => {
+  const impostor = createServer((request, response) => {
+    request.resume();
+    response.end(JSON.stringify({ result: { data: ALIVE } }));
+  }).listen(0, '127.0.0.1');
+  t.teardown(() => impostor.close());
+  await new Promise((resolve) => {
+    impostor.on('listening', resolve);
+  });
+  const address = `127.0.0.1:${(impostor.address() as AddressInfo).port}`;
+  await t.throwsAsync(clientOf(t).exchange(address, PROBE, DEADLINE_MS), { message: /not signed/ });
+});
+
+test('a body over the limit ends its call and the listener goes on', async (t) => {
+  const { address } = await listen(t);
+  const random = Random.of(3);
+  const noise = Array.from({ length: MAX_BODY_BYTES / 16 }, () => random.identifier()).join('');
+  const client = clientOf(t);
+  await t.throwsAsync(client.exchange(address, { ...PROBE, noise }, DEADLINE_MS));
+  t.deepEqual(await client.exchange(address, PROBE, DEADLINE_MS), ALIVE);
+});
+
+test('a peer with another protocol version is told ours, and the listener goes on', async (t) => {
+  const { address } = await listen(t);
+  const client = clientOf(t);
+  const other = { ...PROBE, protocol: PROTOCOL + 1, kind: 'unheard of' };
+  const answer = await client.exchange(address, other, DEADLINE_MS);
+  t.deepEqual(answer, { kind: 'unsupported', protocol: PROTOCOL });
+  t.deepEqual(await client.exchange(address, PROBE, DEADLINE_MS), ALIVE);
+});
+
+test('a malformed message is refused and the listener goes on', async (t) => {
+  const { address } = await listen(t);
+  const client = clientOf(t);
+  await t.throwsAsync(client.exchange(address, { ...PROBE, target: 5 }, DEADLINE_MS));
+  t.deepEqual(await client.exchange(address, PROBE, DEADLINE_MS), ALIVE);
+});
+
+test('other calls go to their handlers, and a missing handler is an error', async (t) => {
+  const claim = async (body: unknown) => ({ got: body });
+  const { address } = await listen(t, { heartbeat: async () => ALIVE, claim });
+  const client = clientOf(t);
+  t.deepEqual(await client.call('claim', address, { key: 1 }, DEADLINE_MS), { got: { key: 1 } });
+  await t.throwsAsync(client.call('configuration', address, {}, DEADLINE_MS));
+});
+
+test('a peer that does not answer fails the call at its deadline', async (t) => {
+  const { address } = await listen(t, { heartbeat: () => new Promise(() => {}) });
+  const startedAt = performance.now();
+  await t.throwsAsync(clientOf(t).exchange(address, PROBE, 100));
+  t.true(performance.now() - startedAt < DEADLINE_MS);
+});
+
+test('three daemons over loopback find each other and share a value', async (t) => {
+  const instances: ListedInstance[] = [];
+  const daemons = await Promise.all(['a', 'b', 'c'].map(async (name, index) => {
+    const holder: { heartbeats?: Heartbeats } = {};
+    const { address } = await listen(t, {
+      heartbeat: (request) => holder.heartbeats!.receive(request),
+    });
+    instances.push({
+      name, zone: 'z', peerAddress: address, state: 'live',
+    });
+    const heartbeats = Heartbeats.of({
+      origin: {
+        name, zone: 'z', peerAddress: address, incarnation: 1,
+      },
+      list: { read: async () => instances },
+      network: clientOf(t, KEY, index + 10),
+      scheduler: monotonicScheduler,
+      random: Random.of(index),
+      log: { event: () => undefined },
+    });
+    holder.heartbeats = heartbeats;
+    return heartbeats;
+  }));
+  daemons.forEach((daemon) => {
+    const subscription = daemon.run.subscribe();
+    t.teardown(() => subscription.unsubscribe());
+  });
+  daemons[0]!.softState.publish('configuration', { revision: 4 });
+  const seen = () => daemons.map((daemon) => daemon.current()
+    .map((member) => `${member.name}:${member.state}:${member.revision}`).join(' '));
+  const expected = daemons.map(() => 'a:alive:4 b:alive:0 c:alive:0');
+  for (let tries = 0; tries < 100 && seen().join() !== expected.join(); tries += 1) {
+    // eslint-disable-next-line no-await-in-loop -- Polls until it holds.
+    await delay(100);
+  }
+  t.deepEqual(seen(), expected);
+});
