--- /dev/null
+++ b/src/placement/leasemessage.ts
@@ -0,0 +1,46 @@
+/** The lease's record in the object API, and the events and effects of its state machine. */
+import { z } from 'zod';
+import type { Expectation } from '../store/objects.js';
+
+/** One moment as both clocks show it, in milliseconds. */
+export interface Instant { readonly monotonic: number; readonly wall: number }
+
+export const recordSchema = z.object({
+  holder: z.string(),
+  incarnation: z.number(),
+  /** New with every write. */
+  nonce: z.string(),
+  /** 0 when the holder has given the lease up. */
+  durationMs: z.number().nonnegative(),
+  /** How long an order of this holder may still take effect after it was sent. */
+  orderMs: z.number().nonnegative(),
+});
+
+export type LeaseRecord = z.infer<typeof recordSchema>;
+
+export type ReadOutcome = | { readonly kind: 'found';
+  readonly version: number;
+  readonly value: string; }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'failed' };
+
+export type WriteOutcome = | { readonly kind: 'done'; readonly version: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'ambiguous' }
+  | { readonly kind: 'failed' };
+
+export type LeaseEvent = | { readonly kind: 'tick';
+  readonly nonce: string;
+  /** Whether this instance is among the first that should take a lapsed lease. */
+  readonly candidate: boolean; }
+  | { readonly kind: 'read'; readonly outcome: ReadOutcome }
+  | { readonly kind: 'written'; readonly nonce: string; readonly outcome: WriteOutcome }
+  | { readonly kind: 'release'; readonly nonce: string };
+
+export type LeaseEffect = | { readonly kind: 'read' }
+  | { readonly kind: 'write';
+    readonly nonce: string;
+    readonly expected: Expectation;
+    readonly value: string; }
+  | { readonly kind: 'taken'; readonly fence: number }
+  | { readonly kind: 'lost'; readonly reason: 'lapsed' | 'superseded' | 'released' };
