--- a/src/placement/lease.ts
+++ b/src/placement/lease.ts
@@ -9,7 +9,8 @@
  * settled by reading back the writer's nonce, at once or when it shows up later.
  */
 import type { Expectation } from '../store/objects.js';
-import { recordSchema } from './leasemessage.js';
+import type { Held, Lease, Write } from './leasestate.js';
+import { elapsedMs, parseRecord } from './leasemessage.js';
 import type {
   Instant, LeaseEffect, LeaseEvent, LeaseRecord, ReadOutcome,
 } from './leasemessage.js';
@@ -20,44 +21,9 @@
 const RENEWAL = 0.4;
 /** Instances that are not first in line look this many durations apart. */
 const IDLE_DURATIONS = 4;
-
-interface Observed {
-  /** 0 when there is no record. */
-  readonly version: number;
-  readonly record: LeaseRecord;
-  /** Monotonic time at which this version was first seen. */
-  readonly seenAt: number;
-}
-
-interface Held {
-  readonly version: number;
-  readonly since: Instant;
-}
-
-interface Write {
-  readonly nonce: string;
-  readonly sentAt: Instant;
-  /** 0 when the write gives the lease up. */
-  readonly durationMs: number;
-}
-
-export interface Lease {
-  readonly holder: string;
-  readonly incarnation: number;
-  readonly durationMs: number;
-  readonly orderMs: number;
-  readonly observed: Observed | undefined;
-  readonly held: Held | undefined;
-  /** Monotonic time from which no order of an earlier holder can take effect. */
-  readonly settledAt: number;
-  /** Whether the record may have changed under the holder; until it is read, nothing is held. */
-  readonly doubtful: boolean;
-  /** The call under way. */
-  readonly call: 'none' | 'read' | 'write';
-  /** Writes that may have taken effect, or may still. */
-  readonly unsettled: readonly Write[];
-  readonly readAt: number;
-}
+/** The first pause after a failed call, as a fraction of the duration; it doubles. */
+const FIRST_BACKOFF = 0.02;
+const MAX_DOUBLINGS = 4;
 
 export interface LeaseTransaction {
   readonly lease: Lease;
@@ -73,31 +39,6 @@
   readonly settled: boolean;
 }
 
-export interface LeaseOptions {
-  readonly holder: string;
-  readonly incarnation: number;
-  readonly durationMs: number;
-  readonly orderMs: number;
-}
-
-export function leaseOf(options: LeaseOptions): Lease {
-  return {
-    ...options,
-    observed: undefined,
-    held: undefined,
-    settledAt: -Infinity,
-    doubtful: false,
-    call: 'none',
-    unsettled: [],
-    readAt: -Infinity,
-  };
-}
-
-/** The time passed by the clock that says more; a suspended machine's monotonic clock stands. */
-function elapsedMs(from: Instant, to: Instant): number {
-  return Math.max(to.monotonic - from.monotonic, to.wall - from.wall);
-}
-
 function remainingMs(lease: Lease, since: Instant, at: Instant): number {
   return lease.durationMs * (1 - DRIFT) - elapsedMs(since, at);
 }
@@ -117,20 +58,6 @@
   return record.holder === lease.holder && record.incarnation === lease.incarnation;
 }
 
-/** A record that can't be read is taken for one of another holder with the same terms. */
-function parseRecord(lease: Lease, value: string): LeaseRecord {
-  const { durationMs, orderMs } = lease;
-  const unknown: LeaseRecord = {
-    holder: '', incarnation: 0, nonce: '', durationMs, orderMs,
-  };
-  try {
-    const parsed = recordSchema.safeParse(JSON.parse(value));
-    return parsed.success ? parsed.data : unknown;
-  } catch {
-    return unknown;
-  }
-}
-
 function read(lease: Lease): LeaseTransaction {
   return { lease: { ...lease, call: 'read' }, effects: [{ kind: 'read' }] };
 }
@@ -198,13 +125,25 @@
     const next = read(lapsed);
     return { ...next, effects: [lost, ...next.effects] };
   }
-  if (lease.call !== 'none') return { lease, effects: [] };
+  if (lease.call !== 'none' || at.monotonic < lease.retryAt) return { lease, effects: [] };
   if (lease.doubtful) return read(lease);
   if (held) return renew(lease, held, event.nonce, at);
+  if (lease.resigned) return { lease, effects: [] };
   return pursue(lease, event.nonce, event.candidate, at);
 }
 
-/** Writes old enough that, had they taken effect, what they gave would have lapsed. */
+/** The call under way has ended without success, and the next one waits. */
+function failed(lease: Lease, at: Instant): Lease {
+  const failures = lease.failures + 1;
+  const pauseMs = lease.durationMs * FIRST_BACKOFF * 2 ** Math.min(failures, MAX_DOUBLINGS);
+  return { ...lease, failures, retryAt: at.monotonic + pauseMs };
+}
+
+function succeeded(lease: Lease): Lease {
+  return { ...lease, failures: 0, retryAt: -Infinity };
+}
+
+/** Writes so recent that what they gave, should they have taken effect, has not lapsed. */
 function withoutLapsed(lease: Lease, at: Instant): readonly Write[] {
   return lease.unsettled.filter((sent) => remainingMs(lease, sent.sentAt, at) > 0);
 }
@@ -231,10 +170,10 @@
 }
 
 function found(lease: Lease, version: number, value: string, at: Instant): LeaseTransaction {
-  const record = parseRecord(lease, value);
+  const record = parseRecord(value, lease);
   const seen = observe(lease, version, record, at);
   const sent = lease.unsettled.find((item) => item.nonce === record.nonce);
-  if (sent && sent.durationMs > 0) return take(seen, version, sent, at);
+  if (sent && sent.durationMs > 0 && !lease.resigned) return take(seen, version, sent, at);
   const unsettled = withoutLapsed(seen, at);
   if (lease.held?.version === version) {
     return { lease: { ...seen, doubtful: false, unsettled }, effects: [] };
@@ -247,7 +186,7 @@
 
 function absent(lease: Lease, at: Instant): LeaseTransaction {
   // Somebody may have removed the record of a living holder, so that none is waited out as one.
-  const seen = observe(lease, 0, parseRecord(lease, ''), at);
+  const seen = observe(lease, 0, parseRecord('', lease), at);
   const next: Lease = { ...seen, held: undefined, doubtful: false };
   return { lease: next, effects: lease.held ? [{ kind: 'lost', reason: 'superseded' }] : [] };
 }
@@ -255,9 +194,9 @@
 function afterRead(lease: Lease, outcome: ReadOutcome, at: Instant): LeaseTransaction {
   const idle: Lease = { ...lease, call: 'none' };
   switch (outcome.kind) {
-    case 'found': return found(idle, outcome.version, outcome.value, at);
-    case 'absent': return absent(idle, at);
-    case 'failed': return { lease: idle, effects: [] };
+    case 'found': return found(succeeded(idle), outcome.version, outcome.value, at);
+    case 'absent': return absent(succeeded(idle), at);
+    case 'failed': return { lease: failed(idle, at), effects: [] };
   }
 }
 
@@ -271,20 +210,24 @@
   const others = lease.unsettled.filter((item) => item.nonce !== nonce);
   switch (outcome.kind) {
     case 'done':
-      return sent && sent.durationMs > 0
-        ? take(idle, outcome.version, sent, at)
+      return sent && sent.durationMs > 0 && !lease.resigned
+        ? take(succeeded(idle), outcome.version, sent, at)
         : { lease: { ...idle, unsettled: others }, effects: [] };
-    case 'conflict': return read({ ...idle, doubtful: true, unsettled: others });
+    case 'conflict':
+      // The record has changed since it was seen, even if a stale read should show it unchanged.
+      return read({
+        ...idle, doubtful: true, observed: undefined, unsettled: others,
+      });
     case 'ambiguous': return read(idle);
-    case 'failed': return { lease: { ...idle, unsettled: others }, effects: [] };
+    case 'failed': return { lease: failed({ ...idle, unsettled: others }, at), effects: [] };
   }
 }
 
 function release(lease: Lease, nonce: string, at: Instant): LeaseTransaction {
   const { held } = lease;
-  if (!held) return { lease, effects: [] };
+  if (!held) return { lease: { ...lease, resigned: true }, effects: [] };
   const terms: Terms = { version: held.version, nonce, durationMs: 0 };
-  const given = write({ ...lease, held: undefined }, terms, at);
+  const given = write({ ...lease, held: undefined, resigned: true }, terms, at);
   return { ...given, effects: [{ kind: 'lost', reason: 'released' }, ...given.effects] };
 }
 
--- a/src/placement/leasemessage.ts
+++ b/src/placement/leasemessage.ts
@@ -5,7 +5,7 @@
 /** One moment as both clocks show it, in milliseconds. */
 export interface Instant { readonly monotonic: number; readonly wall: number }
 
-export const recordSchema = z.object({
+const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
   /** New with every write. */
@@ -18,6 +18,27 @@
 
 export type LeaseRecord = z.infer<typeof recordSchema>;
 
+/** The time passed by the clock that says more; a suspended machine's monotonic clock stands. */
+export function elapsedMs(from: Instant, to: Instant): number {
+  return Math.max(to.monotonic - from.monotonic, to.wall - from.wall);
+}
+
+/** A record that can't be read is taken for one of another holder with the same terms. */
+export function parseRecord(
+  value: string,
+  { durationMs, orderMs }: { readonly durationMs: number; readonly orderMs: number },
+): LeaseRecord {
+  const unknown: LeaseRecord = {
+    holder: '', incarnation: 0, nonce: '', durationMs, orderMs,
+  };
+  try {
+    const parsed = recordSchema.safeParse(JSON.parse(value));
+    return parsed.success ? parsed.data : unknown;
+  } catch {
+    return unknown;
+  }
+}
+
 export type ReadOutcome = | { readonly kind: 'found';
   readonly version: number;
   readonly value: string; }
