Plan placement from reports, demand and configuration

Change: a pure, stateless plan that gives each engine at most one order and keeps each model's needed engines at every step: new versions beside old ones, or one engine emptied at a time. A random property found that an emptied engine was put back at once and emptied again; its own copy now counts while it is out of service.

--- /dev/null
+++ b/src/placement/inventory.ts
@@ -0,0 +1,159 @@
+/**
+ * What the engines hold, as their reports and the orders still under way have it, and how each
+ * order of a plan changes it. A plan works on one of these and throws it away.
+ */
+import type { BackendServer, Configuration } from '../configuration/configuration.js';
+import type { LoadReport, Order } from '../engines/engine.js';
+
+/** An engine that answers, at the time of planning. */
+export interface EngineState {
+  readonly server: BackendServer;
+  readonly report: LoadReport;
+  /** Loads that were ordered and don't show in the report yet, as `model@version`. */
+  readonly ordered: readonly string[];
+  /** Whether an order was sent whose effect is not known yet; the engine is given no other. */
+  readonly busy: boolean;
+}
+
+/** Why a plan orders what it does. */
+export type Reason = 'replica_missing' | 'version_rollout' | 'starved' | 'version_replaced'
+  | 'model_removed' | 'make_room' | 'adapter_missing' | 'adapter_removed' | 'back_in_service';
+
+export interface Decision {
+  readonly server: string;
+  readonly order: Order;
+  readonly reason: Reason;
+}
+
+export function copyName(model: string, version: string): string {
+  return `${model}@${version}`;
+}
+
+function modelOf(copy: string): string {
+  return copy.slice(0, copy.lastIndexOf('@'));
+}
+
+function isUsable({ server, report }: EngineState): boolean {
+  return !server.drained && report.role !== 'leaving';
+}
+
+function add(counts: Map<string, number>, model: string, change: number): void {
+  counts.set(model, (counts.get(model) ?? 0) + change);
+}
+
+/** Whether the engine holds the copy, loads it, or was ordered to. */
+export function holds(engine: EngineState, model: string, version: string): boolean {
+  const copy = copyName(model, version);
+  return engine.ordered.includes(copy) || engine.report.loading.includes(copy)
+    || engine.report.models.some((held) => held.model === model && held.version === version);
+}
+
+export class Inventory {
+  /** Engines that may be given work, now or after they are back in service. */
+  readonly usable: readonly EngineState[];
+
+  readonly #configuration: Configuration;
+
+  readonly #serving = new Map<string, number>();
+
+  readonly #current = new Map<string, number>();
+
+  readonly #coming = new Map<string, number>();
+
+  readonly #touched = new Set<string>();
+
+  readonly #decisions: Decision[] = [];
+
+  private constructor(configuration: Configuration, engines: readonly EngineState[]) {
+    this.#configuration = configuration;
+    this.usable = engines.filter(isUsable);
+    this.usable.forEach((engine) => this.#count(engine, 1));
+  }
+
+  static of(configuration: Configuration, engines: readonly EngineState[]): Inventory {
+    return new Inventory(configuration, engines);
+  }
+
+  get decisions(): readonly Decision[] {
+    return this.#decisions;
+  }
+
+  /** Engines in service that hold the model in any version. */
+  serving(model: string): number {
+    return this.#serving.get(model) ?? 0;
+  }
+
+  /** Engines in service that hold the model's configured version. */
+  current(model: string): number {
+    return this.#current.get(model) ?? 0;
+  }
+
+  /** Engines that load the model's configured version, or hold it and are not in service. */
+  coming(model: string): number {
+    return this.#coming.get(model) ?? 0;
+  }
+
+  /** Whether the engine holds the copy, loads it, was ordered to, or is by this plan. */
+  willHold(engine: EngineState, model: string, version: string): boolean {
+    return holds(engine, model, version) || this.#decisions.some(({ server, order }) => (
+      server === engine.server.name && order.kind === 'load'
+        && order.model === model && order.version === version));
+  }
+
+  isFree(engine: EngineState): boolean {
+    return !engine.busy && !this.#touched.has(engine.server.name);
+  }
+
+  decide(engine: EngineState, order: Order, reason: Reason): void {
+    this.#touched.add(engine.server.name);
+    this.#decisions.push({ server: engine.server.name, order, reason });
+    switch (order.kind) {
+      case 'load':
+        add(this.#coming, order.model, 1);
+        break;
+      case 'role':
+        this.#count(engine, -1);
+        this.#count({ ...engine, report: { ...engine.report, role: order.role } }, 1);
+        break;
+      case 'unload': {
+        this.#count(engine, -1);
+        const models = engine.report.models
+          .filter((held) => held.model !== order.model || held.version !== order.version);
+        this.#count({ ...engine, report: { ...engine.report, models } }, 1);
+        break;
+      }
+      case 'load_adapter':
+      case 'unload_adapter':
+        break;
+    }
+  }
+
+  /** Memory that nothing on the engine takes; a model that the configuration lacks takes all. */
+  room({ server, report, ordered }: EngineState): number {
+    const copies = new Set([
+      ...report.models.map((held) => copyName(held.model, held.version)),
+      ...report.loading,
+      ...ordered,
+    ]);
+    const taken = [...copies].map((copy) => (
+      this.#configuration.models[modelOf(copy)]?.memory ?? server.memory));
+    return server.memory - taken.reduce((sum, memory) => sum + memory, 0);
+  }
+
+  #count({ report, ordered }: EngineState, change: number): void {
+    const serves = report.role === 'serve';
+    if (serves) {
+      new Set(report.models.map((held) => held.model))
+        .forEach((model) => add(this.#serving, model, change));
+    }
+    report.models.filter((held) => this.#isCurrent(copyName(held.model, held.version)))
+      .forEach((held) => add(serves ? this.#current : this.#coming, held.model, change));
+    [...new Set([...report.loading, ...ordered])].filter((copy) => this.#isCurrent(copy))
+      .forEach((copy) => add(this.#coming, modelOf(copy), change));
+  }
+
+  #isCurrent(copy: string): boolean {
+    const model = this.#configuration.models[modelOf(copy)];
+    return model !== undefined && copyName(model.name, model.version) === copy;
+  }
+}
--- /dev/null
+++ b/src/placement/plan.ts
@@ -0,0 +1,184 @@
+/**
+ * The next orders to the engines, from what the configuration and the demand ask for and what the
+ * engines report. A plan keeps no state: it is made anew from each round of reports, gives each
+ * engine at most one order, and needs no order to have succeeded.
+ *
+ * At every step each model keeps the engines that its demand needs and all but one of its
+ * replicas. A new version is loaded beside the old one where there is room; else one engine at a
+ * time is taken out of service, emptied once nothing runs on it, loaded and put back. Engines in
+ * the same state are interchangeable: a plan chooses among states, and then any engine in it.
+ */
+import type { Model } from '../configuration/configuration.js';
+import type { LoadedModel } from '../engines/engine.js';
+import { holds, Inventory } from './inventory.js';
+import type { Decision, EngineState, Reason } from './inventory.js';
+import { makeRoom } from './makeroom.js';
+import {
+  isCurrent, isIdle, isUnused, missing, targetFor,
+} from './scope.js';
+import type { Blocked, PlanInput, Scope } from './scope.js';
+import { allowedIn, byUrgency, targetOf } from './targets.js';
+import type { Demand, Target } from './targets.js';
+
+export interface Plan {
+  readonly decisions: readonly Decision[];
+  readonly blocked: readonly Blocked[];
+}
+
+/** Two engines with the same key may stand for each other. */
+export type Grouping = (engine: EngineState) => string;
+
+const NO_DEMAND: Demand = { running: 0, waiting: 0 };
+
+/** Groups engines by all that a plan looks at. */
+export const byState: Grouping = ({
+  server, report, ordered, busy,
+}) => JSON.stringify([
+  server.pool, server.zone, server.memory, report.role, busy, report.running + report.waiting === 0,
+  report.models.map((held) => [held.model, held.version]), report.loading, ordered,
+]);
+
+function groupsOf(
+  engines: readonly EngineState[],
+  grouping: Grouping,
+): readonly (readonly EngineState[])[] {
+  const groups = new Map<string, EngineState[]>();
+  engines.forEach((engine) => {
+    const key = grouping(engine);
+    const group = groups.get(key);
+    if (group) group.push(engine);
+    else groups.set(key, [engine]);
+  });
+  return [...groups.values()];
+}
+
+function slotsOf(engines: readonly EngineState[]): number {
+  const total = engines.reduce((sum, { report }) => sum + report.slots, 0);
+  return engines.length === 0 ? 1 : Math.max(1, total / engines.length);
+}
+
+/** Whether a copy of no use any more may go without a model losing an engine that it needs. */
+function canUnload(scope: Scope, engine: EngineState, held: LoadedModel): boolean {
+  const { input, inventory } = scope;
+  const model = input.configuration.models[held.model];
+  if (!model) return true;
+  const wanted = targetFor(scope, held.model)?.wanted ?? 0;
+  const beside = engine.report.models
+    .some((other) => other.model === held.model && isCurrent(input, other));
+  return beside || engine.report.role === 'idle' || inventory.current(model.name) >= wanted;
+}
+
+function unloadReplaced(scope: Scope): void {
+  const { input, inventory } = scope;
+  inventory.usable.forEach((engine) => {
+    const held = engine.report.models.find((copy) => (
+      !isCurrent(input, copy) && isUnused(input, engine, copy) && canUnload(scope, engine, copy)));
+    if (!held || !inventory.isFree(engine)) return;
+    const { model, version } = held;
+    const reason = input.configuration.models[model] ? 'version_replaced' : 'model_removed';
+    inventory.decide(engine, { kind: 'unload', model, version }, reason);
+  });
+}
+
+function zoneCounts({ inventory }: Scope, model: Model): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  inventory.usable.filter((engine) => inventory.willHold(engine, model.name, model.version))
+    .forEach(({ server }) => counts.set(server.zone, (counts.get(server.zone) ?? 0) + 1));
+  return counts;
+}
+
+/** Prefers engines that are being refilled, then an old version's place, other zones, and room. */
+function preference(
+  { inventory }: Scope,
+  engine: EngineState,
+  model: Model,
+  zones: ReadonlyMap<string, number>,
+): number {
+  const refilled = engine.report.role === 'idle' ? 1_000_000 : 0;
+  const replaces = engine.report.models.some((held) => held.model === model.name) ? 100_000 : 0;
+  const spread = -1_000 * (zones.get(engine.server.zone) ?? 0);
+  return refilled + replaces + spread + inventory.room(engine);
+}
+
+function candidate(scope: Scope, model: Model): EngineState | undefined {
+  const { input: { configuration }, inventory, groups } = scope;
+  const zones = zoneCounts(scope, model);
+  let best: EngineState | undefined;
+  let highest = -Infinity;
+  groups.forEach((group) => {
+    const [first] = group;
+    if (!first || !allowedIn(configuration, first.server.pool, model.name)) return;
+    if (inventory.room(first) < model.memory) return;
+    if (holds(first, model.name, model.version)) return;
+    const score = preference(scope, first, model, zones);
+    const engine = score > highest ? group.find((one) => inventory.isFree(one)) : undefined;
+    if (engine) [best, highest] = [engine, score];
+  });
+  return best;
+}
+
+function loadReason({ inventory }: Scope, target: Target): Reason {
+  if (target.starved) return 'starved';
+  const { name } = target.model;
+  return inventory.serving(name) > inventory.current(name) ? 'version_rollout' : 'replica_missing';
+}
+
+/** Loads what is missing where there is room; gives the targets for which there is none. */
+function fill(scope: Scope): readonly Blocked[] {
+  const { inventory, targets } = scope;
+  const blocked: Blocked[] = [];
+  let { loads } = scope.input;
+  targets.forEach((target) => {
+    const { model } = target;
+    let left = missing(scope, target);
+    let reason: Blocked['reason'] | undefined;
+    while (left > 0 && !reason) {
+      const engine = loads > 0 ? candidate(scope, model) : undefined;
+      if (engine) {
+        const order = { kind: 'load', model: model.name, version: model.version } as const;
+        inventory.decide(engine, order, loadReason(scope, target));
+        loads -= 1;
+        left -= 1;
+      } else reason = loads > 0 ? 'no_room' : 'weight_store_rate';
+    }
+    if (reason) blocked.push({ model: model.name, missing: left, reason });
+  });
+  return blocked;
+}
+
+function adapters({ input, inventory }: Scope): void {
+  inventory.usable.filter((engine) => inventory.isFree(engine)).forEach((engine) => {
+    const held = engine.report.models.filter((copy) => isCurrent(input, copy));
+    const absent = held.flatMap(({ model, version, adapters: has }) => (
+      input.configuration.models[model]!.adapters.filter((adapter) => !has.includes(adapter))
+        .map((adapter) => ({ model, version, adapter }))));
+    const extra = held.flatMap(({ model, version, adapters: has }) => (
+      has.filter((adapter) => !input.configuration.models[model]!.adapters.includes(adapter))
+        .map((adapter) => ({ model, version, adapter }))));
+    const [add] = absent;
+    const [drop] = isIdle(engine) ? extra : [];
+    if (add) inventory.decide(engine, { kind: 'load_adapter', ...add }, 'adapter_missing');
+    else if (drop) inventory.decide(engine, { kind: 'unload_adapter', ...drop }, 'adapter_removed');
+  });
+}
+
+/** Makes a plan; `grouping` says which engines may stand for each other. */
+export function planOf(input: PlanInput, grouping: Grouping = byState): Plan {
+  const { configuration, engines, demand } = input;
+  const inventory = Inventory.of(configuration, engines);
+  const slots = slotsOf(inventory.usable);
+  const targets = Object.values(configuration.models).sort(byUrgency).map((model) => targetOf(
+    model,
+    demand.get(model.name) ?? NO_DEMAND,
+    slots,
+    inventory.serving(model.name),
+  ));
+  const scope: Scope = {
+    input, inventory, targets, groups: groupsOf(inventory.usable, grouping),
+  };
+  unloadReplaced(scope);
+  const blocked = fill(scope);
+  makeRoom(scope, blocked);
+  adapters(scope);
+  return { decisions: inventory.decisions, blocked };
+}
