--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -1,9 +1,8 @@
 /** The HTTP client of one engine, in the protocol of `engines/wire`. */
 import { Agent, request as httpRequest } from 'node:http';
 import type { IncomingMessage, RequestOptions } from 'node:http';
-import { text as readText } from 'node:stream/consumers';
 import { createParser } from 'eventsource-parser';
-import { Observable } from 'rxjs';
+import { Observable, Subscription } from 'rxjs';
 import type {
   AttemptFailure, AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder,
   LoadReport, OrderOutcome,
@@ -13,20 +12,14 @@
 } from './wire.js';
 
 const CANCEL_DEADLINE_MS = 1_000;
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+const OK = 200;
+const SERVER_ERROR = 500;
+const UNAVAILABLE = 503;
 
 type Method = 'GET' | 'POST' | 'DELETE';
 
-/** The failure for an error of the connection; only a refused connect proves that nothing ran. */
-function failureOf(error: NodeJS.ErrnoException): AttemptFailure {
-  const refused = error.code === 'ECONNREFUSED';
-  return {
-    kind: 'failed',
-    cause: refused ? 'connect' : 'reset',
-    ran: refused ? 'no' : 'unknown',
-    message: error.message,
-  };
-}
-
 function failed(
   cause: AttemptFailure['cause'],
   ran: AttemptFailure['ran'],
@@ -37,15 +30,28 @@
   };
 }
 
+/** The failure for an error of the connection; one that never opened proves that nothing ran. */
+function failureOf(error: Error, connected: boolean): AttemptFailure {
+  return connected
+    ? failed('reset', 'unknown', error.message)
+    : failed('connect', 'no', error.message);
+}
+
+/** Tokens, by far the most frequent events, are checked by hand; a schema checks the rest. */
 function parseEvent(data: string): EngineEvent {
   try {
-    return engineEvent.parse(JSON.parse(data));
+    const value = JSON.parse(data) as { kind?: unknown; position?: unknown; text?: unknown };
+    const { kind, position, text } = value;
+    if (kind === 'token' && typeof text === 'string' && Number.isInteger(position)) {
+      return value as EngineEvent;
+    }
+    return engineEvent.parse(value);
   } catch (error) {
     return failed('protocol', 'unknown', String(error));
   }
 }
 
-/** Emits the stream's events and completes after a finish or a failure, whichever comes first. */
+/** Emits the stream's events up to a finish or a failure, whichever comes first. */
 function readEvents(res: IncomingMessage, next: (event: EngineEvent) => void): void {
   let ended = false;
   const emit = (event: EngineEvent) => {
@@ -53,13 +59,40 @@
     ended = event.kind === 'finish' || event.kind === 'failed';
     next(event);
   };
-  const parser = createParser({ onEvent: ({ data }) => emit(parseEvent(data)) });
+  const parser = createParser({
+    onEvent: ({ data }) => emit(parseEvent(data)),
+    onError: ({ type, message }) => {
+      if (type === 'max-buffer-size-exceeded') emit(failed('protocol', 'unknown', message));
+    },
+    maxBufferSize: MAX_EVENT_CHARACTERS,
+  });
   res.setEncoding('utf8');
-  res.on('data', (chunk: string) => parser.feed(chunk));
+  res.on('data', (chunk: string) => {
+    if (!ended) parser.feed(chunk);
+  });
   res.on('error', (error) => emit(failed('reset', 'unknown', error.message)));
   res.on('close', () => emit(failed('ended_early', 'unknown', 'ended without a finish')));
 }
 
+/** What a status other than 200 says; only these tell that the request was not taken. */
+function statusFailure(status: number): AttemptFailure {
+  const taken = status >= SERVER_ERROR && status !== UNAVAILABLE;
+  return failed('refused', taken ? 'unknown' : 'no', `the engine answered ${status}`);
+}
+
+async function readJson(res: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  // eslint-disable-next-line no-restricted-syntax -- a stream is read piece by piece
+  for await (const chunk of res) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_ANSWER_BYTES) throw new Error('the engine\'s answer is too large');
+    chunks.push(chunk as Buffer);
+  }
+  if (res.statusCode !== OK) throw new Error(`the engine answered ${res.statusCode}`);
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+}
+
 export class HttpEngineClient implements EngineClient {
   readonly #host: string;
 
@@ -78,12 +111,18 @@
     return new HttpEngineClient(address);
   }
 
-  generate(request: AttemptRequest): Observable<EngineEvent> {
-    return this.#stream('POST', '/v1/attempts', JSON.stringify(request));
+  generate(request: AttemptRequest, held?: Observable<boolean>): Observable<EngineEvent> {
+    return this.#stream('POST', '/v1/attempts', held, JSON.stringify(request));
   }
 
-  join(generation: string, attempt: number, position: number): Observable<EngineEvent> {
-    return this.#stream('GET', `/v1/attempts/${generation}/${attempt}?position=${position}`);
+  join(
+    generation: string,
+    attempt: number,
+    position: number,
+    held?: Observable<boolean>,
+  ): Observable<EngineEvent> {
+    const path = `/v1/attempts/${generation}/${attempt}?position=${position}`;
+    return this.#stream('GET', path, held);
   }
 
   async cancel(generation: string, attempt: number): Promise<CancelOutcome> {
@@ -101,13 +140,20 @@
 
   cacheEvents(): Observable<CacheEvent> {
     return new Observable((subscriber) => {
-      const req = httpRequest(this.#options('GET', '/v1/cache-events'));
+      const req = httpRequest({ ...this.#options('GET', '/v1/cache-events'), agent: false });
       const parser = createParser({
-        onEvent: ({ data }) => subscriber.next(cacheEvent.parse(JSON.parse(data))),
+        onEvent: ({ data }) => {
+          try {
+            subscriber.next(cacheEvent.parse(JSON.parse(data)));
+          } catch (error) {
+            subscriber.error(error);
+          }
+        },
       });
       req.on('response', (res) => {
         res.setEncoding('utf8');
         res.on('data', (chunk: string) => parser.feed(chunk));
+        res.on('error', (error) => subscriber.error(error));
         res.on('close', () => subscriber.error(new Error('cache events ended')));
       });
       req.on('error', (error) => subscriber.error(error));
@@ -131,19 +177,36 @@
     };
   }
 
-  #stream(method: Method, path: string, body?: string): Observable<EngineEvent> {
+  #stream(
+    method: Method,
+    path: string,
+    held: Observable<boolean> | undefined,
+    body?: string,
+  ): Observable<EngineEvent> {
     return new Observable((subscriber) => {
       // A fresh connection: a reset on a reused one would not tell whether the attempt began.
       const req = httpRequest({ ...this.#options(method, path), agent: false });
+      const teardown = new Subscription(() => req.destroy());
+      let connected = false;
       const next = (event: EngineEvent) => {
         subscriber.next(event);
         if (event.kind === 'finish' || event.kind === 'failed') subscriber.complete();
       };
-      req.on('response', (res) => readEvents(res, next));
-      req.on('error', (error) => next(failureOf(error)));
+      req.on('socket', (socket) => socket.once('connect', () => {
+        connected = true;
+      }));
+      req.on('response', (res) => {
+        if (res.statusCode !== OK) {
+          next(statusFailure(res.statusCode ?? SERVER_ERROR));
+          return;
+        }
+        readEvents(res, next);
+        if (held) teardown.add(held.subscribe((value) => (value ? res.pause() : res.resume())));
+      });
+      req.on('error', (error) => next(failureOf(error, connected)));
       req.setNoDelay(true);
       req.end(body);
-      return () => req.destroy();
+      return teardown;
     });
   }
 
@@ -152,7 +215,7 @@
       const options = { ...this.#options(method, path), agent: this.#agent };
       const req = httpRequest({ ...options, signal: AbortSignal.timeout(deadlineMs) });
       req.on('response', (res) => {
-        readText(res).then((text) => resolve(JSON.parse(text))).catch(reject);
+        readJson(res).then(resolve, reject);
       });
       req.on('error', reject);
       req.end(body);
--- a/src/engines/engine.ts
+++ b/src/engines/engine.ts
@@ -54,7 +54,13 @@
 export type EngineEvent =
   | { readonly kind: 'opened'; readonly incarnation: string }
   | { readonly kind: 'token'; readonly position: number; readonly text: string }
-  | { readonly kind: 'finish'; readonly position: number; readonly reason: FinishReason }
+  | {
+    readonly kind: 'finish';
+    readonly position: number;
+    readonly reason: FinishReason;
+    /** Length of the request's input, from engines that tell. */
+    readonly promptTokens?: number | undefined;
+  }
   | AttemptFailure;
 
 export interface LoadedModel {
--- a/src/engines/wire.ts
+++ b/src/engines/wire.ts
@@ -19,7 +19,10 @@
   z.object({ kind: z.literal('opened'), incarnation: z.string() }),
   z.object({ kind: z.literal('token'), position: z.int().min(0), text: z.string() }),
   z.object({
-    kind: z.literal('finish'), position: z.int().min(0), reason: z.enum(['stop', 'length']),
+    kind: z.literal('finish'),
+    position: z.int().min(0),
+    reason: z.enum(['stop', 'length']),
+    promptTokens: z.int().min(0).optional(),
   }),
   z.object({
     kind: z.literal('failed'),
--- /dev/null
+++ b/src/entry/body.ts
@@ -0,0 +1,83 @@
+/** Reads the bodies of callers' requests within limits of size and time. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Subscription, timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import { bodyOf, retryAfterSeconds, statusOf } from '../common/refusal.js';
+import type { Refusal } from '../common/refusal.js';
+
+export const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** How long a caller may send nothing in the middle of its body. */
+const BODY_IDLE_MS = 10_000;
+const BODY_TOTAL_MS = 60_000;
+/** Small pieces are joined when there are so many, so that their overhead stays bounded. */
+const MAX_PIECES = 64;
+
+/** Answers with a refusal. */
+export function sendRefusal(res: ServerResponse, refused: Refusal): void {
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  const retryAfter = retryAfterSeconds(refused);
+  res.writeHead(statusOf(refused), {
+    'content-type': 'application/json',
+    ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }),
+    // The rest of a body that came too slowly is not waited for.
+    ...(refused.code === 'timeout' ? { connection: 'close' } : {}),
+  });
+  res.end(bodyOf(refused));
+}
+
+/** Calls `closed` when the answer has ended or its caller is gone, also if that was before. */
+export function whenClosed(res: ServerResponse, closed: () => void): void {
+  if (res.closed) closed();
+  else res.on('close', closed);
+}
+
+/** The whole body; a refusal when it is too large, too slow or cut off. */
+export function readBody(
+  req: IncomingMessage,
+  scheduler: SchedulerLike,
+): Promise<Result<Buffer, Refusal>> {
+  return new Promise((resolve) => {
+    let pieces: Buffer[] = [];
+    let bytes = 0;
+    const timers = new Subscription();
+    let idle = Subscription.EMPTY;
+    const settle = (result: Result<Buffer, Refusal>) => {
+      timers.unsubscribe();
+      idle.unsubscribe();
+      // What is left of the body is read and dropped, so that the caller gets to read the answer.
+      req.removeAllListeners('data');
+      req.resume();
+      resolve(result);
+    };
+    const tooSlow = () => settle(err({
+      code: 'timeout', message: 'the body came too slowly', ran: 'no',
+    }));
+    const wait = () => {
+      idle.unsubscribe();
+      idle = timer(BODY_IDLE_MS, scheduler).subscribe(tooSlow);
+    };
+    timers.add(timer(BODY_TOTAL_MS, scheduler).subscribe(tooSlow));
+    wait();
+    req.on('data', (piece: Buffer) => {
+      bytes += piece.length;
+      if (bytes > MAX_BODY_BYTES) {
+        settle(err({
+          code: 'too_large', message: `the body is over ${MAX_BODY_BYTES} bytes`, ran: 'no',
+        }));
+        return;
+      }
+      pieces.push(piece);
+      if (pieces.length >= MAX_PIECES) pieces = [Buffer.concat(pieces)];
+      wait();
+    });
+    req.on('end', () => settle(ok(Buffer.concat(pieces))));
+    req.on('error', (error) => settle(err({
+      code: 'bad_request', message: `the body was cut off: ${error.message}`, ran: 'no',
+    })));
+  });
+}
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -1,40 +1,80 @@
-/** The published completions API: request bodies as callers send them, and the JSON of answers. */
+/** Request bodies of the published completions API, as callers send them. */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import type { Refusal } from '../common/refusal.js';
 import type { Model, Workspace } from '../configuration/configuration.js';
-import type { FinishReason, Input } from '../engines/engine.js';
+import type { Input } from '../engines/engine.js';
 import type { GenerationRequest } from '../generation/request.js';
 
 export type Form = 'completion' | 'chat';
 
 const MAX_SEED = 0x7fff_ffff;
 const MAX_STOPS = 4;
+const MAX_STOP_CHARACTERS = 256;
+const MAX_MESSAGES = 4_096;
+const MAX_NAME_CHARACTERS = 256;
+const MAX_FINDINGS = 16;
+
+const name = z.string().min(1).max(MAX_NAME_CHARACTERS);
+const stop = z.string().min(1).max(MAX_STOP_CHARACTERS);
+
+/** Options that would change the answer are allowed only at the value that changes nothing. */
+const neutral = {
+  n: z.literal(1).nullish(),
+  best_of: z.literal(1).nullish(),
+  top_p: z.literal(1).nullish(),
+  presence_penalty: z.literal(0).nullish(),
+  frequency_penalty: z.literal(0).nullish(),
+  echo: z.literal(false).nullish(),
+  logprobs: z.literal(false).nullish(),
+  suffix: z.literal('').nullish(),
+  logit_bias: z.object({}).strict().nullish(),
+  tools: z.array(z.unknown()).max(0).nullish(),
+  functions: z.array(z.unknown()).max(0).nullish(),
+  response_format: z.object({ type: z.literal('text') }).nullish(),
+};
 
 const common = {
-  model: z.string().min(1),
-  max_tokens: z.int().min(1).optional(),
-  max_completion_tokens: z.int().min(1).optional(),
-  seed: z.int().min(0).max(MAX_SEED).optional(),
-  temperature: z.number().min(0).max(2).optional(),
-  stop: z.union([z.string(), z.array(z.string()).max(MAX_STOPS)]).nullish(),
-  stream: z.boolean().optional(),
-  n: z.literal(1).optional(),
-  adapter: z.string().optional(),
-  priority: z.enum(['interactive', 'standard', 'batch']).optional(),
+  ...neutral,
+  model: name,
+  max_tokens: z.int().min(1).nullish(),
+  max_completion_tokens: z.int().min(1).nullish(),
+  seed: z.int().min(0).max(MAX_SEED).nullish(),
+  temperature: z.number().min(0).max(2).nullish(),
+  stop: z.union([stop, z.array(stop).max(MAX_STOPS)]).nullish(),
+  stream: z.boolean().nullish(),
+  stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish(),
+  adapter: name.nullish(),
+  priority: z.enum(['interactive', 'standard', 'batch']).nullish(),
+  /** Text that a returning caller has of the answer. */
+  resume_text: z.string().nullish(),
 };
 
-const completionBody = z.object({ ...common, prompt: z.string() });
+const completionBody = z.object({
+  ...common,
+  prompt: z.union([z.string(), z.array(z.string()).length(1).transform(([text]) => text ?? '')]),
+});
+
+const textParts = z.array(z.object({ type: z.literal('text'), text: z.string() })).min(1)
+  .transform((parts) => parts.map(({ text }) => text).join(''));
 
 const chatBody = z.object({
   ...common,
-  messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1),
+  messages: z.array(z.object({
+    role: z.enum(['system', 'developer', 'user', 'assistant']),
+    content: z.union([z.string(), textParts]),
+  })).min(1).max(MAX_MESSAGES),
 });
 
 type Body = z.infer<typeof completionBody> | z.infer<typeof chatBody>;
 
-export interface ParsedBody { readonly body: Body; readonly stream: boolean }
+export interface ParsedBody {
+  readonly body: Body;
+  readonly stream: boolean;
+  /** Whether a streamed answer ends with its usage. */
+  readonly includeUsage: boolean;
+}
 
 function badRequest(message: string): Refusal {
   return { code: 'bad_request', message, ran: 'no' };
@@ -50,11 +90,16 @@
   }
   const parsed = (form === 'chat' ? chatBody : completionBody).safeParse(json);
   if (!parsed.success) {
-    const findings = parsed.error.issues
+    const findings = parsed.error.issues.slice(0, MAX_FINDINGS)
       .map(({ path, message }) => `${path.join('.') || 'body'}: ${message}`);
     return err(badRequest(findings.join('; ')));
   }
-  return ok({ body: parsed.data, stream: parsed.data.stream ?? false });
+  const body = parsed.data;
+  return ok({
+    body,
+    stream: body.stream ?? false,
+    includeUsage: body.stream_options?.include_usage ?? false,
+  });
 }
 
 function inputOf(body: Body): Input {
@@ -63,9 +108,9 @@
     : { kind: 'prompt', text: body.prompt };
 }
 
-function stopsOf({ stop }: Body): readonly string[] {
-  if (stop === null || stop === undefined) return [];
-  return typeof stop === 'string' ? [stop] : stop;
+function stopsOf({ stop: stops }: Body): readonly string[] {
+  if (stops === null || stops === undefined) return [];
+  return typeof stops === 'string' ? [stops] : stops;
 }
 
 export interface RequestContext {
@@ -74,6 +119,7 @@
   readonly workspace: Workspace;
   readonly model: Model;
   readonly idempotencyKey: string | undefined;
+  readonly bodyHash: string;
 }
 
 /** The generation that a checked body asks for. */
@@ -84,7 +130,7 @@
     id: context.id,
     workspace: workspace.name,
     model: model.name,
-    adapter: body.adapter,
+    adapter: body.adapter ?? undefined,
     input: inputOf(body),
     sampling: {
       seed: body.seed ?? context.seed,
@@ -95,43 +141,24 @@
     priority: body.priority ?? model.priority,
     repeat: model.repeat,
     idempotencyKey: context.idempotencyKey,
+    bodyHash: context.bodyHash,
   };
 }
 
-function choice(form: Form, text: string, finish: FinishReason | null, streamed: boolean): object {
-  const base = { index: 0, finish_reason: finish };
-  if (form === 'completion') return { ...base, text };
-  const message = text === '' && streamed ? {} : { role: 'assistant', content: text };
-  return streamed ? { ...base, delta: message } : { ...base, message };
-}
-
-export interface AnswerHead {
-  readonly form: Form;
-  readonly id: string;
-  readonly model: string;
-}
-
-/** The JSON of one streamed piece of an answer. */
-export function chunkJson(head: AnswerHead, text: string, finish: FinishReason | null): string {
-  const object = head.form === 'chat' ? 'chat.completion.chunk' : 'text_completion';
-  return JSON.stringify({
-    id: head.id, object, model: head.model, choices: [choice(head.form, text, finish, true)],
-  });
-}
-
-/** The JSON of a whole answer. */
-export function wholeJson(
-  head: AnswerHead,
-  text: string,
-  finish: FinishReason,
-  tokens: number,
-): string {
-  const object = head.form === 'chat' ? 'chat.completion' : 'text_completion';
-  return JSON.stringify({
-    id: head.id,
-    object,
-    model: head.model,
-    choices: [choice(head.form, text, finish, false)],
-    usage: { completion_tokens: tokens },
-  });
+/** The model that a workspace asks for; a refusal says what is missing. */
+export function modelOf(
+  body: Body,
+  workspace: Workspace,
+  models: Readonly<Record<string, Model>>,
+): Result<Model, Refusal> {
+  const model = Object.hasOwn(models, body.model) ? models[body.model] : undefined;
+  const allowed = workspace.models.length === 0 || workspace.models.includes(body.model);
+  if (!model || !allowed) {
+    return err({ code: 'not_found', message: `no such model: ${body.model}`, ran: 'no' });
+  }
+  const { adapter } = body;
+  if (adapter && !model.adapters.includes(adapter)) {
+    return err({ code: 'not_found', message: `no such adapter: ${adapter}`, ran: 'no' });
+  }
+  return ok(model);
 }
--- /dev/null
+++ b/src/entry/drain.ts
@@ -0,0 +1,103 @@
+/**
+ * The graceful stop of an instance: it is no longer ready, serves what the balancer still sends
+ * until the balancer's lag has passed, and is done when every open answer has ended.
+ */
+import {
+  BehaviorSubject, Observable, distinctUntilChanged, filter, map, timer,
+} from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+
+/** `lagging`: new requests may still come. `finishing`: open answers end. */
+export type DrainState = 'serving' | 'lagging' | 'finishing' | 'done' | 'expired';
+
+export interface DrainOptions {
+  /** How long the balancer may go on sending requests after readiness is off. */
+  readonly lagMs: number;
+  /** After so long, open answers are cut off. */
+  readonly limitMs: number;
+}
+
+export const DEFAULT_DRAIN: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
+
+export class Drain {
+  readonly #scheduler: SchedulerLike;
+
+  readonly #log: Log;
+
+  readonly #options: DrainOptions;
+
+  readonly #state = new BehaviorSubject<DrainState>('serving');
+
+  #open = 0;
+
+  private constructor(scheduler: SchedulerLike, log: Log, options: DrainOptions) {
+    this.#scheduler = scheduler;
+    this.#log = log;
+    this.#options = options;
+  }
+
+  static of(scheduler: SchedulerLike, log: Log, options = DEFAULT_DRAIN): Drain {
+    return new Drain(scheduler, log, options);
+  }
+
+  get state(): DrainState {
+    return this.#state.value;
+  }
+
+  /** Answers that have not ended. */
+  get open(): number {
+    return this.#open;
+  }
+
+  readonly states: Observable<DrainState> = new Observable((subscriber) => (
+    this.#state.pipe(distinctUntilChanged()).subscribe(subscriber)));
+
+  /** Emits once when the instance may exit: `true` when every answer had ended. */
+  readonly ended: Observable<boolean> = new Observable((subscriber) => (
+    this.#state.pipe(
+      filter((state) => state === 'done' || state === 'expired'),
+      map((state) => state === 'done'),
+    ).subscribe((whole) => {
+      subscriber.next(whole);
+      subscriber.complete();
+    })));
+
+  /** Counts an answer as open until the returned function is called. */
+  enter(): () => void {
+    this.#open += 1;
+    let left = false;
+    return () => {
+      if (left) return;
+      left = true;
+      this.#open -= 1;
+      this.#settle();
+    };
+  }
+
+  /** Begins to stop; a second call changes nothing. */
+  begin(): void {
+    if (this.state !== 'serving') {
+      this.#log.event('info', 'stop_repeated', { state: this.state, open: this.#open });
+      return;
+    }
+    const { lagMs, limitMs } = this.#options;
+    this.#move('lagging');
+    timer(lagMs, this.#scheduler).subscribe(() => {
+      this.#move('finishing');
+      this.#settle();
+    });
+    timer(limitMs, this.#scheduler).subscribe(() => {
+      if (this.state !== 'done') this.#move('expired');
+    });
+  }
+
+  #settle(): void {
+    if (this.state === 'finishing' && this.#open === 0) this.#move('done');
+  }
+
+  #move(state: DrainState): void {
+    this.#log.event('info', 'stop', { state, open: this.#open });
+    this.#state.next(state);
+  }
+}
--- a/src/entry/gateway.ts
+++ b/src/entry/gateway.ts
@@ -46,8 +46,8 @@
   /** True while the caller does not read. */
   readonly held?: Observable<boolean>;
   readonly returning?: ReturningCaller;
-  /** Told of the cursor of every attempt that is dispatched. */
-  readonly cursor?: (cursor: string) => void;
+  /** Told of the cursor and the generation of every attempt that is dispatched. */
+  readonly cursor?: (cursor: string, generation: string) => void;
 }
 
 export class Gateway {
@@ -77,6 +77,10 @@
     return this.#context.dispatcher;
   }
 
+  get claims(): Claims | undefined {
+    return this.#context.claims;
+  }
+
   get log(): Log {
     return this.#context.log;
   }
@@ -173,10 +177,12 @@
   #answer(request: GenerationRequest, options: AnswerOptions): Observable<AnswerEvent> {
     const { cursorKey } = this.#context;
     const { returning, held, cursor } = options;
-    const dispatched = (attempt: Attempt) => {
-      if (cursorKey !== undefined) cursor?.(sealCursor(request, attempt, cursorKey));
+    const announce = (named: GenerationRequest) => (attempt: Attempt) => {
+      if (cursorKey !== undefined) cursor?.(sealCursor(named, attempt, cursorKey), named.id);
     };
-    if (!returning) return generate(request, this.#context, { held, dispatched });
+    if (!returning) {
+      return generate(request, this.#context, { held, dispatched: announce(request) });
+    }
     return new Observable((subscriber) => {
       const opened = openCursor(returning.cursor, request, cursorKey);
       if (opened.isErr()) {
@@ -194,7 +200,7 @@
       const same = { ...request, id: generation, sampling: { ...request.sampling, seed } };
       return generate(same, this.#context, {
         held,
-        dispatched,
+        dispatched: announce(same),
         from: {
           server, attempt, version, tokens, text,
         },
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -1,92 +1,96 @@
 /** The callers' HTTP server: reads requests, asks the gateway, and writes answers. */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Observable } from 'rxjs';
+import type { Socket } from 'node:net';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { SchedulerLike } from 'rxjs';
+import { sha256 } from '../common/hash.js';
 import type { Random } from '../common/random.js';
-import { bodyOf, retryAfterSeconds, statusOf } from '../common/refusal.js';
+import { bodyOf } from '../common/refusal.js';
 import type { Refusal, RefusalCode } from '../common/refusal.js';
-import type { AnswerEvent } from '../generation/request.js';
-import {
-  chunkJson, parseBody, requestOf, wholeJson,
-} from './completion.js';
-import type { AnswerHead, Form } from './completion.js';
-import type { Gateway } from './gateway.js';
-
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
+import { MILLISECONDS_PER_SECOND, monotonicScheduler } from '../common/time.js';
+import type { Workspace } from '../configuration/configuration.js';
+import { AnswerStream, CURSOR_HEADER, sendWhole } from './answer.js';
+import { readBody, sendRefusal } from './body.js';
+import { modelOf, parseBody, requestOf } from './completion.js';
+import type { Form } from './completion.js';
+import { Drain } from './drain.js';
+import type { Gateway, ReturningCaller } from './gateway.js';
+import type { RequestMetrics } from './metrics.js';
+import { ServiceRelay } from './service.js';
+
 const MAX_HEADER_BYTES = 16 * 1024;
-const REQUEST_TIMEOUT_MS = 30_000;
+const REQUEST_TIMEOUT_MS = 300_000;
 const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const CONNECTIONS_CHECK_MS = 1_000;
 const MAX_SEED = 0x7fff_ffff;
+const MAX_KEY_CHARACTERS = 255;
+const MAX_POSITION_DIGITS = 9;
+const JSON_TYPE = { 'content-type': 'application/json' };
 
-function refusal(code: RefusalCode, message: string): Refusal {
-  return { code, message, ran: 'no' };
+export interface EntryOptions {
+  /** Whether the instance may be sent requests; it is not while it drains. */
+  readonly ready?: () => boolean;
+  readonly drain?: Drain;
+  /** Served at `/metrics`, and counts requests. */
+  readonly metrics?: RequestMetrics;
+  readonly scheduler?: SchedulerLike;
 }
 
-function sendRefusal(res: ServerResponse, refused: Refusal): void {
-  const retryAfter = retryAfterSeconds(refused);
-  res.writeHead(statusOf(refused), {
-    'content-type': 'application/json',
-    ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }),
-  });
-  res.end(bodyOf(refused));
+function refusal(code: RefusalCode, message: string): Refusal {
+  return { code, message, ran: 'no' };
 }
 
-async function readBody(req: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  // eslint-disable-next-line no-restricted-syntax -- a stream is read piece by piece
-  for await (const chunk of req) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_BODY_BYTES) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+function header(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : undefined;
 }
 
-function bearer(req: IncomingMessage): string | undefined {
-  return /^Bearer (\S+)$/.exec(req.headers.authorization ?? '')?.[1];
+/** The caller's idempotency key, if it sent one. */
+function keyOf(req: IncomingMessage): Result<string | undefined, Refusal> {
+  const key = header(req, 'idempotency-key');
+  if (key === undefined) return ok(undefined);
+  if (key.length > 0 && key.length <= MAX_KEY_CHARACTERS) return ok(key);
+  return err(refusal('bad_request', `Idempotency-Key: 1 to ${MAX_KEY_CHARACTERS} characters`));
 }
 
-function sendStream(res: ServerResponse, head: AnswerHead, answer: Observable<AnswerEvent>): void {
-  const write = (position: number, json: string) => {
-    if (!res.headersSent) res.writeHead(200, { 'content-type': 'text/event-stream' });
-    res.write(`id: ${head.id}.${position}\ndata: ${json}\n\n`);
-  };
-  const subscription = answer.subscribe((event) => {
-    switch (event.kind) {
-      case 'token':
-        write(event.position, chunkJson(head, event.text, null));
-        break;
-      case 'finish':
-        write(event.tokens, chunkJson(head, '', event.reason));
-        res.end('data: [DONE]\n\n');
-        break;
-      case 'refusal':
-        if (!res.headersSent) sendRefusal(res, event.refusal);
-        else res.end(`event: error\ndata: ${bodyOf(event.refusal)}\n\n`);
-        break;
-    }
-  });
-  res.on('close', () => subscription.unsubscribe());
+/** Where a returning caller wants to go on; undefined for a new request. */
+function returningOf(
+  req: IncomingMessage,
+  text: string | undefined,
+): Result<ReturningCaller | undefined, Refusal> {
+  const cursor = header(req, CURSOR_HEADER);
+  const last = header(req, 'last-event-id');
+  if (cursor === undefined) return ok(undefined);
+  if (last === undefined) return ok({ cursor, tokens: 0, text: '' });
+  const position = new RegExp(`^[^.]*\\.(\\d{1,${MAX_POSITION_DIGITS}})$`).exec(last)?.[1];
+  if (position === undefined) {
+    return err(refusal('bad_request', 'Last-Event-ID: not one of an answer of this deployment'));
+  }
+  return ok({ cursor, tokens: Number(position) + 1, text: text === '' ? undefined : text });
 }
 
-function sendWhole(res: ServerResponse, head: AnswerHead, answer: Observable<AnswerEvent>): void {
-  let text = '';
-  const subscription = answer.subscribe((event) => {
-    switch (event.kind) {
-      case 'token':
-        text += event.text;
-        break;
-      case 'finish':
-        res.writeHead(200, { 'content-type': 'application/json' });
-        res.end(wholeJson(head, text, event.reason, event.tokens));
-        break;
-      case 'refusal':
-        sendRefusal(res, event.refusal);
-        break;
-    }
-  });
-  res.on('close', () => subscription.unsubscribe());
+/** What Node's parser refuses, in the form of every other refusal. */
+function refuseBytes(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || socket.bytesWritten > 0) {
+    socket.destroy();
+    return;
+  }
+  const [status, code]: [string, RefusalCode] = error.code === 'HPE_HEADER_OVERFLOW'
+    ? ['431 Request Header Fields Too Large', 'too_large']
+    : ['400 Bad Request', 'bad_request'];
+  const timedOut = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+  const body = bodyOf(refusal(timedOut ? 'timeout' : code, error.message));
+  socket.end([
+    `HTTP/1.1 ${timedOut ? '408 Request Timeout' : status}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n'));
 }
 
 export class EntryServer {
@@ -94,60 +98,176 @@
 
   readonly #random: Random;
 
-  private constructor(gateway: Gateway, random: Random) {
+  readonly #options: EntryOptions;
+
+  readonly #scheduler: SchedulerLike;
+
+  readonly #drain: Drain;
+
+  readonly #services: ServiceRelay;
+
+  private constructor(gateway: Gateway, random: Random, options: EntryOptions) {
     this.#gateway = gateway;
     this.#random = random;
+    this.#options = options;
+    this.#scheduler = options.scheduler ?? monotonicScheduler;
+    this.#drain = options.drain ?? Drain.of(this.#scheduler, gateway.log);
+    this.#services = ServiceRelay.of(gateway, this.#scheduler);
   }
 
   /** A server for callers; the daemon listens on it and closes it. */
-  static of(gateway: Gateway, random: Random): Server {
-    const entry = new EntryServer(gateway, random);
-    return createServer({
+  static of(gateway: Gateway, random: Random, options: EntryOptions = {}): Server {
+    const entry = new EntryServer(gateway, random, options);
+    const server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: REQUEST_TIMEOUT_MS,
       headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
       noDelay: true,
-    }, (req, res) => {
-      entry.#handle(req, res).catch((error: unknown) => {
-        if (res.headersSent) res.destroy();
-        else sendRefusal(res, refusal('bad_request', String(error)));
-      });
+    }, (req, res) => entry.#receive(req, res));
+    server.on('clientError', refuseBytes);
+    return server;
+  }
+
+  #receive(req: IncomingMessage, res: ServerResponse): void {
+    // A broken connection is told by `close`; an unheard error would end the process.
+    req.on('error', () => undefined);
+    res.on('error', () => undefined);
+    let pathname: string;
+    try {
+      ({ pathname } = new URL(req.url ?? '/', 'http://instance'));
+    } catch {
+      sendRefusal(res, refusal('bad_request', 'the request target is not a URL'));
+      return;
+    }
+    if (this.#status(req, res, pathname)) return;
+    const leave = this.#drain.enter();
+    const counted = this.#options.metrics?.request(this.#route(pathname));
+    res.on('close', () => {
+      leave();
+      counted?.(res.statusCode);
+    });
+    // Keep-alive connections of the balancer end with their answers while the instance stops.
+    if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
+    this.#handle(req, res, pathname).catch((error: unknown) => {
+      this.#gateway.log.event('error', 'request_failed', { path: pathname, reason: String(error) });
+      sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran: 'unknown' });
     });
   }
 
-  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { pathname } = new URL(req.url ?? '/', 'http://instance');
+  /** Answers what asks for the instance's own state. */
+  #status(req: IncomingMessage, res: ServerResponse, pathname: string): boolean {
     switch (pathname) {
-      case '/v1/completions': return this.#generate('completion', req, res);
-      case '/v1/chat/completions': return this.#generate('chat', req, res);
       case '/healthz':
         res.writeHead(200).end('ok\n');
-        return undefined;
-      default:
-        sendRefusal(res, refusal('not_found', `no such path: ${pathname}`));
+        return true;
+      case '/readyz': {
+        const { ready = () => this.#gateway.configuration.revision > 0 } = this.#options;
+        const serving = ready() && this.#drain.state === 'serving';
+        res.writeHead(serving ? 200 : 503).end(serving ? 'ready\n' : 'not ready\n');
+        return true;
+      }
+      case '/metrics': {
+        const { metrics } = this.#options;
+        if (!metrics) return false;
+        metrics.registry.metrics().then((text) => {
+          res.writeHead(200, { 'content-type': metrics.registry.contentType }).end(text);
+        }, () => res.writeHead(500).end());
+        return true;
+      }
+      default: return false;
     }
   }
 
-  async #generate(form: Form, req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const workspace = this.#gateway.workspace(bearer(req) ?? '');
-    if (!workspace) return sendRefusal(res, refusal('unauthorized', 'unknown workspace key'));
-    const text = await readBody(req);
-    if (text === undefined) return sendRefusal(res, refusal('too_large', 'the body is too large'));
-    const parsed = parseBody(form, text);
+  // eslint-disable-next-line class-methods-use-this
+  #route(pathname: string): string {
+    if (pathname.startsWith('/services/')) return 'service';
+    const known = ['/v1/completions', '/v1/chat/completions', '/v1/models'];
+    return known.includes(pathname) ? pathname : 'other';
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse, pathname: string): Promise<void> {
+    const workspace = this.#workspace(req);
+    if (pathname.startsWith('/services/')) {
+      if (workspace.isErr()) return sendRefusal(res, workspace.error);
+      return this.#services.relay(req, res, workspace.value, this.#random.identifier());
+    }
+    const forms: Readonly<Record<string, Form>> = {
+      '/v1/completions': 'completion', '/v1/chat/completions': 'chat',
+    };
+    const form = Object.hasOwn(forms, pathname) ? forms[pathname] : undefined;
+    if (!form && pathname !== '/v1/models') {
+      return sendRefusal(res, refusal('not_found', `no such path: ${pathname}`));
+    }
+    const method = form ? 'POST' : 'GET';
+    if (req.method !== method) {
+      res.setHeader('allow', method);
+      return sendRefusal(res, refusal('method_not_allowed', `${pathname} takes ${method}`));
+    }
+    if (workspace.isErr()) return sendRefusal(res, workspace.error);
+    return form ? this.#generate(form, req, res, workspace.value)
+      : this.#models(res, workspace.value);
+  }
+
+  #workspace(req: IncomingMessage): Result<Workspace, Refusal> {
+    const key = /^Bearer (\S+)$/.exec(req.headers.authorization ?? '')?.[1];
+    const workspace = key === undefined ? undefined : this.#gateway.workspace(key);
+    return workspace ? ok(workspace) : err(refusal('unauthorized', 'unknown workspace key'));
+  }
+
+  #models(res: ServerResponse, workspace: Workspace): void {
+    const data = Object.values(this.#gateway.configuration.models)
+      .filter(({ name }) => workspace.models.length === 0 || workspace.models.includes(name))
+      .map(({ name }) => ({
+        id: name, object: 'model', created: 0, owned_by: 'shallotshunt',
+      }));
+    res.writeHead(200, JSON_TYPE).end(JSON.stringify({ object: 'list', data }));
+  }
+
+  async #generate(
+    form: Form,
+    req: IncomingMessage,
+    res: ServerResponse,
+    workspace: Workspace,
+  ): Promise<void> {
+    const read = await readBody(req, this.#scheduler);
+    const text = read.map((bytes) => bytes.toString('utf8'));
+    const parsed = text.andThen((body) => parseBody(form, body));
     if (parsed.isErr()) return sendRefusal(res, parsed.error);
-    const { body, stream } = parsed.value;
-    const model = this.#gateway.configuration.models[body.model];
-    if (!model) return sendRefusal(res, refusal('not_found', `no such model: ${body.model}`));
+    const { body, stream, includeUsage } = parsed.value;
+    const { configuration } = this.#gateway;
+    const model = modelOf(body, workspace, configuration.models);
+    const key = keyOf(req);
+    const returning = returningOf(req, body.resume_text ?? undefined);
+    if (model.isErr()) return sendRefusal(res, model.error);
+    if (key.isErr()) return sendRefusal(res, key.error);
+    if (returning.isErr()) return sendRefusal(res, returning.error);
     const id = this.#random.identifier();
-    const key = req.headers['idempotency-key'];
-    const answer = this.#gateway.generate(requestOf(body, {
+    const request = requestOf(body, {
       id,
       seed: this.#random.integer(0, MAX_SEED),
       workspace,
-      model,
-      idempotencyKey: typeof key === 'string' ? key : undefined,
+      model: model.value,
+      idempotencyKey: key.value,
+      bodyHash: sha256(`${req.url}\n${text.unwrapOr('')}`),
+    });
+    const created = Math.floor(Date.now() / MILLISECONDS_PER_SECOND);
+    const head = {
+      form, id, model: request.model, created, includeUsage,
+    };
+    if (!stream) {
+      if (returning.value) {
+        return sendRefusal(res, refusal('bad_request', 'a cursor goes with a streamed answer'));
+      }
+      return sendWhole(res, head, this.#gateway.generate(request));
+    }
+    const from = returning.value?.tokens ?? 0;
+    const answer = AnswerStream.of(res, { head, from, limits: configuration.limits });
+    answer.send(this.#gateway.generate(request, {
+      held: answer.held,
+      returning: returning.value,
+      cursor: (cursor, generation) => answer.cursor(cursor, generation),
     }));
-    const send = stream ? sendStream : sendWhole;
-    send(res, { form, id, model: model.name }, answer);
   }
 }
--- /dev/null
+++ b/src/entry/service.ts
@@ -0,0 +1,207 @@
+/**
+ * Relays calls to plain services. A call that may be repeated is tried again at another backend
+ * server while the dispatcher allows it; one that may not is given to one server once, on a fresh
+ * connection, and a failure after that leaves unknown whether it ran.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { firstValueFrom } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { ClaimReference } from '../claims/claims.js';
+import { sha256 } from '../common/hash.js';
+import type { Refusal } from '../common/refusal.js';
+import { statusOf } from '../common/refusal.js';
+import type { Route, Service, Workspace } from '../configuration/configuration.js';
+import { readBody, sendRefusal, whenClosed } from './body.js';
+import { refusalOf } from './claim.js';
+import type { Gateway } from './gateway.js';
+import { forward } from './upstream.js';
+import type { Forwarded } from './upstream.js';
+
+const MAX_TRIES = 3;
+const DEFAULT_TIMEOUT_MS = 30_000;
+const SAFE_METHODS: readonly string[] = ['GET', 'HEAD'];
+const TARGET = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+
+function refusal(code: Refusal['code'], message: string): Refusal {
+  return { code, message, ran: 'no' };
+}
+
+/** The route that decides for a call; one that is not configured is safe for reads only. */
+export function routeOf(service: Service, method: string, path: string): Route {
+  const found = service.routes.find((route) => path.startsWith(route.path)
+    && (route.methods.length === 0 || route.methods.includes(method)));
+  return found ?? {
+    path,
+    methods: [method],
+    repeat: SAFE_METHODS.includes(method) ? 'safe' : 'never',
+    priority: 'standard',
+    timeoutMs: DEFAULT_TIMEOUT_MS,
+  };
+}
+
+/** One call on its way through the daemon. */
+interface Call {
+  readonly id: string;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly workspace: Workspace;
+  readonly service: Service;
+  readonly route: Route;
+  /** Path and query at the service. */
+  readonly target: string;
+  /** The whole body where it may have to be sent again; otherwise it is streamed. */
+  readonly body: Buffer | undefined;
+}
+
+export class ServiceRelay {
+  readonly #gateway: Gateway;
+
+  readonly #scheduler: SchedulerLike;
+
+  private constructor(gateway: Gateway, scheduler: SchedulerLike) {
+    this.#gateway = gateway;
+    this.#scheduler = scheduler;
+  }
+
+  static of(gateway: Gateway, scheduler: SchedulerLike): ServiceRelay {
+    return new ServiceRelay(gateway, scheduler);
+  }
+
+  /** Answers one call to `/services/<service>/<path>`. */
+  async relay(
+    req: IncomingMessage,
+    res: ServerResponse,
+    workspace: Workspace,
+    id: string,
+  ): Promise<void> {
+    const [, name = '', path = '/', query = ''] = TARGET.exec(req.url ?? '') ?? [];
+    const { services } = this.#gateway.configuration;
+    const service = Object.hasOwn(services, name) ? services[name] : undefined;
+    if (!service) return sendRefusal(res, refusal('not_found', `no such service: ${name}`));
+    const route = routeOf(service, req.method ?? 'GET', path);
+    const key = req.headers['idempotency-key'];
+    const claimed = route.repeat === 'never' && typeof key === 'string';
+    let body: Buffer | undefined;
+    if (route.repeat === 'safe' || claimed) {
+      const read = await readBody(req, this.#scheduler);
+      if (read.isErr()) return sendRefusal(res, read.error);
+      body = read.value;
+    }
+    const admitted = this.#gateway.admit(workspace.name, route.priority);
+    if (admitted.isErr()) return sendRefusal(res, admitted.error);
+    whenClosed(res, () => admitted.value.release());
+    const call: Call = {
+      id, req, res, workspace, service, route, target: `${path}${query}`, body,
+    };
+    if (claimed) return this.#claimed(call, key);
+    const refused = await this.#try(call);
+    if (refused) this.#refuse(call, refused);
+    return undefined;
+  }
+
+  #refuse({ id, res, service }: Call, refused: Refusal): void {
+    const { code, ran, message } = refused;
+    this.#gateway.log.event('info', 'refuse', {
+      request: id, service: service.name, code, ran, reason: message,
+    });
+    sendRefusal(res, refused);
+  }
+
+  async #claimed(call: Call, key: string): Promise<void> {
+    const {
+      id, req, res, workspace, target, body,
+    } = call;
+    const { claims } = this.#gateway;
+    const outcome = await claims?.claim({
+      workspace: workspace.name,
+      key,
+      bodyHash: sha256(`${req.method} ${call.service.name} ${target}\n${body?.toString('base64')}`),
+      request: id,
+    }) ?? { kind: 'unavailable' as const, message: 'calls with a key are not served' };
+    if (outcome.kind !== 'granted') return this.#refuse(call, refusalOf(outcome));
+    const refused = res.destroyed ? refusal('bad_request', 'the caller left')
+      : await this.#try(call);
+    this.#settle(outcome.ref, refused, res.statusCode);
+    if (refused) this.#refuse(call, refused);
+    return undefined;
+  }
+
+  #settle(ref: ClaimReference, refused: Refusal | undefined, status: number): void {
+    if (refused?.ran === 'no') this.#gateway.claims?.release(ref);
+    else this.#gateway.claims?.complete(ref, refused ? statusOf(refused) : status);
+  }
+
+  /** Tries servers until one answers; what it returns has still to be told to the caller. */
+  async #try(call: Call): Promise<Refusal | undefined> {
+    const exclude: string[] = [];
+    let last: Refusal | undefined;
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      // eslint-disable-next-line no-await-in-loop -- each try follows from the one before
+      const outcome = await this.#once(call, exclude);
+      if (outcome.kind === 'answered') return undefined;
+      if (outcome.kind === 'unplaced') return last ?? outcome.refusal;
+      const { ran, message } = outcome.forwarded;
+      const unknown = last?.ran === 'unknown' || ran !== 'no';
+      last = {
+        code: 'backend_failed',
+        message: `the service failed: ${message}`,
+        ran: unknown ? 'unknown' : 'no',
+      };
+      if (call.res.destroyed || (ran !== 'no' && call.route.repeat === 'never')) return last;
+      exclude.push(outcome.server);
+      this.#gateway.log.event('info', 'retry', {
+        request: call.id, service: call.service.name, server: outcome.server, ran, reason: message,
+      });
+    }
+    return last;
+  }
+
+  async #once(call: Call, exclude: readonly string[]): Promise<
+    | { readonly kind: 'answered' }
+    | { readonly kind: 'unplaced'; readonly refusal: Refusal }
+    | {
+      readonly kind: 'failed';
+      readonly server: string;
+      readonly forwarded: Extract<Forwarded, { kind: 'failed' }>;
+    }> {
+    const { route, service, workspace } = call;
+    const assigned = await firstValueFrom(this.#gateway.dispatcher.assign({
+      request: call.id,
+      workspace: workspace.name,
+      priority: route.priority,
+      target: { kind: 'service', service: service.name },
+      resume: false,
+      exclude,
+    }));
+    if (assigned.isErr()) return { kind: 'unplaced', refusal: assigned.error };
+    const assignment = assigned.value;
+    const { server } = assignment;
+    const address = this.#gateway.configuration.servers[server]?.address;
+    if (address === undefined || call.res.destroyed) {
+      assignment.release('cancelled');
+      return { kind: 'unplaced', refusal: refusal('unavailable', `${server} was removed`) };
+    }
+    this.#gateway.log.event('info', 'dispatch', {
+      request: call.id,
+      service: service.name,
+      server,
+      repeat: route.repeat,
+      attempt: exclude.length + 1,
+    });
+    const forwarded = await forward({
+      req: call.req,
+      res: call.res,
+      address,
+      target: call.target,
+      workspace: workspace.name,
+      timeoutMs: route.timeoutMs,
+      body: call.body,
+    }, this.#scheduler);
+    if (forwarded.kind === 'answered') {
+      assignment.release(forwarded.whole ? 'answered' : 'failed');
+      return { kind: 'answered' };
+    }
+    assignment.release(call.res.destroyed ? 'cancelled' : 'failed');
+    return { kind: 'failed', server, forwarded };
+  }
+}
--- a/src/generation/change.ts
+++ b/src/generation/change.ts
@@ -23,6 +23,7 @@
   readonly attempt: number;
   readonly position: number;
   readonly reason: FinishReason;
+  readonly promptTokens?: number | undefined;
 }
 
 export interface FailureArrival {
--- a/src/generation/request.ts
+++ b/src/generation/request.ts
@@ -33,6 +33,8 @@
   readonly reason: FinishReason;
   /** The answer's length in tokens. */
   readonly tokens: number;
+  /** The input's length in tokens, where the engine told. */
+  readonly promptTokens?: number | undefined;
 }
 
 export interface AnswerRefusal {
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -143,7 +143,9 @@
     effects: [
       ...stopAll(state, attempt),
       { kind: 'close', attempt, outcome: 'answered' },
-      { kind: 'finish', reason: event.reason, tokens },
+      {
+        kind: 'finish', reason: event.reason, tokens, promptTokens: event.promptTokens,
+      },
     ],
   };
 }
--- a/src/standin/stream.ts
+++ b/src/standin/stream.ts
@@ -1,10 +1,13 @@
 /** One attempt as a stand-in engine runs it. */
 import { Subject } from 'rxjs';
 import type { AttemptRequest, EngineEvent } from '../engines/engine.js';
+import { inputText } from '../engines/prefix.js';
 import {
   answerLength, chainAfter, chainNext, tokenAfter,
 } from './tokens.js';
 
+const CHARACTERS_PER_TOKEN = 4;
+
 export class Stream {
   readonly request: AttemptRequest;
 
@@ -66,7 +69,10 @@
   finish(): EngineEvent {
     const { position } = this;
     const reason = position >= this.request.sampling.maxTokens ? 'length' : 'stop';
-    return { kind: 'finish', position, reason };
+    const promptTokens = Math.ceil(inputText(this.request.input).length / CHARACTERS_PER_TOKEN);
+    return {
+      kind: 'finish', position, reason, promptTokens,
+    };
   }
 
   end(): void {
--- /dev/null
+++ b/test/detector.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava';
+import type { Favour } from '../src/configuration/configuration.js';
+import {
+  FRESH_DETECTOR, detect, firstTokenMs, healthOf, suspectAfterMs,
+} from '../src/engines/detector.js';
+import type { Observation, Pace } from '../src/engines/detector.js';
+
+const silence = (silentMs: number): Observation => ({ kind: 'silence', silentMs });
+const MISSED: Observation = { kind: 'unanswered', to: 'ping' };
+const ANSWERED: Observation = { kind: 'answered', to: 'ping' };
+const REPORTED: Observation = { kind: 'answered', to: 'report' };
+const TOKEN: Observation = { kind: 'token' };
+
+function pace(favour: Favour, stepMs = 2, gapMs = 0): Pace {
+  return { favour, stepMs, gapMs };
+}
+
+function play(favour: Favour, seen: readonly Observation[]): string {
+  let state = FRESH_DETECTOR;
+  const said = seen.flatMap((observation) => {
+    const detection = detect(state, observation, pace(favour));
+    state = detection.state;
+    return detection.effects.map(({ kind }) => kind);
+  });
+  return [...said, healthOf(state)].join(' ');
+}
+
+const TABLE: readonly [string, Favour, readonly Observation[], string][] = [
+  ['a short silence', 'latency', [silence(39)], 'up'],
+  ['a long silence suspects and asks', 'latency', [silence(40)], 'suspect ping suspect'],
+  ['a silence is suspected once', 'latency', [silence(40), silence(50)], 'suspect ping suspect'],
+  ['resources waits longer', 'resources', [silence(140)], 'up'],
+  ['resources suspects too', 'resources', [silence(150)], 'suspect ping suspect'],
+  ['one missed ping asks again', 'latency', [silence(40), MISSED], 'suspect ping ping suspect'],
+  ['two missed pings lose', 'latency', [silence(40), MISSED, MISSED],
+    'suspect ping ping lose down'],
+  ['an answered ping does not end the silence', 'latency', [silence(40), ANSWERED],
+    'suspect ping suspect'],
+  ['an answered ping forgives the missed one', 'latency',
+    [silence(40), MISSED, ANSWERED, silence(90), MISSED], 'suspect ping ping ping ping suspect'],
+  ['a token ends the suspicion', 'latency', [silence(40), TOKEN],
+    'suspect ping recovered up'],
+  ['the end of the silent streams ends the suspicion', 'latency',
+    [silence(40), ANSWERED, silence(0)], 'suspect ping recovered up'],
+  ['a miss while the daemon was paused says nothing', 'latency',
+    [silence(40), { kind: 'inconclusive' }, { kind: 'inconclusive' }], 'suspect ping suspect'],
+  ['a refused connection loses at once', 'resources', [{ kind: 'connection_refused' }],
+    'lose down'],
+  ['a lost engine is lost once', 'latency',
+    [{ kind: 'connection_refused' }, { kind: 'connection_refused' }, MISSED], 'lose down'],
+  ['a lost engine that reports is up', 'latency', [{ kind: 'connection_refused' }, REPORTED],
+    'lose recovered up'],
+  ['a missed report of an idle engine asks', 'latency', [{ kind: 'unanswered', to: 'report' }],
+    'ping suspect'],
+];
+
+TABLE.forEach(([title, favour, seen, expected]) => {
+  test(`${favour}: ${title}`, (t) => {
+    t.is(play(favour, seen), expected);
+  });
+});
+
+test('the threshold follows the step and the gaps seen, within bounds', (t) => {
+  t.is(suspectAfterMs(pace('latency', 2)), 40);
+  t.is(suspectAfterMs(pace('latency', 10)), 120);
+  t.is(suspectAfterMs(pace('latency', 2, 100)), 150);
+  t.is(suspectAfterMs(pace('latency', 2, 10_000)), 300);
+  t.is(suspectAfterMs(pace('resources', 3)), 150);
+});
+
+test('a first token is given time for its prompt and for the queue', (t) => {
+  const idle = { waiting: 0, full: false };
+  const base = firstTokenMs(pace('latency'), 0, idle);
+  t.true(firstTokenMs(pace('latency'), 4_000, idle) >= base + 1_000);
+  t.true(firstTokenMs(pace('latency'), 0, { waiting: 3, full: false }) >= base + 5_000);
+  t.true(firstTokenMs(pace('latency'), 0, { waiting: 0, full: true }) >= base + 5_000);
+});
