--- /dev/null
+++ b/src/limits/queue.ts
@@ -0,0 +1,160 @@
+/**
+ * Requests that wait for a backend server. Classes share what the servers do by start-time fair
+ * queueing with steep weights, so that interactive requests go first and batch is never starved;
+ * within a class resumes go first, and workspaces share by their weights. The queue is bounded in
+ * length and each entry in time.
+ */
+import type { Limits } from '../configuration/configuration.js';
+import type { Priority } from '../engines/engine.js';
+import {
+  append, CLASSES, entriesOf, expectedWaitMs, paceKey, remove, withClass,
+} from './queuestate.js';
+import type {
+  ClassQueue, Entry, Pace, QueueState,
+} from './queuestate.js';
+
+const CLASS_WEIGHTS: Readonly<Record<Priority, number>> = {
+  interactive: 16, standard: 4, batch: 1,
+};
+
+/** Weight of the newest interval in a pace. */
+const INTERVAL_WEIGHT = 0.2;
+
+export type QueueEvent =
+  | { readonly kind: 'enter'; readonly entry: Entry }
+  | { readonly kind: 'placed'; readonly entry: Entry; readonly now: number }
+  | { readonly kind: 'left'; readonly entry: Entry }
+  | { readonly kind: 'tick'; readonly now: number };
+
+export interface QueueRefusal {
+  readonly kind: 'refuse';
+  readonly entry: Entry;
+  readonly cause: 'queue_timeout' | 'overloaded';
+  /** When a place can be expected, from now. */
+  readonly retryAfterMs: number;
+}
+
+export interface QueueTransaction {
+  readonly state: QueueState;
+  readonly effects: readonly QueueRefusal[];
+}
+
+/** The newest entry of the workspace with the most entries, in the lowest class that has any. */
+function victim(state: QueueState): Entry | undefined {
+  const lowest = [...CLASSES].reverse()
+    .find((name) => [...state.classes[name].flows.values()].some((flow) => flow.entries.length));
+  if (!lowest) return undefined;
+  const longest = [...state.classes[lowest].flows.values()].reduce((left, right) => (
+    right.entries.length / right.weight > left.entries.length / left.weight ? right : left));
+  return longest.entries.at(-1);
+}
+
+function enter(state: QueueState, entry: Entry, limits: Limits): QueueTransaction {
+  const waitMs = expectedWaitMs(state, entry);
+  if (!entry.resume && entry.enteredAt + waitMs > entry.deadline) {
+    return {
+      state,
+      effects: [{
+        kind: 'refuse', entry, cause: 'overloaded', retryAfterMs: waitMs,
+      }],
+    };
+  }
+  const next = append(state, entry);
+  const shed = next.length > limits.queueLength ? victim(next) : undefined;
+  if (!shed) return { state: next, effects: [] };
+  return {
+    state: remove(next, shed),
+    effects: [{
+      kind: 'refuse',
+      entry: shed,
+      cause: 'overloaded',
+      retryAfterMs: Math.max(expectedWaitMs(state, shed), limits.queueWaitMs[shed.priority]),
+    }],
+  };
+}
+
+function paced(state: QueueState, entry: Entry, now: number): ReadonlyMap<string, Pace> {
+  // An entry that did not wait says nothing of how fast others are placed.
+  if (entry.enteredAt === now) return state.paces;
+  const name = paceKey(entry);
+  const pace = state.paces.get(name) ?? { placements: 0, intervalMs: 0, placedAt: now };
+  // Only the time in which this entry already waited was a time of serving others.
+  const intervalMs = now - Math.max(pace.placedAt, entry.enteredAt);
+  const weight = Math.max(INTERVAL_WEIGHT, 1 / (pace.placements + 1));
+  return new Map(state.paces).set(name, {
+    placements: pace.placements + 1,
+    intervalMs: pace.intervalMs + (intervalMs - pace.intervalMs) * weight,
+    placedAt: now,
+  });
+}
+
+function placed(state: QueueState, entry: Entry, now: number): QueueTransaction {
+  const {
+    priority, workspace, cost, resume,
+  } = entry;
+  const queue = state.classes[priority];
+  const charged: ClassQueue = { ...queue, tag: queue.tag + cost / CLASS_WEIGHTS[priority] };
+  const flow = queue.flows.get(workspace);
+  const virtualTime = Math.max(state.virtualTime, queue.tag);
+  const paces = paced(state, entry, now);
+  if (resume || !flow) {
+    const next = withClass({ ...state, virtualTime, paces }, priority, charged, 0);
+    return { state: remove(next, entry), effects: [] };
+  }
+  const flows = new Map(queue.flows)
+    .set(workspace, { ...flow, tag: flow.tag + cost / flow.weight });
+  const next = withClass({ ...state, virtualTime, paces }, priority, {
+    ...charged, flows, virtualTime: Math.max(queue.virtualTime, flow.tag),
+  }, 0);
+  return { state: remove(next, entry), effects: [] };
+}
+
+function expire(state: QueueState, now: number): QueueTransaction {
+  const late = entriesOf(state).filter(({ deadline }) => deadline <= now);
+  return {
+    state: late.reduce(remove, state),
+    effects: late.map((entry) => ({
+      kind: 'refuse',
+      entry,
+      cause: 'queue_timeout',
+      retryAfterMs: Math.max(expectedWaitMs(state, entry), now - entry.enteredAt),
+    })),
+  };
+}
+
+/** Applies one event. */
+export function queueTransaction(
+  state: QueueState,
+  event: QueueEvent,
+  limits: Limits,
+): QueueTransaction {
+  switch (event.kind) {
+    case 'enter': return enter(state, event.entry, limits);
+    case 'placed': return placed(state, event.entry, event.now);
+    case 'left': return { state: remove(state, event.entry), effects: [] };
+    case 'tick': return expire(state, event.now);
+  }
+}
+
+function firstOf(queue: ClassQueue, open: (entry: Entry) => boolean): Entry | undefined {
+  const resume = queue.resumes.find(open);
+  if (resume) return resume;
+  return [...queue.flows.values()]
+    .filter(({ entries }) => entries.length > 0)
+    .sort((left, right) => left.tag - right.tag)
+    .reduce<Entry | undefined>((found, { entries }) => found ?? entries.find(open), undefined);
+}
+
+/**
+ * The entry to place next among those that `open` accepts; entries whose servers have no room don't
+ * hold up others.
+ */
+export function nextEntry(
+  { classes }: QueueState,
+  open: (entry: Entry) => boolean,
+): Entry | undefined {
+  return CLASSES
+    .map((name) => ({ tag: classes[name].tag, entry: firstOf(classes[name], open) }))
+    .filter(({ entry }) => entry !== undefined)
+    .sort((left, right) => left.tag - right.tag)[0]?.entry;
+}
--- /dev/null
+++ b/src/limits/queuestate.ts
@@ -0,0 +1,161 @@
+/**
+ * The state of the queue: who waits, by class and workspace, and how fast entries are placed.
+ *
+ * An entry's cost is the time for which it is expected to occupy a server. A flow's tag is the
+ * virtual time at which its next entry may start: the flow with the lowest tag goes first.
+ */
+import type { Limits } from '../configuration/configuration.js';
+import type { Priority } from '../engines/engine.js';
+
+/** From the class that goes first to the one that is shed first. */
+export const CLASSES: readonly Priority[] = ['interactive', 'standard', 'batch'];
+
+/** What the answer in progress may wait at most, if its class would wait less. */
+const RESUME_WAIT_MS = 5_000;
+/** Placements seen before the expected wait is trusted. */
+const MIN_PLACEMENTS = 8;
+
+export interface Entry {
+  readonly id: number;
+  readonly workspace: string;
+  readonly weight: number;
+  readonly priority: Priority;
+  readonly resume: boolean;
+  /** Entries with equal keys are served by the same servers. */
+  readonly key: string;
+  /** Expected occupation of a server, in milliseconds. */
+  readonly cost: number;
+  readonly enteredAt: number;
+  readonly deadline: number;
+}
+
+interface Flow {
+  readonly tag: number;
+  readonly weight: number;
+  readonly entries: readonly Entry[];
+}
+
+export interface ClassQueue {
+  readonly tag: number;
+  readonly virtualTime: number;
+  readonly resumes: readonly Entry[];
+  /** By workspace; a flow without entries stays while its tag is ahead of virtual time. */
+  readonly flows: ReadonlyMap<string, Flow>;
+}
+
+/** How fast the entries of one class and key are placed while there are any. */
+export interface Pace {
+  readonly placements: number;
+  readonly intervalMs: number;
+  readonly placedAt: number;
+}
+
+export interface QueueState {
+  readonly classes: Readonly<Record<Priority, ClassQueue>>;
+  readonly virtualTime: number;
+  readonly length: number;
+  readonly paces: ReadonlyMap<string, Pace>;
+}
+
+const EMPTY_CLASS: ClassQueue = {
+  tag: 0, virtualTime: 0, resumes: [], flows: new Map(),
+};
+
+export const EMPTY_QUEUE: QueueState = {
+  classes: { interactive: EMPTY_CLASS, standard: EMPTY_CLASS, batch: EMPTY_CLASS },
+  virtualTime: 0,
+  length: 0,
+  paces: new Map(),
+};
+
+/** The time by which an entry has to be placed. */
+export function deadlineOf(
+  priority: Priority,
+  resume: boolean,
+  now: number,
+  { queueWaitMs }: Limits,
+): number {
+  return now + Math.max(queueWaitMs[priority], resume ? RESUME_WAIT_MS : 0);
+}
+
+export function paceKey({ priority, key }: Entry): string {
+  return `${priority} ${key}`;
+}
+
+function classEntries({ resumes, flows }: ClassQueue): readonly Entry[] {
+  return [...resumes, ...[...flows.values()].flatMap(({ entries }) => entries)];
+}
+
+/** All that waits, by class; within one in no order. */
+export function entriesOf({ classes }: QueueState): readonly Entry[] {
+  return CLASSES.flatMap((name) => classEntries(classes[name]));
+}
+
+function isEmpty({ resumes, flows }: ClassQueue): boolean {
+  return resumes.length === 0 && ![...flows.values()].some(({ entries }) => entries.length > 0);
+}
+
+/** Entries of the same class and key that go before one more of the workspace. */
+function ahead(state: QueueState, {
+  priority, workspace, weight, key,
+}: Entry): number {
+  const same = ({ key: other }: Entry) => other === key;
+  const { resumes, flows } = state.classes[priority];
+  const own = flows.get(workspace)?.entries.filter(same).length ?? 0;
+  return [...flows].reduce((sum, [name, flow]) => {
+    if (name === workspace) return sum + own;
+    const turns = Math.ceil(((own + 1) * flow.weight) / weight);
+    return sum + Math.min(turns, flow.entries.filter(same).length);
+  }, resumes.filter(same).length);
+}
+
+/** How long `entry` would wait if it entered now; 0 while that isn't known. */
+export function expectedWaitMs(state: QueueState, entry: Entry): number {
+  const pace = state.paces.get(paceKey(entry));
+  if (!pace || pace.placements < MIN_PLACEMENTS) return 0;
+  return ahead(state, entry) * pace.intervalMs;
+}
+
+export function withClass(state: QueueState, name: Priority, queue: ClassQueue, added: number) {
+  return {
+    ...state,
+    classes: { ...state.classes, [name]: queue },
+    length: state.length + added,
+  };
+}
+
+/** The state with `entry` at the end of its flow. */
+export function append(state: QueueState, entry: Entry): QueueState {
+  const { priority, workspace, weight } = entry;
+  const queue = state.classes[priority];
+  const tag = isEmpty(queue) ? Math.max(queue.tag, state.virtualTime) : queue.tag;
+  if (entry.resume) {
+    return withClass(state, priority, { ...queue, tag, resumes: [...queue.resumes, entry] }, 1);
+  }
+  const flow = queue.flows.get(workspace) ?? { tag: 0, weight, entries: [] };
+  const flowTag = flow.entries.length === 0 ? Math.max(flow.tag, queue.virtualTime) : flow.tag;
+  const flows = new Map(queue.flows).set(workspace, {
+    tag: flowTag, weight, entries: [...flow.entries, entry],
+  });
+  return withClass(state, priority, { ...queue, tag, flows }, 1);
+}
+
+/** The state without `entry`, whether it was there or not. */
+export function remove(state: QueueState, entry: Entry): QueueState {
+  const { priority, workspace, resume } = entry;
+  const queue = state.classes[priority];
+  const others = ({ id }: Entry) => id !== entry.id;
+  if (resume) {
+    const resumes = queue.resumes.filter(others);
+    const removed = queue.resumes.length - resumes.length;
+    return withClass(state, priority, { ...queue, resumes }, -removed);
+  }
+  const flow = queue.flows.get(workspace);
+  const entries = flow?.entries.filter(others);
+  if (!flow || !entries || entries.length === flow.entries.length) return state;
+  const flows = new Map(queue.flows);
+  if (entries.length > 0 || flow.tag > queue.virtualTime) {
+    flows.set(workspace, { ...flow, entries });
+  } else flows.delete(workspace);
+  return withClass(state, priority, { ...queue, flows }, -1);
+}
--- /dev/null
+++ b/src/routing/choice.ts
@@ -0,0 +1,100 @@
+/**
+ * The choice of a backend server among those that may take a request. Each candidate's score is the
+ * time until it would give the first token, in parts that the log shows. Among candidates with
+ * nearly equal scores two are drawn at random and the less occupied one is taken, so that several
+ * daemons with the same reports don't all send to the same server.
+ */
+import type { Random } from '../common/random.js';
+import type { Favour } from '../configuration/configuration.js';
+import type { Health } from '../engines/directory.js';
+
+/** A round trip between availability zones, against one within a zone. */
+const CROSS_ZONE_MS = 3;
+/** What a silent server is worth avoiding; it is taken when no other is left. */
+const SUSPECT_MS = 10_000;
+/** Engine steps' worth of delay that a full server adds to each request against an empty one. */
+const CONTENTION_STEPS = 4;
+/** How much more cached prefixes count where engine work matters more than time. */
+const RESOURCES_PREFILL_FACTOR = 4;
+/** Scores this much above the best still count as equal. */
+const EQUAL_WITHIN_MS = 1;
+const LOGGED = 4;
+
+export interface Candidate {
+  readonly server: string;
+  readonly zone: string;
+  readonly health: Health;
+  /** Requests in flight there, and how many it handles at once. */
+  readonly occupancy: number;
+  readonly slots: number;
+  readonly stepMs: number;
+  /** Prefill work ahead of this request, as far as known. */
+  readonly busyMs: number;
+  /** Prefill work of this request after what is cached. */
+  readonly prefillMs: number;
+}
+
+export interface Score {
+  readonly candidate: Candidate;
+  readonly waitMs: number;
+  readonly prefillMs: number;
+  readonly zoneMs: number;
+  readonly healthMs: number;
+  readonly totalMs: number;
+}
+
+export interface Choice {
+  readonly chosen: Score;
+  /** The best candidates, best first, for the log. */
+  readonly weighed: readonly Score[];
+}
+
+export interface Weighing { readonly zone: string; readonly favour: Favour }
+
+function contentionMs({ occupancy, slots, stepMs }: Candidate): number {
+  return (occupancy / Math.max(1, slots)) * CONTENTION_STEPS * stepMs;
+}
+
+function score(candidate: Candidate, { zone, favour }: Weighing): Score {
+  const waitMs = candidate.busyMs + contentionMs(candidate);
+  const factor = favour === 'resources' ? RESOURCES_PREFILL_FACTOR : 1;
+  const prefillMs = candidate.prefillMs * factor;
+  const zoneMs = candidate.zone === zone ? 0 : CROSS_ZONE_MS;
+  const healthMs = candidate.health === 'suspect' ? SUSPECT_MS : 0;
+  return {
+    candidate,
+    waitMs,
+    prefillMs,
+    zoneMs,
+    healthMs,
+    totalMs: waitMs + prefillMs + zoneMs + healthMs,
+  };
+}
+
+/** How full a server is; the part of a score that two equals are told apart by. */
+function fullness({ candidate }: Score): number {
+  return candidate.occupancy / Math.max(1, candidate.slots);
+}
+
+/** @param candidates at least one */
+export function choose(
+  candidates: readonly Candidate[],
+  weighing: Weighing,
+  random: Random,
+): Choice {
+  const scores = candidates.map((candidate) => score(candidate, weighing));
+  const best = scores.reduce((least, { totalMs }) => Math.min(least, totalMs), Infinity);
+  const equals = scores.filter(({ totalMs }) => totalMs <= best + EQUAL_WITHIN_MS);
+  const first = random.pick(equals);
+  const second = random.pick(equals);
+  const chosen = fullness(second) < fullness(first) ? second : first;
+  const nearest = equals.length >= LOGGED ? equals : scores;
+  const weighed = [...nearest].sort((left, right) => left.totalMs - right.totalMs).slice(0, LOGGED);
+  return { chosen, weighed };
+}
+
+/** What was weighed, one `server:total` for each of the best candidates. */
+export function weighedText(choice: Choice): readonly string[] {
+  return choice.weighed.map(({ candidate, totalMs }) => (
+    `${candidate.server}:${totalMs.toFixed(1)}`));
+}
--- /dev/null
+++ b/src/routing/eligibility.ts
@@ -0,0 +1,106 @@
+/**
+ * Which backend servers may take a request, and why the others may not. Room is a separate
+ * question: a server without room now is worth waiting for.
+ */
+import type { BackendServer, Configuration, Pool } from '../configuration/configuration.js';
+import type { Health } from '../engines/directory.js';
+import type { LoadReport, Priority } from '../engines/engine.js';
+import type { Demand } from './dispatcher.js';
+
+/** What a server has to hold. */
+export type Need =
+  | {
+    readonly kind: 'model';
+    readonly model: string;
+    readonly version: string;
+    readonly adapter: string | undefined;
+  }
+  | { readonly kind: 'service'; readonly pool: string };
+
+export interface ServerView {
+  readonly server: BackendServer;
+  readonly health: Health;
+  readonly report: LoadReport | undefined;
+}
+
+export type Exclusion =
+  | 'not_held' | 'pool' | 'drained' | 'leaving' | 'down' | 'not_reported' | 'tried' | 'breaker';
+
+/** Used where a server names a pool that the configuration lacks. */
+export const DEFAULT_POOL: Omit<Pool, 'name' | 'kind'> = {
+  models: [], retryRatio: 0.1, concurrencyPerServer: 64,
+};
+
+/** Part of a server's room that a class leaves to the classes above it. */
+const RESERVED: Readonly<Record<Priority, number>> = {
+  interactive: 0, standard: 0.05, batch: 0.1,
+};
+
+export function needOf(demand: Demand, configuration: Configuration): Need | undefined {
+  const { target } = demand;
+  switch (target.kind) {
+    case 'service': {
+      const service = configuration.services[target.service];
+      return service && { kind: 'service', pool: service.pool };
+    }
+    case 'model': {
+      const version = target.version ?? configuration.models[target.model]?.version;
+      if (version === undefined) return undefined;
+      return {
+        kind: 'model', model: target.model, version, adapter: target.adapter,
+      };
+    }
+  }
+}
+
+/** Equal for needs that the same servers fill. */
+export function needKey(need: Need): string {
+  switch (need.kind) {
+    case 'model': return `${need.model}@${need.version}/${need.adapter ?? ''}`;
+    case 'service': return `service ${need.pool}`;
+  }
+}
+
+function holds(need: Need, report: LoadReport): boolean {
+  if (need.kind === 'service') return true;
+  return report.models.some(({ model, version, adapters }) => (
+    model === need.model && version === need.version
+    && (need.adapter === undefined || adapters.includes(need.adapter))));
+}
+
+function engineExclusion(need: Need, report: LoadReport | undefined): Exclusion | undefined {
+  if (!report) return 'not_reported';
+  switch (report.role) {
+    case 'leaving': return 'leaving';
+    case 'idle': return 'not_held';
+    case 'serve': return holds(need, report) ? undefined : 'not_held';
+  }
+}
+
+/** Why a server can't take the need whatever its load is; undefined when it can. */
+export function exclusion(
+  need: Need,
+  { server, health, report }: ServerView,
+  pool: Pool | undefined,
+  leaving: ReadonlySet<string>,
+): Exclusion | undefined {
+  if (need.kind === 'service' && (server.kind !== 'service' || server.pool !== need.pool)) {
+    return 'pool';
+  }
+  if (need.kind === 'model') {
+    const models = pool?.models ?? [];
+    if (server.kind !== 'engine' || (models.length > 0 && !models.includes(need.model))) {
+      return 'pool';
+    }
+  }
+  if (server.drained) return 'drained';
+  if (leaving.has(server.name)) return 'leaving';
+  if (health === 'down') return 'down';
+  return need.kind === 'model' ? engineExclusion(need, report) : undefined;
+}
+
+/** Requests that a class may have in flight at a server, of `slots`; resumes may use them all. */
+export function roomFor(priority: Priority, resume: boolean, slots: number): number {
+  if (resume) return slots;
+  return Math.max(1, slots - Math.ceil(slots * RESERVED[priority]));
+}
--- /dev/null
+++ b/src/routing/holdtimes.ts
@@ -0,0 +1,33 @@
+/**
+ * How long requests occupy a server, learned for each workspace and class from those that were
+ * answered. The queue charges a workspace by it, so that a few long generations weigh as much as
+ * many short ones.
+ */
+import type { Priority } from '../engines/engine.js';
+
+const FIRST_GUESS_MS = 1_000;
+const NEWEST_WEIGHT = 0.1;
+const MIN_MS = 1;
+
+export class HoldTimes {
+  readonly #means = new Map<string, number>();
+
+  private constructor() {
+    // Nothing is known yet.
+  }
+
+  static of(): HoldTimes {
+    return new HoldTimes();
+  }
+
+  /** Milliseconds that the workspace's next request of the class is expected to take. */
+  expected(workspace: string, priority: Priority): number {
+    return this.#means.get(`${priority} ${workspace}`) ?? FIRST_GUESS_MS;
+  }
+
+  observe(workspace: string, priority: Priority, heldMs: number): void {
+    const mean = this.expected(workspace, priority);
+    const next = mean + (heldMs - mean) * NEWEST_WEIGHT;
+    this.#means.set(`${priority} ${workspace}`, Math.max(MIN_MS, next));
+  }
+}
--- /dev/null
+++ b/src/routing/routelog.ts
@@ -0,0 +1,38 @@
+/** The log line of each routing decision, with what was weighed. */
+import type { Log } from '../common/log.js';
+import { weighedText } from './choice.js';
+import type { Choice } from './choice.js';
+import type { Survey } from './servers.js';
+import { kindOf } from './waiting.js';
+import type { Waiting } from './waiting.js';
+
+/** Logs that a request was given to a server; times are in milliseconds. */
+export function logRoute(
+  log: Log,
+  { entry, demand }: Waiting,
+  { candidates, full, excluded }: Survey,
+  choice: Choice,
+  now: number,
+): void {
+  const { chosen } = choice;
+  log.event('info', 'route', {
+    request: demand.request,
+    workspace: demand.workspace,
+    priority: demand.priority,
+    attempt: kindOf(demand),
+    need: entry.key,
+    server: chosen.candidate.server,
+    zone: chosen.candidate.zone,
+    in_flight: chosen.candidate.occupancy,
+    queued_ms: now - entry.enteredAt,
+    total_ms: chosen.totalMs.toFixed(1),
+    wait_ms: chosen.waitMs.toFixed(1),
+    prefill_ms: chosen.prefillMs.toFixed(1),
+    zone_ms: chosen.zoneMs,
+    health_ms: chosen.healthMs,
+    candidates: candidates.length,
+    full,
+    excluded: Object.entries(excluded).map(([reason, count]) => `${reason}:${count}`),
+    weighed: weighedText(choice),
+  });
+}
--- /dev/null
+++ b/src/routing/router.ts
@@ -0,0 +1,268 @@
+/**
+ * Gives each attempt a backend server: admits requests by their workspace's limits, queues them
+ * while no server has room, and chooses among those that have. The decisions are pure functions of
+ * the modules beside this one; this class keeps their states, performs their effects and logs them.
+ */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Observable, Subscription } from 'rxjs';
+import type { SchedulerLike, Subscriber } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
+import type { Refusal } from '../common/refusal.js';
+import type { Configuration } from '../configuration/configuration.js';
+import { EMPTY_CONFIGURATION } from '../configuration/defaults.js';
+import type { Directory } from '../engines/directory.js';
+import type { QueueRefusal } from '../limits/queue.js';
+import { deadlineOf } from '../limits/queuestate.js';
+import type { Entry } from '../limits/queuestate.js';
+import { RetryBudgets } from '../limits/retrybudget.js';
+import { CacheFollower } from './cachefollower.js';
+import { choose } from './choice.js';
+import type { Choice } from './choice.js';
+import type {
+  Admission, Assignment, AttemptOutcome, Demand, Dispatcher,
+} from './dispatcher.js';
+import { DEFAULT_POOL, needKey, needOf } from './eligibility.js';
+import type { Need } from './eligibility.js';
+import { HoldTimes } from './holdtimes.js';
+import { PrefixIndex } from './prefixindex.js';
+import { Servers } from './servers.js';
+import type { Survey } from './servers.js';
+import type { RoutingCounts, RoutingSnapshot } from './snapshot.js';
+import { logRoute } from './routelog.js';
+import { askOf, isHopeless, kindOf } from './waiting.js';
+import type { AttemptKind, Waiting } from './waiting.js';
+import { WaitingLine } from './waitingline.js';
+
+/** How long an answer in progress waits for a server when none could take it. */
+const NO_SERVER_WAIT_MS = 1_000;
+const RETRY_AFTER_MS = 1_000;
+const RETRY_AFTER_SPREAD = 0.3;
+const DEFAULT_WEIGHT = 1;
+
+/** Admits requests; the workspace limits implement it. */
+export interface Admissions {
+  admit(workspace: string): Result<Admission, Refusal>;
+}
+
+export interface RouterContext {
+  readonly directory: Directory;
+  readonly configurations: Observable<Configuration>;
+  readonly admissions: Admissions;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  readonly log: Log;
+  /** Servers that other daemons know to be leaving. */
+  readonly leaving: () => ReadonlySet<string>;
+  /** This daemon's availability zone. */
+  readonly zone: string;
+}
+
+export class Router implements Dispatcher {
+  readonly #context: RouterContext;
+
+  readonly #prefixes = PrefixIndex.of();
+
+  readonly #servers: Servers;
+
+  readonly #budgets = RetryBudgets.of();
+
+  readonly #line: WaitingLine;
+
+  readonly #holdTimes = HoldTimes.of();
+
+  readonly #assigned: Record<AttemptKind, number> = { first: 0, retry: 0, resume: 0 };
+
+  readonly #refused: Record<string, number> = {};
+
+  #configuration = EMPTY_CONFIGURATION;
+
+  #nextId = 0;
+
+  private constructor(context: RouterContext) {
+    this.#context = context;
+    this.#servers = Servers.of(context, this.#prefixes);
+    this.#line = WaitingLine.of({
+      scheduler: context.scheduler,
+      limits: () => this.#configuration.limits,
+      place: (waiting) => this.#place(waiting),
+      refuse: (waiting, refusal) => this.#giveUp(waiting, refusal),
+    });
+  }
+
+  static of(context: RouterContext): Router {
+    return new Router(context);
+  }
+
+  /** Follows the configuration and the engines' cache events until the subscription ends. */
+  start(): Subscription {
+    const running = new Subscription();
+    running.add(this.#context.configurations.subscribe((configuration) => {
+      this.#configuration = configuration;
+      this.#servers.configured(configuration);
+      this.#line.drain();
+    }));
+    running.add(CacheFollower.of(this.#context, this.#prefixes).start());
+    running.add(() => this.#line.stop());
+    return running;
+  }
+
+  get counts(): RoutingCounts {
+    return { assigned: { ...this.#assigned }, refused: { ...this.#refused } };
+  }
+
+  snapshot(): RoutingSnapshot {
+    return {
+      queues: this.#line.snapshot(),
+      servers: this.#servers.snapshot(),
+      prefixBlocks: this.#prefixes.blocks,
+    };
+  }
+
+  admit(workspace: string): Result<Admission, Refusal> {
+    return this.#context.admissions.admit(workspace);
+  }
+
+  assign(demand: Demand): Observable<Result<Assignment, Refusal>> {
+    return new Observable((subscriber) => {
+      const need = needOf(demand, this.#configuration);
+      if (!need) {
+        this.#refuse(demand, subscriber, 'not_found', 'no such model or service');
+        return undefined;
+      }
+      if (kindOf(demand) === 'retry' && !this.#budgets.spend(this.#triedPool(demand), this.#now)) {
+        this.#refuse(demand, subscriber, 'overloaded', 'too many retries in the pool');
+        return undefined;
+      }
+      const waiting = this.#wait(demand, need, subscriber);
+      this.#line.enter(waiting);
+      return () => this.#line.leave(waiting);
+    });
+  }
+
+  get #now(): number {
+    return this.#context.scheduler.now();
+  }
+
+  #triedPool({ exclude }: Demand): string {
+    return this.#configuration.servers[exclude.at(-1) ?? '']?.pool ?? '';
+  }
+
+  #wait(
+    demand: Demand,
+    need: Need,
+    subscriber: Subscriber<Result<Assignment, Refusal>>,
+  ): Waiting {
+    const {
+      workspace, priority, resume, exclude,
+    } = demand;
+    const key = needKey(need);
+    const id = this.#nextId;
+    this.#nextId += 1;
+    const entry: Entry = {
+      id,
+      workspace,
+      weight: this.#configuration.workspaces[workspace]?.weight ?? DEFAULT_WEIGHT,
+      priority,
+      resume,
+      key,
+      cost: this.#holdTimes.expected(workspace, priority),
+      enteredAt: this.#now,
+      deadline: deadlineOf(priority, resume, this.#now, this.#configuration.limits),
+    };
+    const group = exclude.length > 0 ? `${id}` : `${priority} ${resume} ${key}`;
+    return {
+      entry, demand, ask: askOf(demand, need), group, subscriber,
+    };
+  }
+
+  /** Performs the queue's refusal. */
+  #giveUp({ demand, subscriber }: Waiting, { cause, retryAfterMs }: QueueRefusal): void {
+    const message = cause === 'overloaded' ? 'the queue is full' : 'no server had room in time';
+    this.#refuse(demand, subscriber, cause, message, retryAfterMs);
+  }
+
+  /** Gives the entry a server or a refusal, if either can be had now. */
+  #place(waiting: Waiting): 'done' | 'waits' {
+    const { entry, demand, ask } = waiting;
+    const now = this.#now;
+    const survey = this.#servers.survey(ask, this.#configuration, now);
+    if (survey.candidates.length > 0) {
+      const { favour } = this.#configuration.deployment;
+      const { zone, random } = this.#context;
+      this.#dispatch(waiting, survey, choose(survey.candidates, { zone, favour }, random));
+      return 'done';
+    }
+    const patient = entry.resume && now - entry.enteredAt < NO_SERVER_WAIT_MS;
+    if (!isHopeless(survey) || patient) return 'waits';
+    this.#line.leave(waiting);
+    this.#refuse(demand, waiting.subscriber, 'unavailable', 'no server can take the request');
+    return 'done';
+  }
+
+  #dispatch(waiting: Waiting, survey: Survey, choice: Choice): void {
+    const { entry, demand, ask } = waiting;
+    const { candidate } = choice.chosen;
+    const { log } = this.#context;
+    const now = this.#now;
+    const kind = kindOf(demand);
+    const pool = this.#configuration.servers[candidate.server]?.pool ?? '';
+    this.#line.placed(waiting);
+    this.#servers.sent(ask, candidate, now);
+    this.#assigned[kind] += 1;
+    if (kind === 'first') {
+      const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
+      this.#budgets.earn(pool, retryRatio, now);
+    }
+    logRoute(log, waiting, survey, choice, now);
+    const version = ask.need.kind === 'model' ? ask.need.version : '';
+    waiting.subscriber.next(ok(this.#assignment(demand, candidate.server, version, now)));
+    waiting.subscriber.complete();
+  }
+
+  #assignment(demand: Demand, server: string, version: string, sentAt: number): Assignment {
+    let held = true;
+    return {
+      server,
+      version,
+      release: (outcome) => {
+        if (!held) return;
+        held = false;
+        this.#release(demand, server, outcome, sentAt);
+      },
+    };
+  }
+
+  #release(demand: Demand, server: string, outcome: AttemptOutcome, sentAt: number): void {
+    const now = this.#now;
+    if (outcome === 'answered') {
+      this.#holdTimes.observe(demand.workspace, demand.priority, now - sentAt);
+    }
+    if (this.#servers.released(server, outcome, now)) {
+      this.#context.log.event('warn', 'breaker_opened', { server });
+    }
+    this.#line.drain();
+  }
+
+  #refuse(
+    { request, workspace, priority }: Demand,
+    subscriber: Subscriber<Result<Assignment, Refusal>>,
+    code: 'not_found' | 'overloaded' | 'unavailable' | 'queue_timeout',
+    message: string,
+    afterMs = RETRY_AFTER_MS,
+  ): void {
+    const { random, log } = this.#context;
+    const retryAfterMs = Math.round(
+      random.jitter(Math.max(RETRY_AFTER_MS, afterMs), RETRY_AFTER_SPREAD),
+    );
+    this.#refused[code] = (this.#refused[code] ?? 0) + 1;
+    log.event('info', 'route_refused', {
+      request, workspace, priority, code, reason: message, retry_after_ms: retryAfterMs,
+    });
+    subscriber.next(err({
+      code, message, ran: 'no', retryAfterMs,
+    }));
+    subscriber.complete();
+  }
+}
--- /dev/null
+++ b/src/routing/serverload.ts
@@ -0,0 +1,58 @@
+/**
+ * How busy a backend server is now, estimated from a load report that lags and from what this
+ * daemon has sent to it and seen end since. All daemons' work is in the report; only this daemon's
+ * own work since is known here.
+ */
+import type { LoadReport } from '../engines/engine.js';
+
+/** A dispatch this shortly before a report came may not be counted in it. */
+const REPORT_TRIP_MS = 5;
+
+export interface ServerLoad {
+  /** This daemon's requests in flight at the server. */
+  readonly own: number;
+  /** What other daemons had in flight there when the last report was made. */
+  readonly others: number;
+  /** Scheduler time of the report that `others` comes from. */
+  readonly reportedAt: number;
+  /** Scheduler times of the newest dispatches. */
+  readonly recent: readonly number[];
+  /** Scheduler time until which the server prefills prompts that this daemon sent. */
+  readonly busyUntil: number;
+}
+
+export const IDLE_SERVER: ServerLoad = {
+  own: 0, others: 0, reportedAt: -1, recent: [], busyUntil: 0,
+};
+
+export function loadDispatched(load: ServerLoad, prefillMs: number, now: number): ServerLoad {
+  return {
+    ...load,
+    own: load.own + 1,
+    recent: [...load.recent.filter((at) => now - at < REPORT_TRIP_MS), now],
+    busyUntil: Math.max(now, load.busyUntil) + prefillMs,
+  };
+}
+
+export function loadReleased(load: ServerLoad): ServerLoad {
+  return { ...load, own: Math.max(0, load.own - 1) };
+}
+
+/** Takes a report unless it is the one already taken. */
+export function loadReported(
+  load: ServerLoad,
+  report: LoadReport | undefined,
+  reportedAt: number,
+): ServerLoad {
+  if (!report || reportedAt === load.reportedAt) return load;
+  const uncounted = load.recent.filter((at) => reportedAt - at < REPORT_TRIP_MS).length;
+  const counted = Math.max(0, load.own - uncounted);
+  return {
+    ...load, reportedAt, others: Math.max(0, report.running + report.waiting - counted),
+  };
+}
+
+/** Requests in flight at the server, as far as can be told. */
+export function occupancy(load: ServerLoad): number {
+  return load.own + load.others;
+}
--- /dev/null
+++ b/src/routing/servers.ts
@@ -0,0 +1,206 @@
+/**
+ * The backend servers as routing sees them: what the directory and the configuration say, with this
+ * daemon's own load estimates and circuit breakers on top.
+ */
+import type { Random } from '../common/random.js';
+import type { Configuration } from '../configuration/configuration.js';
+import type { Directory, EngineView } from '../engines/directory.js';
+import { BLOCK_CHARACTERS } from '../engines/prefix.js';
+import {
+  allows, breakerOutcome, breakerSent, CLOSED,
+} from './breaker.js';
+import type { Breaker } from './breaker.js';
+import type { Candidate } from './choice.js';
+import type { AttemptOutcome } from './dispatcher.js';
+import { DEFAULT_POOL, exclusion, roomFor } from './eligibility.js';
+import type { Exclusion, Need, ServerView } from './eligibility.js';
+import type { PrefixIndex } from './prefixindex.js';
+import {
+  IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy,
+} from './serverload.js';
+import type { ServerLoad } from './serverload.js';
+import type { Priority } from '../engines/engine.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const PREFILL_TOKENS_PER_STEP = 2_048;
+/** Prefill work ahead at a server past which only new interactive requests are sent there. */
+const MAX_BUSY_MS = 100;
+/** A plain service's call counts as this many engine steps' worth of contention. */
+const SERVICE_STEP_MS = 1;
+
+/** A request as far as the servers matter to it. */
+export interface Ask {
+  readonly need: Need;
+  readonly priority: Priority;
+  readonly resume: boolean;
+  /** Servers that it was tried on. */
+  readonly exclude: readonly string[];
+  /** Prefix blocks of the prompt, and the characters of the whole of it. */
+  readonly blocks: readonly string[];
+  readonly characters: number;
+}
+
+export interface Survey {
+  /** Servers that may take the request now. */
+  readonly candidates: readonly Candidate[];
+  /** Servers that could take it but have no room now. */
+  readonly full: number;
+  readonly excluded: Readonly<Partial<Record<Exclusion, number>>>;
+}
+
+export interface ServerSnapshot {
+  readonly server: string;
+  readonly inFlight: number;
+  readonly othersInFlight: number;
+  readonly breaker: Breaker['kind'];
+}
+
+export interface ServersContext {
+  readonly directory: Directory;
+  readonly leaving: () => ReadonlySet<string>;
+  readonly random: Random;
+}
+
+interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
+
+const NEW_SERVER: Book = { load: IDLE_SERVER, breaker: CLOSED };
+
+/** Milliseconds that a server takes to prefill what it has not cached. */
+export function prefillMs(characters: number, cachedBlocks: number, stepMs: number): number {
+  const tokens = Math.max(0, characters - cachedBlocks * BLOCK_CHARACTERS) / CHARACTERS_PER_TOKEN;
+  return (tokens / PREFILL_TOKENS_PER_STEP) * stepMs;
+}
+
+function serviceViews(need: Need, configuration: Configuration): readonly ServerView[] {
+  if (need.kind === 'model') return [];
+  return Object.values(configuration.servers)
+    .filter(({ kind, pool }) => kind === 'service' && pool === need.pool)
+    .map((server) => ({ server, health: 'up', report: undefined }));
+}
+
+export class Servers {
+  readonly #context: ServersContext;
+
+  readonly #prefixes: PrefixIndex;
+
+  readonly #books = new Map<string, Book>();
+
+  private constructor(context: ServersContext, prefixes: PrefixIndex) {
+    this.#context = context;
+    this.#prefixes = prefixes;
+  }
+
+  static of(context: ServersContext, prefixes: PrefixIndex): Servers {
+    return new Servers(context, prefixes);
+  }
+
+  survey(ask: Ask, configuration: Configuration, now: number): Survey {
+    const { need } = ask;
+    const leaving = this.#context.leaving();
+    const credits = new Map(this.#prefixes.lookup(ask.blocks, now)
+      .map(({ engine, blocks, confidence }) => [engine, blocks * confidence]));
+    const views = need.kind === 'model'
+      ? this.#context.directory.engines()
+      : serviceViews(need, configuration);
+    const candidates: Candidate[] = [];
+    const excluded: Partial<Record<Exclusion, number>> = {};
+    let full = 0;
+    views.forEach((view) => {
+      const { name } = view.server;
+      const pool = configuration.pools[view.server.pool];
+      const reason = exclusion(need, view, pool, leaving) ?? this.#ownExclusion(ask, name, now);
+      if (reason) {
+        excluded[reason] = (excluded[reason] ?? 0) + 1;
+        return;
+      }
+      const slots = Math.min(
+        (pool ?? DEFAULT_POOL).concurrencyPerServer,
+        view.report?.slots ?? Infinity,
+      );
+      const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
+      const room = roomFor(ask.priority, ask.resume, slots);
+      const paced = candidate.busyMs > MAX_BUSY_MS
+        && (ask.resume || ask.priority !== 'interactive');
+      if (candidate.occupancy >= room || paced) full += 1;
+      else candidates.push(candidate);
+    });
+    return { candidates, full, excluded };
+  }
+
+  /** Notes that a request was given to a server. */
+  sent(ask: Ask, candidate: Candidate, now: number): void {
+    const { server } = candidate;
+    const { load, breaker } = this.#book(server);
+    this.#books.set(server, {
+      load: loadDispatched(load, candidate.prefillMs, now), breaker: breakerSent(breaker, now),
+    });
+    if (ask.need.kind === 'model') this.#prefixes.dispatched(server, ask.blocks, now);
+  }
+
+  /** Takes the outcome of a request; true when it opened the server's circuit breaker. */
+  released(server: string, outcome: AttemptOutcome, now: number): boolean {
+    const { load, breaker } = this.#book(server);
+    const next = breakerOutcome(breaker, outcome, now, this.#context.random);
+    this.#books.set(server, { load: loadReleased(load), breaker: next });
+    return next.kind === 'open' && breaker.kind !== 'open';
+  }
+
+  /** Forgets servers that the configuration no longer names and that have nothing in flight. */
+  configured({ servers }: Configuration): void {
+    this.#books.forEach(({ load }, name) => {
+      if (servers[name] || load.own > 0) return;
+      this.#books.delete(name);
+      this.#prefixes.forget(name);
+    });
+  }
+
+  snapshot(): readonly ServerSnapshot[] {
+    return [...this.#books].map(([server, { load, breaker }]) => ({
+      server, inFlight: load.own, othersInFlight: load.others, breaker: breaker.kind,
+    }));
+  }
+
+  #book(server: string): Book {
+    return this.#books.get(server) ?? NEW_SERVER;
+  }
+
+  #ownExclusion({ exclude }: Ask, name: string, now: number): Exclusion | undefined {
+    if (exclude.includes(name)) return 'tried';
+    return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
+  }
+
+  #candidate(
+    { characters }: Ask,
+    view: ServerView | EngineView,
+    slots: number,
+    cachedBlocks: number,
+    now: number,
+  ): Candidate {
+    const { server, health, report } = view;
+    const load = this.#reported(view, now);
+    const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
+    return {
+      server: server.name,
+      zone: server.zone,
+      health,
+      occupancy: occupancy(load),
+      slots,
+      stepMs,
+      busyMs: Math.max(0, load.busyUntil - now),
+      prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
+    };
+  }
+
+  /** The server's load, with a report that is new since the last look taken in. */
+  #reported(view: ServerView | EngineView, now: number): ServerLoad {
+    const { server: { name }, report } = view;
+    const book = this.#book(name);
+    if (!report || !('reportedAt' in view) || view.reportedAt === book.load.reportedAt) {
+      return book.load;
+    }
+    const load = loadReported(book.load, report, view.reportedAt);
+    this.#books.set(name, { ...book, load });
+    this.#prefixes.reported(name, report.incarnation, now);
+    return load;
+  }
+}
--- /dev/null
+++ b/src/routing/snapshot.ts
@@ -0,0 +1,22 @@
+/** What the administration API and the metrics show of routing. */
+import type { Priority } from '../engines/engine.js';
+import type { ServerSnapshot } from './servers.js';
+import type { AttemptKind } from './waiting.js';
+
+/** Counts since the start, for metrics. */
+export interface RoutingCounts {
+  readonly assigned: Readonly<Record<AttemptKind, number>>;
+  readonly refused: Readonly<Record<string, number>>;
+}
+
+export interface QueueSnapshot {
+  readonly workspace: string;
+  readonly priority: Priority;
+  readonly waiting: number;
+}
+
+export interface RoutingSnapshot {
+  readonly queues: readonly QueueSnapshot[];
+  readonly servers: readonly ServerSnapshot[];
+  readonly prefixBlocks: number;
+}
--- /dev/null
+++ b/src/routing/waitingline.ts
@@ -0,0 +1,130 @@
+/**
+ * Keeps the queue of requests that wait for a server: performs its transactions, looks at it again
+ * whenever a place may have come free, and ends entries at their deadlines.
+ */
+import { timer } from 'rxjs';
+import type { SchedulerLike, Subscription } from 'rxjs';
+import type { Limits } from '../configuration/configuration.js';
+import { nextEntry, queueTransaction } from '../limits/queue.js';
+import type { QueueEvent, QueueRefusal } from '../limits/queue.js';
+import { EMPTY_QUEUE, entriesOf } from '../limits/queuestate.js';
+import type { Entry, QueueState } from '../limits/queuestate.js';
+import type { QueueSnapshot } from './snapshot.js';
+import type { Waiting } from './waiting.js';
+
+/** How often waiting entries are looked at besides when a server gives a place back. */
+const TICK_MS = 20;
+
+/** What the line asks of the router. */
+export interface Placer {
+  readonly scheduler: SchedulerLike;
+  readonly limits: () => Limits;
+  /** Tries to place an entry, and takes it out of the line if it is `done`. */
+  readonly place: (waiting: Waiting) => 'done' | 'waits';
+  readonly refuse: (waiting: Waiting, refusal: QueueRefusal) => void;
+}
+
+export class WaitingLine {
+  readonly #placer: Placer;
+
+  readonly #waiting = new Map<number, Waiting>();
+
+  #queue: QueueState = EMPTY_QUEUE;
+
+  #draining = false;
+
+  #drainAgain = false;
+
+  #ticks: Subscription | undefined;
+
+  private constructor(placer: Placer) {
+    this.#placer = placer;
+  }
+
+  static of(placer: Placer): WaitingLine {
+    return new WaitingLine(placer);
+  }
+
+  /** Adds an entry and places what can be placed. */
+  enter(waiting: Waiting): void {
+    this.#waiting.set(waiting.entry.id, waiting);
+    this.#advance({ kind: 'enter', entry: waiting.entry });
+    this.drain();
+  }
+
+  /** Takes an entry out that was placed. */
+  placed({ entry }: Waiting): void {
+    this.#waiting.delete(entry.id);
+    this.#advance({ kind: 'placed', entry, now: this.#placer.scheduler.now() });
+  }
+
+  /** Takes an entry out that was given up on. */
+  leave({ entry }: Waiting): void {
+    if (!this.#waiting.delete(entry.id)) return;
+    this.#advance({ kind: 'left', entry });
+  }
+
+  stop(): void {
+    this.#ticks?.unsubscribe();
+  }
+
+  snapshot(): readonly QueueSnapshot[] {
+    const queues = new Map<string, QueueSnapshot>();
+    entriesOf(this.#queue).forEach(({ workspace, priority }) => {
+      const key = `${priority} ${workspace}`;
+      const waiting = (queues.get(key)?.waiting ?? 0) + 1;
+      queues.set(key, { workspace, priority, waiting });
+    });
+    return [...queues.values()];
+  }
+
+  /** Places what can be placed; a call from within, by a subscriber, goes on in the outer one. */
+  drain(): void {
+    this.#drainAgain = true;
+    if (this.#draining) return;
+    this.#draining = true;
+    while (this.#drainAgain) {
+      this.#drainAgain = false;
+      this.#drainOnce();
+    }
+    this.#draining = false;
+  }
+
+  #drainOnce(): void {
+    const blocked = new Set<string>();
+    const open = ({ id }: Entry) => !blocked.has(this.#waiting.get(id)?.group ?? '');
+    for (;;) {
+      const entry = nextEntry(this.#queue, open);
+      const waiting = entry && this.#waiting.get(entry.id);
+      if (!waiting) return;
+      if (this.#placer.place(waiting) === 'waits') blocked.add(waiting.group);
+    }
+  }
+
+  #advance(event: QueueEvent): void {
+    const tr = queueTransaction(this.#queue, event, this.#placer.limits());
+    this.#queue = tr.state;
+    tr.effects.forEach((effect) => this.#giveUp(effect));
+    this.#keepTicking();
+  }
+
+  /** Performs the queue's refusal. */
+  #giveUp(refusal: QueueRefusal): void {
+    const { entry } = refusal;
+    const waiting = this.#waiting.get(entry.id);
+    if (!waiting) return;
+    this.#waiting.delete(entry.id);
+    this.#placer.refuse(waiting, refusal);
+  }
+
+  #keepTicking(): void {
+    const ticking = this.#ticks && !this.#ticks.closed;
+    if (this.#queue.length === 0) this.#ticks?.unsubscribe();
+    else if (!ticking) {
+      this.#ticks = timer(TICK_MS, TICK_MS, this.#placer.scheduler).subscribe(() => {
+        this.#advance({ kind: 'tick', now: this.#placer.scheduler.now() });
+        this.drain();
+      });
+    }
+  }
+}
