--- a/src/limits/shares.ts
+++ b/src/limits/shares.ts
@@ -130,10 +130,11 @@
   return seen?.incarnation === state.row.incarnation && seen.version >= state.raisedVersion;
 }
 
-/** The share that would be right by all demands seen. */
-function target(state: ShareState, key: string, demand: number): number {
+/** The share that would be right by all demands seen; those of the long silent are void. */
+function target(state: ShareState, key: string, demand: number, now: number): number {
   const wanted = demand * HEADROOM;
   const sum = others(state)
+    .filter((name) => silentFor(state, name, now) <= RECLAIM_MS)
     .reduce((total, name) => total + claimOf(state, name, key).demand * HEADROOM, wanted);
   if (sum >= MOVABLE) return MOVABLE * (wanted / sum);
   return wanted + (MOVABLE - sum) / state.members.length;
@@ -180,7 +181,7 @@
   now: number,
 ): Claim {
   const claim = settled(state, key, state.row.claims[key] ?? NO_CLAIM, now);
-  const right = target(state, key, need.demand);
+  const right = target(state, key, need.demand, now);
   const bound = sideBound(state, key, claim.hold, now);
   if (bound < claim.hold || right < claim.hold - MIN_CHANGE) {
     return lowered(claim, Math.min(bound, right), need);
--- a/test/limits-shares.test.ts
+++ b/test/limits-shares.test.ts
@@ -25,6 +25,8 @@
 
   #now = 0;
 
+  #partedAt = 0;
+
   #incarnation = 1;
 
   loss = 0.3;
@@ -47,6 +49,7 @@
 
   /** Parts those whose names are before `cut` from the others; without it, joins all. */
   part(cut = ''): void {
+    this.#partedAt = this.#now;
     NAMES.forEach((name) => this.#sides.set(name, name < cut ? 0 : 1));
   }
 
@@ -77,8 +80,11 @@
 
   #step(name: string): void {
     const now = this.#now;
-    const reachable = NAMES.filter((other) => (
+    const connected = NAMES.filter((other) => (
       this.#sides.get(other) === this.#sides.get(name) && !this.paused.has(other)));
+    // Daemons notice a partition at different times.
+    const noticed = now - this.#partedAt >= NAMES.indexOf(name) * TICK_MS;
+    const reachable = noticed ? connected : NAMES;
     const listed = shareTransaction(this.#states.get(name)!, {
       kind: 'members', members: NAMES, reachable, now,
     });
@@ -87,7 +93,7 @@
       kind: 'tick', needs: { [KEY]: { demand, inUse: 0 } }, now,
     });
     this.#states.set(name, state);
-    reachable.filter((to) => to !== name && this.#random.fraction() >= this.loss)
+    connected.filter((to) => to !== name && this.#random.fraction() >= this.loss)
       .forEach((to) => this.#flights.push({
         to, row: state.row, at: now + this.#random.integer(0, this.maxDelayMs),
       }));
