--- a/src/limits/queue.ts
+++ b/src/limits/queue.ts
@@ -77,7 +77,7 @@
   // An entry that did not wait says nothing of how fast others are placed.
   if (entry.enteredAt === now) return state.paces;
   const name = paceKey(entry);
-  const pace = state.paces.get(name) ?? { placements: 0, intervalMs: 0, placedAt: now };
+  const pace = state.paces.get(name) ?? { placements: 0, intervalMs: 0, placedAt: entry.enteredAt };
   // Only the time in which this entry already waited was a time of serving others.
   const intervalMs = now - Math.max(pace.placedAt, entry.enteredAt);
   const weight = Math.max(INTERVAL_WEIGHT, 1 / (pace.placements + 1));
--- /dev/null
+++ b/test/queue.test.ts
@@ -0,0 +1,173 @@
+import test from 'ava';
+import { DEFAULT_LIMITS } from '../src/configuration/defaults.js';
+import type { Priority } from '../src/engines/engine.js';
+import { nextEntry, queueTransaction } from '../src/limits/queue.js';
+import type { QueueEvent, QueueRefusal } from '../src/limits/queue.js';
+import { deadlineOf, EMPTY_QUEUE } from '../src/limits/queuestate.js';
+import type { Entry, QueueState } from '../src/limits/queuestate.js';
+
+const LIMITS = { ...DEFAULT_LIMITS, queueLength: 12 };
+
+/** A queue under test; `enter` is terse so that tables of entries stay readable. */
+class Line {
+  #state: QueueState = EMPTY_QUEUE;
+
+  #nextId = 0;
+
+  now = 0;
+
+  readonly refused: string[] = [];
+
+  #apply(event: QueueEvent): void {
+    const tr = queueTransaction(this.#state, event, LIMITS);
+    this.#state = tr.state;
+    tr.effects.forEach(({ entry, cause }: QueueRefusal) => {
+      this.refused.push(`${entry.workspace}#${entry.id} ${cause}`);
+    });
+  }
+
+  enter(workspace: string, priority: Priority, options: Partial<Entry> = {}): void {
+    const resume = options.resume ?? false;
+    this.#apply({
+      kind: 'enter',
+      entry: {
+        id: this.#nextId,
+        workspace,
+        weight: 1,
+        priority,
+        resume,
+        key: 'm',
+        cost: 100,
+        enteredAt: this.now,
+        deadline: deadlineOf(priority, resume, this.now, LIMITS),
+        ...options,
+      },
+    });
+    this.#nextId += 1;
+  }
+
+  fill(count: number, workspace: string, priority: Priority, options: Partial<Entry> = {}): void {
+    for (let index = 0; index < count; index += 1) this.enter(workspace, priority, options);
+  }
+
+  place(open: (entry: Entry) => boolean = () => true): string {
+    const entry = nextEntry(this.#state, open);
+    if (!entry) return '';
+    this.#apply({ kind: 'placed', entry, now: this.now });
+    return entry.workspace;
+  }
+
+  places(count: number): string {
+    return Array.from({ length: count }, () => this.place()).join('');
+  }
+
+  tick(): void {
+    this.#apply({ kind: 'tick', now: this.now });
+  }
+}
+
+test('interactive goes first, and batch is not starved', (t) => {
+  const line = new Line();
+  let batch = 0;
+  line.fill(2, 'b', 'batch');
+  line.enter('i', 'interactive');
+  t.is(line.place(), 'i');
+  for (let round = 0; round < 170; round += 1) {
+    line.enter('i', 'interactive');
+    if (line.place() === 'b') {
+      batch += 1;
+      line.place();
+      line.enter('b', 'batch');
+    }
+  }
+  t.true(batch >= 8 && batch <= 12, `${batch}`);
+});
+
+test('workspaces of a class share by weight and cost, and a flood does not delay others', (t) => {
+  const line = new Line();
+  line.fill(6, 'a', 'standard');
+  line.fill(3, 'b', 'standard');
+  t.is(line.places(4), 'abab');
+  const weighted = new Line();
+  weighted.fill(6, 'a', 'standard', { weight: 2 });
+  weighted.fill(3, 'b', 'standard');
+  t.is(weighted.places(6), 'abaaba');
+  const long = new Line();
+  long.fill(4, 'a', 'standard', { cost: 300 });
+  long.fill(7, 'b', 'standard');
+  t.is(long.places(8), 'abbbabbb');
+});
+
+test('a workspace that was idle is not owed what it did not use', (t) => {
+  const line = new Line();
+  line.fill(10, 'a', 'standard');
+  line.places(8);
+  line.fill(6, 'b', 'standard');
+  t.is(line.places(4), 'baba');
+});
+
+test('resumes go before new work of their class', (t) => {
+  const line = new Line();
+  line.fill(2, 'a', 'batch');
+  line.enter('r', 'batch', { resume: true });
+  line.enter('i', 'interactive');
+  t.is(line.places(4), 'iraa');
+});
+
+test('an entry whose servers have no room does not hold up others of its workspace', (t) => {
+  const line = new Line();
+  line.enter('a', 'standard', { key: 'full' });
+  line.enter('b', 'standard', { key: 'full' });
+  line.enter('c', 'standard', { key: 'free' });
+  t.is(line.place(({ key }) => key === 'free'), 'c');
+  t.is(line.place(({ key }) => key === 'free'), '');
+});
+
+test('entries are refused at their deadlines, resumes no earlier than after 5 s', (t) => {
+  const line = new Line();
+  line.enter('i', 'interactive');
+  line.enter('r', 'interactive', { resume: true });
+  line.enter('s', 'standard');
+  line.now = 499;
+  line.tick();
+  t.deepEqual(line.refused, []);
+  line.now = 500;
+  line.tick();
+  t.deepEqual(line.refused, ['i#0 queue_timeout']);
+  line.now = 5_000;
+  line.tick();
+  t.deepEqual(line.refused.slice(1), ['r#1 queue_timeout', 's#2 queue_timeout']);
+  t.is(line.place(), '');
+});
+
+test('a full queue sheds the newest of the longest flow in the lowest class', (t) => {
+  const line = new Line();
+  line.fill(2, 'small', 'batch');
+  line.fill(9, 'large', 'batch');
+  line.enter('s', 'standard');
+  t.deepEqual(line.refused, []);
+  line.enter('i', 'interactive');
+  t.deepEqual(line.refused, ['large#10 overloaded']);
+  line.enter('small', 'batch');
+  t.deepEqual(line.refused.slice(1), ['large#9 overloaded']);
+  line.fill(12, 'i', 'interactive');
+  t.true(line.refused.slice(2, 12).every((refusal) => /small|large/.test(refusal)));
+  line.enter('r', 'batch', { resume: true });
+  t.false(line.refused.some((refusal) => refusal.startsWith('r')));
+});
+
+test('a request is refused at once when it would wait past its bound', (t) => {
+  const line = new Line();
+  line.fill(10, 'i', 'interactive');
+  for (let step = 0; step < 8; step += 1) {
+    line.now += 55;
+    line.place();
+  }
+  line.fill(8, 'i', 'interactive');
+  t.deepEqual(line.refused, []);
+  line.enter('i', 'interactive');
+  t.deepEqual(line.refused, ['i#18 overloaded']);
+  line.enter('other', 'interactive');
+  line.enter('r', 'interactive', { resume: true });
+  t.is(line.refused.length, 1);
+});
