--- a/src/limits/queue.ts
+++ b/src/limits/queue.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that wait for a backend server. Classes share what the servers do by start-time fair
+ * Requests that wait for a backend server. Classes share what the servers do by weighted fair
  * queueing with steep weights, so that interactive requests go first and batch is never starved;
  * within a class resumes go first, and workspaces share by their weights. The queue is bounded in
  * length and each entry in time.
@@ -153,8 +153,9 @@
   { classes }: QueueState,
   open: (entry: Entry) => boolean,
 ): Entry | undefined {
-  return CLASSES
-    .map((name) => ({ tag: classes[name].tag, entry: firstOf(classes[name], open) }))
-    .filter(({ entry }) => entry !== undefined)
-    .sort((left, right) => left.tag - right.tag)[0]?.entry;
+  const heads = CLASSES.flatMap((name) => {
+    const entry = firstOf(classes[name], open);
+    return entry ? [{ entry, finish: classes[name].tag + entry.cost / CLASS_WEIGHTS[name] }] : [];
+  });
+  return heads.sort((left, right) => left.finish - right.finish)[0]?.entry;
 }
