--- /dev/null
+++ b/test/fakes/clock.ts
@@ -0,0 +1,54 @@
+/**
+ * Virtual time. `advance` runs scheduled actions in order of time, and lets promises settle after
+ * each, so that a run with the same seed is the same run.
+ */
+import type { SchedulerLike, Subscription } from 'rxjs';
+import { Action } from './action.js';
+import type { Gate, Work } from './action.js';
+import { Queue } from './queue.js';
+
+/** Lets every promise that can settle do so. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+export class VirtualClock implements SchedulerLike {
+  readonly #queue = new Queue();
+
+  #now = 0;
+
+  #order = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  /** Calls `fire` when time has come to `at`. */
+  at(at: number, fire: () => void): void {
+    this.#order += 1;
+    this.#queue.push({ at, order: this.#order, fire });
+  }
+
+  schedule<Value>(work: Work<Value>, delay = 0, state?: Value): Subscription {
+    return new Action<Value>(this, work, (fire) => fire()).schedule(state, delay);
+  }
+
+  gated<Value>(work: Work<Value>, delay: number, state: Value, gate: Gate): Subscription {
+    return new Action<Value>(this, work, gate).schedule(state, delay);
+  }
+
+  async advance(ms: number): Promise<void> {
+    const until = this.#now + ms;
+    await settle();
+    for (let next = this.#queue.first; next && next.at <= until; next = this.#queue.first) {
+      this.#queue.pop();
+      this.#now = next.at;
+      next.fire();
+      // eslint-disable-next-line no-await-in-loop -- actions run one after the other
+      await settle();
+    }
+    this.#now = until;
+  }
+}
