--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -22,6 +22,10 @@
     languageOptions: { globals: { console: 'readonly', process: 'readonly' } },
     rules: { 'no-console': 'off', 'import-x/no-extraneous-dependencies': 'off' },
   },
+  {
+    files: ['bench/**/*.ts'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
   {
     files: ['src/**/*.ts', 'test/**/*.ts', 'bench/**/*.ts'],
     rules: {
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -110,6 +110,11 @@
     return { ...this.#work };
   }
 
+  /** Generations that run or wait here. */
+  get running(): readonly string[] {
+    return [...this.#running, ...this.#waiting].map(({ request }) => request.generation);
+  }
+
   get incarnation(): string {
     return this.#incarnation;
   }
--- a/src/standin/engineserver.ts
+++ b/src/standin/engineserver.ts
@@ -1,4 +1,7 @@
-/** Serves a stand-in engine over HTTP in the protocol of `engines/wire`. */
+/**
+ * Serves a stand-in engine over HTTP in the protocol of `engines/wire`, and to measurements what it
+ * has done, at `/control/work`.
+ */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
@@ -41,6 +44,8 @@
     sendStream(res, engine.cacheEvents());
   } else if (url.pathname === '/v1/load') {
     sendJson(res, await engine.load());
+  } else if (url.pathname === '/control/work') {
+    sendJson(res, { ...engine.work, running: engine.running });
   } else {
     res.writeHead(404).end();
   }
