--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -18,7 +18,7 @@
 import { VirtualClock } from './clock.js';
 import {
   deployment, engineEntry, MODELS, VERSION, WORKSPACE,
-} from './deployment.js';
+} from './worldconfiguration.js';
 import { engineLink, LaggingList, objectLink } from './links.js';
 import type { Dispatch, EngineFaults, EngineNode } from './links.js';
 import { Network } from './network.js';
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -1,7 +1,7 @@
 /** The commands that the fuzzing draws from, and which of them are possible at a moment. */
 import fc from 'fast-check';
 import type { AsyncCommand } from 'fast-check';
-import { MODELS } from '../fakes/deployment.js';
+import { MODELS } from '../fakes/worldconfiguration.js';
 import { LIST, STORE } from '../fakes/links.js';
 import type { World } from '../fakes/world.js';
 import { play } from './steps.js';
