Add the administration API and the commands on top of it

Cause: operators drive the system by its configuration and need to see what it does. Change: a tRPC administration API behind administrators' keys; commands check, apply, put, remove, pull, diff, history, outcome, status, engines, lease, queues, workspaces, why, drain. Checked: type checker and linter; run against daemons once the instance is wired.

--- /dev/null
+++ b/src/admin/router.ts
@@ -0,0 +1,93 @@
+/**
+ * The administration API: one tRPC procedure for each thing an administrator can see or do. Changes
+ * of the configuration go through the publisher; everything else is this instance's own view.
+ */
+import { initTRPC, TRPCError } from '@trpc/server';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Publisher } from '../configuration/publisher.js';
+import type { StoreError } from '../store/objects.js';
+import type { Administration } from './administration.js';
+
+const MAX_FILES = 1_000;
+const MAX_NAME_CHARACTERS = 128;
+
+export interface AdminContext {
+  /** Name of the key that the call was made with, for the history. */
+  readonly administrator: string;
+}
+
+const t = initTRPC.context<AdminContext>().create();
+
+const folder = z.record(z.string().max(MAX_NAME_CHARACTERS), z.string())
+  .refine((files) => Object.keys(files).length <= MAX_FILES, `at most ${MAX_FILES} files`);
+
+const edit = {
+  who: z.string().min(1).max(MAX_NAME_CHARACTERS),
+  allowEmpty: z.boolean().optional(),
+};
+
+function settled<Value>(result: Result<Value, StoreError>): Value {
+  if (result.isOk()) return result.value;
+  throw new TRPCError({ code: 'SERVICE_UNAVAILABLE', message: result.error.message });
+}
+
+/** The key's name stands before the name that the operator gave. */
+function signed(context: AdminContext, who: string): string {
+  return `${context.administrator}/${who}`;
+}
+
+function configurationRouter(publisher: Publisher) {
+  return t.router({
+    apply: t.procedure
+      .input(z.object({ ...edit, folder, base: z.int().min(0) }))
+      .mutation(({ input, ctx }) => publisher.apply(input.folder, {
+        who: signed(ctx, input.who), base: input.base, allowEmpty: input.allowEmpty ?? false,
+      })),
+    put: t.procedure
+      .input(z.object({
+        ...edit, file: z.string(), text: z.string(), base: z.int().min(0).optional(),
+      }))
+      .mutation(({ input, ctx }) => publisher.put(input.file, input.text, {
+        who: signed(ctx, input.who),
+        ...(input.base === undefined ? {} : { base: input.base }),
+      })),
+    remove: t.procedure
+      .input(z.object({ ...edit, file: z.string(), base: z.int().min(0).optional() }))
+      .mutation(({ input, ctx }) => publisher.remove(input.file, {
+        who: signed(ctx, input.who),
+        allowEmpty: input.allowEmpty ?? false,
+        ...(input.base === undefined ? {} : { base: input.base }),
+      })),
+    pull: t.procedure.query(async () => settled(await publisher.pull())),
+    history: t.procedure.query(async () => settled(await publisher.history())),
+    diff: t.procedure.input(z.object({ folder }))
+      .query(async ({ input }) => settled(await publisher.diff(input.folder))),
+    outcome: t.procedure.input(z.object({ writeId: z.string() }))
+      .query(async ({ input }) => settled(await publisher.outcomeOf(input.writeId))),
+  });
+}
+
+export function adminRouter(administration: Administration, publisher: Publisher) {
+  return t.router({
+    configuration: configurationRouter(publisher),
+    status: t.procedure.query(() => administration.status()),
+    instances: t.procedure.query(() => administration.members()),
+    engines: t.procedure.query(() => administration.engines()),
+    lease: t.procedure.query(() => administration.lease()),
+    queues: t.procedure.query(() => administration.queues()),
+    workspaces: t.procedure.query(() => administration.workspaces()),
+    why: t.procedure.input(z.object({ request: z.string().max(MAX_NAME_CHARACTERS) }))
+      .query(({ input }) => administration.why(input.request)),
+    drain: t.procedure.mutation(() => {
+      administration.drain();
+      return administration.status();
+    }),
+    undrain: t.procedure.mutation(() => {
+      administration.undrain();
+      return administration.status();
+    }),
+  });
+}
+
+export type AdminRouter = ReturnType<typeof adminRouter>;
--- /dev/null
+++ b/src/admin/server.ts
@@ -0,0 +1,65 @@
+/**
+ * Serves the administration API over HTTP. Calls carry an administrator's key as a bearer token;
+ * the settings keep only digests, and the comparison takes the same time for every key.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { equalSecrets, sha256 } from '../common/hash.js';
+import type { Log } from '../common/log.js';
+import type { AdminRouter } from './router.js';
+
+const MAX_BODY_BYTES = 2_097_152;
+const MAX_HEADER_BYTES = 16_384;
+const REQUEST_TIMEOUT_MS = 30_000;
+const UNAUTHORIZED = 401;
+
+export interface Administrator {
+  readonly name: string;
+  /** SHA-256 of the key, in hexadecimal. */
+  readonly keyHash: string;
+}
+
+export interface AdminServerOptions {
+  readonly router: AdminRouter;
+  readonly administrators: readonly Administrator[];
+  readonly log: Log;
+}
+
+/** Every key is compared, so that the time does not tell which one nearly fitted. */
+function administratorOf(
+  req: IncomingMessage,
+  administrators: readonly Administrator[],
+): string | undefined {
+  const [, key = ''] = /^Bearer (\S+)$/.exec(req.headers.authorization ?? '') ?? [];
+  const hash = sha256(key);
+  return administrators.reduce<string | undefined>((found, { name, keyHash }) => (
+    equalSecrets(keyHash, hash) ? name : found), undefined);
+}
+
+/** A server for administrators; the daemon listens on it and closes it. */
+export function adminServer({ router, administrators, log }: AdminServerOptions): Server {
+  const handler = createHTTPHandler({
+    router,
+    maxBodySize: MAX_BODY_BYTES,
+    createContext: ({ req }) => ({
+      administrator: administratorOf(req, administrators) ?? 'unknown',
+    }),
+  });
+  return createServer({
+    maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS,
+  }, (req, res) => {
+    res.on('error', () => undefined);
+    const administrator = administratorOf(req, administrators);
+    if (administrator === undefined) {
+      log.event('warn', 'admin_refused', { from: req.socket.remoteAddress });
+      res.writeHead(UNAUTHORIZED, { 'content-type': 'application/json' });
+      res.end('{"error":{"code":"unauthorized","message":"an administrator key is needed"}}');
+      return;
+    }
+    log.event('info', 'admin_call', {
+      administrator, method: req.method, path: (req.url ?? '').split('?')[0],
+    });
+    handler(req, res);
+  });
+}
--- /dev/null
+++ b/src/cli/changes.ts
@@ -0,0 +1,217 @@
+/** The commands that read and change the configuration. */
+import { readFile } from 'node:fs/promises';
+import { basename } from 'node:path';
+import { userInfo } from 'node:os';
+import { checkFolder, explain } from '../configuration/check.js';
+import { hasErrors } from '../common/finding.js';
+import type { Publication } from '../configuration/publisher.js';
+import type { FileChange } from '../configuration/stored.js';
+import { DAEMON_OPTIONS } from './command.js';
+import type { Command, ExitCode, Invocation } from './command.js';
+import type { Connection } from './connection.js';
+import {
+  readFolder, readRevision, writeFolder, writeRevision,
+} from './folder.js';
+import { reportPublication } from './publication.js';
+import { withDaemon } from './session.js';
+import { table } from './terminal.js';
+import { waitInForce } from './wait.js';
+
+const WAIT_OPTION = {
+  wait: { type: 'boolean', help: 'return once every live instance works by the revision' },
+} as const;
+
+const EDIT_OPTIONS = {
+  ...DAEMON_OPTIONS,
+  ...WAIT_OPTION,
+  base: { type: 'string', help: 'the revision that the edit was made from' },
+  'allow-empty': { type: 'boolean', help: 'allow a change that leaves no file' },
+} as const;
+
+function operator(): string {
+  return process.env.SHALLOTSHUNT_OPERATOR ?? userInfo().username;
+}
+
+function baseOf({ values }: Invocation): number | undefined {
+  return typeof values.base === 'string' ? Number(values.base) : undefined;
+}
+
+/** Reports the change and, when asked, waits until it is in force everywhere. */
+async function finish(
+  invocation: Invocation,
+  connection: Connection,
+  publication: Publication,
+): Promise<ExitCode> {
+  const { terminal, values } = invocation;
+  const code = reportPublication(terminal, publication);
+  const accepted = publication.kind === 'accepted' || publication.kind === 'unchanged';
+  if (!accepted || !values.wait) return code;
+  const missing = await waitInForce(connection, publication.revision, terminal);
+  missing.forEach(({ name, revision }) => {
+    terminal.error(`${name} still works by revision ${revision}`);
+  });
+  return missing.length === 0 ? 0 : 4;
+}
+
+function describeChange({ file, before, after }: FileChange): string {
+  if (before === undefined) return `added    ${file}`;
+  return after === undefined ? `removed  ${file}` : `changed  ${file}`;
+}
+
+const check: Command = {
+  name: 'check',
+  summary: 'Checks a folder of configuration files and prints every finding.',
+  operands: 'DIR',
+  arity: [1, 1],
+  options: {
+    explain: { type: 'string', help: 'tell which file the value of KEY comes from' },
+  },
+  run: async ({ positionals, values, terminal }) => {
+    const checked = checkFolder(await readFolder(positionals[0]!));
+    const key = values.explain;
+    if (typeof key === 'string') {
+      terminal.result(explain(checked, key), (origins) => origins.map((origin) => {
+        const { place, value, fallback } = origin;
+        const from = place ? `${place.file}:${place.line}:${place.column}` : 'default';
+        const hidden = origin.hidden.map((earlier) => (
+          `\n  hides ${earlier.value} from ${earlier.place.file}:${earlier.place.line}`)).join('');
+        return `${origin.path} = ${value ?? fallback} (${from})${hidden}`;
+      }).join('\n') || `no file sets ${key}`);
+    }
+    const { findings } = checked;
+    if (terminal.json && key === undefined) terminal.line(JSON.stringify(findings, null, 2));
+    else terminal.findings(findings);
+    return hasErrors(checked.findings) ? 1 : 0;
+  },
+};
+
+const apply: Command = {
+  name: 'apply',
+  summary: 'Makes a folder the configuration, merged with what others changed meanwhile.',
+  operands: 'DIR',
+  arity: [1, 1],
+  options: EDIT_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const { positionals, values, terminal } = invocation;
+    const directory = positionals[0]!;
+    const folder = await readFolder(directory);
+    const base = baseOf(invocation) ?? await readRevision(directory)
+      ?? ((await connection.configuration.pull.query()).revision === 0 ? 0 : undefined);
+    if (base === undefined) {
+      terminal.error('not known which revision the folder was made from; pull first, or --base N');
+      return 2;
+    }
+    const publication = await connection.configuration.apply.mutate({
+      folder, base, who: operator(), allowEmpty: values['allow-empty'] === true,
+    });
+    // After a merge the folder on disk lacks what the others changed, so its base stays.
+    if (publication.kind === 'accepted' && publication.taken.length === 0) {
+      await writeRevision(directory, publication.revision);
+    }
+    return finish(invocation, connection, publication);
+  }),
+};
+
+const put: Command = {
+  name: 'put',
+  summary: 'Adds or replaces one file of the configuration.',
+  operands: 'FILE',
+  arity: [1, 1],
+  options: EDIT_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const path = invocation.positionals[0]!;
+    const publication = await connection.configuration.put.mutate({
+      file: basename(path),
+      text: await readFile(path, 'utf8'),
+      who: operator(),
+      base: baseOf(invocation),
+    });
+    return finish(invocation, connection, publication);
+  }),
+};
+
+const remove: Command = {
+  name: 'remove',
+  summary: 'Removes one file of the configuration, which uncovers what it hid.',
+  operands: 'NAME',
+  arity: [1, 1],
+  options: EDIT_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const publication = await connection.configuration.remove.mutate({
+      file: invocation.positionals[0]!,
+      who: operator(),
+      base: baseOf(invocation),
+      allowEmpty: invocation.values['allow-empty'] === true,
+    });
+    return finish(invocation, connection, publication);
+  }),
+};
+
+const pull: Command = {
+  name: 'pull',
+  summary: 'Writes the stored configuration files into a folder.',
+  operands: 'DIR',
+  arity: [1, 1],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const { revision, files } = await connection.configuration.pull.query();
+    await writeFolder(invocation.positionals[0]!, files, revision);
+    invocation.terminal.result(
+      { revision, files: Object.keys(files) },
+      (pulled) => `pulled revision ${pulled.revision}: ${pulled.files.length} files`,
+    );
+    return 0;
+  }),
+};
+
+const diff: Command = {
+  name: 'diff',
+  summary: 'Lists the files that applying a folder would change.',
+  operands: 'DIR',
+  arity: [1, 1],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const folder = await readFolder(invocation.positionals[0]!);
+    const changes = await connection.configuration.diff.query({ folder });
+    invocation.terminal.result(changes, (list) => (
+      list.map(describeChange).join('\n') || 'no change'));
+    return 0;
+  }),
+};
+
+const history: Command = {
+  name: 'history',
+  summary: 'Lists the latest changes of the configuration.',
+  operands: '',
+  arity: [0, 0],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const entries = await connection.configuration.history.query();
+    invocation.terminal.result(entries, (list) => table(
+      ['REVISION', 'TIME', 'WHO', 'FILES'],
+      list.map((entry) => [
+        entry.revision, entry.at, entry.who, entry.changes.map(({ file }) => file).join(' '),
+      ]),
+    ));
+    return 0;
+  }),
+};
+
+const outcome: Command = {
+  name: 'outcome',
+  summary: 'Tells whether a change whose end was not known has been accepted.',
+  operands: 'WRITE-ID',
+  arity: [1, 1],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const writeId = invocation.positionals[0]!;
+    const entry = await connection.configuration.outcome.query({ writeId });
+    invocation.terminal.result(entry ?? null, (found) => (
+      found ? `accepted as revision ${found.revision}` : 'not in the history'));
+    return entry ? 0 : 1;
+  }),
+};
+
+export const CHANGE_COMMANDS: readonly Command[] = [
+  check, apply, put, remove, pull, diff, history, outcome,
+];
--- /dev/null
+++ b/src/cli/folder.ts
@@ -0,0 +1,49 @@
+/** An operator's folder of configuration files on disk, and the revision that it was taken from. */
+import {
+  mkdir, readdir, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import { join } from 'node:path';
+import type { Folder } from '../configuration/check.js';
+
+/** Keeps the revision that the folder's files were pulled from or last applied as. */
+const REVISION_FILE = '.shallotshunt-revision';
+const SUFFIX = '.toml';
+
+async function fileNames(directory: string): Promise<readonly string[]> {
+  return (await readdir(directory)).filter((name) => name.endsWith(SUFFIX)).sort();
+}
+
+/** Rejects when the directory or one of its files can't be read. */
+export async function readFolder(directory: string): Promise<Folder> {
+  const names = await fileNames(directory);
+  const texts = await Promise.all(names.map((name) => readFile(join(directory, name), 'utf8')));
+  return Object.fromEntries(names.map((name, index) => [name, texts[index]!]));
+}
+
+/** The revision that the folder was taken from, if it is known. */
+export async function readRevision(directory: string): Promise<number | undefined> {
+  try {
+    const revision = Number(await readFile(join(directory, REVISION_FILE), 'utf8'));
+    return Number.isInteger(revision) ? revision : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+export async function writeRevision(directory: string, revision: number): Promise<void> {
+  await writeFile(join(directory, REVISION_FILE), `${revision}\n`);
+}
+
+/** Makes the directory's configuration files exactly those of `folder`. */
+export async function writeFolder(
+  directory: string,
+  folder: Folder,
+  revision: number,
+): Promise<void> {
+  await mkdir(directory, { recursive: true });
+  const gone = (await fileNames(directory)).filter((name) => !Object.hasOwn(folder, name));
+  await Promise.all(gone.map((name) => rm(join(directory, name))));
+  await Promise.all(Object.entries(folder)
+    .map(([name, text]) => writeFile(join(directory, name), text)));
+  await writeRevision(directory, revision);
+}
--- /dev/null
+++ b/src/cli/views.ts
@@ -0,0 +1,155 @@
+/** The commands that show a deployment's state, and those that drain. */
+import { DAEMON_OPTIONS } from './command.js';
+import type { Command, ExitCode, Invocation } from './command.js';
+import type { Connection } from './connection.js';
+import { reportPublication } from './publication.js';
+import { withDaemon } from './session.js';
+import { table } from './terminal.js';
+import type { Row } from './terminal.js';
+
+/** Merged after every other file, so that what it drains stays drained. */
+const DRAINED_FILE = 'zz-drained.toml';
+const DRAINED_SERVER = /^\[servers\."(.+)"\]$/gm;
+
+interface View<Value> {
+  readonly name: string;
+  readonly summary: string;
+  readonly query: (connection: Connection) => Promise<readonly Value[]>;
+  readonly header: readonly string[];
+  readonly row: (value: Value) => Row;
+}
+
+function viewCommand<Value>({
+  name, summary, query, header, row,
+}: View<Value>): Command {
+  return {
+    name,
+    summary,
+    operands: '',
+    arity: [0, 0],
+    options: DAEMON_OPTIONS,
+    run: (invocation) => withDaemon(invocation, async (connection) => {
+      invocation.terminal.result(await query(connection), (values) => (
+        table(header, values.map(row))));
+      return 0;
+    }),
+  };
+}
+
+function drainedServers(text: string): readonly string[] {
+  return [...text.matchAll(DRAINED_SERVER)].map(([, name]) => name!);
+}
+
+function drainedText(servers: readonly string[]): string {
+  return [
+    '# Written by `shallotshunt drain` and `shallotshunt undrain`.',
+    ...[...servers].sort().map((name) => `\n[servers."${name}"]\ndrained = true`),
+    '',
+  ].join('\n');
+}
+
+/** Drains or restores a backend server by a file of the configuration, so that it lasts. */
+async function setDrained(
+  invocation: Invocation,
+  connection: Connection,
+  server: string,
+  drained: boolean,
+): Promise<ExitCode> {
+  const { revision, files } = await connection.configuration.pull.query();
+  const others = drainedServers(files[DRAINED_FILE] ?? '').filter((name) => name !== server);
+  const text = drainedText(drained ? [...others, server] : others);
+  const publication = await connection.configuration.put.mutate({
+    file: DRAINED_FILE, text, who: 'drain', base: revision,
+  });
+  return reportPublication(invocation.terminal, publication);
+}
+
+function drainCommand(name: 'drain' | 'undrain', drained: boolean): Command {
+  return {
+    name,
+    summary: drained
+      ? 'Takes a backend server, or the daemon that is called, out of use; open work finishes.'
+      : 'Puts a backend server, or the daemon that is called, back into use.',
+    operands: '[SERVER]',
+    arity: [0, 1],
+    options: DAEMON_OPTIONS,
+    run: (invocation) => withDaemon(invocation, async (connection) => {
+      const [server] = invocation.positionals;
+      if (server !== undefined) return setDrained(invocation, connection, server, drained);
+      const status = await connection[name].mutate();
+      invocation.terminal.result(status, (value) => (
+        `${value.name}: ready ${value.ready}, open answers ${value.openAnswers}`));
+      return 0;
+    }),
+  };
+}
+
+const why: Command = {
+  name: 'why',
+  summary: 'Prints the decisions behind one request, as the daemon that served it made them.',
+  operands: 'REQUEST',
+  arity: [1, 1],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const decisions = await connection.why.query({ request: invocation.positionals[0]! });
+    invocation.terminal.result(decisions, (list) => list.map(({ atMs, event, fields }) => (
+      `${Math.round(atMs - (list[0]?.atMs ?? 0))} ms  ${event}  ${JSON.stringify(fields)}`
+    )).join('\n') || 'this daemon does not know the request');
+    return decisions.length > 0 ? 0 : 1;
+  }),
+};
+
+const status: Command = viewCommand({
+  name: 'status',
+  summary: 'Shows the daemon that is called and the revision in force on each instance.',
+  query: (connection) => connection.instances.query(),
+  header: ['INSTANCE', 'ZONE', 'STATE', 'REVISION', 'ADDRESS'],
+  row: (member) => [
+    member.name, member.zone, member.state, member.revision, member.peerAddress,
+  ],
+});
+
+const engines: Command = viewCommand({
+  name: 'engines',
+  summary: 'Shows the engines as the daemon that is called sees them.',
+  query: (connection) => connection.engines.query(),
+  header: ['ENGINE', 'ZONE', 'POOL', 'HEALTH', 'ROLE', 'RUNNING', 'WAITING', 'MINE', 'MODELS'],
+  row: (engine) => [
+    engine.name, engine.zone, engine.pool, engine.health,
+    engine.drained ? 'drained' : engine.role,
+    `${engine.running}/${engine.slots}`, engine.waiting, engine.inFlight,
+    [...engine.models, ...engine.loading.map((name) => `${name} (loading)`)].join(' '),
+  ],
+});
+
+const lease: Command = viewCommand({
+  name: 'lease',
+  summary: 'Shows who holds the placement lease, and the fencing number.',
+  query: async (connection) => [await connection.lease.query()],
+  header: ['HOLDER', 'HELD HERE', 'FENCE'],
+  row: (value) => [value.holder ?? '-', String(value.heldHere), value.fence],
+});
+
+const queues: Command = viewCommand({
+  name: 'queues',
+  summary: 'Shows what waits at the daemon that is called.',
+  query: (connection) => connection.queues.query(),
+  header: ['CLASS', 'WORKSPACE', 'WAITING'],
+  row: (queue) => [queue.priority, queue.workspace, queue.waiting],
+});
+
+const workspaces: Command = viewCommand({
+  name: 'workspaces',
+  summary: 'Shows the workspaces and this daemon\'s share of their limits.',
+  query: (connection) => connection.workspaces.query(),
+  header: ['WORKSPACE', 'RUNNING', 'CONCURRENCY', 'REQUESTS/S'],
+  row: (workspace) => [
+    workspace.name, workspace.running, workspace.concurrencyShare,
+    workspace.requestsPerSecondShare,
+  ],
+});
+
+export const VIEW_COMMANDS: readonly Command[] = [
+  status, engines, lease, queues, workspaces, why,
+  drainCommand('drain', true), drainCommand('undrain', false),
+];
--- /dev/null
+++ b/src/cli/wait.ts
@@ -0,0 +1,36 @@
+/** Waits until every live instance works by a revision, telling the progress of each. */
+import type { Member } from '../membership/instances.js';
+import type { Connection } from './connection.js';
+import type { Terminal } from './terminal.js';
+
+const POLL_MS = 100;
+const LIMIT_MS = 30_000;
+
+function waitingFor(members: readonly Member[], revision: number): readonly Member[] {
+  return members.filter((member) => member.state !== 'leaving' && member.revision < revision);
+}
+
+/** Resolves with the instances that had not got there in time, none when all had. */
+export async function waitInForce(
+  connection: Connection,
+  revision: number,
+  terminal: Terminal,
+): Promise<readonly Member[]> {
+  const until = Date.now() + LIMIT_MS;
+  const reached = new Set<string>();
+  for (;;) {
+    // eslint-disable-next-line no-await-in-loop -- each look follows the one before
+    const members = await connection.instances.query();
+    const missing = waitingFor(members, revision);
+    members.filter((member) => !missing.includes(member) && !reached.has(member.name))
+      .forEach(({ name, revision: held }) => {
+        reached.add(name);
+        if (!terminal.json) terminal.line(`${name}: revision ${held} in force`);
+      });
+    if (missing.length === 0 || Date.now() >= until) return missing;
+    // eslint-disable-next-line no-await-in-loop -- a pause between two looks
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
--- a/src/membership/instances.ts
+++ b/src/membership/instances.ts
@@ -19,10 +19,20 @@
   read(): Promise<readonly ListedInstance[]>;
 }
 
+/** Calls beside heartbeats that a peer may answer. */
+export type PeerMethod = 'claim' | 'configuration';
+
 /** Carries messages of this project's own protocol between daemons. */
 export interface PeerNetwork {
   /** Sends one heartbeat and resolves with the peer's; rejects on loss or a peer that refuses. */
   exchange(address: string, message: unknown, deadlineMs: number): Promise<unknown>;
+
+  /**
+   * Calls another handler of the peer and resolves with its answer's body. Rejects when there is
+   * none within the deadline, or the peer speaks another protocol version; the handler may have
+   * run in the first case, but not in the second.
+   */
+  call(method: PeerMethod, address: string, body: unknown, deadlineMs: number): Promise<unknown>;
 }
 
 export type MemberState = 'alive' | 'suspect' | 'leaving' | 'dead';
--- a/src/membership/peernetwork.ts
+++ b/src/membership/peernetwork.ts
@@ -10,7 +10,7 @@
 import type { SchedulerLike } from 'rxjs';
 import type { Random } from '../common/random.js';
 import type { PeerRouter } from '../daemon/peerserver.js';
-import type { PeerNetwork } from './instances.js';
+import type { PeerMethod, PeerNetwork } from './instances.js';
 import { PROTOCOL } from './message.js';
 import {
   ENCODING_HEADER, encodingOf, NONCE_HEADER, pack, PEER_PATH, readBody, SIGNATURE_HEADER,
@@ -24,9 +24,6 @@
 const HTTP_OK = 200;
 const HTTP_ERRORS_FROM = 400;
 
-/** Calls beside heartbeats that a peer may answer. */
-export type PeerMethod = 'claim' | 'configuration';
-
 export interface PeerClientOptions {
   readonly key: string;
   readonly scheduler: SchedulerLike;
@@ -108,11 +105,6 @@
     ));
   }
 
-  /**
-   * Calls another handler of the peer and resolves with its answer's body. Rejects when there is
-   * none within the deadline, or the peer speaks another protocol version; the handler may have
-   * run in the first case, but not in the second.
-   */
   async call(
     method: PeerMethod,
     address: string,
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -135,7 +135,10 @@
       }),
       objects: objectLink(links, this.objects),
       list: this.list.link(name),
-      network: { exchange: () => Promise.reject(new Error('not connected')) },
+      network: {
+        exchange: () => Promise.reject(new Error('not connected')),
+        call: () => Promise.reject(new Error('not connected')),
+      },
       configurations: new Observable((subscriber) => this.configuration.subscribe((value) => {
         clock.run(epoch, () => subscriber.next(value));
       })),
