--- a/test/configuration-publisher.test.ts
+++ b/test/configuration-publisher.test.ts
@@ -137,6 +137,17 @@
   });
 });
 
+test('of two operators who put one file at once, one gets a conflict', async (t) => {
+  const {
+    objects, publisher, run, publisherOf,
+  } = await startStored(START);
+  objects.setFaults({ latencyMs: 20 });
+  const ends = await run(Promise.all([
+    publisher.put('x.toml', X2, EDIT), publisherOf(5).put('x.toml', X3, { who: 'ben' }),
+  ]));
+  t.deepEqual(ends.map((end) => end.kind).sort(), ['accepted', 'conflict']);
+});
+
 test('files that are valid alone but not together are refused with findings', async (t) => {
   const { publisher } = await startStored({ ...BASE, 'p.toml': '[pools.p]' });
   await publisher.remove('p.toml', EDIT);
