Keep daemons on the latest configuration, from the store and from peers

A pure state goes up in revision only; a revision that fails the checks is reported and the one before stays. A daemon that has just started hears a peer, or waits 3 s, before it believes the store, and fetches from peers what they have above it. Each daemon asks a different peer, with pauses after failures.

--- /dev/null
+++ b/src/configuration/followstate.ts
@@ -0,0 +1,201 @@
+/**
+ * Which revision of the configuration a daemon works by, as a pure state. Revisions come from the
+ * store and from peers; only a higher one than the one in force, that passes the checks, replaces
+ * it. A daemon that has just started first hears a peer, so that an out-of-date copy in the store
+ * does not take it back behind the others.
+ */
+import type { Finding } from '../common/finding.js';
+import { rendezvousOrder } from '../common/hash.js';
+import { checkFolder } from './check.js';
+import type { Configuration } from './configuration.js';
+import { parseStored } from './stored.js';
+
+/** How long a daemon that has just started waits for a peer before it believes the store. */
+export const FIRST_WAIT_MS = 3_000;
+
+/** A revision with the stored text that it comes from. */
+export interface Revision {
+  readonly revision: number;
+  readonly text: string;
+  readonly configuration: Configuration;
+}
+
+export interface Rejection {
+  readonly revision: number;
+  readonly findings: readonly Finding[];
+}
+
+/** The revision that another daemon works by. */
+export interface PeerRevision { readonly address: string; readonly revision: number }
+
+export interface State {
+  /** This daemon's name. */
+  readonly name: string;
+  readonly startedAt: number;
+  readonly inForce: Revision | undefined;
+  /** The first revision, until a peer was heard. */
+  readonly held: Revision | undefined;
+  /** The highest revision that could not be put in force and is above the one in force. */
+  readonly rejected: Rejection | undefined;
+  readonly peers: readonly PeerRevision[];
+  /** Peers that a revision could not be had from, until all that have it were asked. */
+  readonly failed: readonly string[];
+  /** Fetches that failed one after another. */
+  readonly failures: number;
+  readonly fetching: boolean;
+  readonly storeHeardAt: number | undefined;
+  readonly peerHeardAt: number | undefined;
+}
+
+export type Event =
+  /** The stored text came, from the store or a peer. */
+  | { readonly kind: 'offered'; readonly text: string }
+  | { readonly kind: 'heard'; readonly from: 'store' | 'peer' }
+  | { readonly kind: 'peers'; readonly peers: readonly PeerRevision[] }
+  | { readonly kind: 'fetch_failed'; readonly address: string }
+  /** A fetch came to its end, or was no longer needed. */
+  | { readonly kind: 'fetch_ended' }
+  | { readonly kind: 'first_wait_ended' };
+
+export type Effect =
+  | { readonly kind: 'put_in_force'; readonly configuration: Configuration }
+  | { readonly kind: 'reject'; readonly rejection: Rejection }
+  /** `failures` counts the fetches that failed just before. */
+  | {
+    readonly kind: 'fetch';
+    readonly address: string;
+    readonly revision: number;
+    readonly failures: number;
+  };
+
+export interface Transaction { readonly state: State; readonly effects: readonly Effect[] }
+
+export function initialState(name: string, now: number): State {
+  return {
+    name,
+    startedAt: now,
+    inForce: undefined,
+    held: undefined,
+    rejected: undefined,
+    peers: [],
+    failed: [],
+    failures: 0,
+    fetching: false,
+    storeHeardAt: undefined,
+    peerHeardAt: undefined,
+  };
+}
+
+/** The highest revision that the daemon has and could work by. */
+export function knownRevision(state: State): number {
+  return Math.max(state.inForce?.revision ?? 0, state.held?.revision ?? 0);
+}
+
+function none(state: State): Transaction {
+  return { state, effects: [] };
+}
+
+/** Asks a peer that has a higher revision, each daemon a different one, unless one is asked. */
+function fetchMissing({ state, effects }: Transaction): Transaction {
+  if (state.fetching) return { state, effects };
+  const skipped = Math.max(knownRevision(state), state.rejected?.revision ?? 0);
+  const ahead = state.peers.filter((peer) => peer.revision > skipped);
+  const untried = ahead.filter((peer) => !state.failed.includes(peer.address));
+  const candidates = untried.length > 0 ? untried : ahead;
+  const revision = Math.max(...candidates.map((peer) => peer.revision));
+  const holders = candidates.filter((peer) => peer.revision === revision);
+  const address = rendezvousOrder(state.name, holders.map((peer) => peer.address))[0];
+  if (address === undefined) return { state, effects };
+  const { failures } = state;
+  return {
+    state: { ...state, fetching: true, failed: untried.length > 0 ? state.failed : [] },
+    effects: [...effects, {
+      kind: 'fetch', address, revision, failures,
+    }],
+  };
+}
+
+function isBehindPeers(state: State, revision: number): boolean {
+  return state.peers.some((peer) => peer.revision > revision);
+}
+
+/** Whether a first revision may be put in force. */
+function mayBegin(state: State, revision: number, now: number): boolean {
+  if (isBehindPeers(state, revision)) return false;
+  return state.peerHeardAt !== undefined || now - state.startedAt >= FIRST_WAIT_MS;
+}
+
+function putInForce(state: State, next: Revision): Transaction {
+  const stillRejected = state.rejected && state.rejected.revision > next.revision;
+  return {
+    state: {
+      ...state,
+      inForce: next,
+      held: undefined,
+      rejected: stillRejected ? state.rejected : undefined,
+    },
+    effects: [{ kind: 'put_in_force', configuration: next.configuration }],
+  };
+}
+
+function reject(state: State, rejection: Rejection): Transaction {
+  if (rejection.revision <= (state.rejected?.revision ?? 0)) return none(state);
+  return { state: { ...state, rejected: rejection }, effects: [{ kind: 'reject', rejection }] };
+}
+
+function offer(state: State, text: string, now: number): Transaction {
+  const parsed = parseStored(text);
+  if (parsed.isErr()) {
+    const finding: Finding = { severity: 'error', path: 'stored', message: parsed.error };
+    return {
+      state, effects: [{ kind: 'reject', rejection: { revision: 0, findings: [finding] } }],
+    };
+  }
+  const { revision, files } = parsed.value;
+  if (revision <= knownRevision(state) || revision === state.rejected?.revision) return none(state);
+  const { configuration, findings } = checkFolder(files, revision);
+  if (!configuration) return reject(state, { revision, findings });
+  const next = { revision, text, configuration };
+  return state.inForce || mayBegin(state, revision, now)
+    ? putInForce(state, next)
+    : none({ ...state, held: next });
+}
+
+/** Puts the held first revision in force if there is nothing left to wait for. */
+function begin(state: State, now: number): Transaction {
+  const { held } = state;
+  return held && mayBegin(state, held.revision, now) ? putInForce(state, held) : none(state);
+}
+
+function heard(state: State, from: 'store' | 'peer', now: number): State {
+  return from === 'store' ? { ...state, storeHeardAt: now } : { ...state, peerHeardAt: now };
+}
+
+function apply(state: State, event: Event, now: number): Transaction {
+  switch (event.kind) {
+    case 'offered': return offer(state, event.text, now);
+    case 'heard': return begin(heard(state, event.from, now), now);
+    case 'peers': return begin({ ...state, peers: event.peers, failed: [] }, now);
+    case 'fetch_failed': return none({
+      ...state,
+      fetching: false,
+      failed: [...state.failed, event.address],
+      failures: state.failures + 1,
+    });
+    case 'fetch_ended': return none({ ...state, fetching: false, failures: 0 });
+    case 'first_wait_ended': return begin(state, now);
+  }
+}
+
+/** @param now scheduler time */
+export function transact(state: State, event: Event, now: number): Transaction {
+  return fetchMissing(apply(state, event, now));
+}
+
+/** How long ago the store and any peer were heard, in milliseconds; since the start if never. */
+export function silence(state: State, now: number): { storeMs: number; peerMs: number } {
+  return {
+    storeMs: now - (state.storeHeardAt ?? state.startedAt),
+    peerMs: now - (state.peerHeardAt ?? state.startedAt),
+  };
+}
