Run the lease and placement; keep a book of orders sent

Change: the shells that hold the lease and send a plan's orders, a book that never repeats an order whose answer is lost before it has run out and a later report was read, the demand that daemons share, and a place for instances that are no candidates to step in late.

--- /dev/null
+++ b/src/placement/controller.ts
@@ -0,0 +1,158 @@
+/**
+ * Places models while this instance holds the lease: in each period it plans from the engines'
+ * reports and sends the plan's orders. All decisions are in `plan`, `orders` and `lease`; this
+ * shell checks the lease right before each order leaves.
+ */
+import { ignoreElements, tap, timer } from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Configuration } from '../configuration/configuration.js';
+import type { Child } from '../daemon/supervisor.js';
+import type { Directory } from '../engines/directory.js';
+import type { FencedOrder, Order, OrderOutcome } from '../engines/engine.js';
+import type { MembershipView } from '../membership/instances.js';
+import type { SoftState } from '../membership/softstate.js';
+import {
+  demandOf, MODEL_DEMAND_KEY, OLD_STREAMS_KEY, oldStreamsOf,
+} from './demand.js';
+import type { Decision } from './inventory.js';
+import type { Holding } from './lease.js';
+import {
+  bookOf, engineStates, loadAllowance, orderAnswered, orderSent,
+} from './orders.js';
+import type { OrderBook } from './orders.js';
+import { planOf } from './plan.js';
+import type { Blocked } from './scope.js';
+
+const PLAN_PERIOD_MS = 1_000;
+/** With less time than this left of the lease nothing is sent. */
+const LEAST_REMAINING_MS = 200;
+
+/** The part of the lease that the controller asks before it plans and before it sends. */
+export interface HeldLease { holding(): Holding | undefined }
+
+export interface ControllerOptions {
+  readonly lease: HeldLease;
+  readonly directory: Directory;
+  readonly membership: MembershipView;
+  readonly softState: SoftState;
+  readonly scheduler: SchedulerLike;
+  readonly log: Log;
+  readonly configuration: () => Configuration;
+}
+
+function orderText(order: Order): string {
+  switch (order.kind) {
+    case 'load':
+    case 'unload': return `${order.kind} ${order.model}@${order.version}`;
+    case 'load_adapter':
+    case 'unload_adapter':
+      return `${order.kind} ${order.model}@${order.version} ${order.adapter}`;
+    case 'role': return `role ${order.role}`;
+  }
+}
+
+export class PlacementController implements Child {
+  readonly name = 'placement';
+
+  readonly run: Observable<never>;
+
+  readonly #options: ControllerOptions;
+
+  #book: OrderBook | undefined;
+
+  #blocked = '';
+
+  private constructor(options: ControllerOptions) {
+    this.#options = options;
+    this.run = timer(0, PLAN_PERIOD_MS, options.scheduler).pipe(
+      tap(() => this.#plan()),
+      ignoreElements(),
+    );
+  }
+
+  static of(options: ControllerOptions): PlacementController {
+    return new PlacementController(options);
+  }
+
+  #plan(): void {
+    const { lease, directory, scheduler } = this.#options;
+    const configuration = this.#options.configuration();
+    const { placement, revision } = configuration;
+    const holding = lease.holding();
+    if (!holding || !placement.enabled || revision === 0) {
+      this.#book = undefined;
+      return;
+    }
+    const now = scheduler.now();
+    this.#book ??= bookOf(placement, now);
+    const engines = engineStates(this.#book, directory.engines(), holding.settledAt, now);
+    const { decisions, blocked } = planOf({
+      configuration,
+      engines,
+      ...this.#shared(revision),
+      loads: loadAllowance(this.#book, engines, placement, now),
+    });
+    this.#logBlocked(blocked);
+    decisions.forEach((decision) => this.#send(decision));
+  }
+
+  #shared(revision: number) {
+    const { softState, membership } = this.#options;
+    return {
+      demand: demandOf(softState.entries(MODEL_DEMAND_KEY)),
+      streams: oldStreamsOf(softState.entries(OLD_STREAMS_KEY), membership.current(), revision),
+    };
+  }
+
+  /** Sends one order if the lease is still held, with no more time than is left of it. */
+  #send(decision: Decision): void {
+    const { lease, directory, scheduler } = this.#options;
+    const { placement } = this.#options.configuration();
+    const view = directory.engine(decision.server);
+    const holding = lease.holding();
+    const mayOrder = holding && holding.remainingMs >= LEAST_REMAINING_MS
+      && (holding.settled || view?.server.checksFence);
+    if (!view || !this.#book || !mayOrder) return;
+    const fenced: FencedOrder = {
+      order: decision.order,
+      fence: holding.fence,
+      validForMs: Math.floor(Math.min(holding.orderMs, holding.remainingMs)),
+    };
+    this.#book = orderSent(this.#book, decision, fenced.validForMs, placement, scheduler.now());
+    this.#logOrder(decision, fenced);
+    view.client.order(fenced).then(
+      (outcome) => this.#answered(decision, outcome),
+      () => this.#answered(decision, 'unknown'),
+    );
+  }
+
+  #answered(decision: Decision, outcome: OrderOutcome): void {
+    const { scheduler, log } = this.#options;
+    if (this.#book) this.#book = orderAnswered(this.#book, decision, outcome, scheduler.now());
+    if (outcome === 'accepted') return;
+    log.event('warn', 'placement_order_failed', {
+      server: decision.server, order: orderText(decision.order), outcome,
+    });
+  }
+
+  #logOrder(decision: Decision, { fence, validForMs }: FencedOrder): void {
+    this.#options.log.event('info', 'placement', {
+      server: decision.server,
+      order: orderText(decision.order),
+      reason: decision.reason,
+      fence,
+      valid_ms: validForMs,
+    });
+  }
+
+  /** Logs what can't be placed when it changes. */
+  #logBlocked(blocked: readonly Blocked[]): void {
+    const text = blocked
+      .map(({ model, missing, reason }) => `${model}:${missing}:${reason}`).join(',');
+    if (text !== this.#blocked) {
+      this.#options.log.event('info', 'placement_blocked', { missing: text || 'none' });
+    }
+    this.#blocked = text;
+  }
+}
--- /dev/null
+++ b/src/placement/demand.ts
@@ -0,0 +1,68 @@
+/**
+ * The demand that daemons share by their heartbeats, as placement reads it: generations by model,
+ * and streams that still run on versions other than the configured ones.
+ */
+import { z } from 'zod';
+import type { Member } from '../membership/instances.js';
+import type { SoftEntry } from '../membership/softstate.js';
+import { copyName } from './inventory.js';
+import type { Demand } from './targets.js';
+
+/** Each daemon's own generations by model: `ModelDemand`. */
+export const MODEL_DEMAND_KEY = 'demand/models';
+/** Each daemon's own streams on other than the configured versions: `OldStreams`. */
+export const OLD_STREAMS_KEY = 'streams/old';
+
+const count = z.number().int().nonnegative();
+
+const modelDemandSchema = z.record(z.string(), z.object({ running: count, waiting: count }));
+
+const oldStreamsSchema = z.object({
+  /** The configuration revision that the daemon starts streams by. */
+  revision: count,
+  streams: z.array(z.object({ server: z.string(), copy: z.string(), running: count })),
+});
+
+export type ModelDemand = z.infer<typeof modelDemandSchema>;
+export type OldStreams = z.infer<typeof oldStreamsSchema>;
+
+/** The demand of all daemons together. */
+export function demandOf(entries: readonly SoftEntry[]): ReadonlyMap<string, Demand> {
+  const total = new Map<string, Demand>();
+  entries.filter((entry) => entry.key === MODEL_DEMAND_KEY).forEach((entry) => {
+    const parsed = modelDemandSchema.safeParse(entry.value);
+    if (!parsed.success) return;
+    Object.entries(parsed.data).forEach(([model, { running, waiting }]) => {
+      const known = total.get(model) ?? { running: 0, waiting: 0 };
+      total.set(model, { running: known.running + running, waiting: known.waiting + waiting });
+    });
+  });
+  return total;
+}
+
+export type StreamCount = (server: string, model: string, version: string) => number | undefined;
+
+/**
+ * Streams of all daemons on a copy that new streams don't use. Undefined until every member has
+ * told of its streams at the revision asked for, as one at an earlier revision may start more.
+ */
+export function oldStreamsOf(
+  entries: readonly SoftEntry[],
+  members: readonly Member[],
+  revision: number,
+): StreamCount {
+  const told = new Map(entries.filter((entry) => entry.key === OLD_STREAMS_KEY)
+    .flatMap((entry) => {
+      const parsed = oldStreamsSchema.safeParse(entry.value);
+      return parsed.success && parsed.data.revision >= revision
+        ? [[entry.origin, parsed.data] as const]
+        : [];
+    }));
+  if (!members.every((member) => told.has(member.name))) return () => undefined;
+  const counts = new Map<string, number>();
+  told.forEach(({ streams }) => streams.forEach(({ server, copy, running }) => {
+    const key = `${server}\n${copy}`;
+    counts.set(key, (counts.get(key) ?? 0) + running);
+  }));
+  return (server, model, version) => counts.get(`${server}\n${copyName(model, version)}`) ?? 0;
+}
--- a/src/placement/lease.ts
+++ b/src/placement/lease.ts
@@ -35,22 +35,31 @@
   readonly fence: number;
   /** Time left, by this instance's more pessimistic clock. */
   readonly remainingMs: number;
-  /** Whether every order of an earlier holder has run out. */
+  /** How long an order may take effect after it was sent. */
+  readonly orderMs: number;
+  /** Monotonic time from which no order of an earlier holder can take effect. */
+  readonly settledAt: number;
+  /** Whether that time has come. */
   readonly settled: boolean;
 }
 
-function remainingMs(lease: Lease, since: Instant, at: Instant): number {
-  return lease.durationMs * (1 - DRIFT) - elapsedMs(since, at);
+/** Time left of what a write sent at `since` gave. */
+function remainingMs(durationMs: number, since: Instant, at: Instant): number {
+  return durationMs * (1 - DRIFT) - elapsedMs(since, at);
 }
 
 /** What this instance holds at `at`; undefined when it must not order anything. */
 export function holdingAt(lease: Lease, at: Instant): Holding | undefined {
   const { held } = lease;
   if (!held || lease.doubtful) return undefined;
-  const left = remainingMs(lease, held.since, at);
+  const left = remainingMs(held.durationMs, held.since, at);
   if (left <= 0) return undefined;
   return {
-    fence: held.version, remainingMs: left, settled: at.monotonic >= lease.settledAt,
+    fence: held.version,
+    remainingMs: left,
+    orderMs: held.orderMs,
+    settledAt: lease.settledAt,
+    settled: at.monotonic >= lease.settledAt,
   };
 }
 
@@ -75,7 +84,9 @@
     holder, incarnation, nonce, durationMs, orderMs,
   };
   const expected: Expectation = version === 0 ? { kind: 'absent' } : { kind: 'version', version };
-  const sent: Write = { nonce, sentAt: at, durationMs };
+  const sent: Write = {
+    nonce, sentAt: at, durationMs, orderMs,
+  };
   return {
     lease: { ...lease, call: 'write', unsettled: [...lease.unsettled, sent] },
     effects: [{
@@ -97,19 +108,22 @@
   at: Instant,
 ): LeaseTransaction {
   const { observed, durationMs } = lease;
-  const periodMs = durationMs * (candidate ? RENEWAL : IDLE_DURATIONS);
   if (!observed) return read(lease);
   const { version, record, seenAt } = observed;
   const own = isOwn(lease, record);
-  const lapsedAt = own ? seenAt : seenAt + record.durationMs * (1 + DRIFT);
-  // A record last read long ago may have been renewed meanwhile; the update would only conflict.
-  const fresh = at.monotonic - lease.readAt <= periodMs;
-  if (at.monotonic >= lapsedAt && fresh && candidate) {
+  // Others step in only when no candidate has for long, as when none of them reaches the store.
+  const idleMs = candidate ? 0 : durationMs * IDLE_DURATIONS;
+  const lapsedAt = seenAt + idleMs + (own ? 0 : record.durationMs * (1 + DRIFT));
+  const sinceRead = at.monotonic - lease.readAt;
+  if (at.monotonic >= lapsedAt) {
+    // A record last read long ago may have been renewed; the update would only conflict.
+    if (sinceRead > durationMs * RENEWAL) return read(lease);
     const settledAt = own ? lease.settledAt : at.monotonic + record.orderMs * (1 + DRIFT);
     return write({ ...lease, settledAt }, { version, nonce, durationMs }, at);
   }
-  const lapses = candidate && at.monotonic >= lapsedAt;
-  return lapses || at.monotonic - lease.readAt >= periodMs ? read(lease) : { lease, effects: [] };
+  return sinceRead >= Math.max(idleMs, durationMs * RENEWAL)
+    ? read(lease)
+    : { lease, effects: [] };
 }
 
 function tick(
@@ -118,7 +132,7 @@
   at: Instant,
 ): LeaseTransaction {
   const { held } = lease;
-  if (held && remainingMs(lease, held.since, at) <= 0) {
+  if (held && remainingMs(held.durationMs, held.since, at) <= 0) {
     const lapsed = { ...lease, held: undefined, doubtful: false };
     const lost = { kind: 'lost', reason: 'lapsed' } as const;
     if (lease.call !== 'none') return { lease: lapsed, effects: [lost] };
@@ -145,11 +159,14 @@
 
 /** Writes so recent that what they gave, should they have taken effect, has not lapsed. */
 function withoutLapsed(lease: Lease, at: Instant): readonly Write[] {
-  return lease.unsettled.filter((sent) => remainingMs(lease, sent.sentAt, at) > 0);
+  return lease.unsettled.filter((sent) => remainingMs(sent.durationMs, sent.sentAt, at) > 0);
 }
 
 function take(lease: Lease, version: number, sent: Write, at: Instant): LeaseTransaction {
-  const held: Held = { version, since: sent.sentAt };
+  const { sentAt: since, durationMs, orderMs } = sent;
+  const held: Held = {
+    version, since, durationMs, orderMs,
+  };
   const next: Lease = {
     ...lease, held, doubtful: false, unsettled: [],
   };
--- /dev/null
+++ b/src/placement/leasekeeper.ts
@@ -0,0 +1,180 @@
+/** Runs the lease's state machine against the object API. */
+import { ignoreElements, tap, timer } from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
+import type { Placement } from '../configuration/configuration.js';
+import type { Child } from '../daemon/supervisor.js';
+import type { ObjectApi, StoreError } from '../store/objects.js';
+import { holdingAt, leaseTransaction } from './lease.js';
+import type { Holding } from './lease.js';
+import type {
+  Instant, LeaseEffect, LeaseEvent, ReadOutcome, WriteOutcome,
+} from './leasemessage.js';
+import { leaseOf } from './leasestate.js';
+import type { Lease } from './leasestate.js';
+
+export const LEASE_NAME = 'lease/placement';
+
+const TICK_MS = 250;
+const SPREAD = 0.2;
+
+export interface LeaseKeeperOptions {
+  /** This instance. */
+  readonly holder: string;
+  readonly incarnation: number;
+  readonly objects: ObjectApi;
+  readonly scheduler: SchedulerLike;
+  /** Milliseconds of the wall clock; the scheduler's clock is the monotonic one. */
+  readonly wallClock: () => number;
+  readonly random: Random;
+  readonly log: Log;
+  readonly placement: () => Placement;
+  /** Whether this instance is among the first that should take a lapsed lease. */
+  readonly candidate: () => boolean;
+}
+
+/** Who holds the lease, as last read. */
+export interface LeaseView { readonly holder: string | undefined; readonly fence: number }
+
+function writeFailure({ code }: StoreError): WriteOutcome {
+  switch (code) {
+    case 'conflict': return { kind: 'conflict' };
+    case 'ambiguous': return { kind: 'ambiguous' };
+    case 'unavailable':
+    case 'not_found':
+    case 'too_large':
+    case 'rate_limited':
+    case 'version_too_old':
+    case 'budget':
+      return { kind: 'failed' };
+  }
+}
+
+export class LeaseKeeper implements Child {
+  readonly name = 'lease';
+
+  readonly run: Observable<never>;
+
+  readonly #options: LeaseKeeperOptions;
+
+  #lease: Lease;
+
+  private constructor(options: LeaseKeeperOptions) {
+    const { leaseMs, orderTimeoutMs } = options.placement();
+    this.#options = options;
+    this.#lease = leaseOf({
+      holder: options.holder,
+      incarnation: options.incarnation,
+      durationMs: leaseMs,
+      orderMs: orderTimeoutMs,
+    });
+    const period = Math.round(options.random.jitter(TICK_MS, SPREAD));
+    this.run = timer(0, period, options.scheduler).pipe(
+      tap(() => this.#tick()),
+      ignoreElements(),
+    );
+  }
+
+  static of(options: LeaseKeeperOptions): LeaseKeeper {
+    return new LeaseKeeper(options);
+  }
+
+  /** What this instance holds at this very moment. */
+  holding(): Holding | undefined {
+    return holdingAt(this.#lease, this.#now());
+  }
+
+  view(): LeaseView {
+    const { held, observed, holder } = this.#lease;
+    if (held) return { holder, fence: held.version };
+    const other = observed?.record.holder;
+    return { holder: other === '' ? undefined : other, fence: observed?.version ?? 0 };
+  }
+
+  /** Gives the lease up for good, as when the instance leaves. */
+  release(): void {
+    this.#apply({ kind: 'release', nonce: this.#options.random.identifier() });
+  }
+
+  #now(): Instant {
+    return { monotonic: this.#options.scheduler.now(), wall: this.#options.wallClock() };
+  }
+
+  #tick(): void {
+    const { placement, candidate, random } = this.#options;
+    const { leaseMs, orderTimeoutMs } = placement();
+    // Terms that change are those of the next write.
+    this.#lease = { ...this.#lease, durationMs: leaseMs, orderMs: orderTimeoutMs };
+    this.#apply({ kind: 'tick', nonce: random.identifier(), candidate: candidate() });
+  }
+
+  #apply(event: LeaseEvent): void {
+    const { lease, effects } = leaseTransaction(this.#lease, event, this.#now());
+    this.#lease = lease;
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: LeaseEffect): void {
+    const { log } = this.#options;
+    switch (effect.kind) {
+      case 'read':
+        this.#settle(this.#read(), { kind: 'failed' }, (outcome) => ({ kind: 'read', outcome }));
+        break;
+      case 'write': {
+        const { nonce } = effect;
+        this.#settle(this.#write(effect), { kind: 'ambiguous' }, (outcome) => ({
+          kind: 'written', nonce, outcome,
+        }));
+        break;
+      }
+      case 'taken':
+        log.event('info', 'lease_taken', { fence: effect.fence });
+        break;
+      case 'lost':
+        log.event('info', 'lease_lost', { reason: effect.reason });
+        break;
+    }
+  }
+
+  /** Applies the call's outcome once: what it gives, or `otherwise` if it fails or hangs. */
+  #settle<Outcome>(
+    call: Promise<Outcome>,
+    otherwise: Outcome,
+    eventOf: (outcome: Outcome) => LeaseEvent,
+  ): void {
+    const { scheduler, log } = this.#options;
+    let open = true;
+    const finish = (outcome: Outcome) => {
+      if (open) this.#apply(eventOf(outcome));
+      open = false;
+    };
+    const deadline = scheduler.schedule(() => finish(otherwise), this.#lease.durationMs);
+    call.catch((error: unknown) => {
+      log.event('error', 'lease_call_failed', { reason: String(error) });
+      return otherwise;
+    }).then((outcome) => {
+      deadline.unsubscribe();
+      finish(outcome);
+    }).catch((error: unknown) => {
+      log.event('error', 'lease_failed', { reason: String(error) });
+    });
+  }
+
+  async #read(): Promise<ReadOutcome> {
+    const result = await this.#options.objects.get(LEASE_NAME, 'lease');
+    return result.match<ReadOutcome>(
+      ({ version, value }) => ({ kind: 'found', version, value }),
+      ({ code }) => ({ kind: code === 'not_found' ? 'absent' : 'failed' }),
+    );
+  }
+
+  async #write(effect: Extract<LeaseEffect, { kind: 'write' }>): Promise<WriteOutcome> {
+    const { value, expected } = effect;
+    const result = await this.#options.objects.put(LEASE_NAME, value, expected, 'lease');
+    return result.match<WriteOutcome>(
+      ({ version }) => ({ kind: 'done', version }),
+      writeFailure,
+    );
+  }
+}
--- a/src/placement/leasestate.ts
+++ b/src/placement/leasestate.ts
@@ -12,6 +12,8 @@
 export interface Held {
   readonly version: number;
   readonly since: Instant;
+  readonly durationMs: number;
+  readonly orderMs: number;
 }
 
 export interface Write {
@@ -19,6 +21,7 @@
   readonly sentAt: Instant;
   /** 0 when the write gives the lease up. */
   readonly durationMs: number;
+  readonly orderMs: number;
 }
 
 export interface Lease {
--- a/src/placement/makeroom.ts
+++ b/src/placement/makeroom.ts
@@ -64,7 +64,6 @@
   if (engine.report.loading.length > 0) return;
   const target = short.find((one) => canEmpty(scope, engine, one) && deserves(scope, engine, one));
   const held = engine.report.models[0];
-  if (target && !held) return;
   if (!target) {
     inventory.decide(engine, { kind: 'role', role: 'serve' }, 'back_in_service');
   } else if (held && isIdle(engine)) {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -123,8 +123,10 @@
   return inventory.serving(name) > inventory.current(name) ? 'version_rollout' : 'replica_missing';
 }
 
-/** Loads what is missing where there is room; gives the targets for which there is none. */
-function fill(scope: Scope): readonly Blocked[] {
+interface Filled { readonly blocked: readonly Blocked[]; readonly loads: number }
+
+/** Loads what is missing where there is room; gives what is blocked, and the loads not used. */
+function fill(scope: Scope): Filled {
   const { inventory, targets } = scope;
   const blocked: Blocked[] = [];
   let { loads } = scope.input;
@@ -143,10 +145,11 @@
     }
     if (reason) blocked.push({ model: model.name, missing: left, reason });
   });
-  return blocked;
+  return { blocked, loads };
 }
 
-function adapters({ input, inventory }: Scope): void {
+function adapters({ input, inventory }: Scope, loads: number): void {
+  let left = loads;
   inventory.usable.filter((engine) => inventory.isFree(engine)).forEach((engine) => {
     const held = engine.report.models.filter((copy) => isCurrent(input, copy));
     const absent = held.flatMap(({ model, version, adapters: has }) => (
@@ -157,8 +160,12 @@
         .map((adapter) => ({ model, version, adapter }))));
     const [add] = absent;
     const [drop] = isIdle(engine) ? extra : [];
-    if (add) inventory.decide(engine, { kind: 'load_adapter', ...add }, 'adapter_missing');
-    else if (drop) inventory.decide(engine, { kind: 'unload_adapter', ...drop }, 'adapter_removed');
+    if (add && left > 0) {
+      inventory.decide(engine, { kind: 'load_adapter', ...add }, 'adapter_missing');
+      left -= 1;
+    } else if (drop) {
+      inventory.decide(engine, { kind: 'unload_adapter', ...drop }, 'adapter_removed');
+    }
   });
 }
 
@@ -177,8 +184,8 @@
     input, inventory, targets, groups: groupsOf(inventory.usable, grouping),
   };
   unloadReplaced(scope);
-  const blocked = fill(scope);
+  const { blocked, loads } = fill(scope);
   makeRoom(scope, blocked);
-  adapters(scope);
+  adapters(scope, loads);
   return { decisions: inventory.decisions, blocked };
 }
--- a/test/fakes/leases.ts
+++ b/test/fakes/leases.ts
@@ -54,6 +54,9 @@
 
   calls = 0;
 
+  /** Those that should take a lapsed lease first. */
+  candidates: readonly string[] = [];
+
   /** Every moment at which more than one instance held the lease. */
   readonly overlaps: number[] = [];
 
@@ -135,7 +138,8 @@
   }
 
   #tick(name: string): void {
-    this.event(name, { kind: 'tick', nonce: this.#nonce(name), candidate: true });
+    const candidate = this.candidates.length === 0 || this.candidates.includes(name);
+    this.event(name, { kind: 'tick', nonce: this.#nonce(name), candidate });
     this.#later(name, TICK_MS, () => this.#tick(name));
   }
 
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -115,6 +115,27 @@
   t.deepEqual(contest.holders(), [next!]);
 });
 
+test('candidates take a lapsed lease first, and others when no candidate does', (t) => {
+  const contest = Contest.of(['a', 'b', 'c']);
+  contest.candidates = ['c'];
+  contest.run(TAKEN_MS);
+  t.deepEqual(contest.holders(), ['c']);
+  contest.get('c').dead = true;
+  contest.run(TAKEN_MS);
+  t.deepEqual(contest.holders(), []);
+  contest.run(10 * DURATION_MS);
+  t.is(contest.holders().length, 1);
+});
+
+test('instances that neither hold the lease nor are candidates seldom call the store', (t) => {
+  const { contest, holder } = settled(['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']);
+  contest.candidates = [holder];
+  contest.run(4 * DURATION_MS);
+  const before = contest.calls;
+  contest.run(40 * DURATION_MS);
+  t.true(contest.calls - before < 40 * 5, `${contest.calls - before} calls`);
+});
+
 test('a holder whose renewal conflicts holds nothing until it has read the record', (t) => {
   const { contest, holder } = settled();
   contest.record = { version: contest.record!.version + 1, value: 'by hand' };
