--- a/src/generation/request.ts
+++ b/src/generation/request.ts
@@ -18,6 +18,8 @@
   readonly priority: Priority;
   readonly repeat: Repeat;
   readonly idempotencyKey: string | undefined;
+  /** Digest of the caller's body; a key that comes back with another one is refused. */
+  readonly bodyHash?: string;
 }
 
 export interface AnswerToken {
@@ -31,6 +33,8 @@
   readonly reason: FinishReason;
   /** The answer's length in tokens. */
   readonly tokens: number;
+  /** The input's length in tokens, where the engine told. */
+  readonly promptTokens?: number | undefined;
 }
 
 export interface AnswerRefusal {
