Test routing, breakers, budgets and admissions under virtual time

Reports are now taken in before own counts change: a report that was looked at late was compared with counts that had moved on, and others' load came out too high. Demand gains an optional retry flag, set by the generation's placing; its second ask without exclusions is now made only when no other server could take the attempt, since a refusal by the retry budget must stand.

--- a/src/generation/placing.ts
+++ b/src/generation/placing.ts
@@ -104,6 +104,7 @@
       },
       resume: state.accepted.tokens > 0,
       exclude,
+      retry: reason !== 'begin',
     }).subscribe((result) => {
       if (waiting.closed) {
         result.map((assignment) => assignment.release('cancelled'));
@@ -113,7 +114,7 @@
         (assignment) => this.#found(reason, assignment),
         (refusal) => {
           // Where no other server is left, one that failed before may do.
-          if (exclude.length > 0 && reason !== 'hedge') {
+          if (exclude.length > 0 && reason !== 'hedge' && refusal.code === 'unavailable') {
             waiting.add(this.#ask(waiting, reason, state, []));
             return;
           }
--- a/src/limits/retrybudget.ts
+++ b/src/limits/retrybudget.ts
@@ -32,10 +32,15 @@
   return { balance: Math.min(MAX_BALANCE, balance + ratio), updatedAt: now };
 }
 
-/** The budget after one retry, or undefined when there is none left. */
-export function spend(budget: RetryBudget, now: number): RetryBudget | undefined {
+/** Whether a retry may be made now. */
+export function mayRetry(budget: RetryBudget, now: number): boolean {
+  return refilled(budget, now).balance >= 1;
+}
+
+/** The budget after one retry; those that waited for a server together may overdraw it. */
+export function spend(budget: RetryBudget, now: number): RetryBudget {
   const { balance } = refilled(budget, now);
-  return balance < 1 ? undefined : { balance: balance - 1, updatedAt: now };
+  return { balance: balance - 1, updatedAt: now };
 }
 
 /** The retry budgets of all pools. */
@@ -51,13 +56,18 @@
   }
 
   earn(pool: string, ratio: number, now: number): void {
-    this.#budgets.set(pool, earn(this.#budgets.get(pool) ?? retryBudget(now), ratio, now));
+    this.#budgets.set(pool, earn(this.#budget(pool, now), ratio, now));
+  }
+
+  spend(pool: string, now: number): void {
+    this.#budgets.set(pool, spend(this.#budget(pool, now), now));
+  }
+
+  mayRetry(pool: string, now: number): boolean {
+    return mayRetry(this.#budget(pool, now), now);
   }
 
-  /** Takes one retry; false when there is none left. */
-  spend(pool: string, now: number): boolean {
-    const budget = spend(this.#budgets.get(pool) ?? retryBudget(now), now);
-    if (budget) this.#budgets.set(pool, budget);
-    return budget !== undefined;
+  #budget(pool: string, now: number): RetryBudget {
+    return this.#budgets.get(pool) ?? retryBudget(now);
   }
 }
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -26,6 +26,10 @@
   /** Whether the caller already has part of the answer; resumes go before new work. */
   readonly resume: boolean;
   readonly exclude: readonly string[];
+  /**
+   * Whether the request was given to a server before; taken from `exclude` where it is left out.
+   */
+  readonly retry?: boolean;
 }
 
 /** How a server did, for circuit breakers and retry budgets. */
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -131,7 +131,7 @@
         this.#refuse(demand, subscriber, 'not_found', 'no such model or service');
         return undefined;
       }
-      if (kindOf(demand) === 'retry' && !this.#budgets.spend(this.#triedPool(demand), this.#now)) {
+      if (!this.#mayRetry(demand)) {
         this.#refuse(demand, subscriber, 'overloaded', 'too many retries in the pool');
         return undefined;
       }
@@ -145,10 +145,16 @@
     return this.#context.scheduler.now();
   }
 
+  /** The pool whose budget a retry draws on. */
   #triedPool({ exclude }: Demand): string {
     return this.#configuration.servers[exclude.at(-1) ?? '']?.pool ?? '';
   }
 
+  #mayRetry(demand: Demand): boolean {
+    return kindOf(demand) !== 'retry'
+      || this.#budgets.mayRetry(this.#triedPool(demand), this.#now);
+  }
+
   #wait(
     demand: Demand,
     need: Need,
@@ -194,7 +200,8 @@
       this.#dispatch(waiting, survey, choose(survey.candidates, { zone, favour }, random));
       return 'done';
     }
-    const patient = entry.resume && now - entry.enteredAt < NO_SERVER_WAIT_MS;
+    const patient = entry.resume && !survey.excluded.tried
+      && now - entry.enteredAt < NO_SERVER_WAIT_MS;
     if (!isHopeless(survey) || patient) return 'waits';
     this.#line.leave(waiting);
     this.#refuse(demand, waiting.subscriber, 'unavailable', 'no server can take the request');
@@ -202,7 +209,7 @@
   }
 
   #dispatch(waiting: Waiting, survey: Survey, choice: Choice): void {
-    const { entry, demand, ask } = waiting;
+    const { demand, ask } = waiting;
     const { candidate } = choice.chosen;
     const { log } = this.#context;
     const now = this.#now;
@@ -211,10 +218,9 @@
     this.#line.placed(waiting);
     this.#servers.sent(ask, candidate, now);
     this.#assigned[kind] += 1;
-    if (kind === 'first') {
-      const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
-      this.#budgets.earn(pool, retryRatio, now);
-    }
+    const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
+    if (kind === 'first') this.#budgets.earn(pool, retryRatio, now);
+    if (kind === 'retry') this.#budgets.spend(pool, now);
     logRoute(log, waiting, survey, choice, now);
     const version = ask.need.kind === 'model' ? ask.need.version : '';
     waiting.subscriber.next(ok(this.#assignment(demand, candidate.server, version, now)));
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -130,6 +130,7 @@
   /** Notes that a request was given to a server. */
   sent(ask: Ask, candidate: Candidate, now: number): void {
     const { server } = candidate;
+    this.#takeReport(server, now);
     const { load, breaker } = this.#book(server);
     this.#books.set(server, {
       load: loadDispatched(load, candidate.prefillMs, now), breaker: breakerSent(breaker, now),
@@ -139,6 +140,7 @@
 
   /** Takes the outcome of a request; true when it opened the server's circuit breaker. */
   released(server: string, outcome: AttemptOutcome, now: number): boolean {
+    this.#takeReport(server, now);
     const { load, breaker } = this.#book(server);
     const next = breakerOutcome(breaker, outcome, now, this.#context.random);
     this.#books.set(server, { load: loadReleased(load), breaker: next });
@@ -191,6 +193,12 @@
     };
   }
 
+  /** Takes in a waiting report before the counts change, so that it is compared with its own. */
+  #takeReport(server: string, now: number): void {
+    const view = this.#context.directory.engine(server);
+    if (view) this.#reported(view, now);
+  }
+
   /** The server's load, with a report that is new since the last look taken in. */
   #reported(view: ServerView | EngineView, now: number): ServerLoad {
     const { server: { name }, report } = view;
--- a/src/routing/waiting.ts
+++ b/src/routing/waiting.ts
@@ -8,8 +8,10 @@
 import type { Need } from './eligibility.js';
 import type { Ask, Survey } from './servers.js';
 
+/** `retry` begins again at position 0, `resume` goes on after tokens that the caller has. */
 export type AttemptKind = 'first' | 'retry' | 'resume';
 
+/** One entry of the line. */
 export interface Waiting {
   readonly entry: Entry;
   readonly demand: Demand;
@@ -19,11 +21,13 @@
   readonly subscriber: Subscriber<Result<Assignment, Refusal>>;
 }
 
-export function kindOf({ resume, exclude }: Demand): AttemptKind {
+/** Resumes and retries have budgets of their own. */
+export function kindOf({ resume, exclude, retry }: Demand): AttemptKind {
   if (resume) return 'resume';
-  return exclude.length > 0 ? 'retry' : 'first';
+  return retry ?? exclude.length > 0 ? 'retry' : 'first';
 }
 
+/** The request in terms of what the servers have to do. */
 export function askOf({ target, ...demand }: Demand, need: Need): Ask {
   const text = target.kind === 'model' ? inputText(target.input) : '';
   const blocks = target.kind === 'model' ? prefixBlocks(target.model, text) : [];
@@ -33,7 +37,7 @@
   };
 }
 
-/** Whether waiting can't help: no server could take the request, room or not. */
+/** Whether no server could take the request, room or not, nor will when its breaker closes. */
 export function isHopeless({ candidates, full, excluded }: Survey): boolean {
   return candidates.length + full === 0 && !excluded.not_reported && !excluded.breaker;
 }
--- /dev/null
+++ b/test/routing.test.ts
@@ -0,0 +1,223 @@
+import test from 'ava';
+import { Random } from '../src/common/random.js';
+import type { Configuration } from '../src/configuration/configuration.js';
+import { prefixBlocks } from '../src/engines/prefix.js';
+import type { Demand } from '../src/routing/dispatcher.js';
+import {
+  CONFIGURATION, demandOf, RoutingBench, serverOf,
+} from './fakes/routing.js';
+import type { FakeEngine } from './fakes/routing.js';
+
+const A: FakeEngine = { name: 'a' };
+const B: FakeEngine = { name: 'b' };
+const MODEL = demandOf().target as Extract<Demand['target'], { kind: 'model' }>;
+
+function servers(outcomes: readonly { readonly outcome: string | undefined }[]): string {
+  return outcomes.map(({ outcome }) => outcome ?? '-').join(' ');
+}
+
+const ELIGIBILITY: readonly [string, readonly FakeEngine[], Partial<Demand>, string][] = [
+  ['drained', [{ ...A, drained: true }, B], {}, 'b'],
+  ['down', [{ ...A, health: 'down' }, B], {}, 'b'],
+  ['suspect when another is up', [{ ...A, health: 'suspect' }, { ...B, zone: 'b' }], {}, 'b'],
+  ['suspect when no other is left', [{ ...A, health: 'suspect' }], {}, 'a'],
+  ['leaving by its own report', [{ ...A, report: { role: 'leaving' } }, B], {}, 'b'],
+  ['idle', [{ ...A, report: { role: 'idle' } }, B], {}, 'b'],
+  ['of another pool', [{ ...A, pool: 'other' }, B], {}, 'b'],
+  ['without the model', [{ ...A, report: { models: [] } }, B], {}, 'b'],
+  ['with another version',
+    [{ ...A, report: { models: [{ model: 'm', version: '2', adapters: [] }] } }, B], {}, 'b'],
+  ['with the version a resume needs',
+    [{ ...A, report: { models: [{ model: 'm', version: '2', adapters: [] }] } }, B],
+    { target: { ...MODEL, version: '2' }, resume: true }, 'a'],
+  ['without the adapter',
+    [{ ...A, report: { models: [{ model: 'm', version: '1', adapters: [] }] } }, B],
+    { target: { ...MODEL, adapter: 'lora' } }, 'b'],
+  ['tried before', [A, B], { exclude: ['a'] }, 'b'],
+  ['none at all', [{ ...A, health: 'down' }], {}, 'unavailable'],
+  ['no such model', [A], { target: { ...MODEL, model: 'none' } }, 'not_found'],
+];
+
+ELIGIBILITY.forEach(([title, engines, change, expected]) => {
+  test(`an engine that is ${title}`, (t) => {
+    const bench = new RoutingBench(engines);
+    t.is(servers(bench.asks(4, change)), Array(4).fill(expected).join(' '));
+  });
+});
+
+test('a server that other daemons know to be leaving gets nothing, and no resumes', (t) => {
+  const bench = new RoutingBench([A, B]);
+  bench.leaving.add('a');
+  t.is(servers([...bench.asks(3), ...bench.asks(3, { resume: true })]), 'b b b b b b');
+});
+
+test('a configuration that drains or removes a server holds from the next request on', (t) => {
+  const bench = new RoutingBench([A]);
+  t.is(bench.ask().outcome, 'a');
+  bench.report([{ ...A, drained: true }]);
+  t.is(bench.ask().outcome, 'unavailable');
+  bench.report([]);
+  t.is(bench.ask().outcome, 'unavailable');
+});
+
+test('reports that lag are corrected by own dispatches and ends', async (t) => {
+  const bench = new RoutingBench([{ ...A, report: { running: 5 } }, B]);
+  const first = bench.asks(10);
+  const counts = (name: string) => first.filter(({ outcome }) => outcome === name).length;
+  t.true(counts('b') >= 7 && counts('b') <= 8, servers(first));
+  await bench.clock.advance(100);
+  // The next reports count what was sent; nothing is counted twice.
+  bench.report([
+    { ...A, report: { running: 5 + counts('a') } }, { ...B, report: { running: counts('b') } },
+  ]);
+  first.filter(({ outcome }) => outcome === 'b')
+    .forEach(({ assignment }) => assignment?.release('answered'));
+  t.is(servers(bench.asks(4)), 'b b b b');
+  const load = Object.fromEntries(bench.router.snapshot().servers
+    .map(({ server, inFlight, othersInFlight }) => [server, [inFlight, othersInFlight]]));
+  t.deepEqual(load, { a: [counts('a'), 5], b: [4, 0] });
+});
+
+test('the same zone goes first, and the others carry when the zone is lost', (t) => {
+  const far: FakeEngine = { name: 'far', zone: 'b' };
+  const bench = new RoutingBench([{ ...A, zone: 'a' }, far]);
+  t.is(bench.ask().outcome, 'a');
+  bench.report([{ ...A, zone: 'a', health: 'down' }, far]);
+  t.is(servers(bench.asks(3)), 'far far far');
+});
+
+test('a cached prefix outweighs another zone where resources are favoured', async (t) => {
+  const text = 'x'.repeat(256 * 20);
+  const target = { ...MODEL, input: { kind: 'prompt', text } } as const;
+  const far: FakeEngine = { name: 'far', zone: 'b' };
+  const outcome = async (favour: 'latency' | 'resources') => {
+    const bench = RoutingBench.favouring(favour, [A, far]);
+    await bench.clock.advance(10);
+    bench.events.get('far')?.next({
+      incarnation: 'i1', sequence: 1, kind: 'stored', blocks: prefixBlocks('m', text),
+    });
+    return bench.ask({ target }).outcome;
+  };
+  t.is(await outcome('latency'), 'a');
+  t.is(await outcome('resources'), 'far');
+});
+
+test('several daemons with the same reports do not all send to the same engine', (t) => {
+  const engines = Array.from({ length: 8 }, (_, index) => ({ name: `e${index}` }));
+  const chosen = new Set(Array.from({ length: 16 }, (_, seed) => (
+    new RoutingBench(engines, {}, { random: Random.of(seed) }).ask().outcome)));
+  t.true(chosen.size >= 5, `${chosen.size}`);
+});
+
+test('batch leaves room for interactive, and waits until a place comes free', async (t) => {
+  const bench = new RoutingBench([A]);
+  const batch = bench.asks(10, { priority: 'batch' });
+  t.is(servers(batch), 'a a a a a a a a a -');
+  t.is(bench.ask({ priority: 'interactive' }).outcome, 'a');
+  t.deepEqual(bench.router.snapshot().queues, [{ workspace: 'w', priority: 'batch', waiting: 1 }]);
+  batch[0]?.assignment?.release('answered');
+  t.is(bench.ask({ priority: 'batch', resume: true }).outcome, 'a');
+  batch[2]?.assignment?.release('answered');
+  batch[1]?.assignment?.release('answered');
+  t.is(batch[9]?.outcome, 'a');
+});
+
+test('what waits is placed by a new report, and refused at its deadline', async (t) => {
+  const bench = new RoutingBench([{ ...A, report: { running: 10 } }]);
+  const [first, second] = [bench.ask(), bench.ask({ priority: 'interactive' })];
+  await bench.clock.advance(100);
+  t.is(servers([first, second]), '- -');
+  bench.report([{ ...A, report: { running: 9 } }]);
+  await bench.clock.advance(30);
+  t.is(servers([first, second]), '- a');
+  await bench.clock.advance(4_860);
+  t.is(first.outcome, undefined);
+  await bench.clock.advance(50);
+  t.is(first.outcome, 'queue_timeout');
+  t.is(first.refusal?.ran, 'no');
+  t.true((first.refusal?.retryAfterMs ?? 0) > 0);
+});
+
+test('leaving the queue leaves nothing behind', (t) => {
+  const bench = new RoutingBench([{ ...A, report: { running: 10 } }]);
+  bench.ask().subscription.unsubscribe();
+  t.deepEqual(bench.router.snapshot().queues, []);
+});
+
+test('a breaker opens after failures, probes once and closes again', async (t) => {
+  const bench = new RoutingBench([A, B]);
+  const onA = () => bench.ask({ exclude: ['b'], retry: false });
+  for (let failure = 0; failure < 5; failure += 1) onA().assignment?.release('failed');
+  t.is(servers(bench.asks(3)), 'b b b');
+  await bench.clock.advance(700);
+  const probe = onA();
+  t.is(probe.outcome, 'a');
+  t.is(onA().outcome, undefined);
+  probe.assignment?.release('answered');
+  t.is(onA().outcome, 'a');
+});
+
+test('retries are bounded by their budget, resumes and first attempts are not', (t) => {
+  const engines = Array.from({ length: 8 }, (_, index) => ({ name: `e${index}` }));
+  const bench = new RoutingBench(engines);
+  const retries = bench.asks(8, { exclude: ['e0'] }).map(({ outcome }) => outcome);
+  t.is(retries.filter((outcome) => outcome === 'overloaded').length, 3);
+  const resumes = bench.asks(8, { exclude: ['e0'], resume: true });
+  t.true(resumes.every(({ outcome }) => outcome?.startsWith('e')));
+  t.is(bench.ask().outcome?.[0], 'e');
+});
+
+test('a resume waits a second for a server, and new work is refused at once', async (t) => {
+  const bench = new RoutingBench([{ ...A, health: 'down' }]);
+  const [first, second] = [bench.ask({ resume: true }), bench.ask({ resume: true })];
+  t.is(bench.ask().outcome, 'unavailable');
+  await bench.clock.advance(500);
+  t.is(first.outcome, undefined);
+  bench.report([{ ...A, report: { slots: 1 } }]);
+  await bench.clock.advance(30);
+  t.is(servers([first, second]), 'a -');
+  bench.report([{ ...A, health: 'down' }]);
+  await bench.clock.advance(600);
+  t.is(second.outcome, 'unavailable');
+});
+
+test('resumes after a loss are paced by the prefill work they bring', async (t) => {
+  const bench = new RoutingBench([{ ...A, report: { slots: 1_000 } }], {
+    pools: { p: { ...CONFIGURATION.pools.p!, concurrencyPerServer: 1_000 } },
+  });
+  const input = { kind: 'prompt', text: 'y'.repeat(8_192 * 20) } as const;
+  const resumes = Array.from({ length: 8 }, (_, index) => bench.ask({
+    resume: true, target: { ...MODEL, input: { ...input, text: `${index}${input.text}` } },
+  }));
+  const placed = () => resumes.filter(({ outcome }) => outcome === 'a').length;
+  t.is(placed(), 3);
+  t.is(bench.ask({ priority: 'interactive' }).outcome, 'a');
+  await bench.clock.advance(250);
+  t.is(placed(), 8);
+});
+
+test('a plain service is called on its pool, least in flight and same zone first', (t) => {
+  const service = (name: string, zone: string) => serverOf({ name, zone, pool: 's' }, 'service');
+  const change: Partial<Configuration> = {
+    servers: { near: service('near', 'a'), far: service('far', 'b'), a: serverOf(A) },
+    services: { stock: { name: 'stock', pool: 's', routes: [] } },
+  };
+  const bench = new RoutingBench([A], change);
+  const target = { kind: 'service', service: 'stock' } as const;
+  t.is(bench.ask({ target }).outcome, 'near');
+  for (let failure = 0; failure < 5; failure += 1) {
+    bench.ask({ target, exclude: ['far'], retry: false }).assignment?.release('failed');
+  }
+  t.is(servers(bench.asks(3, { target })), 'far far far');
+  t.is(bench.ask({ target: { kind: 'service', service: 'none' } }).outcome, 'not_found');
+});
+
+test('each decision logs what was weighed', (t) => {
+  const bench = new RoutingBench([A, { ...B, zone: 'b' }, { name: 'c', drained: true }]);
+  bench.ask();
+  const [line] = bench.routes;
+  t.is(line?.server, 'a');
+  t.is(line?.candidates, 2);
+  t.deepEqual(line?.excluded, ['drained:1']);
+  t.deepEqual(line?.weighed, ['a:0.0', 'b:3.0']);
+});
