Wire the instance: configuration, membership, limits, placement, administration

Cause: the lanes' parts stood side by side; the daemon still used the thin ones. Change: Instance joins the router, the workspaces' shares, heartbeats, the configuration's follower, the lease and placement in one supervisor tree; an instance cut off from store and peers refuses new requests; the fuzzing's world runs it whole, with peers over the fake network.

--- /dev/null
+++ b/src/daemon/configurationfeed.ts
@@ -0,0 +1,110 @@
+/**
+ * Joins the follower of the configuration to the rest of the instance: peers' revisions go in, what
+ * is in force comes out, and the peers are told.
+ */
+import { BehaviorSubject, map, timer } from 'rxjs';
+import type { Observable, SchedulerLike, Subscription } from 'rxjs';
+import type { Configuration } from '../configuration/configuration.js';
+import { EMPTY_CONFIGURATION } from '../configuration/defaults.js';
+import { Follower } from '../configuration/follower.js';
+import type { FollowerContext, FollowerStatus } from '../configuration/follower.js';
+import type { Heartbeats } from '../membership/heartbeats.js';
+import type { PeerNetwork } from '../membership/instances.js';
+import { CONFIGURATION_KEY } from '../membership/state.js';
+import { FLEET_RATES, shareOf } from '../store/budget.js';
+import type { PacedObjects } from '../store/paced.js';
+
+const FETCH_DEADLINE_MS = 1_000;
+const PEER_LOOK_PERIOD_MS = 500;
+
+export interface FeedContext extends Omit<FollowerContext, 'api' | 'peers'> {
+  readonly objects: PacedObjects;
+  readonly heartbeats: Heartbeats;
+  readonly network: PeerNetwork;
+}
+
+/** The stored text at a peer; rejects when there is none or no answer. */
+async function fetchText(network: PeerNetwork, address: string): Promise<string> {
+  const text = await network.call('configuration', address, {}, FETCH_DEADLINE_MS);
+  if (typeof text !== 'string' || text === '') throw new Error('the peer has no configuration');
+  return text;
+}
+
+export class ConfigurationFeed {
+  readonly #context: FeedContext;
+
+  readonly #follower: Follower;
+
+  readonly #current = new BehaviorSubject(EMPTY_CONFIGURATION);
+
+  private constructor(context: FeedContext) {
+    this.#context = context;
+    this.#follower = Follower.of({
+      ...context,
+      api: context.objects,
+      peers: { fetch: (address) => fetchText(context.network, address) },
+    });
+  }
+
+  static of(context: FeedContext): ConfigurationFeed {
+    return new ConfigurationFeed(context);
+  }
+
+  /** The configuration in force, and each that follows it. */
+  get changes(): Observable<Configuration> {
+    return this.#current;
+  }
+
+  get current(): Configuration {
+    return this.#current.value;
+  }
+
+  get status(): FollowerStatus {
+    return this.#follower.status();
+  }
+
+  /** Whether any configuration was ever put in force. */
+  get ready(): boolean {
+    return this.#follower.ready;
+  }
+
+  /** The stored text in force, for a peer that asks; empty while there is none. */
+  text(): string {
+    return this.#follower.current()?.text ?? '';
+  }
+
+  /** Follows the object API and the peers until the subscription ends. */
+  start(): Subscription {
+    const { scheduler, heartbeats } = this.#context;
+    const running = this.#follower.start();
+    running.add(this.#follower.configurations.subscribe((configuration) => {
+      this.#current.next(configuration);
+      heartbeats.softState.publish(CONFIGURATION_KEY, { revision: configuration.revision });
+    }));
+    running.add(this.#followPeers());
+    running.add(this.#followContact(scheduler));
+    return running;
+  }
+
+  #followPeers(): Subscription {
+    const { heartbeats, name, objects } = this.#context;
+    return heartbeats.members.pipe(
+      map((members) => members.filter((member) => member.name !== name)),
+    ).subscribe((peers) => {
+      const members = peers.length + 1;
+      objects.setRates(shareOf(FLEET_RATES, members, 1 / members));
+      this.#follower.seePeers(peers.map(({ peerAddress, revision }) => (
+        { address: peerAddress, revision })));
+    });
+  }
+
+  #followContact(scheduler: SchedulerLike): Subscription {
+    const { heartbeats } = this.#context;
+    let heardAt = heartbeats.contactAt();
+    return timer(PEER_LOOK_PERIOD_MS, PEER_LOOK_PERIOD_MS, scheduler).subscribe(() => {
+      if (heartbeats.contactAt() === heardAt) return;
+      heardAt = heartbeats.contactAt();
+      this.#follower.heardPeer();
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/demandreport.ts
@@ -0,0 +1,114 @@
+/**
+ * Counts what this instance's callers want of each model and which streams run on which version,
+ * and tells the other daemons, whose lease holder places models by it.
+ */
+import type { Result } from 'neverthrow';
+import {
+  finalize, Observable, Subscription, timer,
+} from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Refusal } from '../common/refusal.js';
+import type { Configuration } from '../configuration/configuration.js';
+import type { Priority } from '../engines/engine.js';
+import type { SoftState } from '../membership/softstate.js';
+import { MODEL_DEMAND_KEY, OLD_STREAMS_KEY } from '../placement/demand.js';
+import type { ModelDemand, OldStreams } from '../placement/demand.js';
+import { copyName } from '../placement/inventory.js';
+import type {
+  Admission, Assignment, Demand, Dispatcher,
+} from '../routing/dispatcher.js';
+
+const REPORT_PERIOD_MS = 1_000;
+
+interface RunningStream {
+  readonly model: string;
+  readonly version: string;
+  readonly server: string;
+}
+
+export class DemandReport implements Dispatcher {
+  readonly #target: Dispatcher;
+
+  readonly #running = new Set<RunningStream>();
+
+  readonly #waiting = new Map<string, number>();
+
+  private constructor(target: Dispatcher) {
+    this.#target = target;
+  }
+
+  /** @param target the dispatcher whose assignments are counted */
+  static of(target: Dispatcher): DemandReport {
+    return new DemandReport(target);
+  }
+
+  /** Publishes the counts until the subscription ends. */
+  start(
+    softState: SoftState,
+    configuration: () => Configuration,
+    scheduler: SchedulerLike,
+  ): Subscription {
+    return timer(REPORT_PERIOD_MS, REPORT_PERIOD_MS, scheduler).subscribe(() => {
+      softState.publish(MODEL_DEMAND_KEY, this.#demand());
+      softState.publish(OLD_STREAMS_KEY, this.#oldStreams(configuration()));
+    });
+  }
+
+  admit(workspace: string, priority: Priority): Result<Admission, Refusal> {
+    return this.#target.admit(workspace, priority);
+  }
+
+  assign(demand: Demand): Observable<Result<Assignment, Refusal>> {
+    const { target } = demand;
+    if (target.kind === 'service') return this.#target.assign(demand);
+    const { model } = target;
+    return new Observable((subscriber) => {
+      this.#wait(model, 1);
+      return this.#target.assign(demand).pipe(finalize(() => this.#wait(model, -1)))
+        .subscribe({
+          next: (result) => subscriber.next(result.map((assignment) => (
+            this.#counted(model, assignment)))),
+          error: (error: unknown) => subscriber.error(error),
+          complete: () => subscriber.complete(),
+        });
+    });
+  }
+
+  #wait(model: string, change: number): void {
+    this.#waiting.set(model, (this.#waiting.get(model) ?? 0) + change);
+  }
+
+  #counted(model: string, assignment: Assignment): Assignment {
+    const { server, version } = assignment;
+    const stream: RunningStream = { model, version, server };
+    this.#running.add(stream);
+    return {
+      server,
+      version,
+      release: (outcome) => {
+        this.#running.delete(stream);
+        assignment.release(outcome);
+      },
+    };
+  }
+
+  #demand(): ModelDemand {
+    const models = new Set([...this.#waiting.keys()]);
+    return Object.fromEntries([...models].map((model) => [model, {
+      running: [...this.#running].filter((stream) => stream.model === model).length,
+      waiting: this.#waiting.get(model) ?? 0,
+    }]));
+  }
+
+  #oldStreams({ revision, models }: Configuration): OldStreams {
+    const counts = new Map<string, { server: string; copy: string; running: number }>();
+    [...this.#running].filter(({ model, version }) => models[model]?.version !== version)
+      .forEach(({ model, version, server }) => {
+        const copy = copyName(model, version);
+        const key = `${server}\n${copy}`;
+        const running = (counts.get(key)?.running ?? 0) + 1;
+        counts.set(key, { server, copy, running });
+      });
+    return { revision, streams: [...counts.values()] };
+  }
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -2,38 +2,68 @@
  * One instance of the system, put together from its parts. Everything outside comes in through the
  * adapters, so that tests run several instances in one process under one virtual clock.
  */
-import { BehaviorSubject } from 'rxjs';
-import type { Observable, SchedulerLike } from 'rxjs';
+import { err } from 'neverthrow';
+import type { Observable, SchedulerLike, Subscription } from 'rxjs';
+import { DecisionLog } from '../admin/decisions.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { Configuration } from '../configuration/configuration.js';
-import { EMPTY_CONFIGURATION } from '../configuration/defaults.js';
+import { Publisher } from '../configuration/publisher.js';
 import { EngineMonitor } from '../engines/monitor.js';
 import type { EngineDialer } from '../engines/monitor.js';
+import { Drain } from '../entry/drain.js';
+import type { DrainOptions } from '../entry/drain.js';
 import { Gateway } from '../entry/gateway.js';
+import { RequestMetrics } from '../entry/metrics.js';
+import { WorkspaceAdmissions } from '../limits/admission.js';
+import { Heartbeats } from '../membership/heartbeats.js';
 import type { InstanceList, PeerNetwork } from '../membership/instances.js';
-import { LeastLoaded } from '../routing/leastloaded.js';
+import { PlacementController } from '../placement/controller.js';
+import { LeaseKeeper } from '../placement/leasekeeper.js';
+import { Router } from '../routing/router.js';
+import type { Admissions } from '../routing/router.js';
 import type { ObjectApi } from '../store/objects.js';
+import { PacedObjects } from '../store/paced.js';
+import { ConfigurationFeed } from './configurationfeed.js';
+import { DemandReport } from './demandreport.js';
+import { Isolation } from './isolation.js';
+import { LeavingServers } from './leavingservers.js';
+import type { PeerHandlers } from './peerserver.js';
+import { shareExchange } from './shareexchange.js';
 import { childOf, Supervisor } from './supervisor.js';
 
+/** How many members, by name, look first for a lapsed lease. */
+const LEASE_CANDIDATES = 3;
+const NOT_READY_RETRY_MS = 1_000;
+
 export interface InstanceSettings {
   readonly name: string;
   readonly zone: string;
   /** `host:port` of the listener for other daemons, by IP. */
   readonly peerAddress: string;
+  /** Signs cursors; the same on every instance. Without it answers carry none. */
+  readonly cursorKey?: string;
+  readonly drain?: DrainOptions;
 }
 
 /** What an instance meets of the outside world. */
 export interface Adapters {
   readonly scheduler: SchedulerLike;
+  /** Milliseconds since 1970. */
+  readonly wallClock: () => number;
   readonly random: Random;
   readonly log: Log;
   readonly dial: EngineDialer;
   readonly objects: ObjectApi;
   readonly list: InstanceList;
   readonly network: PeerNetwork;
-  /** The configuration until the instance follows the object API itself. */
-  readonly configurations: Observable<Configuration>;
+}
+
+function childOfSubscription(name: string, start: () => Subscription) {
+  return childOf(name, () => {
+    const running = start();
+    return () => running.unsubscribe();
+  });
 }
 
 export class Instance {
@@ -41,35 +71,143 @@
 
   readonly gateway: Gateway;
 
+  readonly publisher: Publisher;
+
+  readonly heartbeats: Heartbeats;
+
+  readonly feed: ConfigurationFeed;
+
+  readonly monitor: EngineMonitor;
+
+  readonly router: Router;
+
+  readonly workspaces: WorkspaceAdmissions;
+
+  readonly lease: LeaseKeeper;
+
+  readonly drain: Drain;
+
+  readonly metrics = RequestMetrics.of();
+
+  readonly decisions: DecisionLog;
+
+  /** What this instance answers to its peers. */
+  readonly handlers: PeerHandlers;
+
   /** The supervisor tree; the instance works while it is subscribed to. */
   readonly run: Observable<never>;
 
-  readonly #configuration = new BehaviorSubject(EMPTY_CONFIGURATION);
+  readonly #isolation: Isolation;
 
   private constructor(settings: InstanceSettings, adapters: Adapters) {
-    const { scheduler, log } = adapters;
+    const {
+      scheduler, random, wallClock, list, network,
+    } = adapters;
+    const { name, zone, peerAddress } = settings;
     this.settings = settings;
-    const monitor = EngineMonitor.of(adapters.dial, scheduler, log);
-    const dispatcher = LeastLoaded.of(monitor, () => this.#configuration.value, log);
+    this.decisions = DecisionLog.of(adapters.log, scheduler);
+    const log = this.decisions;
+    const incarnation = wallClock();
+    const objects = PacedObjects.of(adapters.objects, { scheduler, random });
+    this.heartbeats = Heartbeats.of({
+      origin: {
+        name, zone, peerAddress, incarnation,
+      },
+      list,
+      network,
+      scheduler,
+      random,
+      log,
+    });
+    const { softState } = this.heartbeats;
+    this.feed = ConfigurationFeed.of({
+      name, objects, heartbeats: this.heartbeats, network, scheduler, random, log,
+    });
+    const configuration = () => this.feed.current;
+    this.publisher = Publisher.of({
+      api: objects, scheduler, random, wallClock,
+    });
+    this.monitor = EngineMonitor.of(adapters.dial, scheduler, log);
+    const leaving = LeavingServers.of(this.monitor, softState);
+    this.workspaces = WorkspaceAdmissions.of({
+      name,
+      incarnation,
+      configuration,
+      exchange: shareExchange(this.heartbeats, name),
+      scheduler,
+      random,
+      log,
+    });
+    this.router = Router.of({
+      directory: this.monitor,
+      configurations: this.feed.changes,
+      admissions: this.#guarded(this.workspaces),
+      scheduler,
+      random,
+      log,
+      leaving: () => leaving.current(),
+      zone,
+    });
+    const demand = DemandReport.of(this.router);
+    this.#isolation = Isolation.of({
+      objects,
+      scheduler,
+      log,
+      hasPeers: () => this.heartbeats.current().length > 1,
+      peerHeardAt: () => this.heartbeats.contactAt(),
+      storeSilentMs: () => this.feed.status.storeSilentMs,
+    });
+    this.lease = LeaseKeeper.of({
+      holder: name,
+      incarnation,
+      objects,
+      scheduler,
+      wallClock,
+      random,
+      log,
+      placement: () => configuration().placement,
+      candidate: () => this.#isLeaseCandidate(),
+    });
+    const controller = PlacementController.of({
+      lease: this.lease,
+      directory: this.monitor,
+      membership: this.heartbeats,
+      softState,
+      scheduler,
+      log,
+      configuration,
+    });
+    this.drain = Drain.of(scheduler, log, settings.drain);
     this.gateway = Gateway.of({
-      dispatcher,
-      directory: monitor,
-      watcher: monitor,
+      dispatcher: demand,
+      directory: this.monitor,
+      watcher: this.monitor,
+      meter: this.metrics,
       scheduler,
       log,
-      configuration: () => this.#configuration.value,
+      configuration,
+      ...(settings.cursorKey === undefined ? {} : { cursorKey: settings.cursorKey }),
     });
-    this.run = Supervisor.of('instance', [
-      childOf('configuration', () => {
-        const following = adapters.configurations
-          .subscribe((configuration) => this.#configuration.next(configuration));
-        return () => following.unsubscribe();
-      }),
-      childOf('engines', () => {
-        const running = monitor.start(this.#configuration);
-        return () => running.unsubscribe();
-      }),
-    ], adapters).run;
+    this.handlers = {
+      heartbeat: (request) => this.heartbeats.receive(request),
+      configuration: async () => this.feed.text(),
+    };
+    const context = { scheduler, random, log };
+    const requests = Supervisor.of('requests', [
+      childOfSubscription('engines', () => this.monitor.start(this.feed.changes)),
+      childOfSubscription('router', () => this.router.start()),
+      childOfSubscription('workspaces', () => this.workspaces.start()),
+    ], context);
+    const control = Supervisor.of('control', [
+      childOfSubscription('configuration', () => this.feed.start()),
+      this.heartbeats,
+      childOfSubscription('demand', () => demand.start(softState, configuration, scheduler)),
+      childOfSubscription('leaving', () => leaving.start(scheduler)),
+      childOfSubscription('isolation', () => this.#isolation.start()),
+      this.lease,
+      controller,
+    ], context);
+    this.run = Supervisor.of('instance', [requests, control], context).run;
   }
 
   static of(settings: InstanceSettings, adapters: Adapters): Instance {
@@ -77,6 +215,41 @@
   }
 
   get configuration(): Configuration {
-    return this.#configuration.value;
+    return this.feed.current;
+  }
+
+  /** Whether the balancer may send requests here. */
+  get ready(): boolean {
+    return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated;
+  }
+
+  /** Leaves the balancer and the list of members; `drain.ended` tells when it may exit. */
+  leave(): void {
+    this.heartbeats.leave();
+    this.lease.release();
+    this.drain.begin();
+  }
+
+  #guarded(admissions: Admissions): Admissions {
+    return {
+      admit: (workspace) => {
+        if (this.#isolation.isolated) {
+          return err({
+            code: 'not_ready',
+            message: 'the instance is cut off and may not know the configuration in force',
+            ran: 'no',
+            retryAfterMs: NOT_READY_RETRY_MS,
+          });
+        }
+        return admissions.admit(workspace);
+      },
+    };
+  }
+
+  #isLeaseCandidate(): boolean {
+    return this.drain.state === 'serving' && this.heartbeats.current()
+      .filter(({ state }) => state === 'alive')
+      .slice(0, LEASE_CANDIDATES)
+      .some(({ name }) => name === this.settings.name);
   }
 }
--- /dev/null
+++ b/src/daemon/leavingservers.ts
@@ -0,0 +1,52 @@
+/** Spreads the news of engines that are leaving, so that every daemon stops sending them work. */
+import type { SchedulerLike, Subscription } from 'rxjs';
+import { timer } from 'rxjs';
+import type { Directory } from '../engines/directory.js';
+import type { SoftState } from '../membership/softstate.js';
+
+const LEAVING_PREFIX = 'leaving/';
+const LOOK_PERIOD_MS = 200;
+
+export class LeavingServers {
+  readonly #directory: Directory;
+
+  readonly #softState: SoftState;
+
+  readonly #told = new Set<string>();
+
+  private constructor(directory: Directory, softState: SoftState) {
+    this.#directory = directory;
+    this.#softState = softState;
+  }
+
+  static of(directory: Directory, softState: SoftState): LeavingServers {
+    return new LeavingServers(directory, softState);
+  }
+
+  /** Tells of the engines that report to be leaving, until the subscription ends. */
+  start(scheduler: SchedulerLike): Subscription {
+    return timer(0, LOOK_PERIOD_MS, scheduler).subscribe(() => this.#look());
+  }
+
+  /** Engines that any daemon has seen leaving. */
+  current(): ReadonlySet<string> {
+    return new Set(this.#softState.entries(LEAVING_PREFIX)
+      .filter(({ value }) => value === true)
+      .map(({ key }) => key.slice(LEAVING_PREFIX.length)));
+  }
+
+  #look(): void {
+    const leaving = new Set(this.#directory.engines()
+      .filter(({ report }) => report?.role === 'leaving')
+      .map(({ server }) => server.name));
+    leaving.forEach((name) => {
+      if (!this.#told.has(name)) this.#softState.publish(LEAVING_PREFIX + name, true);
+      this.#told.add(name);
+    });
+    this.#told.forEach((name) => {
+      if (leaving.has(name)) return;
+      this.#told.delete(name);
+      this.#softState.publish(LEAVING_PREFIX + name, undefined);
+    });
+  }
+}
--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -9,7 +9,9 @@
 import type {
   AttemptRequest, CacheEvent, EngineClient, EngineEvent, LoadReport,
 } from '../../src/engines/engine.js';
-import type { InstanceList, ListedInstance } from '../../src/membership/instances.js';
+import type { PeerHandlers } from '../../src/daemon/peerserver.js';
+import type { InstanceList, ListedInstance, PeerNetwork } from '../../src/membership/instances.js';
+import type { PeerRequest } from '../../src/membership/message.js';
 import type { StandInEngine } from '../../src/standin/engine.js';
 import type { ObjectApi, StoreError } from '../../src/store/objects.js';
 import type { Loss, Network } from './network.js';
@@ -103,6 +105,27 @@
   };
 }
 
+/** A peer's address is its name here; messages are copied, as they would be on the way. */
+export function peerLink(
+  { network, daemon }: Links,
+  handlers: (peer: string) => PeerHandlers | undefined,
+): PeerNetwork {
+  const answering = (peer: string): PeerHandlers => {
+    const found = handlers(peer);
+    if (!found) throw new Error('refused');
+    return found;
+  };
+  return {
+    exchange: (peer, message, deadlineMs) => network.call(daemon, peer, deadlineMs, async () => (
+      structuredClone(await answering(peer).heartbeat(structuredClone(message) as PeerRequest)))),
+    call: (method, peer, body, deadlineMs) => network.call(daemon, peer, deadlineMs, async () => {
+      const handler = answering(peer)[method];
+      if (!handler) throw new Error('not found');
+      return structuredClone(await handler(structuredClone(body)));
+    }),
+  };
+}
+
 export function objectLink({ network, daemon }: Links, objects: ObjectApi): ObjectApi {
   const lost = (code: StoreError['code']) => (error: unknown): Result<never, StoreError> => (
     err({ code, message: String(error) }));
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -2,11 +2,12 @@
  * Several daemons in one process under one virtual clock, with small fakes of what they meet:
  * engines, the object API, the instance list, callers, and the network between all of them.
  */
-import { BehaviorSubject, Observable } from 'rxjs';
+import { BehaviorSubject } from 'rxjs';
 import type { Subscription } from 'rxjs';
 import { silentLog } from '../../src/common/log.js';
 import { Random } from '../../src/common/random.js';
 import type { Configuration, Favour } from '../../src/configuration/configuration.js';
+import { encodeStored, STORED_NAME } from '../../src/configuration/stored.js';
 import { Instance } from '../../src/daemon/instance.js';
 import type { Priority } from '../../src/engines/engine.js';
 import type { GenerationRequest } from '../../src/generation/request.js';
@@ -17,9 +18,11 @@
 import type { Call } from '../fuzz/oracle.js';
 import { VirtualClock } from './clock.js';
 import {
-  deployment, engineEntry, MODELS, VERSION, WORKSPACE,
+  deployment, engineEntry, fileText, MODELS, VERSION, WORKSPACE,
 } from './worldconfiguration.js';
-import { engineLink, LaggingList, objectLink } from './links.js';
+import {
+  engineLink, LaggingList, objectLink, peerLink,
+} from './links.js';
 import type { Dispatch, EngineFaults, EngineNode } from './links.js';
 import { Network } from './network.js';
 
@@ -84,6 +87,7 @@
     const servers = Array.from({ length: engines }, (_, index) => (
       engineEntry(`engine-${index}`, index % 2 === 0)));
     this.configuration = new BehaviorSubject(deployment(servers, favour));
+    this.#store(this.configuration.value);
     this.oracle = Oracle.of(() => this.clock.now(), () => this.configuration.value);
     servers.forEach((server, variant) => this.#addEngine(server.name, server.checksFence, variant));
     Array.from({ length: daemons }, (_, index) => `daemon-${index}`).forEach((name) => {
@@ -124,7 +128,6 @@
     daemon.incarnation += 1;
     this.network.start(name);
     const { clock } = this.network.node(name);
-    const { epoch } = clock;
     const links = { network: this.network, random: this.random, daemon: name };
     const instance = Instance.of(daemon.settings, {
       scheduler: clock,
@@ -135,13 +138,8 @@
       }),
       objects: objectLink(links, this.objects),
       list: this.list.link(name),
-      network: {
-        exchange: () => Promise.reject(new Error('not connected')),
-        call: () => Promise.reject(new Error('not connected')),
-      },
-      configurations: new Observable((subscriber) => this.configuration.subscribe((value) => {
-        clock.run(epoch, () => subscriber.next(value));
-      })),
+      network: peerLink(links, (peer) => this.daemon(peer).instance?.handlers),
+      wallClock: () => clock.wall(),
     });
     instance.run.subscribe();
     daemon.instance = instance;
@@ -240,6 +238,16 @@
     });
   }
 
+  /** Puts the first configuration where the daemons find it. */
+  #store(configuration: Configuration): void {
+    const text = encodeStored({
+      revision: configuration.revision,
+      files: { 'world.toml': fileText(configuration) },
+      history: [],
+    }).unwrapOr('');
+    this.objects.put(STORED_NAME, text, { kind: 'absent' }, 'configuration').catch(() => undefined);
+  }
+
   #publishList(): void {
     const listed = [...this.daemons.values()].filter(({ instance }) => instance)
       .map(({ settings }) => ({ ...settings, state: 'live' as const }));
--- a/test/fakes/worldconfiguration.ts
+++ b/test/fakes/worldconfiguration.ts
@@ -64,3 +64,44 @@
     },
   };
 }
+
+const ADDRESS_PORTS_FROM = 9_000;
+
+function serverText({
+  name, zone, pool, checksFence, drained,
+}: BackendServer, index: number) {
+  return `[servers.${name}]
+address = "127.0.0.1:${ADDRESS_PORTS_FROM + index}"
+zone = "${zone}"
+pool = "${pool}"
+checks_fence = ${checksFence}
+memory = "4B"
+drained = ${drained}`;
+}
+
+function modelText({
+  name, version, replicas, maxTokens, repeat,
+}: Model): string {
+  return `[models.${name}]
+version = "${version}"
+replicas = ${replicas}
+memory = "1B"
+max_tokens = ${maxTokens}
+repeat = "${repeat}"`;
+}
+
+/** The configuration as an operator's file. */
+export function fileText({ deployment: { name, favour, zones }, ...rest }: Configuration): string {
+  return [
+    `[deployment]\nname = "${name}"\nfavour = "${favour}"\nzones = ["${zones.join('", "')}"]`,
+    '[pools.engines]\nretry_ratio = 1\nconcurrency_per_server = 64',
+    ...Object.values(rest.models).map(modelText),
+    ...Object.values(rest.servers).map(serverText),
+    ...Object.values(rest.workspaces).map((workspace) => `[workspaces.${workspace.name}]
+key_hashes = ["${workspace.keyHashes.join('", "')}"]
+requests_per_second = ${workspace.requestsPerSecond}
+burst = ${workspace.burst}
+concurrency = ${workspace.concurrency}`),
+    '',
+  ].join('\n\n');
+}
