Read unchanged configuration files once

Checking a folder of the target's size (183 KB, 80 files, 784 servers, 630 workspaces) blocked the loop for about 100 ms with each revision. Also tests that peers are asked only for what the watch does not bring, and different ones by different daemons.

--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -1,11 +1,15 @@
 /** Reads one TOML file into a tree. Whatever the text is, the outcome is a tree or findings. */
+import { LRUCache } from 'lru-cache';
 import { ParseError, parseTOML } from 'toml-eslint-parser';
 import type { AST } from 'toml-eslint-parser';
 import type { Finding, Place } from '../common/finding.js';
+import { sha256 } from '../common/hash.js';
 import type { List, Node, Table } from './tree.js';
 
 const MAX_FILE_BYTES = 262_144;
 const MAX_DEPTH = 16;
+/** Text whose trees are kept. */
+const CACHED_CHARS = 1_048_576;
 
 export interface Document {
   /** Empty when the file can't be read. */
@@ -175,8 +179,7 @@
     : syntaxError({ file, line: 1, column: 1 }, `can't be read as TOML: ${String(error)}`);
 }
 
-/** @param file the file's name, for places */
-export function readDocument(file: string, text: string): Document {
+function parseDocument(file: string, text: string): Document {
   const start = { file, line: 1, column: 1 };
   if (Buffer.byteLength(text) > MAX_FILE_BYTES) {
     const finding = syntaxError(start, `is larger than ${MAX_FILE_BYTES} bytes`);
@@ -189,3 +192,16 @@
     return { table: emptyTable(file), findings: [failureOf(file, error)] };
   }
 }
+
+/** Files that did not change since the last revision are not read again. */
+const documents = new LRUCache<string, Document>({ maxSize: CACHED_CHARS });
+
+/** @param file the file's name, for places */
+export function readDocument(file: string, text: string): Document {
+  const key = sha256(`${file}\n${text}`);
+  const known = documents.get(key);
+  if (known) return known;
+  const document = parseDocument(file, text);
+  documents.set(key, document, { size: Math.max(1, text.length) });
+  return document;
+}
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -4,6 +4,7 @@
 import { Random } from '../src/common/random.js';
 import type { Folder } from '../src/configuration/check.js';
 import { Follower } from '../src/configuration/follower.js';
+import { initialState, transact } from '../src/configuration/followstate.js';
 import { Publisher } from '../src/configuration/publisher.js';
 import { memoryObjects } from './fakes/objects.js';
 
@@ -188,3 +189,43 @@
   await clock.advance(6_000);
   t.true(follower.status().storeSilentMs <= 6_000);
 });
+
+test('a peer is not asked for a revision that the watch brings in time', async (t) => {
+  const {
+    clock, join, publish, fetched,
+  } = start(t);
+  await publish(BASE, 0);
+  const { follower, seen } = join('a');
+  await clock.advance(4_000);
+  follower.seePeers([{ address: 'x', revision: 2 }]);
+  await clock.advance(50);
+  await publish(version(1), 1);
+  await clock.advance(5_000);
+  t.deepEqual(seen, [1, 2]);
+  t.deepEqual(fetched, []);
+});
+
+test('daemons without the store ask different peers', async (t) => {
+  const { clock, join, fetched } = start(t);
+  const peers = Array.from({ length: 10 }, (_, index) => ({ address: `p${index}`, revision: 2 }));
+  for (let index = 0; index < 40; index += 1) {
+    join(`d${index}`, otherStore({ outage: true })).follower.seePeers(peers);
+  }
+  await clock.advance(301);
+  t.is(fetched.length, 40);
+  t.true(new Set(fetched).size >= 8, String(new Set(fetched).size));
+});
+
+test('a revision is put in force while a still higher one is fetched', (t) => {
+  const text = JSON.stringify({
+    format: 1, revision: 2, files: BASE, history: [],
+  });
+  const { state } = transact(initialState('a', 0), { kind: 'heard', from: 'peer' }, 0);
+  const first = transact(state, { kind: 'offered', text }, 0);
+  const between = transact(
+    { ...first.state, peers: [{ address: 'x', revision: 5 }] },
+    { kind: 'offered', text: text.replace('"revision":2', '"revision":4') },
+    0,
+  );
+  t.deepEqual(between.effects.map(({ kind }) => kind), ['put_in_force', 'fetch']);
+});
