Test the HTTP side: forms, limits, slow callers, services, cursors, the graceful stop

Cause seen by the tests: an answered call to a service was also reported as failed when the caller's connection closed before the relay had noticed the end; every hold added a timeout listener. Change: once an answer has begun its own end decides; one listener for each answer.

--- a/src/entry/answer.ts
+++ b/src/entry/answer.ts
@@ -71,6 +71,7 @@
   /** Writes the answer until it ends or the caller goes. */
   send(answer: Observable<AnswerEvent>): void {
     this.#answer = answer.subscribe((event) => this.#take(event));
+    this.#res.on('timeout', () => this.#giveUp());
     whenClosed(this.#res, () => this.#answer.unsubscribe());
   }
 
@@ -119,8 +120,7 @@
     const res = this.#res;
     this.#flush();
     res.end();
-    // The socket's own timeout sees whether the caller goes on reading, however slowly.
-    res.setTimeout(this.#context.limits.callerStallMs, () => res.destroy());
+    res.setTimeout(this.#context.limits.callerStallMs);
   }
 
   /** @param position the last token that the caller then has */
@@ -155,10 +155,11 @@
     });
   }
 
+  /** The socket's own timeout sees whether the caller goes on reading, however slowly. */
   #hold(): void {
     const res = this.#res;
     this.held.next(true);
-    res.setTimeout(this.#context.limits.callerStallMs, () => this.#giveUp());
+    res.setTimeout(this.#context.limits.callerStallMs);
     res.once('drain', () => {
       if (res.writableEnded) return;
       res.setTimeout(0);
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -74,6 +74,7 @@
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
     let connected = false;
+    let answering = false;
     let timeout = Subscription.EMPTY;
     const upstream = httpRequest({
       host,
@@ -85,25 +86,26 @@
       agent: false,
       setHost: false,
     });
-    const left = () => upstream.destroy(new Error('the caller left'));
     const settle = (outcome: Forwarded) => {
       timeout.unsubscribe();
-      res.off('close', left);
       req.unpipe(upstream);
       resolve(outcome);
     };
     const fail = (message: string) => {
       upstream.destroy();
+      // Once the answer has begun, its own end decides.
+      if (answering) return;
       settle({ kind: 'failed', ran: connected ? 'unknown' : 'no', message });
     };
     timeout = timer(timeoutMs, scheduler).subscribe(() => fail(`no answer in ${timeoutMs} ms`));
-    res.on('close', left);
+    res.on('close', () => fail('the caller left'));
     upstream.on('socket', (socket) => socket.once('connect', () => {
       connected = true;
       sendBody(forwarding, upstream);
     }));
     upstream.on('error', (error) => fail(error.message));
     upstream.on('response', (answer) => {
+      answering = true;
       timeout.unsubscribe();
       answer.setTimeout(timeoutMs, () => answer.destroy(new Error('the service fell silent')));
       const headers = endToEnd(answer.rawHeaders);
--- a/src/generation/loss.ts
+++ b/src/generation/loss.ts
@@ -97,7 +97,7 @@
   // An engine that no longer has a joined stream may still be the best one to go on at.
   const excluded = attempt.kind === 'join' && failure.ran === 'no'
     ? state.excluded
-    : [...state.excluded, attempt.server];
+    : [...new Set([...state.excluded, attempt.server])];
   const next: GenerationState = {
     ...state, begun, excluded, phase: { ...phase, live },
   };
--- /dev/null
+++ b/test/cursor.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import { openCursor, sealCursor } from '../src/generation/cursor.js';
+import type { Attempt } from '../src/generation/state.js';
+import { deployment, requestOf, wholeAnswer } from './fakes/deployment.js';
+
+const REQUEST = requestOf();
+const ATTEMPT: Attempt = {
+  number: 2, server: 'e1', version: '1', from: 0, kind: 'begin', incarnation: undefined,
+};
+const sealed = sealCursor(REQUEST, ATTEMPT, 'key');
+
+test('a cursor names its attempt to the same request', (t) => {
+  t.like(openCursor(sealed, { ...REQUEST, id: 'other' }, 'key').unwrapOr(undefined), {
+    generation: 'g', server: 'e1', attempt: 2, version: '1', seed: 1,
+  });
+});
+
+const BAD: readonly [string, string, Partial<typeof REQUEST>, string | undefined][] = [
+  ['of another deployment', sealed, {}, 'other'],
+  ['of a deployment without a key', sealed, {}, undefined],
+  ['that was changed', `x${sealed}`, {}, 'key'],
+  ['without its signature', sealed.split('.')[0]!, {}, 'key'],
+  ['of another workspace', sealed, { workspace: 'v' }, 'key'],
+  ['of another prompt', sealed, { input: { kind: 'prompt', text: 'other' } }, 'key'],
+];
+
+BAD.forEach(([title, text, change, key]) => {
+  test(`a cursor ${title} is refused`, (t) => {
+    const opened = openCursor(text, { ...REQUEST, ...change }, key);
+    t.like(opened.match(() => undefined, (refusal) => refusal), {
+      code: 'bad_request', ran: 'no',
+    });
+  });
+});
+
+/** Streams half of an answer through one instance, as if the instance then died. */
+async function half() {
+  const own = deployment();
+  const cursors: string[] = [];
+  await own.clock.advance(50);
+  const first = own.call(REQUEST, own.gateway.generate(REQUEST, {
+    cursor: (cursor) => cursors.push(cursor),
+  }));
+  await own.clock.advance(40);
+  const tokens = first.events.length;
+  const text = first.text();
+  const back = (given: string | undefined) => own.call(REQUEST, own.gateway.generate(
+    requestOf({ id: 'second', sampling: { ...REQUEST.sampling, seed: 99 } }),
+    { returning: { cursor: cursors[0]!, tokens, text: given } },
+  ));
+  return {
+    ...own, tokens, text, back,
+  };
+}
+
+test('a returning caller is joined to the running stream', async (t) => {
+  const {
+    clock, tokens, text, back, engines,
+  } = await half();
+  const caller = back(undefined);
+  await clock.advance(500);
+  t.like(caller.events[0], { position: tokens });
+  t.true(wholeAnswer(REQUEST, text + caller.text()));
+  t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
+});
+
+test('a returning caller whose engine is gone goes on from the text that it has', async (t) => {
+  const {
+    clock, text, back, busy, call,
+  } = await half();
+  // The first instance is dead: its own resume is not to be seen here.
+  t.truthy(call);
+  busy().crash('next');
+  const caller = back(text);
+  await clock.advance(500);
+  t.is(caller.end()?.kind, 'finish');
+  t.true(wholeAnswer(REQUEST, text + caller.text()));
+});
+
+test('a returning caller whose engine is gone and who has no text is refused', async (t) => {
+  const { clock, back, busy } = await half();
+  busy().crash('next');
+  const caller = back(undefined);
+  await clock.advance(500);
+  t.like(caller.end(), { kind: 'refusal', refusal: { ran: 'partly' } });
+});
--- /dev/null
+++ b/test/entrydrain.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import { VirtualTimeScheduler } from 'rxjs';
+import { silentLog } from '../src/common/log.js';
+import { Drain } from '../src/entry/drain.js';
+
+function drainOf() {
+  const clock = new VirtualTimeScheduler();
+  const drain = Drain.of(clock, silentLog, { lagMs: 1_000, limitMs: 10_000 });
+  const ended: boolean[] = [];
+  drain.ended.subscribe((whole) => ended.push(whole));
+  const at = (ms: number) => {
+    clock.maxFrames = ms;
+    clock.flush();
+  };
+  return { drain, ended, at };
+}
+
+test('an idle instance is done once the balancer has noticed', (t) => {
+  const { drain, ended, at } = drainOf();
+  drain.begin();
+  at(999);
+  t.deepEqual([drain.state, ended], ['lagging', []]);
+  at(1_000);
+  t.deepEqual([drain.state, ended], ['done', [true]]);
+});
+
+test('answers that are open, or opened during the lag, are finished', (t) => {
+  const { drain, ended, at } = drainOf();
+  const first = drain.enter();
+  drain.begin();
+  at(500);
+  const second = drain.enter();
+  first();
+  first();
+  at(5_000);
+  t.deepEqual([drain.state, drain.open, ended], ['finishing', 1, []]);
+  second();
+  t.deepEqual([drain.state, ended], ['done', [true]]);
+});
+
+test('a second signal cuts nothing off until the limit', (t) => {
+  const { drain, ended, at } = drainOf();
+  drain.enter();
+  drain.begin();
+  at(2_000);
+  drain.begin();
+  at(9_999);
+  t.deepEqual([drain.state, ended], ['finishing', []]);
+  at(10_000);
+  t.deepEqual([drain.state, ended], ['expired', [false]]);
+});
--- /dev/null
+++ b/test/entryservice.test.ts
@@ -0,0 +1,227 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import { buffer } from 'node:stream/consumers';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import type { ClaimOutcome, Claims } from '../src/claims/claims.js';
+import { endToEnd } from '../src/entry/upstream.js';
+import {
+  call, entry, sleep,
+} from './fakes/entry.js';
+import type { EntryFixture } from './fakes/entry.js';
+
+/** Records the calls that reach a service. */
+function recorder(answer: (req: IncomingMessage, res: ServerResponse) => void) {
+  const seen: string[] = [];
+  const listener: RequestListener = (req, res) => {
+    seen.push(`${req.method} ${req.url}`);
+    answer(req, res);
+  };
+  return { seen, listener };
+}
+
+const ok = () => recorder((_, res) => res.end('ok'));
+/** Takes a request and breaks the connection. */
+const breaks = () => recorder((req) => req.socket.destroy());
+const silent = () => recorder(() => undefined);
+
+async function withEntry(
+  t: ExecutionContext,
+  fixture: EntryFixture,
+  run: (own: Awaited<ReturnType<typeof entry>>) => Promise<void>,
+): Promise<void> {
+  const own = await entry({ engines: 1, ...fixture });
+  t.teardown(() => own.stop());
+  await run(own);
+}
+
+test('a call and its answer pass through whole', async (t) => {
+  const body = Buffer.from(Array.from({ length: 500_000 }, (_, index) => index % 251));
+  const seen: IncomingMessage[] = [];
+  await withEntry(t, {
+    services: [async (req, res) => {
+      seen.push(req);
+      res.writeHead(201, { 'x-answer': 'yes', connection: 'x-hop', 'x-hop': '1' });
+      res.end(createHash('sha256').update(await buffer(req)).digest('hex'));
+    }],
+  }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/fryers/7?hold=1', {
+      method: 'PUT', body, headers: { connection: 'x-gone', 'x-gone': '1', 'x-kept': '1' },
+    });
+    t.is(reply.status, 201);
+    t.is(reply.headers['x-answer'], 'yes');
+    t.is(reply.headers['x-hop'], undefined);
+    t.is(reply.text, createHash('sha256').update(body).digest('hex'));
+    const [req] = seen;
+    t.is(`${req!.method} ${req!.url}`, 'PUT /fryers/7?hold=1');
+    t.like(req!.headers, { 'x-kept': '1', 'x-workspace': 'w' });
+    t.is(req!.headers.authorization, undefined);
+    t.is(req!.headers['x-gone'], undefined);
+  });
+});
+
+test('hop-by-hop headers are dropped', (t) => {
+  t.deepEqual(endToEnd([
+    'Connection', 'close, X-Own', 'X-Own', '1', 'TE', 'trailers', 'Accept', '*/*',
+  ]), ['Accept', '*/*']);
+});
+
+test('a read that fails is tried at another server', async (t) => {
+  const [first, second] = [breaks(), ok()];
+  await withEntry(t, { services: [first.listener, second.listener] }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/price');
+    t.is(reply.text, 'ok');
+    t.is(first.seen.length, 1);
+    t.is(second.seen.length, 1);
+  });
+});
+
+test('never: a call that may have been taken is given to one server once', async (t) => {
+  const [first, second] = [breaks(), ok()];
+  await withEntry(t, { services: [first.listener, second.listener] }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/reserve', { method: 'POST', body: '{}' });
+    t.is(reply.status, 502);
+    t.like(JSON.parse(reply.text), { error: { ran: 'unknown' } });
+    t.is(first.seen.length, 1);
+    t.is(second.seen.length, 0);
+  });
+});
+
+test('never: a refused connection lets the call go elsewhere with its body', async (t) => {
+  const bodies: string[] = [];
+  const down = ok();
+  await withEntry(t, {
+    services: [down.listener, async (req, res) => {
+      bodies.push((await buffer(req)).toString());
+      res.end('ok');
+    }],
+  }, async ({ address, serviceServers }) => {
+    serviceServers[0]!.close();
+    const reply = await call(address, '/services/stock/reserve', {
+      method: 'POST', body: '{"a":1}',
+    });
+    t.is(reply.text, 'ok');
+    t.deepEqual(bodies, ['{"a":1}']);
+  });
+});
+
+test('never: with every connection refused the call was not run', async (t) => {
+  await withEntry(t, { services: [ok().listener] }, async ({ address, serviceServers }) => {
+    serviceServers[0]!.close();
+    const reply = await call(address, '/services/stock/reserve', { method: 'POST', body: '{}' });
+    t.like(JSON.parse(reply.text), { error: { ran: 'no' } });
+  });
+});
+
+test('never: a service that accepts and stays silent leaves it unknown', async (t) => {
+  const mute = silent();
+  await withEntry(t, {
+    services: [mute.listener],
+    routes: [{
+      path: '/reserve', methods: ['POST'], repeat: 'never', priority: 'standard', timeoutMs: 100,
+    }],
+  }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/reserve', { method: 'POST', body: '{}' });
+    t.like(JSON.parse(reply.text), { error: { ran: 'unknown' } });
+    t.is(mute.seen.length, 1);
+  });
+});
+
+test('a route says which writes may be repeated', async (t) => {
+  const [first, second] = [breaks(), ok()];
+  await withEntry(t, {
+    services: [first.listener, second.listener],
+    routes: [{
+      path: '/price', methods: ['POST'], repeat: 'safe', priority: 'standard', timeoutMs: 1_000,
+    }],
+  }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/price', { method: 'POST', body: '{}' });
+    t.is(reply.text, 'ok');
+  });
+});
+
+test('an answer that breaks off is broken off for the caller', async (t) => {
+  const half = recorder((_, res) => {
+    res.write('half');
+    setTimeout(() => res.destroy(), 20);
+  });
+  await withEntry(t, { services: [half.listener, ok().listener] }, async ({ address }) => {
+    const reply = await call(address, '/services/stock/price');
+    t.is(reply.text, 'half');
+    t.false(reply.whole);
+    t.is(half.seen.length, 1);
+  });
+});
+
+test('a caller that leaves is gone for the service too', async (t) => {
+  const state = { left: false };
+  await withEntry(t, {
+    services: [(_, res) => res.on('close', () => {
+      state.left = true;
+    })],
+  }, async ({ address }) => {
+    const [host, port] = address.split(':');
+    const socket = connect(Number(port), host);
+    socket.write('GET /services/stock/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key\r\n\r\n');
+    await sleep(50);
+    socket.destroy();
+    await sleep(50);
+    t.true(state.left);
+  });
+});
+
+function claimsOf(outcome: ClaimOutcome) {
+  const said: string[] = [];
+  const claims: Claims = {
+    claim: () => Promise.resolve(outcome),
+    complete: (_, status) => said.push(`complete ${status}`),
+    release: () => said.push('release'),
+  };
+  return { said, claims };
+}
+
+const GRANTED: ClaimOutcome = { kind: 'granted', ref: { workspace: 'w', key: 'k', nonce: 'n' } };
+
+const KEYED: readonly [string, ClaimOutcome, 'ok' | 'breaks' | 'refuses', object][] = [
+  ['granted', GRANTED, 'ok', { status: 200, seen: 1, said: ['complete 200'] }],
+  ['granted, then lost', GRANTED, 'breaks',
+    {
+      status: 502, ran: 'unknown', seen: 1, said: ['complete 502'],
+    }],
+  ['granted, then not run', GRANTED, 'refuses',
+    {
+      status: 502, ran: 'no', seen: 0, said: ['release'],
+    }],
+  ['running', { kind: 'running', owner: 'i', request: 'r' }, 'ok',
+    {
+      status: 409, ran: 'unknown', seen: 0, said: [],
+    }],
+  ['reused', { kind: 'reused_key' }, 'ok', {
+    status: 422, ran: 'no', seen: 0, said: [],
+  }],
+  ['store out', { kind: 'unavailable', message: 'out' }, 'ok',
+    {
+      status: 503, ran: 'no', seen: 0, said: [],
+    }],
+];
+
+KEYED.forEach(([title, outcome, how, expected]) => {
+  test(`never with a key: ${title}`, async (t) => {
+    const { said, claims } = claimsOf(outcome);
+    const service = how === 'breaks' ? breaks() : ok();
+    await withEntry(t, {
+      services: [service.listener], context: { claims },
+    }, async ({ address, serviceServers }) => {
+      if (how === 'refuses') serviceServers[0]!.close();
+      const reply = await call(address, '/services/stock/reserve', {
+        method: 'POST', body: '{}', headers: { 'idempotency-key': 'k' },
+      });
+      const error = reply.status === 200 ? {}
+        : (JSON.parse(reply.text) as { error: { ran: string } }).error;
+      t.like({
+        status: reply.status, ...error, seen: service.seen.length, said,
+      }, expected);
+    });
+  });
+});
--- /dev/null
+++ b/test/entryslow.test.ts
@@ -0,0 +1,119 @@
+/** Callers that read slowly or not at all. */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import test from 'ava';
+import { Observable } from 'rxjs';
+import type { Configuration } from '../src/configuration/configuration.js';
+import type { EngineEvent } from '../src/engines/engine.js';
+import { entry, sleep } from './fakes/entry.js';
+
+const BUFFER_BYTES = 64 * 1024;
+const TOKENS = 1_000_000;
+const TOKEN = 'x'.repeat(4_096);
+const TOKENS_PER_TURN = 50;
+
+function limited(callerStallMs: number) {
+  return (configuration: Configuration): Configuration => ({
+    ...configuration,
+    models: { m: { ...configuration.models.m!, maxTokens: TOKENS } },
+    limits: { ...configuration.limits, callerBufferBytes: BUFFER_BYTES, callerStallMs },
+  });
+}
+
+/** An engine that makes tokens as fast as they are read. */
+function fastEngine() {
+  const seen = { position: 0, ended: false };
+  const generate = (_: unknown, held?: Observable<boolean>) => (
+    new Observable<EngineEvent>((subscriber) => {
+      let paused = false;
+      subscriber.next({ kind: 'opened', incarnation: 'e1/1' });
+      const timer = setInterval(() => {
+        for (let made = 0; made < TOKENS_PER_TURN && !paused; made += 1) {
+          subscriber.next({ kind: 'token', position: seen.position, text: TOKEN });
+          seen.position += 1;
+        }
+      }, 5);
+      const following = held?.subscribe((value) => {
+        paused = value;
+      });
+      return () => {
+        following?.unsubscribe();
+        clearInterval(timer);
+        seen.ended = true;
+      };
+    }));
+  return { seen, client: { generate } };
+}
+
+/** Asks for a long answer and reads nothing. */
+function ask(address: string): Socket {
+  const [host, port] = address.split(':');
+  const socket = connect(Number(port), host);
+  const body = JSON.stringify({
+    model: 'm', prompt: 'x', stream: true, max_tokens: TOKENS, seed: 1,
+  });
+  socket.write([
+    'POST /v1/completions HTTP/1.1', 'host: x', 'authorization: Bearer key',
+    `content-length: ${body.length}`, '', body,
+  ].join('\r\n'));
+  return socket;
+}
+
+/** Waits until the engine makes no more tokens, and returns how many it has made. */
+async function stopped(seen: { position: number }): Promise<number> {
+  let before = -1;
+  while (seen.position === 0 || before !== seen.position) {
+    before = seen.position;
+    // eslint-disable-next-line no-await-in-loop -- looked at until it stands still
+    await sleep(200);
+  }
+  return before;
+}
+
+test.serial('a caller that does not read holds the engine until it reads', async (t) => {
+  const { seen, client } = fastEngine();
+  const own = await entry({ engines: 1, client, change: limited(60_000) });
+  t.teardown(() => own.stop());
+  const socket = ask(own.address);
+  const made = await stopped(seen);
+  t.true(made > 0 && made < TOKENS, `${made}`);
+  socket.resume();
+  await sleep(300);
+  t.true(seen.position > made, `${seen.position}`);
+  socket.destroy();
+  await sleep(200);
+  t.true(seen.ended, 'ended');
+});
+
+test.serial('a held stream is not suspected', async (t) => {
+  const { seen, client } = fastEngine();
+  const own = await entry({ engines: 2, client, change: limited(60_000) });
+  t.teardown(() => own.stop());
+  const socket = ask(own.address);
+  await stopped(seen);
+  await sleep(1_500);
+  const { values } = await own.metrics.registry
+    .getSingleMetric('generation_dispatches_total')!.get();
+  t.is(values.reduce((sum, { value }) => sum + value, 0), 1);
+  t.false(seen.ended);
+  socket.destroy();
+});
+
+test.serial('a caller that reads nothing for too long has its answer ended', async (t) => {
+  const { seen, client } = fastEngine();
+  const own = await entry({ engines: 1, client, change: limited(300) });
+  t.teardown(() => own.stop());
+  const socket = ask(own.address);
+  let tail = '';
+  await stopped(seen);
+  await sleep(400);
+  t.true(seen.ended, 'ended');
+  socket.on('error', () => undefined);
+  socket.on('data', (data) => {
+    tail = (tail + data.toString('latin1')).slice(-500);
+  });
+  socket.resume();
+  await sleep(500);
+  t.notRegex(tail, /\[DONE\]/);
+  t.true(socket.destroyed, tail);
+});
