--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -13,14 +13,16 @@
 import type { InstanceSettings } from '../../src/daemon/instance.js';
 import { StandInEngine } from '../../src/standin/engine.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
-import { cut, Oracle } from '../fuzz/oracle.js';
+import { cut, LEAVING_BOUND_MS, Oracle } from '../fuzz/oracle.js';
 import type { Call } from '../fuzz/oracle.js';
 import { VirtualClock } from './clock.js';
 import {
-  deployment, engineEntry, MODELS, VERSION, WORKSPACE,
+  deployment, engineEntry, MODELS, VERSIONS, WORKSPACE,
 } from './worldconfiguration.js';
-import { engineLink, LaggingList, objectLink } from './links.js';
-import type { Dispatch, EngineFaults, EngineNode } from './links.js';
+import {
+  engineLink, LaggingList, NO_ENGINE_FAULTS, objectLink, STORE,
+} from './links.js';
+import type { EngineFaults, EngineNode } from './links.js';
 import { Network } from './network.js';
 
 const STEP_MS = 20;
@@ -66,8 +68,6 @@
 
   readonly daemons = new Map<string, Daemon>();
 
-  readonly dispatches: Dispatch[] = [];
-
   readonly configuration: BehaviorSubject<Configuration>;
 
   readonly #answers = new Map<Call, Subscription>();
@@ -84,7 +84,7 @@
     const servers = Array.from({ length: engines }, (_, index) => (
       engineEntry(`engine-${index}`, index % 2 === 0)));
     this.configuration = new BehaviorSubject(deployment(servers, favour));
-    this.oracle = Oracle.of(() => this.clock.now(), () => this.configuration.value);
+    this.oracle = Oracle.of(() => this.clock.now(), () => this.configuration.value, VERSIONS);
     servers.forEach((server, variant) => this.#addEngine(server.name, server.checksFence, variant));
     Array.from({ length: daemons }, (_, index) => `daemon-${index}`).forEach((name) => {
       const settings = { name, zone: 'lis-a', peerAddress: name };
@@ -130,8 +130,8 @@
       scheduler: clock,
       random: Random.of(this.random.integer(0, 0x7fff_ffff)),
       log: silentLog,
-      dial: (server) => engineLink(links, () => this.engine(server.name), (dispatch) => {
-        this.dispatches.push(dispatch);
+      dial: (server) => engineLink(links, () => this.engine(server.name), () => {
+        this.oracle.dispatched(server.name, this.#informed(name, server.name));
       }),
       objects: objectLink(links, this.objects),
       list: this.list.link(name),
@@ -157,6 +157,7 @@
     this.network.end(name, how);
     this.engine(name).engine.crash(this.#name('incarnation'));
     this.engine(name).reports.length = 0;
+    if (!this.configuration.value.servers[name]!.drained) this.oracle.returns(name);
   }
 
   setFaults(name: string, faults: Partial<EngineFaults>): void {
@@ -164,6 +165,27 @@
     this.engines.set(name, { ...node, faults: { ...node.faults, ...faults } });
   }
 
+  /** Puts a changed configuration in force under the next revision. */
+  configure(change: (configuration: Configuration) => Partial<Configuration>): void {
+    const { value } = this.configuration;
+    this.configuration.next({ ...value, ...change(value), revision: value.revision + 1 });
+  }
+
+  /** Takes a server out of use, or back, by configuration. */
+  drain(name: string, drained: boolean): void {
+    this.configure(({ servers }) => ({
+      servers: { ...servers, [name]: { ...servers[name]!, drained } },
+    }));
+    if (drained) this.oracle.leaves(name);
+    else if (this.engine(name).engine.models.role !== 'leaving') this.oracle.returns(name);
+  }
+
+  /** The engine takes nothing new from now on. */
+  leaveEngine(name: string): void {
+    this.engine(name).engine.leave();
+    this.oracle.leaves(name);
+  }
+
   ask({
     daemon, model, tokens, priority,
   }: Question): void {
@@ -230,13 +252,24 @@
       variant,
       stepMs: STEP_MS,
       slots: SLOTS,
-      models: MODELS.map((model) => ({ model, version: VERSION, adapters: [] })),
+      models: MODELS.flatMap((model) => VERSIONS.map((version) => ({
+        model, version, adapters: [],
+      }))),
     }, this.network.node(name).clock, this.#name('incarnation'));
     this.engines.set(name, {
-      engine, faults: { reportLagMs: 0, cacheLoss: 0, cacheRepeat: 0 }, reports: [],
+      engine, faults: NO_ENGINE_FAULTS, reports: [],
     });
   }
 
+  /** Whether the daemon can have known for a while what the server and the operators said. */
+  #informed(daemon: string, server: string): boolean {
+    const { clock } = this.network.node(daemon);
+    const since = this.clock.now() - LEAVING_BOUND_MS;
+    const { faults } = this.engine(server);
+    return clock.wokenAt < since && faults.reportLagMs === 0
+      && [server, STORE].every((other) => this.network.clearSince(daemon, other) < since);
+  }
+
   #publishList(): void {
     const listed = [...this.daemons.values()].filter(({ instance }) => instance)
       .map(({ settings }) => ({ ...settings, state: 'live' as const }));
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -1,7 +1,7 @@
 /** The commands that the fuzzing draws from, and which of them are possible at a moment. */
 import fc from 'fast-check';
 import type { AsyncCommand } from 'fast-check';
-import { MAX_TOKENS, MODELS } from '../fakes/worldconfiguration.js';
+import { MAX_TOKENS, MODELS, VERSIONS } from '../fakes/worldconfiguration.js';
 import { LIST, STORE } from '../fakes/links.js';
 import { BUSIEST } from '../fakes/world.js';
 import type { World } from '../fakes/world.js';
@@ -37,8 +37,13 @@
     case 'advance':
     case 'isolate':
     case 'mend_all':
-    case 'reports_lag':
-    case 'cache_events': return true;
+    case 'leave_engine': {
+      const name = world.place(step.engine);
+      return up(world, name) && !paused(world, name);
+    }
+    case 'engine_faults':
+    case 'drain':
+    case 'version': return true;
   }
 }
 
@@ -124,9 +129,26 @@
     },
     { weight: 2, arbitrary: fc.record({ kind: kind('mend'), from: place, to: daemon }) },
     { weight: 2, arbitrary: fc.record({ kind: kind('mend_all') }) },
-    fc.record({ kind: kind('reports_lag'), engine, ms }),
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: kind('engine_faults'),
+        engine: target,
+        faults: fc.oneof(
+          fc.record({ reportLagMs: ms }),
+          fc.record({ cacheLoss: fraction, cacheRepeat: fraction }),
+          fc.record({
+            eventLoss: fc.constantFrom(0, 0.02, 0.2), eventRepeat: fc.constantFrom(0, 0.1, 1),
+          }),
+        ),
+      }),
+    },
+    fc.record({ kind: kind('leave_engine'), engine: target }),
+    { weight: 2, arbitrary: fc.record({ kind: kind('drain'), engine, drained: fc.boolean() }) },
     fc.record({
-      kind: kind('cache_events'), engine, cacheLoss: fraction, cacheRepeat: fraction,
+      kind: kind('version'),
+      model: fc.constantFrom(...MODELS),
+      version: fc.constantFrom(...VERSIONS),
     }),
   );
 }
