--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -59,8 +59,9 @@
     edits.forEach((edit) => plant(directory, edit));
     const hunts = seeds.map((seed) => hunt(directory, seed)).filter(Boolean);
     if (hunts.length === 0) missed += 1;
+    const seen = (hunts[0]?.seen ?? '').split(';')[0];
     const runs = hunts.map((found) => found.runs).join(', ') || '-';
-    console.log(`| ${name} | ${hunts.length} of ${seeds.length} | ${runs} | ${hunts[0]?.seen ?? ''} |`);
+    console.log(`| ${name} | ${hunts.length} of ${seeds.length} | ${runs} | ${seen} |`);
   } finally {
     rmSync(directory, { recursive: true, force: true });
   }
--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -43,8 +43,9 @@
     edits: [{
       file: RUN,
       from: "    if (event.kind === 'failed') {",
-      to: `    if (event.kind === 'failed' && event.cause === 'reset' && this.#state.accepted.tokens > 0) {
-      this.#receive({ kind: 'finish', attempt, position: this.#state.accepted.tokens, reason: 'stop' });
+      to: `    const position = this.#state.accepted.tokens;
+    if (event.kind === 'failed' && event.cause === 'reset' && position > 0) {
+      this.#receive({ kind: 'finish', attempt, position, reason: 'stop' });
       return;
     }
     if (event.kind === 'failed') {`,
--- a/src/standin/tokens.ts
+++ b/src/standin/tokens.ts
@@ -42,9 +42,12 @@
   return tokensOf(accepted.text).reduce(chainNext, chainStart(subject));
 }
 
-/** How many tokens the whole answer has. */
+/** How many tokens the whole answer has; fewer where the request names stop sequences. */
 export function answerLength(subject: Subject): number {
-  const natural = MIN_LENGTH + (chainStart(subject) % LENGTH_SPREAD);
+  const start = chainStart(subject);
+  const natural = subject.sampling.stop.length > 0
+    ? 1 + (start % MIN_LENGTH)
+    : MIN_LENGTH + (start % LENGTH_SPREAD);
   return Math.min(subject.sampling.maxTokens, natural);
 }
 
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -49,6 +49,7 @@
   readonly model: typeof MODELS[number];
   readonly tokens: number;
   readonly priority: Priority;
+  readonly stop: readonly string[];
 }
 
 export class World {
@@ -187,7 +188,7 @@
   }
 
   ask({
-    daemon, model, tokens, priority,
+    daemon, model, tokens, priority, stop,
   }: Question): void {
     const { instance } = this.daemon(daemon);
     if (!instance) return;
@@ -200,7 +201,7 @@
       adapter: undefined,
       input: { kind: 'prompt', text: `${name} `.repeat(40) },
       sampling: {
-        seed: this.#names, temperature: 1, maxTokens: tokens, stop: [],
+        seed: this.#names, temperature: 1, maxTokens: tokens, stop,
       },
       priority,
       repeat,
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -37,10 +37,7 @@
     case 'advance':
     case 'isolate':
     case 'mend_all':
-    case 'leave_engine': {
-      const name = world.place(step.engine);
-      return up(world, name) && !paused(world, name);
-    }
+    case 'leave_engine': return world.runs(world.place(step.engine));
     case 'engine_faults':
     case 'drain':
     case 'version': return true;
@@ -92,6 +89,7 @@
         daemon,
         model: fc.constantFrom(...MODELS),
         tokens: fc.integer({ min: 1, max: MAX_TOKENS }),
+        stop: fc.constantFrom([], ['.']),
         priority: fc.constantFrom('interactive' as const, 'standard' as const, 'batch' as const),
       }),
     },
