--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -33,11 +33,11 @@
     case 'cut':
     case 'delay':
     case 'mend': return step.from !== step.to;
+    case 'leave_engine': return world.runs(world.place(step.engine));
     case 'hang_up': return world.oracle.open.length > 0;
     case 'advance':
     case 'isolate':
     case 'mend_all':
-    case 'leave_engine': return world.runs(world.place(step.engine));
     case 'engine_faults':
     case 'drain':
     case 'version': return true;
@@ -136,7 +136,7 @@
           fc.record({ reportLagMs: ms }),
           fc.record({ cacheLoss: fraction, cacheRepeat: fraction }),
           fc.record({
-            eventLoss: fc.constantFrom(0, 0.02, 0.2), eventRepeat: fc.constantFrom(0, 0.1, 1),
+            eventLoss: fc.constantFrom(0, 0.03, 0.3), eventRepeat: fc.constantFrom(0, 0.1, 1),
           }),
         ),
       }),
