--- /dev/null
+++ b/scripts/mutants/list.mjs
@@ -0,0 +1,122 @@
+// The faults that `scripts/mutants.mjs` plants: each is the text to replace in one or more files.
+const TRANSACTION = 'src/generation/transaction.ts';
+const LOSS = 'src/generation/loss.ts';
+const ATTEMPT = 'src/generation/attempt.ts';
+const RUN = 'src/generation/run.ts';
+
+export const MUTANTS = [
+  {
+    name: 'accept a late token of a lost attempt',
+    edits: [
+      {
+        file: TRANSACTION,
+        from: 'find(({ number }) => number === event.attempt);',
+        to: 'find(({ number }) => number === event.attempt) ?? liveAttempts(state)[0];',
+      },
+      { file: ATTEMPT, from: 'this.#stream.unsubscribe();', to: '' },
+    ],
+  },
+  {
+    name: 'accept a repeated token',
+    edits: [{
+      file: TRANSACTION,
+      from: "if (position < accepted.tokens) return drop(state, 'repeated');",
+      to: '',
+    }],
+  },
+  {
+    name: 'take a gap',
+    edits: [{
+      file: TRANSACTION, from: 'if (position > accepted.tokens) {', to: 'if (position < 0) {',
+    }],
+  },
+  {
+    name: 'end a short answer as done',
+    edits: [{
+      file: TRANSACTION,
+      from: 'if (event.position !== tokens) {',
+      to: 'if (event.position < 0) {',
+    }],
+  },
+  {
+    name: 'take the end of a stream for the end of the answer',
+    edits: [{
+      file: RUN,
+      from: "    if (event.kind === 'failed') {",
+      to: `    const position = this.#state.accepted.tokens;
+    if (event.kind === 'failed' && event.cause === 'reset' && position > 0) {
+      this.#receive({ kind: 'finish', attempt, position, reason: 'stop' });
+      return;
+    }
+    if (event.kind === 'failed') {`,
+    }],
+  },
+  {
+    name: 'retry a request that may not repeat',
+    edits: [{
+      file: LOSS,
+      from: 'if (begun && state.accepted.tokens === 0 && !state.repeatable) {',
+      to: 'if (state.fruitless < 0) {',
+    }],
+  },
+  {
+    name: 'begin again after an unconfirmed cancel',
+    edits: [{
+      file: LOSS,
+      from: "outcome.kind === 'cancelled' && outcome.made === 0",
+      to: "outcome.kind !== 'cancelled' || outcome.made === 0",
+    }],
+  },
+  {
+    name: 'start a hedge for a request that may not repeat',
+    edits: [{
+      file: TRANSACTION,
+      from: 'const safe = state.repeatable || state.accepted.tokens > 0;',
+      to: 'const safe = true;',
+    }],
+  },
+  {
+    name: 'say "not run" after a dispatch',
+    edits: [{
+      file: LOSS,
+      from: "return { ...refusal, ran: state.begun ? 'unknown' : refusal.ran };",
+      to: 'return refusal;',
+    }],
+  },
+  {
+    name: 'resume on another version',
+    edits: [
+      {
+        file: LOSS,
+        from: 'const version = accepted.tokens === 0 ? undefined : state.version;',
+        to: 'const version = undefined;',
+      },
+    ],
+  },
+  {
+    name: 'resume without the accepted text',
+    edits: [{
+      file: RUN,
+      from: 'accepted: this.#state.accepted,',
+      to: "accepted: { text: '', tokens: this.#state.accepted.tokens },",
+    }],
+  },
+  {
+    name: 'never take silence for a loss',
+    edits: [{
+      file: 'src/engines/detector.ts',
+      from: "if (after === 'down') return { state, effects: [{ kind: 'lose' }] };",
+      to: "if (after === 'down') return { state, effects: [] };",
+    }],
+  },
+  {
+    name: 'give new work to a leaving engine',
+    edits: [{
+      file: 'src/routing/leastloaded.ts', from: "report?.role !== 'leaving'", to: 'true',
+    }],
+  },
+  {
+    name: 'give new work to a drained engine',
+    edits: [{ file: 'src/routing/leastloaded.ts', from: '!server.drained', to: 'true' }],
+  },
+];
--- a/src/generation/placing.ts
+++ b/src/generation/placing.ts
@@ -1,5 +1,7 @@
 /** Waits for the backend server of a generation's next attempt. */
 import { Subscription } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import { monotonicScheduler } from '../common/time.js';
 import type { Assignment, Dispatcher } from '../routing/dispatcher.js';
 import type { AssignReason, GenerationEvent } from './change.js';
 import type { Permit, ResumePacer } from './pacing.js';
@@ -17,6 +19,7 @@
 export interface PlacingContext {
   readonly dispatcher: Dispatcher;
   readonly pacer?: ResumePacer;
+  readonly scheduler?: SchedulerLike;
 }
 
 export class Placing {
@@ -30,6 +33,11 @@
 
   #permit: Permit | undefined;
 
+  /** Time spent on waits that have ended, so that a request waits no longer for having lost one. */
+  #waitedMs = 0;
+
+  #waitingSince: number | undefined;
+
   #placed: Placed | undefined;
 
   private constructor(
@@ -55,6 +63,7 @@
     this.withdraw();
     const waiting = new Subscription();
     this.#waiting = waiting;
+    this.#waitingSince = this.#now;
     const ask = () => waiting.add(this.#ask(waiting, reason, state, exclude));
     const { pacer } = this.#context;
     if (reason === 'begin' || !pacer) {
@@ -80,12 +89,23 @@
 
   /** Stops waiting. */
   withdraw(): void {
+    this.#countWait();
     this.#waiting?.unsubscribe();
     this.#waiting = undefined;
     this.#permit?.release();
     this.#permit = undefined;
   }
 
+  get #now(): number {
+    return (this.#context.scheduler ?? monotonicScheduler).now();
+  }
+
+  #countWait(): void {
+    if (this.#waitingSince === undefined) return;
+    this.#waitedMs += this.#now - this.#waitingSince;
+    this.#waitingSince = undefined;
+  }
+
   #ask(
     waiting: Subscription,
     reason: AssignReason,
@@ -105,6 +125,7 @@
       resume: state.accepted.tokens > 0,
       exclude,
       retry: reason !== 'begin',
+      waitedMs: this.#waitedMs,
     }).subscribe((result) => {
       if (waiting.closed) {
         result.map((assignment) => assignment.release('cancelled'));
@@ -127,6 +148,7 @@
 
   #found(reason: AssignReason, assignment: Assignment): void {
     const permit = this.#permit;
+    this.#countWait();
     this.#permit = undefined;
     this.#waiting = undefined;
     this.#placed = { reason, assignment, permit };
--- a/src/routing/leastloaded.ts
+++ b/src/routing/leastloaded.ts
@@ -43,6 +43,7 @@
     const version = target.version ?? this.#configuration().models[target.model]?.version ?? '';
     const candidates = this.#directory.engines()
       .filter(({ server, health, report }) => health === 'up' && !server.drained
+        && report?.role !== 'leaving'
         && !demand.exclude.includes(server.name)
         && report?.models.some((loaded) => (
           loaded.model === target.model && loaded.version === version)))
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -161,7 +161,7 @@
     subscriber: Subscriber<Result<Assignment, Refusal>>,
   ): Waiting {
     const {
-      workspace, priority, resume, exclude,
+      workspace, priority, resume, exclude, waitedMs = 0,
     } = demand;
     const key = needKey(need);
     const id = this.#nextId;
@@ -175,7 +175,7 @@
       key,
       cost: this.#holdTimes.expected(workspace, priority),
       enteredAt: this.#now,
-      deadline: deadlineOf(priority, resume, this.#now, this.#configuration.limits),
+      deadline: deadlineOf(priority, resume, this.#now - waitedMs, this.#configuration.limits),
     };
     const group = exclude.length > 0 ? `${id}` : `${priority} ${resume} ${key}`;
     return {
--- a/test/fakes/nodeclock.ts
+++ b/test/fakes/nodeclock.ts
@@ -33,6 +33,9 @@
     return this.#epoch;
   }
 
+  /** When the process last started or woke. */
+  wokenAt = 0;
+
   get paused(): boolean {
     return this.#paused;
   }
@@ -67,6 +70,7 @@
     if (this.#suspendedAt !== undefined) this.#behind += this.#clock.now() - this.#suspendedAt;
     this.#suspendedAt = undefined;
     this.#paused = false;
+    this.wokenAt = this.#clock.now();
     const epoch = this.#epoch;
     this.#held.splice(0).forEach((action) => {
       this.#clock.schedule(() => this.run(epoch, action));
@@ -76,6 +80,7 @@
   /** Ends the process: nothing that it scheduled, or that was sent to it, runs any more. */
   end(): void {
     this.#epoch += 1;
+    this.wokenAt = this.#clock.now();
     this.#held.length = 0;
     this.#paused = false;
     this.#suspendedAt = undefined;
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -8,6 +8,7 @@
     runs: { type: 'string', default: '1000' },
     path: { type: 'string' },
     replay: { type: 'string' },
+    quick: { type: 'boolean', default: false },
   },
 });
 
@@ -15,6 +16,7 @@
 const details = await fuzz({
   seed: Number(values.seed),
   runs: Number(values.runs),
+  quick: values.quick,
   ...(values.path === undefined ? {} : { path: values.path }),
   ...(values.replay === undefined ? {} : { replayPath: values.replay }),
 });
