Add the at-most-once ledger of claims in sharded objects with group commit

A claim goes to the home of its key's shard, which commits the claims of all instances in groups by one conditional update; a home that does not answer is gone round with the same nonce, so the conditional update alone decides. A claim that ends unavailable within 2 s is released if it may have been written, and its owner disowns it when a retry asks.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -18,6 +18,7 @@
 export interface ClaimReference {
   readonly workspace: string;
   readonly key: string;
+  readonly request: string;
   readonly nonce: string;
 }
 
--- /dev/null
+++ b/src/claims/committer.ts
@@ -0,0 +1,266 @@
+/**
+ * Commits the operations on one shard in groups: those that come while one conditional update is
+ * under way go into the next. Whether this instance is the shard's home only matters for the cost;
+ * the conditional update decides between committers.
+ */
+import { Subscription, timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Random } from '../common/random.js';
+import { backoffMs, pause } from '../store/backoff.js';
+import type { ObjectApi, StoredObject } from '../store/objects.js';
+import { settledPut } from '../store/settle.js';
+import type { Settlement } from '../store/settle.js';
+import {
+  applyAll, EMPTY_SHARD, encodeShard, parseShard, stampWrite,
+} from './shard.js';
+import type {
+  Answer, ClaimOperation, Operation, Outcome, Shard,
+} from './shard.js';
+
+/** Longest time that one update is settled before the shard is read again. */
+const SETTLE_MS = 500;
+/** How old a copy of the shard may be to answer that a key is taken. */
+const FRESH_MS = 1_000;
+/** How long an end may wait for a claim to be committed with. */
+const LINGER_MS = 500;
+const MAX_BACKOFF_MS = 1_000;
+
+export interface CommitterContext {
+  readonly api: ObjectApi;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  /** Milliseconds since 1970, for expiry. */
+  readonly wallClock: () => number;
+  /** Whether to keep a copy of the shard between updates. */
+  readonly keeps: () => boolean;
+}
+
+/** A point in the order of this committer's calls and operations. */
+interface Moment { readonly at: number; readonly sequence: number }
+
+/** The shard as last read or written, and when the call for it was sent. */
+interface Copy { readonly version: number; readonly shard: Shard; readonly sent: Moment }
+
+interface Pending {
+  readonly operation: Operation;
+  /** Asks for an update even if it changes nothing, so that a lost one can't come later. */
+  readonly forced: boolean;
+  readonly added: Moment;
+  readonly resolve: (answer: Answer) => void;
+}
+
+const LATE = 'the claim could not be written in time';
+
+export class Committer {
+  readonly #name: string;
+
+  readonly #context: CommitterContext;
+
+  #queue: Pending[] = [];
+
+  /** Claims that nobody waits for any more. */
+  readonly #abandoned = new WeakSet<Pending>();
+
+  /** What is in the update under way. */
+  #sending: readonly Pending[] = [];
+
+  /** What an update of unknown outcome may have written, or may write yet. */
+  readonly #uncertain = new WeakSet<Pending>();
+
+  #copy: Copy | undefined;
+
+  #running = false;
+
+  #linger = Subscription.EMPTY;
+
+  #failures = 0;
+
+  #sequence = 0;
+
+  private constructor(name: string, context: CommitterContext) {
+    this.#name = name;
+    this.#context = context;
+  }
+
+  /** @param name the shard's object */
+  static of(name: string, context: CommitterContext): Committer {
+    return new Committer(name, context);
+  }
+
+  /**
+   * Commits a claim. After `withinMs` it is given up and the outcome is `unavailable`.
+   */
+  claim(operation: ClaimOperation, withinMs: number): Promise<Answer> {
+    return new Promise((resolve) => {
+      const waiting = new Subscription();
+      const pending = this.#add(operation, false, (answer) => {
+        waiting.unsubscribe();
+        resolve(answer);
+      });
+      waiting.add(timer(withinMs, this.#context.scheduler).subscribe(() => {
+        this.#abandoned.add(pending);
+        const open = this.#uncertain.has(pending) || this.#sending.includes(pending);
+        resolve({ outcome: { kind: 'unavailable', message: LATE }, open });
+      }));
+      this.#start();
+    });
+  }
+
+  /**
+   * Commits an operation that is not a claim, however long it takes. A release is forced: once it
+   * is committed, no earlier update of this instance can bring the claim back.
+   */
+  commit(operation: Operation): Promise<Answer> {
+    return new Promise((resolve) => {
+      this.#add(operation, operation.kind === 'release', resolve);
+      if (operation.kind === 'release') this.#start();
+      else this.#startLater();
+    });
+  }
+
+  #add(operation: Operation, forced: boolean, resolve: (answer: Answer) => void): Pending {
+    this.#sequence += 1;
+    const pending = {
+      operation, forced, added: this.#moment(), resolve,
+    };
+    this.#queue.push(pending);
+    return pending;
+  }
+
+  #startLater(): void {
+    if (this.#running || !this.#linger.closed) return;
+    this.#linger = timer(LINGER_MS, this.#context.scheduler).subscribe(() => this.#start());
+  }
+
+  #start(): void {
+    if (this.#running) return;
+    this.#linger.unsubscribe();
+    this.#running = true;
+    this.#run().then(() => {
+      this.#running = false;
+      if (!this.#context.keeps()) this.#copy = undefined;
+    }, () => undefined);
+  }
+
+  async #run(): Promise<void> {
+    while (this.#queue.length > 0) {
+      // eslint-disable-next-line no-await-in-loop -- one update after the other
+      const done = await this.#commitQueue().catch(() => this.#lose());
+      if (done) {
+        this.#failures = 0;
+      } else {
+        this.#failures += 1;
+        // eslint-disable-next-line no-await-in-loop
+        await pause(this.#backoffMs(), this.#context.scheduler);
+      }
+    }
+  }
+
+  /** An update that ended in an exception may have taken effect. */
+  #lose(): boolean {
+    this.#sending.forEach((pending) => this.#uncertain.add(pending));
+    this.#sending = [];
+    this.#copy = undefined;
+    return false;
+  }
+
+  #backoffMs(): number {
+    return Math.min(MAX_BACKOFF_MS, backoffMs(this.#failures, this.#context.random));
+  }
+
+  /** False when the store failed and a pause is due; what has not come to its end stays. */
+  async #commitQueue(): Promise<boolean> {
+    const { wallClock, scheduler, random } = this.#context;
+    const copy = await this.#read();
+    // Claims given up until now are not written any more, as their owners were told.
+    this.#queue = this.#queue.filter((pending) => !this.#abandoned.has(pending));
+    if (!copy) return this.#queue.length === 0;
+    const batch = [...this.#queue];
+    const now = wallClock();
+    const operations = batch.map(({ operation }) => operation);
+    const { shard, outcomes } = applyAll(copy.shard, operations, now);
+    if (shard === copy.shard && !batch.some(({ forced }) => forced)) {
+      return this.#answerFrom(copy, batch, outcomes);
+    }
+    const writeId = random.identifier();
+    const written = stampWrite(shard, writeId, now);
+    const value = encodeShard(written);
+    const sent = this.#moment();
+    this.#sending = batch;
+    const settlement = await settledPut(this.#context, {
+      name: this.#name,
+      value,
+      expected: copy.version === 0
+        ? { kind: 'absent' }
+        : { kind: 'version', version: copy.version },
+      use: 'claims',
+      wrote: (text) => parseShard(text)
+        .map(({ writes }) => writes.includes(writeId)).unwrapOr(false),
+    }, scheduler.now() + SETTLE_MS);
+    this.#sending = [];
+    if (settlement.kind === 'applied') {
+      const { object } = settlement;
+      this.#keep(object, sent, object.value === value ? written : undefined);
+      this.#finish(batch, outcomes);
+    }
+    return this.#settled(settlement, sent, batch);
+  }
+
+  #settled(settlement: Settlement, sent: Moment, batch: readonly Pending[]): boolean {
+    switch (settlement.kind) {
+      case 'applied': return true;
+      case 'superseded':
+        this.#keep(settlement.object, sent);
+        return true;
+      case 'refused':
+        this.#copy = undefined;
+        return false;
+      case 'unsettled':
+        batch.forEach((pending) => this.#uncertain.add(pending));
+        this.#copy = undefined;
+        return false;
+    }
+  }
+
+  /** Answers without an update, if the copy is recent enough to be believed. */
+  #answerFrom(copy: Copy, batch: readonly Pending[], outcomes: readonly Outcome[]): boolean {
+    if (batch.some((pending) => Committer.#isStale(copy, pending))) this.#copy = undefined;
+    else this.#finish(batch, outcomes);
+    return true;
+  }
+
+  static #isStale({ sent }: Copy, { operation, added }: Pending): boolean {
+    return operation.kind === 'claim' && operation.fresh
+      ? sent.sequence < added.sequence
+      : sent.at < added.at - FRESH_MS;
+  }
+
+  #moment(): Moment {
+    return { at: this.#context.scheduler.now(), sequence: this.#sequence };
+  }
+
+  #finish(batch: readonly Pending[], outcomes: readonly Outcome[]): void {
+    const finished = new Set(batch);
+    this.#queue = this.#queue.filter((pending) => !finished.has(pending));
+    batch.forEach((pending, index) => {
+      if (this.#abandoned.has(pending)) return;
+      pending.resolve({ outcome: outcomes[index]!, open: this.#uncertain.has(pending) });
+    });
+  }
+
+  async #read(): Promise<Copy | undefined> {
+    if (this.#copy) return this.#copy;
+    const sent = this.#moment();
+    const read = await this.#context.api.get(this.#name, 'claims');
+    if (read.isOk()) return this.#keep(read.value, sent);
+    return read.error.code === 'not_found' ? this.#keep(undefined, sent) : undefined;
+  }
+
+  /** A shard that can't be read is never written over: its claims would be lost. */
+  #keep(object: StoredObject | undefined, sent: Moment, known?: Shard): Copy | undefined {
+    const shard = known
+      ?? (object ? parseShard(object.value).unwrapOr(undefined) : EMPTY_SHARD);
+    this.#copy = shard && { version: object?.version ?? 0, shard, sent };
+    return this.#copy;
+  }
+}
--- /dev/null
+++ b/src/claims/ledger.ts
@@ -0,0 +1,261 @@
+/**
+ * The at-most-once ledger of one instance. A claim goes to the home of its key's shard, which
+ * commits the claims of all instances in groups. The home is only a hint: when it does not answer,
+ * the claim is committed from here, with the same nonce, and the store's conditional update
+ * decides.
+ */
+import { defer, lastValueFrom, timeout } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import { hash32, rendezvousOrder, sha256 } from '../common/hash.js';
+import type { Random } from '../common/random.js';
+import type { ObjectApi } from '../store/objects.js';
+import { CLAIM_DEADLINE_MS } from './claims.js';
+import type {
+  ClaimOutcome, ClaimReference, ClaimRequest, Claims,
+} from './claims.js';
+import { Committer } from './committer.js';
+import type {
+  Answer, ClaimOperation, Operation, Outcome,
+} from './shard.js';
+
+const SHARDS = 64;
+const FORWARD_DEADLINE_MS = 600;
+/** Part of the deadline that a home may use up, so that its outcome comes in time. */
+const HOME_DEADLINE_MS = 500;
+const KEY_CHARS = 22;
+const NONCE_CHARS = 16;
+/** Requests that are remembered as never dispatched. */
+const KEPT_ABANDONED = 10_000;
+/** Releases that may wait for the store; further claims are released when a retry asks. */
+const MAX_RELEASES = 1_000;
+
+/** Reaches the ledgers of other instances. */
+export interface LedgerPeers {
+  /**
+   * Hands an operation to the home of its shard. Rejects when the home does not answer; it may then
+   * have committed the operation.
+   */
+  forward(home: string, operation: Operation): Promise<Answer>;
+
+  /** Asks a claim's owner to `disown` a request that it never dispatched. */
+  disown(owner: string, request: string): Promise<boolean>;
+}
+
+export interface LedgerContext {
+  /** This instance's name. */
+  readonly name: string;
+  readonly api: ObjectApi;
+  readonly peers: LedgerPeers;
+  /** Names of the live instances, this one among them. */
+  readonly members: () => readonly string[];
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  /** Milliseconds since 1970. */
+  readonly wallClock: () => number;
+}
+
+/** Digest of a workspace and its key. */
+function keyOf({ workspace, key }: { readonly workspace: string; readonly key: string }): string {
+  return sha256(`${workspace}\n${key}`).slice(0, KEY_CHARS);
+}
+
+function shardOf(key: string): number {
+  return hash32(key) % SHARDS;
+}
+
+interface Homes { readonly members: readonly string[]; readonly names: readonly string[] }
+
+export class ClaimLedger implements Claims {
+  readonly #context: LedgerContext;
+
+  readonly #committers = new Map<number, Committer>();
+
+  /** Claims of requests that were not and will not be dispatched, by request. */
+  readonly #abandoned = new Map<string, ClaimReference>();
+
+  /** Releases that wait for the store. */
+  #releases = 0;
+
+  #homes: Homes = { members: [], names: [] };
+
+  private constructor(context: LedgerContext) {
+    this.#context = context;
+  }
+
+  static of(context: LedgerContext): ClaimLedger {
+    return new ClaimLedger(context);
+  }
+
+  /** Part of all shards that this instance is home to, from 0 to 1; for its call budget. */
+  get homed(): number {
+    const shards = Array.from({ length: SHARDS }, (_, shard) => shard);
+    return shards.filter((shard) => this.#isHome(shard)).length / SHARDS;
+  }
+
+  async claim(request: ClaimRequest): Promise<ClaimOutcome> {
+    const { scheduler, random } = this.#context;
+    const until = scheduler.now() + CLAIM_DEADLINE_MS;
+    const nonce = random.identifier().slice(0, NONCE_CHARS);
+    const { workspace, key, request: id } = request;
+    const ref = {
+      workspace, key, nonce, request: id,
+    };
+    const operation = this.#operationOf(ref, request.bodyHash);
+    let attempt = await this.#attempt(operation, until);
+    let { open } = attempt;
+    if (await this.#isDisowned(attempt.outcome, until)) {
+      attempt = await this.#attempt({ ...operation, fresh: true }, until);
+      open ||= attempt.open;
+    }
+    // A home that has not answered may write the claim whatever was found here.
+    if (open && attempt.outcome.kind !== 'granted') this.#abandon(ref);
+    return ClaimLedger.#outcomeOf(attempt.outcome, ref);
+  }
+
+  complete(ref: ClaimReference, status: number): void {
+    this.#commit({
+      kind: 'complete', key: keyOf(ref), nonce: ref.nonce, status,
+    });
+  }
+
+  release(ref: ClaimReference): void {
+    this.#remember(ref);
+    this.#commit({ kind: 'release', key: keyOf(ref), nonce: ref.nonce });
+  }
+
+  /** Commits what another instance forwarded to this one as the home. */
+  serve(operation: Operation): Promise<Answer> {
+    return operation.kind === 'claim'
+      ? this.#committer(operation.key).claim(operation, HOME_DEADLINE_MS)
+      : this.#committer(operation.key).commit(operation);
+  }
+
+  /**
+   * Whether `request` had a claim here that it was never dispatched under. The claim has then been
+   * released, should it have been written after all.
+   */
+  async disown(request: string): Promise<boolean> {
+    const ref = this.#abandoned.get(request);
+    if (!ref) return false;
+    await this.#releaseHere(ref);
+    return true;
+  }
+
+  #operationOf(ref: ClaimReference, bodyHash: string): ClaimOperation {
+    const { nonce, request } = ref;
+    return {
+      kind: 'claim', key: keyOf(ref), bodyHash, nonce, owner: this.#context.name, request,
+    };
+  }
+
+  /** Commits through the home, or from here if the home gives no outcome. */
+  async #attempt(operation: ClaimOperation, until: number): Promise<Answer> {
+    const withinMs = () => Math.max(0, until - this.#context.scheduler.now());
+    const committer = this.#committer(operation.key);
+    if (this.#isHome(shardOf(operation.key))) return committer.claim(operation, withinMs());
+    const forwarded = await this.#forward(operation, withinMs());
+    if (forwarded && forwarded.outcome.kind !== 'unavailable') return forwarded;
+    const { outcome, open } = await committer.claim(operation, withinMs());
+    return { outcome, open: open || (forwarded?.open ?? true) };
+  }
+
+  static #outcomeOf(outcome: Outcome, ref: ClaimReference): ClaimOutcome {
+    switch (outcome.kind) {
+      case 'granted': return { kind: 'granted', ref };
+      case 'unavailable': return { kind: 'unavailable', message: outcome.message };
+      case 'applied': return { kind: 'unavailable', message: 'the claim was not taken as one' };
+      case 'running':
+      case 'done':
+      case 'reused_key':
+        return outcome;
+    }
+  }
+
+  /** The request is refused; its claim, which may be written by now or later, is released. */
+  #abandon(ref: ClaimReference): void {
+    this.#remember(ref);
+    if (this.#releases >= MAX_RELEASES) return;
+    this.#releases += 1;
+    this.#releaseHere(ref).finally(() => {
+      this.#releases -= 1;
+    }).catch(() => undefined);
+  }
+
+  #remember(ref: ClaimReference): void {
+    this.#abandoned.set(ref.request, ref);
+    const oldest = this.#abandoned.keys().next();
+    if (this.#abandoned.size > KEPT_ABANDONED && !oldest.done) this.#abandoned.delete(oldest.value);
+  }
+
+  /** Releases by an update from here, which no update of the home can then follow unseen. */
+  async #releaseHere(ref: ClaimReference): Promise<void> {
+    const key = keyOf(ref);
+    await this.#committer(key).commit({ kind: 'release', key, nonce: ref.nonce });
+  }
+
+  /** Whether what holds the key is a claim that its owner has just given up. */
+  async #isDisowned(outcome: Outcome, until: number): Promise<boolean> {
+    if (outcome.kind !== 'running') return false;
+    const { name, peers, scheduler } = this.#context;
+    const { owner, request } = outcome;
+    const ask = () => (owner === name ? this.disown(request) : peers.disown(owner, request));
+    const deadlineMs = Math.min(FORWARD_DEADLINE_MS, until - scheduler.now());
+    return await this.#withDeadline(ask, deadlineMs) ?? false;
+  }
+
+  /** The home's answer; undefined when there is none. */
+  #forward(operation: Operation, withinMs: number): Promise<Answer | undefined> {
+    const home = this.#homeOf(shardOf(operation.key));
+    const send = () => this.#context.peers.forward(home, operation);
+    return this.#withDeadline(send, Math.min(withinMs, FORWARD_DEADLINE_MS));
+  }
+
+  /** What the call resolves to; undefined when it fails or takes longer. */
+  #withDeadline<Value>(
+    call: () => Promise<Value>,
+    deadlineMs: number,
+  ): Promise<Value | undefined> {
+    const { scheduler } = this.#context;
+    const calling = defer(call).pipe(timeout({ first: Math.max(0, deadlineMs), scheduler }));
+    return lastValueFrom(calling).catch(() => undefined);
+  }
+
+  #commit(operation: Operation): void {
+    const here = () => this.#committer(operation.key).commit(operation);
+    const committing = this.#isHome(shardOf(operation.key))
+      ? here()
+      : this.#forward(operation, FORWARD_DEADLINE_MS).then((answer) => answer ?? here());
+    committing.catch(() => undefined);
+  }
+
+  #homeOf(shard: number): string {
+    const { members, name } = this.#context;
+    const current = members();
+    if (current !== this.#homes.members) {
+      const names = Array.from({ length: SHARDS }, (_, index) => (
+        rendezvousOrder(ClaimLedger.#objectOf(index), current)[0] ?? name));
+      this.#homes = { members: current, names };
+    }
+    return this.#homes.names[shard] ?? name;
+  }
+
+  #isHome(shard: number): boolean {
+    return this.#homeOf(shard) === this.#context.name;
+  }
+
+  #committer(key: string): Committer {
+    const shard = shardOf(key);
+    const known = this.#committers.get(shard);
+    if (known) return known;
+    const committer = Committer.of(ClaimLedger.#objectOf(shard), {
+      ...this.#context, keeps: () => this.#isHome(shard),
+    });
+    this.#committers.set(shard, committer);
+    return committer;
+  }
+
+  /** The name carries the number of shards, since another number moves the keys. */
+  static #objectOf(shard: number): string {
+    return `claims-${SHARDS}/${shard}`;
+  }
+}
--- /dev/null
+++ b/src/claims/shard.ts
@@ -0,0 +1,177 @@
+/**
+ * One shard of the ledger as a pure value: the claims whose keys hash to it. Operations can be
+ * applied again without harm, since each claim carries its writer's nonce; so a batch whose write
+ * was lost or came second is applied to what is stored now.
+ */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+
+/** A claim without an end is kept longer than any request may run. */
+const RUNNING_TTL_MS = 7_200_000;
+/** How long a retry of an ended request is recognised. */
+const DONE_TTL_MS = 3_600_000;
+/** Claims are not dropped before they expire, so a full shard takes no more. */
+const MAX_ENTRIES = 5_000;
+const KEPT_WRITES = 16;
+const FORMAT = 1;
+
+export interface Entry {
+  readonly bodyHash: string;
+  readonly nonce: string;
+  /** The instance that was granted the claim. */
+  readonly owner: string;
+  readonly request: string;
+  /** Milliseconds since 1970. */
+  readonly expiresAt: number;
+  /** HTTP status of the answer; 0 while the request runs. */
+  readonly status: number;
+}
+
+export interface Shard {
+  /** Entries by the digest of workspace and key. */
+  readonly entries: ReadonlyMap<string, Entry>;
+  /** The ids of the latest writes, the last one first. */
+  readonly writes: readonly string[];
+}
+
+/** What an instance asks the shard's home to commit. */
+export type Operation =
+  | {
+    readonly kind: 'claim';
+    readonly key: string;
+    readonly bodyHash: string;
+    readonly nonce: string;
+    readonly owner: string;
+    readonly request: string;
+    /** Asks that an answer other than a grant be read from the store at once. */
+    readonly fresh?: boolean;
+  }
+  | {
+    readonly kind: 'complete';
+    readonly key: string;
+    readonly nonce: string;
+    readonly status: number;
+  }
+  | { readonly kind: 'release'; readonly key: string; readonly nonce: string };
+
+export type ClaimOperation = Extract<Operation, { kind: 'claim' }>;
+
+/** What an operation comes to; `applied` is the outcome of one that is not a claim. */
+export type Outcome =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'running'; readonly owner: string; readonly request: string }
+  | {
+    readonly kind: 'done';
+    readonly owner: string;
+    readonly request: string;
+    readonly status: number;
+  }
+  | { readonly kind: 'reused_key' }
+  | { readonly kind: 'unavailable'; readonly message: string }
+  | { readonly kind: 'applied' };
+
+/**
+ * What a committer answers. `open`: an update of unknown outcome may have written the claim, or may
+ * yet, whatever the outcome says; unless it is a grant the owner has to release it.
+ */
+export interface Answer { readonly outcome: Outcome; readonly open: boolean }
+
+export const EMPTY_SHARD: Shard = { entries: new Map(), writes: [] };
+
+export interface Change { readonly shard: Shard; readonly outcome: Outcome }
+
+function existing(entry: Entry, operation: ClaimOperation): Outcome {
+  const { owner, request, status } = entry;
+  if (entry.nonce === operation.nonce) return { kind: 'granted' };
+  if (entry.bodyHash !== operation.bodyHash) return { kind: 'reused_key' };
+  return status === 0
+    ? { kind: 'running', owner, request }
+    : {
+      kind: 'done', owner, request, status,
+    };
+}
+
+function claim(shard: Shard, operation: ClaimOperation, now: number): Change {
+  const entry = shard.entries.get(operation.key);
+  if (entry && entry.expiresAt > now) return { shard, outcome: existing(entry, operation) };
+  if (shard.entries.size >= MAX_ENTRIES) {
+    return { shard, outcome: { kind: 'unavailable', message: 'the shard is full' } };
+  }
+  const {
+    key, bodyHash, nonce, owner, request,
+  } = operation;
+  const entries = new Map(shard.entries).set(key, {
+    bodyHash, nonce, owner, request, expiresAt: now + RUNNING_TTL_MS, status: 0,
+  });
+  return { shard: { ...shard, entries }, outcome: { kind: 'granted' } };
+}
+
+/** The shard after one operation; the same object when nothing changes. */
+export function applyOperation(shard: Shard, operation: Operation, now: number): Change {
+  if (operation.kind === 'claim') return claim(shard, operation, now);
+  const outcome: Outcome = { kind: 'applied' };
+  const entry = shard.entries.get(operation.key);
+  if (entry?.nonce !== operation.nonce) return { shard, outcome };
+  const entries = new Map(shard.entries);
+  if (operation.kind === 'release') {
+    entries.delete(operation.key);
+  } else if (entry.status === operation.status) {
+    return { shard, outcome };
+  } else {
+    const { status } = operation;
+    entries.set(operation.key, { ...entry, status, expiresAt: now + DONE_TTL_MS });
+  }
+  return { shard: { ...shard, entries }, outcome };
+}
+
+/** The shard after all operations in their order, and the outcome of each. */
+export function applyAll(
+  shard: Shard,
+  operations: readonly Operation[],
+  now: number,
+): { readonly shard: Shard; readonly outcomes: readonly Outcome[] } {
+  const outcomes: Outcome[] = [];
+  const after = operations.reduce((before, operation) => {
+    const change = applyOperation(before, operation, now);
+    outcomes.push(change.outcome);
+    return change.shard;
+  }, shard);
+  return { shard: after, outcomes };
+}
+
+/** The shard as it is to be written: without expired entries, and with this write's id. */
+export function stampWrite(shard: Shard, writeId: string, now: number): Shard {
+  return {
+    entries: new Map([...shard.entries].filter(([, entry]) => entry.expiresAt > now)),
+    writes: [writeId, ...shard.writes].slice(0, KEPT_WRITES),
+  };
+}
+
+const STORED = z.object({
+  format: z.literal(FORMAT),
+  writes: z.array(z.string()),
+  entries: z.array(z.tuple([
+    z.string(), z.string(), z.string(), z.string(), z.string(), z.number(), z.number(),
+  ])),
+});
+
+export function encodeShard({ entries, writes }: Shard): string {
+  const rows = [...entries].map(([key, entry]) => [
+    key, entry.bodyHash, entry.nonce, entry.owner, entry.request, entry.expiresAt, entry.status,
+  ]);
+  return JSON.stringify({ format: FORMAT, writes, entries: rows });
+}
+
+/** The shard in a stored text, or why there is none. */
+export function parseShard(text: string): Result<Shard, string> {
+  try {
+    const { writes, entries } = STORED.parse(JSON.parse(text));
+    const rows = entries.map(([key, bodyHash, nonce, owner, request, expiresAt, status]) => [key, {
+      bodyHash, nonce, owner, request, expiresAt, status,
+    }] as const);
+    return ok({ entries: new Map(rows), writes });
+  } catch (error) {
+    return err(String(error));
+  }
+}
--- /dev/null
+++ b/test/claims-ledger.test.ts
@@ -0,0 +1,124 @@
+import test from 'ava';
+import type { ClaimOutcome } from '../src/claims/claims.js';
+import type { MemoryObjects, ObjectFaults } from '../src/standin/objects.js';
+import { NAMES, startLedgers as start } from './fakes/ledgers.js';
+import type { Links } from './fakes/ledgers.js';
+
+function kinds(outcomes: readonly ClaimOutcome[]): readonly string[] {
+  return outcomes.map(({ kind }) => kind).sort();
+}
+
+/** Enough keys that each instance is home to some. */
+const KEYS = Array.from({ length: 12 }, (_, index) => `key-${index}`);
+
+const settings: readonly [string, (objects: MemoryObjects) => void, Partial<Links>][] = [
+  ['a healthy store', () => undefined, {}],
+  ['a slow store', (objects) => objects.setFaults({ latencyMs: 150 }), {}],
+  ['lost answers', (objects) => objects.setFaults({ lostAnswers: 0.5, latencyMs: 5 }), {}],
+  ['lost writes', (objects) => objects.setFaults({ lostWrites: 0.3, latencyMs: 5 }), {}],
+  ['a dead instance', () => undefined, { dead: ['b'] }],
+  ['homes whose answers are lost', () => undefined, { mute: NAMES }],
+  ['slow links', (objects) => objects.setFaults({ latencyMs: 20 }), { delayMs: 400 }],
+];
+
+settings.forEach(([name, fault, links]) => {
+  test(`with ${name} one of two simultaneous claims of a key is granted`, async (t) => {
+    const {
+      objects, claim, run, setLinks,
+    } = start();
+    fault(objects);
+    setLinks(links);
+    const pairs = KEYS.map((key) => Promise.all([claim('a', key), claim('c', key)]));
+    const outcomes = await run(Promise.all(pairs), 2_100);
+    outcomes.forEach((pair) => t.deepEqual(kinds(pair), ['granted', 'running']));
+  });
+});
+
+test('instances that disagree about the home still grant a key once', async (t) => {
+  const { objects, claim, run } = start(1, (name) => [name]);
+  objects.setFaults({ latencyMs: 10 });
+  const outcomes = await run(Promise.all(KEYS.map((key) => (
+    Promise.all(NAMES.map((name) => claim(name, key)))))));
+  outcomes.forEach((all) => t.deepEqual(kinds(all), ['granted', 'running', 'running']));
+});
+
+test('a retry is told the end, another body is refused, and a released key is free', async (t) => {
+  const {
+    clock, ledgers, claim, run,
+  } = start();
+  const first = await run(claim('a', 'k'));
+  t.is((await run(claim('b', 'k', 'other'))).kind, 'reused_key');
+  t.like(await run(claim('b', 'k')), { kind: 'running', owner: 'a', request: 'r1' });
+  if (first.kind !== 'granted') return;
+  ledgers.get('a')!.complete(first.ref, 201);
+  await clock.advance(2_000);
+  t.like(await run(claim('c', 'k')), { kind: 'done', owner: 'a', status: 201 });
+  const second = await run(claim('a', 'l'));
+  if (second.kind === 'granted') ledgers.get('a')!.release(second.ref);
+  await clock.advance(2_000);
+  t.is((await run(claim('b', 'l'))).kind, 'granted');
+});
+
+test('claims that come together are committed together', async (t) => {
+  const { objects, claim, run } = start(1, () => ['a']);
+  objects.setFaults({ latencyMs: 20 });
+  const claims = Array.from({ length: 640 }, (_, index) => claim('a', `k${index}`));
+  t.true((await run(Promise.all(claims))).every(({ kind }) => kind === 'granted'));
+  t.true(objects.counts().writes <= 128, String(objects.counts().writes));
+});
+
+const outages: readonly [string, Partial<ObjectFaults>][] = [
+  ['out', { outage: true }],
+  ['losing every write', { lostWrites: 1 }],
+  ['far too slow', { latencyMs: 8_000 }],
+  ['losing answers and showing old reads', { lostAnswers: 1, staleReads: true }],
+];
+
+outages.forEach(([name, faults]) => {
+  NAMES.forEach((other) => {
+    test(`store ${name}: claims end in time and ${other} may claim the keys later`, async (t) => {
+      const {
+        clock, objects, claim, run,
+      } = start();
+      await run(Promise.all(KEYS.map((key) => claim('a', `before-${key}`))));
+      objects.setFaults(faults);
+      const refused = KEYS.map((key) => claim('a', key));
+      let ended = 0;
+      refused.forEach((outcome) => outcome.then(() => {
+        ended += 1;
+      }, () => undefined));
+      await clock.advance(2_000);
+      t.is(ended, KEYS.length);
+      t.deepEqual(new Set(kinds(await Promise.all(refused))), new Set(['unavailable']));
+      objects.setFaults({
+        outage: false, lostWrites: 0, lostAnswers: 0, latencyMs: 0, staleReads: false,
+      });
+      await clock.advance(10_000);
+      const retried = await run(Promise.all(KEYS.map((key) => claim(other, key))));
+      t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
+    });
+  });
+});
+
+test('a claim that is written after its instance gave up is disowned for a retry', async (t) => {
+  const {
+    clock, claim, run, setLinks, objects,
+  } = start();
+  setLinks({ delayMs: 5_000 });
+  objects.setFaults({ outage: true });
+  const refused = KEYS.map((key) => claim('a', key));
+  await clock.advance(2_000);
+  t.deepEqual(new Set(kinds(await Promise.all(refused))), new Set(['unavailable']));
+  objects.setFaults({ outage: false });
+  await clock.advance(10_000);
+  setLinks({ delayMs: 0 });
+  const retried = await run(Promise.all(KEYS.map((key) => claim('b', key))));
+  t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
+});
+
+test('while its owner is dead a running key stays taken', async (t) => {
+  const { claim, run, setLinks } = start();
+  await run(claim('a', 'k'));
+  setLinks({ dead: ['a'] });
+  t.like(await run(claim('b', 'k')), { kind: 'running', owner: 'a' });
+});
--- /dev/null
+++ b/test/fakes/ledgers.ts
@@ -0,0 +1,75 @@
+/** Three claim ledgers over one store, with faults of the links between them. */
+import type { ClaimRequest } from '../../src/claims/claims.js';
+import { ClaimLedger } from '../../src/claims/ledger.js';
+import type { Operation } from '../../src/claims/shard.js';
+import { Random } from '../../src/common/random.js';
+import { memoryObjects } from './objects.js';
+
+export const NAMES = ['a', 'b', 'c'];
+
+/** What is wrong with the way between instances. */
+export interface Links {
+  /** Instances that don't answer. */
+  readonly dead: readonly string[];
+  /** Homes that do their work while their answer is lost. */
+  readonly mute: readonly string[];
+  readonly delayMs: number;
+}
+
+/** Three instances over one store. */
+export function startLedgers(seed = 1, members: (name: string) => readonly string[] = () => NAMES) {
+  const { clock, objects } = memoryObjects(seed);
+  let links: Links = { dead: [], mute: [], delayMs: 0 };
+  const ledgers = new Map<string, ClaimLedger>();
+  const wait = (ms: number) => new Promise<void>((resolve) => {
+    clock.schedule(() => resolve(), ms);
+  });
+  const peers = {
+    forward: async (home: string, operation: Operation) => {
+      const { dead, mute, delayMs } = links;
+      if (dead.includes(home)) throw new Error('dead');
+      if (delayMs > 0) await wait(delayMs);
+      const outcome = await ledgers.get(home)!.serve(operation);
+      if (mute.includes(home)) throw new Error('lost');
+      return outcome;
+    },
+    disown: async (owner: string, request: string) => {
+      if (links.dead.includes(owner)) throw new Error('dead');
+      return ledgers.get(owner)!.disown(request);
+    },
+  };
+  NAMES.forEach((name, index) => {
+    const known = members(name);
+    ledgers.set(name, ClaimLedger.of({
+      name,
+      api: objects,
+      peers,
+      members: () => known,
+      scheduler: clock,
+      random: Random.of(seed * 10 + index),
+      wallClock: () => clock.now(),
+    }));
+  });
+  let requests = 0;
+  const claim = (name: string, key: string, bodyHash = 'b') => {
+    requests += 1;
+    const request: ClaimRequest = {
+      workspace: 'w', key, bodyHash, request: `r${requests}`,
+    };
+    return ledgers.get(name)!.claim(request);
+  };
+  const run = async <Value>(work: Promise<Value>, durationMs = 2_000): Promise<Value> => {
+    await clock.advance(durationMs);
+    return work;
+  };
+  return {
+    clock,
+    objects,
+    ledgers,
+    claim,
+    run,
+    setLinks: (next: Partial<Links>) => {
+      links = { ...links, ...next };
+    },
+  };
+}
