--- a/src/standin/objects.ts
+++ b/src/standin/objects.ts
@@ -25,6 +25,8 @@
   readonly lostAnswers: number;
   /** Fraction of writes that are lost before they take effect, with the same answer. */
   readonly lostWrites: number;
+  /** Writes are answered as ambiguous and take effect this much later; 0 is off. */
+  readonly lateWritesMs: number;
   /** Reads answer from the state at the time when this was switched on. */
   readonly staleReads: boolean;
   /** Watches stay open and deliver nothing; what they miss is not delivered later. */
@@ -38,6 +40,7 @@
   latencyMs: 0,
   lostAnswers: 0,
   lostWrites: 0,
+  lateWritesMs: 0,
   staleReads: false,
   silentWatches: false,
   readsPerSecond: 0,
@@ -238,7 +241,13 @@
     const lostBefore = this.#random.fraction() < this.#faults.lostWrites;
     const lostAfter = this.#random.fraction() < this.#faults.lostAnswers;
     const lost = () => fail('ambiguous', 'the answer was lost');
-    const result = await this.#call('writes', use, lostBefore ? lost : effect);
+    const { lateWritesMs } = this.#faults;
+    const late = () => {
+      this.#scheduler.schedule(() => effect(), lateWritesMs);
+      return lost();
+    };
+    const sent = lateWritesMs > 0 ? late : effect;
+    const result = await this.#call('writes', use, lostBefore ? lost : sent);
     return result.isOk() && lostAfter ? lost() : result;
   }
 
--- a/test/claims-ledger.test.ts
+++ b/test/claims-ledger.test.ts
@@ -116,6 +116,47 @@
   t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
 });
 
+test('a write that takes effect after its claim was released brings nothing back', async (t) => {
+  const {
+    clock, objects, claim, run, setLinks,
+  } = start();
+  await run(Promise.all(KEYS.map((key) => claim('a', `before-${key}`))));
+  objects.setFaults({ lateWritesMs: 30_000 });
+  const refused = await run(Promise.all(KEYS.map((key) => claim('a', key))));
+  t.deepEqual(new Set(kinds(refused)), new Set(['unavailable']));
+  objects.setFaults({ lateWritesMs: 0 });
+  await clock.advance(60_000);
+  setLinks({ dead: ['a'] });
+  const retried = await run(Promise.all(KEYS.map((key) => claim('b', key))));
+  t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
+});
+
+test('a claim that reaches its home after its release is disowned for a retry', async (t) => {
+  const {
+    clock, ledgers, claim, run, setLinks,
+  } = start();
+  setLinks({ delayMs: 5_000 });
+  const granted = await run(Promise.all(KEYS.map((key) => claim('a', key))));
+  setLinks({ delayMs: 0 });
+  granted.forEach((outcome) => {
+    if (outcome.kind === 'granted') ledgers.get('a')!.release(outcome.ref);
+  });
+  await clock.advance(10_000);
+  const retried = await run(Promise.all(KEYS.map((key) => claim('b', key))));
+  t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
+});
+
+test('an end is written soon even if no claim follows', async (t) => {
+  const {
+    clock, objects, ledgers, claim, run,
+  } = start();
+  const outcome = await run(claim('a', 'k'));
+  const before = objects.counts().writes;
+  if (outcome.kind === 'granted') ledgers.get('a')!.complete(outcome.ref, 200);
+  await clock.advance(1_000);
+  t.is(objects.counts().writes, before + 1);
+});
+
 test('while its owner is dead a running key stays taken', async (t) => {
   const { claim, run, setLinks } = start();
   await run(claim('a', 'k'));
