--- /dev/null
+++ b/bench/routingworld.ts
@@ -0,0 +1,330 @@
+/**
+ * Several daemons' dispatchers before stand-in engines under virtual time, and callers that send
+ * price checks and inventories through a balancer that picks a daemon at random.
+ */
+import { ok } from 'neverthrow';
+import { BehaviorSubject } from 'rxjs';
+import { silentLog } from '../src/common/log.js';
+import { Random } from '../src/common/random.js';
+import type {
+  BackendServer, Configuration, Favour, Model, Pool, Workspace,
+} from '../src/configuration/configuration.js';
+import { EMPTY_CONFIGURATION } from '../src/configuration/defaults.js';
+import type { Directory } from '../src/engines/directory.js';
+import type { Priority } from '../src/engines/engine.js';
+import { BLOCK_CHARACTERS } from '../src/engines/prefix.js';
+import { EngineMonitor } from '../src/engines/monitor.js';
+import type { Chooser } from '../src/routing/choice.js';
+import type { Dispatcher } from '../src/routing/dispatcher.js';
+import { Router } from '../src/routing/router.js';
+import { StandInEngine } from '../src/standin/engine.js';
+import { VirtualClock } from '../test/fakes/clock.js';
+import { Baseline } from './baselines.js';
+import type { Rule } from './baselines.js';
+
+export interface Setting {
+  readonly name: string;
+  readonly zones: readonly string[];
+  readonly longEngines: number;
+  readonly shortEngines: number;
+  readonly stepMs: number;
+  readonly favour: Favour;
+  readonly daemons: number;
+}
+
+export type Policy =
+  | { readonly kind: 'router'; readonly choose?: Chooser }
+  | { readonly kind: 'baseline'; readonly rule: Rule };
+
+/** What callers send; rates are requests per second. */
+export interface Traffic {
+  readonly checksPerSecond: number;
+  /** Model that price checks ask for: the long pool's engines hold `long`, the others `short`. */
+  readonly checksModel: 'long' | 'short';
+  readonly inventoriesPerSecond: number;
+  /** Shares of the inventories by workspace, the large ones first. */
+  readonly workspaceShares: readonly number[];
+  readonly seconds: number;
+}
+
+export interface Sample {
+  readonly kind: 'check' | 'inventory';
+  readonly workspace: string;
+  readonly firstTokenMs: number;
+}
+
+export interface Measured {
+  readonly samples: readonly Sample[];
+  readonly refused: Readonly<Record<Sample['kind'], number>>;
+  readonly prefillTokens: number;
+  readonly crossZone: number;
+}
+
+export const SLOTS = 16;
+const CACHE_BLOCKS = 512;
+const CROSS_ZONE_MS = 3;
+const WORKSPACES = 10;
+const TEMPLATES = 4;
+const TEMPLATE_BLOCKS = 24;
+const MILLISECONDS = 1_000;
+const WARM_UP_MS = 2_000;
+
+function model(name: string): Model {
+  return {
+    name,
+    version: '1',
+    adapters: [],
+    replicas: 1,
+    memory: 1,
+    maxTokens: 4_096,
+    priority: 'standard',
+    repeat: 'safe',
+  };
+}
+
+function pool(name: string): Pool {
+  return {
+    name, kind: 'engine', models: [], retryRatio: 0.1, concurrencyPerServer: SLOTS,
+  };
+}
+
+function workspace(name: string): Workspace {
+  return {
+    name,
+    keyHashes: [],
+    weight: 1,
+    requestsPerSecond: 1_000_000,
+    burst: 1_000_000,
+    concurrency: 1_000_000,
+    priority: 'standard',
+    models: [],
+  };
+}
+
+function keyed<Item extends { readonly name: string }>(items: readonly Item[]) {
+  return Object.fromEntries(items.map((item) => [item.name, item]));
+}
+
+function configurationOf(setting: Setting): Configuration {
+  const servers = ['long', 'short'].flatMap((kind) => {
+    const count = kind === 'long' ? setting.longEngines : setting.shortEngines;
+    return Array.from({ length: count }, (_, index): BackendServer => ({
+      name: `${kind}-${index}`,
+      kind: 'engine',
+      address: `${kind}-${index}`,
+      zone: setting.zones[index % setting.zones.length]!,
+      pool: kind,
+      checksFence: true,
+      memory: 1,
+      drained: false,
+    }));
+  });
+  const names = Array.from({ length: WORKSPACES }, (_, index) => `w${index}`);
+  return {
+    ...EMPTY_CONFIGURATION,
+    revision: 1,
+    deployment: { name: setting.name, favour: setting.favour, zones: setting.zones },
+    models: keyed([model('long'), model('short')]),
+    pools: keyed([pool('long'), pool('short')]),
+    servers: keyed(servers),
+    workspaces: keyed(names.map(workspace)),
+  };
+}
+
+/** A text of whole blocks that begins no other one. */
+function textOf(seed: number, blocks: number): string {
+  const word = `${seed.toString(36).padStart(8, '0')} `;
+  return word.repeat(blocks * BLOCK_CHARACTERS).slice(0, blocks * BLOCK_CHARACTERS);
+}
+
+export class RoutingWorld {
+  readonly #setting: Setting;
+
+  readonly #random: Random;
+
+  readonly #clock = new VirtualClock();
+
+  readonly #configuration: Configuration;
+
+  readonly #engines: ReadonlyMap<string, StandInEngine>;
+
+  readonly #dispatchers: readonly Dispatcher[];
+
+  readonly #samples: Sample[] = [];
+
+  readonly #refused = { check: 0, inventory: 0 };
+
+  #sent = 0;
+
+  #crossZone = 0;
+
+  #measuring = false;
+
+  private constructor(setting: Setting, policy: Policy, seed: number) {
+    this.#setting = setting;
+    this.#random = Random.of(seed);
+    this.#configuration = configurationOf(setting);
+    this.#engines = new Map(Object.values(this.#configuration.servers)
+      .map(({ name, pool: kind }) => [name, StandInEngine.of({
+        name,
+        stepMs: setting.stepMs,
+        slots: SLOTS,
+        cacheCapacityBlocks: CACHE_BLOCKS,
+        models: [{ model: kind, version: '1', adapters: [] }],
+      }, this.#clock, 'i1')]));
+    this.#dispatchers = Array.from({ length: setting.daemons }, (_, index) => (
+      this.#daemon(policy, index, seed)));
+  }
+
+  static of(setting: Setting, policy: Policy, seed: number): RoutingWorld {
+    return new RoutingWorld(setting, policy, seed);
+  }
+
+  async run(traffic: Traffic): Promise<Measured> {
+    this.#arrive(traffic.checksPerSecond, () => this.#check(traffic));
+    this.#arrive(traffic.inventoriesPerSecond, () => this.#inventory(traffic));
+    await this.#clock.advance(WARM_UP_MS);
+    const before = this.#prefillTokens();
+    this.#measuring = true;
+    await this.#clock.advance(traffic.seconds * MILLISECONDS);
+    this.#measuring = false;
+    return {
+      samples: this.#samples,
+      refused: this.#refused,
+      prefillTokens: this.#prefillTokens() - before,
+      crossZone: this.#crossZone,
+    };
+  }
+
+  #prefillTokens(): number {
+    return [...this.#engines.values()].reduce((sum, { work }) => sum + work.prefillTokens, 0);
+  }
+
+  #zone(daemon: number): string {
+    return this.#setting.zones[daemon % this.#setting.zones.length]!;
+  }
+
+  #daemon(policy: Policy, index: number, seed: number): Dispatcher {
+    const scheduler = this.#clock;
+    const random = Random.of(seed * 100 + index);
+    const configurations = new BehaviorSubject(this.#configuration);
+    const monitor = EngineMonitor.of(({ name }) => this.#engines.get(name)!, scheduler);
+    // Daemons ask for reports at different times.
+    this.#clock.schedule(() => monitor.start(configurations), random.integer(0, 200));
+    const directory: Directory = monitor;
+    switch (policy.kind) {
+      case 'baseline': return Baseline.of(policy.rule, {
+        directory,
+        scheduler,
+        random,
+        configuration: () => this.#configuration,
+        perEngine: Math.ceil(SLOTS / this.#setting.daemons),
+      });
+      case 'router': {
+        const router = Router.of({
+          directory,
+          configurations,
+          admissions: { admit: () => ok({ release: () => undefined }) },
+          scheduler,
+          random,
+          log: silentLog,
+          leaving: () => new Set(),
+          daemons: () => this.#setting.daemons,
+          zone: this.#zone(index),
+          ...(policy.choose ? { choose: policy.choose } : {}),
+        });
+        router.start();
+        return router;
+      }
+    }
+  }
+
+  /** Calls `send` at random times, `perSecond` on average. */
+  #arrive(perSecond: number, send: () => void): void {
+    if (perSecond === 0) return;
+    const next = () => {
+      send();
+      this.#clock.schedule(next, this.#gap(perSecond));
+    };
+    this.#clock.schedule(next, this.#gap(perSecond));
+  }
+
+  #gap(perSecond: number): number {
+    return (-Math.log(1 - this.#random.fraction()) / perSecond) * MILLISECONDS;
+  }
+
+  #check({ checksModel }: Traffic): void {
+    const name = this.#random.integer(0, WORKSPACES - 1);
+    const text = textOf(name, 2) + textOf(1_000_000 + this.#sent, 2);
+    this.#send('check', `w${name}`, 'interactive', checksModel, text, 24);
+  }
+
+  #inventory({ workspaceShares }: Traffic): void {
+    let rest = this.#random.fraction();
+    const found = workspaceShares.findIndex((share) => {
+      rest -= share;
+      return rest < 0;
+    });
+    const name = found < 0 ? workspaceShares.length : found;
+    const template = textOf(
+      1_000 + name * TEMPLATES + this.#random.integer(0, TEMPLATES - 1), (
+        TEMPLATE_BLOCKS),
+    );
+    const own = textOf(2_000_000 + this.#sent, this.#random.integer(4, 24));
+    this.#send('inventory', `w${name}`, 'batch', 'long', template + own, 4_096);
+  }
+
+  #send(
+    kind: Sample['kind'],
+    name: string,
+    priority: Priority,
+    asked: string,
+    text: string,
+    maxTokens: number,
+  ): void {
+    const daemon = this.#random.integer(0, this.#dispatchers.length - 1);
+    const sentAt = this.#clock.now();
+    const measuring = this.#measuring;
+    const request = `r${this.#sent}`;
+    const input = { kind: 'prompt', text } as const;
+    this.#sent += 1;
+    this.#dispatchers[daemon]!.assign({
+      request,
+      workspace: name,
+      priority,
+      target: {
+        kind: 'model', model: asked, version: undefined, adapter: undefined, input,
+      },
+      resume: false,
+      exclude: [],
+    }).subscribe((result) => {
+      if (result.isErr()) {
+        if (measuring) this.#refused[kind] += 1;
+        return;
+      }
+      const { server, release } = result.value;
+      const far = this.#configuration.servers[server]?.zone !== this.#zone(daemon);
+      if (measuring && far) this.#crossZone += 1;
+      this.#engines.get(server)!.generate({
+        generation: request,
+        attempt: 1,
+        model: asked,
+        version: '1',
+        adapter: undefined,
+        input,
+        accepted: { text: '', tokens: 0 },
+        sampling: {
+          seed: 1, temperature: 1, maxTokens, stop: [],
+        },
+        priority,
+      }).subscribe((event) => {
+        if (event.kind === 'token' && event.position === 0 && measuring) {
+          const firstTokenMs = this.#clock.now() - sentAt + (far ? CROSS_ZONE_MS : 0);
+          this.#samples.push({ kind, workspace: name, firstTokenMs });
+        }
+        if (event.kind === 'finish') release('answered');
+        if (event.kind === 'failed') release('failed');
+      });
+    });
+  }
+}
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -13,11 +13,11 @@
 /** What a silent server is worth avoiding; it is taken when no other is left. */
 const SUSPECT_MS = 10_000;
 /** Engine steps' worth of delay that a full server adds to each request against an empty one. */
-const CONTENTION_STEPS = 4;
+const CONTENTION_STEPS = 1;
 /** How much more cached prefixes count where engine work matters more than time. */
 const RESOURCES_PREFILL_FACTOR = 4;
 /** Scores this much above the best still count as equal. */
-const EQUAL_WITHIN_MS = 1;
+const EQUAL_WITHIN_MS = 0.25;
 const LOGGED = 4;
 
 export interface Candidate {
@@ -51,6 +51,12 @@
 
 export interface Weighing { readonly zone: string; readonly favour: Favour }
 
+export type Chooser = (
+  candidates: readonly Candidate[],
+  weighing: Weighing,
+  random: Random,
+) => Choice;
+
 function contentionMs({ occupancy, slots, stepMs }: Candidate): number {
   return (occupancy / Math.max(1, slots)) * CONTENTION_STEPS * stepMs;
 }
@@ -76,6 +82,19 @@
   return candidate.occupancy / Math.max(1, candidate.slots);
 }
 
+/** The best scores, best first, without sorting all. */
+function bestOf(scores: readonly Score[], count: number): readonly Score[] {
+  const best: Score[] = [];
+  scores.forEach((each) => {
+    const last = best.at(-1);
+    if (last && best.length === count && last.totalMs <= each.totalMs) return;
+    const at = best.findIndex(({ totalMs }) => totalMs > each.totalMs);
+    best.splice(at < 0 ? best.length : at, 0, each);
+    best.length = Math.min(best.length, count);
+  });
+  return best;
+}
+
 /** @param candidates at least one */
 export function choose(
   candidates: readonly Candidate[],
@@ -83,13 +102,12 @@
   random: Random,
 ): Choice {
   const scores = candidates.map((candidate) => score(candidate, weighing));
-  const best = scores.reduce((least, { totalMs }) => Math.min(least, totalMs), Infinity);
-  const equals = scores.filter(({ totalMs }) => totalMs <= best + EQUAL_WITHIN_MS);
+  const weighed = bestOf(scores, LOGGED);
+  const bound = weighed[0]!.totalMs + EQUAL_WITHIN_MS;
+  const equals = scores.filter(({ totalMs }) => totalMs <= bound);
   const first = random.pick(equals);
   const second = random.pick(equals);
   const chosen = fullness(second) < fullness(first) ? second : first;
-  const nearest = equals.length >= LOGGED ? equals : scores;
-  const weighed = [...nearest].sort((left, right) => left.totalMs - right.totalMs).slice(0, LOGGED);
   return { chosen, weighed };
 }
 
--- a/src/routing/prefixindex.ts
+++ b/src/routing/prefixindex.ts
@@ -163,9 +163,14 @@
   #store(blocks: readonly string[], number: number): void {
     blocks.forEach((block) => {
       const key = keyOf(block);
-      const holders = (this.#holders.get(key) ?? []).filter((holder) => (
-        holder !== number && this.#engines.has(holder)));
-      this.#holders.set(key, [...holders, number].slice(-MAX_HOLDERS));
+      const holders = this.#holders.get(key);
+      if (holders?.includes(number)) return;
+      if (!holders) {
+        this.#holders.set(key, [number]);
+        return;
+      }
+      const live = holders.filter((holder) => this.#engines.has(holder));
+      this.#holders.set(key, [...live, number].slice(-MAX_HOLDERS));
     });
   }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -19,7 +19,7 @@
 import { RetryBudgets } from '../limits/retrybudget.js';
 import { CacheFollower } from './cachefollower.js';
 import { choose } from './choice.js';
-import type { Choice } from './choice.js';
+import type { Choice, Chooser } from './choice.js';
 import type {
   Admission, Assignment, AttemptOutcome, Demand, Dispatcher,
 } from './dispatcher.js';
@@ -55,8 +55,12 @@
   readonly log: Log;
   /** Servers that other daemons know to be leaving. */
   readonly leaving: () => ReadonlySet<string>;
+  /** Live daemons that send to the same servers, this one included. */
+  readonly daemons: () => number;
   /** This daemon's availability zone. */
   readonly zone: string;
+  /** Chooses among candidates; measurements put others in its place. */
+  readonly choose?: Chooser;
 }
 
 export class Router implements Dispatcher {
@@ -197,7 +201,8 @@
     if (survey.candidates.length > 0) {
       const { favour } = this.#configuration.deployment;
       const { zone, random } = this.#context;
-      this.#dispatch(waiting, survey, choose(survey.candidates, { zone, favour }, random));
+      const chooser = this.#context.choose ?? choose;
+      this.#dispatch(waiting, survey, chooser(survey.candidates, { zone, favour }, random));
       return 'done';
     }
     const patient = entry.resume && !survey.excluded.tried
--- a/src/routing/serverload.ts
+++ b/src/routing/serverload.ts
@@ -15,6 +15,10 @@
   readonly others: number;
   /** Scheduler time of the report that `others` comes from. */
   readonly reportedAt: number;
+  /** This daemon's requests in flight that the report counts. */
+  readonly counted: number;
+  /** Drawn with each report from 0 to 1; rounds this daemon's part of the free places. */
+  readonly draw: number;
   /** Scheduler times of the newest dispatches. */
   readonly recent: readonly number[];
   /** Scheduler time until which the server prefills prompts that this daemon sent. */
@@ -22,7 +26,7 @@
 }
 
 export const IDLE_SERVER: ServerLoad = {
-  own: 0, others: 0, reportedAt: -1, recent: [], busyUntil: 0,
+  own: 0, others: 0, reportedAt: -1, counted: 0, draw: 0, recent: [], busyUntil: 0,
 };
 
 export function loadDispatched(load: ServerLoad, prefillMs: number, now: number): ServerLoad {
@@ -43,12 +47,17 @@
   load: ServerLoad,
   report: LoadReport | undefined,
   reportedAt: number,
+  draw: number,
 ): ServerLoad {
   if (!report || reportedAt === load.reportedAt) return load;
   const uncounted = load.recent.filter((at) => reportedAt - at < REPORT_TRIP_MS).length;
   const counted = Math.max(0, load.own - uncounted);
   return {
-    ...load, reportedAt, others: Math.max(0, report.running + report.waiting - counted),
+    ...load,
+    reportedAt,
+    counted,
+    draw,
+    others: Math.max(0, report.running + report.waiting - counted),
   };
 }
 
@@ -56,3 +65,13 @@
 export function occupancy(load: ServerLoad): number {
   return load.own + load.others;
 }
+
+/**
+ * Places of `room` that this daemon may still fill before the next report. What the report shows
+ * free is divided by lot between the daemons, since all see it and none sees what the others send
+ * there now; a place that an own request gave back is this daemon's to fill.
+ */
+export function placesLeft(load: ServerLoad, room: number, daemons: number): number {
+  const free = room - load.others - load.counted;
+  return Math.floor(free / daemons + load.draw) - (load.own - load.counted);
+}
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -16,7 +16,7 @@
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
 import {
-  IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy,
+  IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
 import type { ServerLoad } from './serverload.js';
 import type { Priority } from '../engines/engine.js';
@@ -59,6 +59,8 @@
   readonly directory: Directory;
   readonly leaving: () => ReadonlySet<string>;
   readonly random: Random;
+  /** Daemons that send to the same servers, this one included. */
+  readonly daemons: () => number;
 }
 
 interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
@@ -118,11 +120,8 @@
         view.report?.slots ?? Infinity,
       );
       const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
-      const room = roomFor(ask.priority, ask.resume, slots);
-      const paced = candidate.busyMs > MAX_BUSY_MS
-        && (ask.resume || ask.priority !== 'interactive');
-      if (candidate.occupancy >= room || paced) full += 1;
-      else candidates.push(candidate);
+      if (this.#hasRoom(ask, candidate)) candidates.push(candidate);
+      else full += 1;
     });
     return { candidates, full, excluded };
   }
@@ -171,6 +170,16 @@
     return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
   }
 
+  #hasRoom({ priority, resume }: Ask, { server, slots, busyMs }: Candidate): boolean {
+    const { load } = this.#book(server);
+    const room = roomFor(priority, resume, slots);
+    if (priority === 'interactive') return occupancy(load) < room;
+    if (busyMs > MAX_BUSY_MS) return false;
+    return resume
+      ? occupancy(load) < room
+      : placesLeft(load, room, this.#context.daemons()) > 0;
+  }
+
   #candidate(
     { characters }: Ask,
     view: ServerView | EngineView,
@@ -206,7 +215,12 @@
     if (!report || !('reportedAt' in view) || view.reportedAt === book.load.reportedAt) {
       return book.load;
     }
-    const load = loadReported(book.load, report, view.reportedAt);
+    const load = loadReported(
+      book.load,
+      report,
+      view.reportedAt,
+      this.#context.random.fraction(),
+    );
     this.#books.set(name, { ...book, load });
     this.#prefixes.reported(name, report.incarnation, now);
     return load;
--- a/test/fakes/routing.ts
+++ b/test/fakes/routing.ts
@@ -137,6 +137,7 @@
       random: Random.of(1),
       log,
       leaving: () => this.leaving,
+      daemons: () => 1,
       zone: 'a',
       ...context,
     });
