--- /dev/null
+++ b/test/fuzz/commands.ts
@@ -0,0 +1,144 @@
+/** The commands that the fuzzing draws from, and which of them are possible at a moment. */
+import fc from 'fast-check';
+import type { AsyncCommand } from 'fast-check';
+import { MAX_TOKENS, MODELS } from '../fakes/worldconfiguration.js';
+import { LIST, STORE } from '../fakes/links.js';
+import { BUSIEST } from '../fakes/world.js';
+import type { World } from '../fakes/world.js';
+import { play } from './steps.js';
+import type { Step } from './steps.js';
+
+function up(world: World, name: string): boolean {
+  return world.network.node(name).liveness === 'up';
+}
+
+function paused(world: World, name: string): boolean {
+  return world.network.node(name).clock.paused;
+}
+
+/** Whether the step changes anything now. */
+function possible(world: World, step: Step): boolean {
+  switch (step.kind) {
+    case 'ask':
+    case 'kill_daemon': return up(world, step.daemon);
+    case 'start_daemon': return !up(world, step.daemon);
+    case 'crash_engine': return up(world, world.place(step.engine));
+    case 'start_engine': return !up(world, step.engine);
+    case 'pause':
+    case 'suspend': {
+      const name = world.place(step.node);
+      return up(world, name) && !paused(world, name);
+    }
+    case 'wake': return paused(world, step.node);
+    case 'cut':
+    case 'delay':
+    case 'mend': return step.from !== step.to;
+    case 'hang_up': return world.oracle.open.length > 0;
+    case 'advance':
+    case 'isolate':
+    case 'mend_all':
+    case 'reports_lag':
+    case 'cache_events': return true;
+  }
+}
+
+class Command implements AsyncCommand<World, World> {
+  readonly step: Step;
+
+  private constructor(step: Step) {
+    this.step = step;
+  }
+
+  static of(step: Step): Command {
+    return new Command(step);
+  }
+
+  check(world: World): boolean {
+    return possible(world, this.step);
+  }
+
+  async run(_: World, world: World): Promise<void> {
+    await play(world, this.step);
+  }
+
+  toString(): string {
+    return JSON.stringify(this.step);
+  }
+}
+
+const DURATIONS_MS = [1, 7, 20, 60, 150, 400, 1_000, 2_500, 6_000];
+
+/** Draws one step of a world with these processes. */
+function stepOf(daemons: readonly string[], engines: readonly string[]): fc.Arbitrary<Step> {
+  const daemon = fc.constantFrom(...daemons);
+  const engine = fc.constantFrom(...engines);
+  const node = fc.constantFrom(...daemons, ...engines);
+  const target = fc.constantFrom(BUSIEST, BUSIEST, ...engines);
+  const place = fc.constantFrom(...daemons, ...engines, STORE, LIST);
+  const ms = fc.constantFrom(...DURATIONS_MS);
+  const how = fc.constantFrom('ended' as const, 'silent' as const);
+  const fraction = fc.constantFrom(0, 0.5, 1);
+  const kind = <Kind extends Step['kind']>(name: Kind) => fc.constant(name);
+  return fc.oneof(
+    {
+      weight: 12,
+      arbitrary: fc.record({
+        kind: kind('ask'),
+        daemon,
+        model: fc.constantFrom(...MODELS),
+        tokens: fc.integer({ min: 1, max: MAX_TOKENS }),
+        priority: fc.constantFrom('interactive' as const, 'standard' as const, 'batch' as const),
+      }),
+    },
+    { weight: 10, arbitrary: fc.record({ kind: kind('advance'), ms }) },
+    fc.record({ kind: kind('hang_up'), call: fc.nat(9) }),
+    { weight: 3, arbitrary: fc.record({ kind: kind('crash_engine'), engine: target, how }) },
+    { weight: 2, arbitrary: fc.record({ kind: kind('start_engine'), engine }) },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constantFrom('pause' as const, 'suspend' as const), node: fc.oneof(node, target),
+      }),
+    },
+    { weight: 3, arbitrary: fc.record({ kind: kind('wake'), node }) },
+    fc.record({ kind: kind('kill_daemon'), daemon, how }),
+    { weight: 2, arbitrary: fc.record({ kind: kind('start_daemon'), daemon }) },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: kind('cut'), both: fc.boolean(), from: daemon, to: place,
+      }),
+    },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: kind('cut'), both: kind('cut').map(() => false), from: place, to: daemon,
+      }),
+    },
+    fc.record({ kind: kind('isolate'), node }),
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: kind('delay'), from: place, to: daemon, ms,
+      }),
+    },
+    { weight: 2, arbitrary: fc.record({ kind: kind('mend'), from: place, to: daemon }) },
+    { weight: 2, arbitrary: fc.record({ kind: kind('mend_all') }) },
+    fc.record({ kind: kind('reports_lag'), engine, ms }),
+    fc.record({
+      kind: kind('cache_events'), engine, cacheLoss: fraction, cacheRepeat: fraction,
+    }),
+  );
+}
+
+/** Sequences of commands for a world of this size. */
+export function commandsOf(
+  daemons: readonly string[],
+  engines: readonly string[],
+  maxCommands: number,
+  replayPath?: string,
+): fc.Arbitrary<Iterable<AsyncCommand<World, World>>> {
+  return fc.commands([stepOf(daemons, engines).map((step) => Command.of(step))], {
+    maxCommands, size: 'max', ...(replayPath === undefined ? {} : { replayPath }),
+  });
+}
