--- a/bench/baseline.ts
+++ b/bench/baseline.ts
@@ -1,17 +1,20 @@
 /** Simpler policies that the system's own are compared with, behind the same interfaces. */
 import { err, ok } from 'neverthrow';
-import { of } from 'rxjs';
+import { of, Subscription, timer } from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
 import type { Random } from '../src/common/random.js';
 import type { Refusal } from '../src/common/refusal.js';
 import type { Configuration } from '../src/configuration/configuration.js';
 import type { Directory, EngineView } from '../src/engines/directory.js';
+import type { Watcher } from '../src/engines/watch.js';
 import type { Demand, Dispatcher } from '../src/routing/dispatcher.js';
 
 /**
  * `ours`: the system as it is. `restart`: a lost answer is not resumed, its caller asks again from
- * the start. `random`, `round_robin`: that choice of engine, with resume.
+ * the start. `random`, `round_robin`: that choice of engine, without a queue. `fixed_timeout`: a
+ * stream is lost after a fixed silence, and no second attempt is started beside a silent one.
  */
-export type Baseline = 'ours' | 'restart' | 'random' | 'round_robin';
+export type Baseline = 'ours' | 'restart' | 'random' | 'round_robin' | 'fixed_timeout';
 
 export type Chooser = (views: readonly EngineView[]) => EngineView | undefined;
 
@@ -56,3 +59,22 @@
       : dispatcher.assign(demand)),
   };
 }
+
+/** Takes a stream for lost when it has given nothing for `timeoutMs`. */
+export function fixedTimeout(timeoutMs: number, scheduler: SchedulerLike): Watcher {
+  return {
+    watch: (_, __, listener) => {
+      let waiting = Subscription.EMPTY;
+      const wait = () => {
+        waiting.unsubscribe();
+        waiting = timer(timeoutMs, scheduler).subscribe(() => listener.lost({
+          kind: 'failed', cause: 'silent', ran: 'unknown', message: `silent for ${timeoutMs} ms`,
+        }));
+      };
+      wait();
+      return {
+        opened: wait, progressed: wait, held: wait, close: () => waiting.unsubscribe(),
+      };
+    },
+  };
+}
--- a/bench/deployed.ts
+++ b/bench/deployed.ts
@@ -17,6 +17,8 @@
 export interface DaemonSetup {
   readonly name: string;
   readonly baseline: Baseline;
+  /** Silence that `fixed_timeout` waits for. */
+  readonly timeoutMs: number;
   readonly configuration: Configuration;
 }
 
@@ -53,7 +55,7 @@
 function startEngine(site: Site, name: string, group: Group, port = 0): Promise<Program> {
   return Program.start('engine', [
     '--listen', `127.0.0.1:${port}`, '--name', name, '--step-ms', String(site.stepMs),
-    '--model', `${group.model}@1`,
+    '--model', `${group.model}@1`, '--slots', String(group.slots ?? 64),
   ]);
 }
 
@@ -81,7 +83,7 @@
     this.daemons = daemons;
   }
 
-  static async start(site: Site, baseline: Baseline): Promise<Deployed> {
+  static async start(site: Site, baseline: Baseline, timeoutMs = 1_000): Promise<Deployed> {
     const engines = await Promise.all(site.groups.flatMap((group) => (
       Array.from({ length: group.engines }, async (_, index) => {
         const name = `${group.model}-${index}`;
@@ -92,7 +94,9 @@
       }))));
     const configuration = configurationOf(site, engines);
     const daemons = await Promise.all(Array.from({ length: site.daemons }, (_, index) => (
-      startDaemon({ name: `daemon-${index}`, baseline, configuration })
+      startDaemon({
+        name: `daemon-${index}`, baseline, timeoutMs, configuration,
+      })
     )));
     await sleep(1_500);
     return new Deployed(site, engines, daemons);
--- a/bench/failover.ts
+++ b/bench/failover.ts
@@ -12,6 +12,8 @@
 import type { Percentiles, Row } from './statistics.js';
 
 const FAULT_PERIOD_MS = 1_500;
+const SHORT_SHARE = 0.5;
+const MAX_SHORT_MS = 400;
 const IDLE_MS = 20;
 const DOWN_MS = 1_000;
 /** Callers that had an answer open on a lost engine see a pause that begins about then. */
@@ -27,6 +29,7 @@
   readonly perSecond: number;
   readonly durationMs: number;
   readonly pauseMs: number;
+  readonly timeoutMs?: number;
 }
 
 export interface FailoverResult {
@@ -54,8 +57,11 @@
 
 async function disturb(
   deployed: Deployed,
-  { fault, durationMs, pauseMs }: FailoverOptions,
+  {
+    fault, durationMs, pauseMs, seed,
+  }: FailoverOptions,
 ): Promise<Losses> {
+  const random = Random.of(seed + 1);
   const losses = new Map<string, number>();
   const until = performance.now() + durationMs - FAULT_PERIOD_MS;
   let rest = FAULT_PERIOD_MS;
@@ -73,8 +79,10 @@
       lost = await deployed.crash(engine, DOWN_MS);
     } else {
       const { program } = engine;
+      // Most pauses are short, and are over before a resume would be worth its work.
+      const ms = random.fraction() < SHORT_SHARE ? random.integer(50, MAX_SHORT_MS) : pauseMs;
       program.pause();
-      setTimeout(() => program.wake(), pauseMs);
+      setTimeout(() => program.wake(), ms);
     }
     const at = performance.now();
     lost.forEach((generation) => losses.set(generation, at));
@@ -92,7 +100,7 @@
 }
 
 export async function failover(options: FailoverOptions): Promise<FailoverResult> {
-  const deployed = await Deployed.start(options.site, options.baseline);
+  const deployed = await Deployed.start(options.site, options.baseline, options.timeoutMs);
   try {
     const random = Random.of(options.seed);
     const [asked, losses] = await Promise.all([
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,19 +1,23 @@
 /**
  * The measurements with real processes on loopback: `npm run bench -- [--json] [--seed N]
- * [--seconds N] [--site lisbon|moravia]`. Prints tables, or JSON, and writes the curves to
- * bench/out as SVG.
+ * [--seconds N] [--site lisbon|moravia] [--part failover|threshold|load]`. Prints tables and
+ * curves, or JSON, and writes the curves to bench/out as SVG.
  */
+import { mkdirSync, writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import type { Baseline } from './baseline.js';
+import { loadCurve, thresholdCurve } from './curves.js';
+import type { Measured } from './curves.js';
 import { inTurn } from './deployed.js';
 import { failover, failoverRow } from './failover.js';
 import type { Fault } from './failover.js';
 import { buildPrograms } from './fleet.js';
+import { svg, text as plotText } from './plot.js';
 import { LISBON, MORAVIA } from './site.js';
 import type { Site } from './site.js';
 import { table } from './statistics.js';
-import type { Row } from './statistics.js';
 
+const OUT = 'bench/out';
 const SITES: readonly Site[] = [LISBON, MORAVIA];
 const PER_SECOND = 8;
 const PAUSE_MS = 3_000;
@@ -28,6 +32,7 @@
     seed: { type: 'string', default: '1' },
     seconds: { type: 'string', default: '15' },
     site: { type: 'string' },
+    part: { type: 'string' },
   },
 });
 
@@ -35,22 +40,45 @@
   if (!values.json) process.stdout.write(`${text}\n`);
 }
 
-async function compare(site: Site): Promise<readonly Row[]> {
+const OPTIONS = {
+  seed: Number(values.seed),
+  perSecond: PER_SECOND,
+  durationMs: Number(values.seconds) * 1_000,
+  pauseMs: PAUSE_MS,
+};
+
+async function compare(site: Site): Promise<Measured> {
   const results = await inTurn(COMPARED, ([baseline, fault]) => failover({
-    site,
-    baseline,
-    fault,
-    seed: Number(values.seed),
-    perSecond: PER_SECOND,
-    durationMs: Number(values.seconds) * 1_000,
-    pauseMs: PAUSE_MS,
+    ...OPTIONS, site, baseline, fault,
   }));
-  return results.map((result) => failoverRow(result, results[0]!));
+  return { rows: results.map((result) => failoverRow(result, results[0]!)), plots: [] };
+}
+
+interface Part {
+  readonly name: string;
+  readonly measure: () => Promise<Measured>;
 }
 
-await buildPrograms();
-note(`seed ${values.seed}, ${PER_SECOND} requests a second for ${values.seconds} s in each row`);
 const sites = SITES.filter(({ name }) => (values.site ?? name) === name);
-const rows = (await inTurn(sites, compare)).flat();
-const report = values.json ? JSON.stringify({ seed: values.seed, rows }) : table(rows);
-process.stdout.write(`${report}\n`);
+const PARTS: readonly Part[] = [
+  ...sites.map((site) => ({ name: 'failover', measure: () => compare(site) })),
+  ...sites.map((site) => ({ name: 'threshold', measure: () => thresholdCurve(site, OPTIONS) })),
+  { name: 'load', measure: () => loadCurve(OPTIONS) },
+];
+
+await buildPrograms();
+mkdirSync(OUT, { recursive: true });
+note(`seed ${values.seed}, runs of ${values.seconds} s`);
+const parts = PARTS.filter(({ name }) => (values.part ?? name) === name);
+const measured = await inTurn(parts, async ({ name, measure }) => {
+  const { rows, plots } = await measure();
+  note(`\n${name}\n\n${table(rows)}\n`);
+  plots.forEach((plot) => {
+    note(plotText(plot));
+    writeFileSync(`${OUT}/${plot.title.replaceAll(/[^a-z0-9]+/gi, '-')}.svg`, svg(plot));
+  });
+  return { name, rows };
+});
+if (values.json) {
+  process.stdout.write(`${JSON.stringify({ seed: OPTIONS.seed, measured })}\n`);
+}
--- a/bench/site.ts
+++ b/bench/site.ts
@@ -17,6 +17,8 @@
   readonly promptLength: number;
   /** Share of all requests. */
   readonly share: number;
+  /** Streams that each engine decodes at once, where not the stand-in's default. */
+  readonly slots?: number;
 }
 
 export interface Site {
@@ -80,6 +82,16 @@
   ],
 };
 
+/** Few slots, so that a load that one machine can offer fills them. */
+export const SMALL: Site = {
+  ...LISBON,
+  name: 'small',
+  daemons: 3,
+  groups: LISBON.groups.map((group) => ({
+    ...group, engines: group.model === 'listing' ? 3 : 1, slots: 2,
+  })),
+};
+
 export interface EngineAddress {
   readonly name: string;
   readonly group: Group;
