Start the daemon from its settings; run the demonstration on the whole instance

Cause: the daemon ran the thin path only, and the commands had nothing to talk to. Change: checked settings in TOML, listeners as supervised children, claims over the peers' calls, administration of an instance; the demonstration deployment brings an object API, a list and three engines of its own. Conclusion: one command starts the whole product on one machine.

--- a/bench/daemon.ts
+++ b/bench/daemon.ts
@@ -30,6 +30,7 @@
   scheduler: monotonicScheduler,
   random,
   log: silentLog,
+  daemons: () => 1,
   leaving: () => new Set(),
   zone: configuration.deployment.zones[process.pid % configuration.deployment.zones.length]!,
 });
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -8,12 +8,12 @@
 
 const TOKENS = 60;
 const KILL_AFTER = 20;
+const DEMO_PORT = 18_080;
 const BODY = {
   model: 'listing', prompt: 'List the ovens', max_tokens: TOKENS, seed: 7, stream: true,
 };
 
-const demo = await startDemo(0);
-// The first load reports make the engines known.
+const demo = await startDemo(DEMO_PORT);
 await new Promise((resolve) => {
   setTimeout(resolve, 300);
 });
@@ -41,7 +41,7 @@
   if (tokensOf(answer).length === KILL_AFTER) killBusyEngine();
 }
 
-const [host, port] = demo.address.split(':');
+const [host, port] = demo.addresses.callers.split(':');
 await new Promise<void>((resolve, reject) => {
   const req = request({
     host,
@@ -62,7 +62,7 @@
   req.on('error', reject);
   req.end(JSON.stringify(BODY));
 });
-demo.stop();
+await demo.stop();
 
 const bad = firstBadToken({
   model: BODY.model,
--- a/src/admin/router.ts
+++ b/src/admin/router.ts
@@ -39,7 +39,7 @@
 
 function configurationRouter(publisher: Publisher) {
   return t.router({
-    apply: t.procedure
+    applyFolder: t.procedure
       .input(z.object({ ...edit, folder, base: z.int().min(0) }))
       .mutation(({ input, ctx }) => publisher.apply(input.folder, {
         who: signed(ctx, input.who), base: input.base, allowEmpty: input.allowEmpty ?? false,
--- a/src/cli/changes.ts
+++ b/src/cli/changes.ts
@@ -101,7 +101,7 @@
       terminal.error('not known which revision the folder was made from; pull first, or --base N');
       return 2;
     }
-    const publication = await connection.configuration.apply.mutate({
+    const publication = await connection.configuration.applyFolder.mutate({
       folder, base, who: operator(), allowEmpty: values['allow-empty'] === true,
     });
     // After a merge the folder on disk lacks what the others changed, so its base stays.
--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -2,7 +2,6 @@
  * Checks a folder of configuration files and makes the effective configuration of it. All findings
  * are reported together, whatever the files hold.
  */
-import type { z } from 'zod';
 import { hasErrors } from '../common/finding.js';
 import type { Finding, Place } from '../common/finding.js';
 import { assemble } from './assemble.js';
@@ -10,14 +9,14 @@
 import { EMPTY_CONFIGURATION } from './defaults.js';
 import { readDocument } from './document.js';
 import { descriptions } from './fields.js';
-import { suggestion } from './nearest.js';
 import { ReferenceCheck } from './references.js';
 import { defOf, FOLDER, unwrap } from './schema.js';
 import type { Schema } from './schema.js';
 import {
-  formatPath, merge, nodeAt, placeOf, plainOf,
+  formatPath, merge, nodeAt, plainOf,
 } from './tree.js';
 import type { Node, Path, Table } from './tree.js';
+import { validate } from './validate.js';
 
 /** File texts by file name. */
 export type Folder = Readonly<Record<string, string>>;
@@ -59,34 +58,6 @@
   return { table, findings };
 }
 
-/** The keys that the table at `path` may have. */
-function knownKeys(path: Path): readonly string[] {
-  let schema: Schema = FOLDER;
-  path.forEach((key) => {
-    const def = defOf(unwrap(schema));
-    if (def.type === 'object') schema = def.shape[String(key)]!;
-    else if (def.type === 'record') schema = def.valueType;
-    else if (def.type === 'array') schema = def.element;
-  });
-  const def = defOf(unwrap(schema));
-  return def.type === 'object' ? Object.keys(def.shape) : [];
-}
-
-function issueFindings(root: Table, issue: z.core.$ZodIssue): readonly Finding[] {
-  const path = issue.path.map((key) => (typeof key === 'number' ? key : String(key)));
-  const finding = (at: Path, message: string): Finding => ({
-    severity: 'error', place: placeOf(root, at), path: formatPath(at), message,
-  });
-  if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map((key) => (
-      finding([...path, key], `is not known; ${suggestion(key, knownKeys(path))}`)));
-  }
-  if (issue.code === 'invalid_key') {
-    return [finding(path, issue.issues[0]?.message ?? issue.message)];
-  }
-  return [finding(path, issue.message)];
-}
-
 function comparePlaces(left: Finding, right: Finding): number {
   const [a, b] = [left.place, right.place];
   if (!a || !b) return Number(a !== undefined) - Number(b !== undefined);
@@ -105,15 +76,14 @@
     const finding: Finding = { severity: 'warning', path: 'folder', message };
     return { configuration: { ...EMPTY_CONFIGURATION, revision }, findings: [finding], table };
   }
-  const parsed = FOLDER.safeParse(plainOf(table));
-  const issues = parsed.error?.issues ?? [];
+  const valid = validate(FOLDER, table);
   const findings = [
     ...merged,
-    ...issues.flatMap((issue) => issueFindings(table, issue)),
+    ...valid.findings,
     ...ReferenceCheck.run(table),
   ].sort(comparePlaces);
-  const configuration = parsed.success && !hasErrors(findings)
-    ? assemble(parsed.data, revision)
+  const configuration = valid.data && !hasErrors(findings)
+    ? assemble(valid.data, revision)
     : undefined;
   return { configuration, findings, table };
 }
--- /dev/null
+++ b/src/daemon/administration.ts
@@ -0,0 +1,74 @@
+/** Shows an instance to its administrators. */
+import type {
+  Administration, EngineStatus, InstanceStatus,
+} from '../admin/administration.js';
+import type { EngineView } from '../engines/directory.js';
+import { copyName } from '../placement/inventory.js';
+import type { Instance } from './instance.js';
+
+function instanceStatus(instance: Instance): InstanceStatus {
+  const { settings, drain, feed } = instance;
+  const { revision, rejected, storeSilentMs } = feed.status;
+  return {
+    name: settings.name,
+    zone: settings.zone,
+    ready: instance.ready,
+    draining: drain.state !== 'serving',
+    revision,
+    rejectedRevision: rejected?.revision,
+    openAnswers: drain.open,
+    storeSilentMs: Math.round(storeSilentMs),
+  };
+}
+
+function engineStatus({ server, health, report }: EngineView, inFlight: number): EngineStatus {
+  return {
+    name: server.name,
+    zone: server.zone,
+    pool: server.pool,
+    health,
+    role: report?.role ?? 'unknown',
+    drained: server.drained,
+    inFlight,
+    running: report?.running ?? 0,
+    waiting: report?.waiting ?? 0,
+    slots: report?.slots ?? 0,
+    models: report?.models.map(({ model, version }) => copyName(model, version)) ?? [],
+    loading: report?.loading ?? [],
+  };
+}
+
+/** The administration of `instance`. */
+export function administrationOf(instance: Instance): Administration {
+  const {
+    heartbeats, lease, router, workspaces, monitor,
+  } = instance;
+  return {
+    status: () => instanceStatus(instance),
+    members: () => heartbeats.current(),
+    engines: () => {
+      const loads = new Map(router.snapshot().servers
+        .map(({ server, inFlight }) => [server, inFlight]));
+      return monitor.engines().map((view) => (
+        engineStatus(view, loads.get(view.server.name) ?? 0)));
+    },
+    lease: () => {
+      const { holder, fence } = lease.view();
+      return { holder, fence, heldHere: lease.holding() !== undefined };
+    },
+    queues: () => router.snapshot().queues,
+    workspaces: () => workspaces.snapshot()
+      .map(({
+        workspace, running, concurrency, parts,
+      }) => ({
+        name: workspace,
+        running,
+        concurrencyShare: concurrency,
+        requestsPerSecondShare: parts.rate
+          * (instance.configuration.workspaces[workspace]?.requestsPerSecond ?? 0),
+      })),
+    why: (request) => instance.decisions.why(request),
+    drain: () => instance.rest(true),
+    undrain: () => instance.rest(false),
+  };
+}
--- /dev/null
+++ b/src/daemon/claimpeers.ts
@@ -0,0 +1,69 @@
+/** Carries claims between instances: to the home of a shard, and back to a claim's owner. */
+import { z } from 'zod';
+import type { ClaimLedger, LedgerPeers } from '../claims/ledger.js';
+import type { Answer, Operation } from '../claims/shard.js';
+import type { MembershipView, PeerNetwork } from '../membership/instances.js';
+import type { CallHandler } from './peerserver.js';
+
+const CALL_DEADLINE_MS = 1_000;
+
+const operation = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('claim'),
+    key: z.string(),
+    bodyHash: z.string(),
+    nonce: z.string(),
+    owner: z.string(),
+    request: z.string(),
+    fresh: z.boolean().optional(),
+  }),
+  z.object({
+    kind: z.literal('complete'), key: z.string(), nonce: z.string(), status: z.int(),
+  }),
+  z.object({ kind: z.literal('release'), key: z.string(), nonce: z.string() }),
+]);
+
+const call = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('forward'), operation }),
+  z.object({ kind: z.literal('disown'), request: z.string() }),
+]);
+
+const claimed = { owner: z.string(), request: z.string() };
+
+const answer = z.object({
+  outcome: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('granted') }),
+    z.object({ kind: z.literal('running'), ...claimed }),
+    z.object({ kind: z.literal('done'), ...claimed, status: z.int() }),
+    z.object({ kind: z.literal('reused_key') }),
+    z.object({ kind: z.literal('unavailable'), message: z.string() }),
+    z.object({ kind: z.literal('applied') }),
+  ]),
+  open: z.boolean(),
+});
+
+/** The claim calls that an instance makes to others, by their names. */
+export function claimPeers(membership: MembershipView, network: PeerNetwork): LedgerPeers {
+  const ask = (name: string, body: z.input<typeof call>): Promise<unknown> => {
+    const member = membership.current().find((known) => known.name === name);
+    if (!member) return Promise.reject(new Error(`${name} is no member`));
+    return network.call('claim', member.peerAddress, body, CALL_DEADLINE_MS);
+  };
+  return {
+    forward: async (home: string, forwarded: Operation): Promise<Answer> => (
+      answer.parse(await ask(home, { kind: 'forward', operation: forwarded }))),
+    disown: async (owner, request) => (
+      z.boolean().parse(await ask(owner, { kind: 'disown', request }))),
+  };
+}
+
+/** Answers the claim calls of other instances; throws on a body that is not one. */
+export function claimHandler(ledger: ClaimLedger): CallHandler {
+  return async (body) => {
+    const asked = call.parse(body);
+    switch (asked.kind) {
+      case 'forward': return ledger.serve(asked.operation);
+      case 'disown': return ledger.disown(asked.request);
+    }
+  };
+}
--- a/src/daemon/demo.ts
+++ b/src/daemon/demo.ts
@@ -1,130 +1,177 @@
 /**
- * The demonstration deployment: one daemon and three stand-in engines in one process on loopback.
- * It is for trying the daemon out; a real deployment names its own backend servers.
+ * The demonstration deployment: one daemon, three engines, an object API and a list of instances in
+ * one process on loopback. All but the daemon are stand-ins; a real deployment names its own.
  */
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { BehaviorSubject } from 'rxjs';
+import type { Subscription } from 'rxjs';
 import { sha256 } from '../common/hash.js';
-import { ConsoleLog } from '../common/log.js';
+import { ConsoleLog, silentLog } from '../common/log.js';
 import { Random } from '../common/random.js';
 import { monotonicScheduler } from '../common/time.js';
-import type { BackendServer, Configuration } from '../configuration/configuration.js';
-import { EMPTY_CONFIGURATION } from '../configuration/defaults.js';
-import { HttpEngineClient } from '../engines/client.js';
-import { EngineMonitor } from '../engines/monitor.js';
-import { EntryServer } from '../entry/server.js';
-import { Gateway } from '../entry/gateway.js';
-import { LeastLoaded } from '../routing/leastloaded.js';
+import { Publisher } from '../configuration/publisher.js';
 import { StandInEngine } from '../standin/engine.js';
 import { engineServer } from '../standin/engineserver.js';
+import { LaggingList, listServer } from '../standin/listserver.js';
+import { MemoryObjects } from '../standin/objects.js';
+import { ObjectServer } from '../standin/objectserver.js';
+import { Daemon } from './daemon.js';
+import { listen } from './listeners.js';
+import { readSettings } from './settings.js';
+import type { Settings } from './settings.js';
 
 const LOOPBACK = '127.0.0.1';
+const ANY_PORT = { host: LOOPBACK, port: 0 };
+const CALLERS_PORT = 8_080;
 const ENGINES = 3;
 const STEP_MS = 20;
 const MODEL = 'listing';
 const VERSION = '1';
+const READY_POLL_MS = 50;
+const MAX_SEED = 0x7fff_ffff;
+
 export const DEMO_KEY = 'demo-key';
+const ADMINISTRATOR_KEY = 'demo-administrator';
 
 export interface DemoEngine { readonly engine: StandInEngine; readonly server: Server }
 
+export interface DemoAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly administrators: string;
+}
+
 export interface Demo {
-  readonly address: string;
+  readonly addresses: DemoAddresses;
   readonly engines: readonly DemoEngine[];
-  stop(): void;
+  stop(): Promise<void>;
 }
 
-function listen(server: Server, port: number): Promise<string> {
-  return new Promise((resolve) => {
-    server.listen(port, LOOPBACK, () => {
-      resolve(`${LOOPBACK}:${(server.address() as AddressInfo).port}`);
-    });
-  });
+interface Platform {
+  readonly objects: ObjectServer;
+  readonly list: Server;
+  readonly listAddress: string;
 }
 
-function backendServer(name: string, address: string): BackendServer {
-  return {
-    name,
-    kind: 'engine',
-    address,
-    zone: 'demo-a',
-    pool: 'listing',
-    checksFence: true,
-    memory: 1,
-    drained: false,
-  };
+/** The demonstration's configuration, as the one file of an operator's folder. */
+export function demoFile(engines: readonly string[]): string {
+  return [
+    '[deployment]\nname = "demo"\nfavour = "latency"\nzones = ["demo-a"]\n',
+    `[models.${MODEL}]\nversion = "${VERSION}"\nreplicas = ${ENGINES}\nrepeat = "safe"\n`,
+    '[pools.engines]\nconcurrency_per_server = 64\n',
+    ...engines.map((address, index) => `[servers.engine-${index + 1}]
+address = "${address}"
+zone = "demo-a"
+pool = "engines"
+checks_fence = true
+`),
+    `[workspaces.demo]\nkey_hashes = ["${sha256(DEMO_KEY)}"]\n`,
+  ].join('\n');
+}
+
+async function startEngine(name: string, random: Random) {
+  const engine = StandInEngine.of({
+    name, stepMs: STEP_MS, models: [{ model: MODEL, version: VERSION, adapters: [] }],
+  }, monotonicScheduler, random.identifier());
+  const server = engineServer(engine);
+  return { engine, server, address: await listen(server, ANY_PORT) };
 }
 
-function configuration(servers: readonly BackendServer[]): Configuration {
+async function startPlatform(random: Random, file: string): Promise<Platform> {
+  const objects = MemoryObjects.of(monotonicScheduler, random);
+  const publisher = Publisher.of({
+    api: objects, scheduler: monotonicScheduler, random, wallClock: () => Date.now(),
+  });
+  await publisher.put('demo.toml', file, { who: 'demo' });
+  const list = listServer(LaggingList.of(monotonicScheduler, 0));
   return {
-    ...EMPTY_CONFIGURATION,
-    revision: 1,
-    deployment: { name: 'demo', favour: 'latency', zones: ['demo-a'] },
-    models: {
-      [MODEL]: {
-        name: MODEL,
-        version: VERSION,
-        adapters: [],
-        replicas: ENGINES,
-        memory: 1,
-        maxTokens: 4_096,
-        priority: 'standard',
-        repeat: 'safe',
-      },
-    },
-    servers: Object.fromEntries(servers.map((server) => [server.name, server])),
-    workspaces: {
-      demo: {
-        name: 'demo',
-        keyHashes: [sha256(DEMO_KEY)],
-        weight: 1,
-        requestsPerSecond: 100,
-        burst: 100,
-        concurrency: 100,
-        priority: 'standard',
-        models: [],
-      },
-    },
+    objects: await ObjectServer.listen(objects, monotonicScheduler, LOOPBACK, 0),
+    list,
+    listAddress: await listen(list, ANY_PORT),
   };
 }
 
-/** @param port the callers' port; 0 takes a free one */
-export async function startDemo(port: number): Promise<Demo> {
-  const log = ConsoleLog.of('info', { instance: 'demo' });
-  const random = Random.of(Date.now() % 0x7fff_ffff);
-  const engines = Array.from({ length: ENGINES }, (_, index): DemoEngine => {
-    const engine = StandInEngine.of({
-      name: `engine-${index + 1}`,
-      stepMs: STEP_MS,
-      models: [{ model: MODEL, version: VERSION, adapters: [] }],
-    }, monotonicScheduler, random.identifier());
-    return { engine, server: engineServer(engine) };
-  });
-  const servers = await Promise.all(engines.map(async ({ engine, server }) => (
-    backendServer(engine.options.name, await listen(server, 0)))));
-  const configurations = new BehaviorSubject(configuration(servers));
-  const dial = ({ address }: BackendServer) => HttpEngineClient.of(address);
-  const monitor = EngineMonitor.of(dial, monotonicScheduler, log);
-  const running = monitor.start(configurations);
-  const dispatcher = LeastLoaded.of(monitor, () => configurations.value, log);
-  const gateway = Gateway.of({
-    dispatcher,
-    directory: monitor,
-    watcher: monitor,
-    log,
-    configuration: () => configurations.value,
-  });
-  const entry = EntryServer.of(gateway, random);
-  const address = await listen(entry, port);
+function settingsOf(addresses: DemoAddresses, { objects, listAddress }: Platform): Settings {
+  const { settings, findings } = readSettings('demo', `
+    name = "demo-1"
+    zone = "demo-a"
+    [listen]
+    callers = "${addresses.callers}"
+    peers = "${addresses.peers}"
+    administrators = "${addresses.administrators}"
+    [platform]
+    objects = "${objects.address}"
+    instances = "http://${listAddress}/instances"
+    [keys]
+    peers = "demonstration-peer-key"
+    cursors = "demonstration-cursor-key"
+    [[keys.administrators]]
+    name = "demo"
+    key_hash = "${sha256(ADMINISTRATOR_KEY)}"
+    [stop]
+    balancer_lag = "0s"
+  `);
+  if (!settings) throw new Error(JSON.stringify(findings));
+  return settings;
+}
+
+/** Resolves once the daemon has a configuration and knows its engines. */
+async function untilServing({ instance }: Daemon): Promise<void> {
+  const known = () => instance.ready
+    && instance.monitor.engines().filter(({ report }) => report).length === ENGINES;
+  while (!known()) {
+    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+    await new Promise((resolve) => {
+      setTimeout(resolve, READY_POLL_MS);
+    });
+  }
+}
+
+/** @param firstPort of three that follow each other: callers, peers, administrators */
+export async function startDemo(firstPort: number, quiet = false): Promise<Demo> {
+  const log = quiet ? silentLog : ConsoleLog.of('info', { instance: 'demo-1' });
+  const random = Random.of(Date.now() % MAX_SEED);
+  const engines = await Promise.all(Array.from({ length: ENGINES }, (_, index) => (
+    startEngine(`engine-${index + 1}`, random))));
+  const platform = await startPlatform(random, demoFile(engines.map(({ address }) => address)));
+  const addresses: DemoAddresses = {
+    callers: `${LOOPBACK}:${firstPort}`,
+    peers: `${LOOPBACK}:${firstPort + 1}`,
+    administrators: `${LOOPBACK}:${firstPort + 2}`,
+  };
+  const daemon = Daemon.of(settingsOf(addresses, platform), random, log);
+  const running: Subscription = daemon.run.subscribe();
+  await untilServing(daemon);
   return {
-    address,
+    addresses,
     engines,
-    stop: () => {
+    stop: async () => {
       running.unsubscribe();
-      [entry, ...engines.map(({ server }) => server)].forEach((server) => {
+      [platform.list, ...engines.map(({ server }) => server)].forEach((server) => {
         server.close();
         server.closeAllConnections();
       });
+      await platform.objects.close();
     },
   };
 }
+
+/** Runs the demonstration until the process is stopped, and says how to try it. */
+export async function runDemo(): Promise<void> {
+  const { addresses } = await startDemo(CALLERS_PORT);
+  const body = `{"model":"${MODEL}","prompt":"List the ovens","max_tokens":60,"stream":true}`;
+  process.stdout.write([
+    'A demonstration deployment with stand-in engines runs in this process.',
+    `callers:        http://${addresses.callers}`,
+    `administrators: http://${addresses.administrators} (key ${ADMINISTRATOR_KEY})`,
+    '',
+    `curl -N http://${addresses.callers}/v1/completions \\`,
+    `  -H 'Authorization: Bearer ${DEMO_KEY}' -d '${body}'`,
+    '',
+    `SHALLOTSHUNT_DAEMON=${addresses.administrators} SHALLOTSHUNT_KEY=${ADMINISTRATOR_KEY} \\`,
+    '  node bin/shallotshunt.mjs engines',
+    '',
+  ].join('\n'));
+  const stop = () => process.exit(0);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -5,6 +5,7 @@
 import { err } from 'neverthrow';
 import type { Observable, SchedulerLike, Subscription } from 'rxjs';
 import { DecisionLog } from '../admin/decisions.js';
+import { ClaimLedger } from '../claims/ledger.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { Configuration } from '../configuration/configuration.js';
@@ -24,6 +25,7 @@
 import type { Admissions } from '../routing/router.js';
 import type { ObjectApi } from '../store/objects.js';
 import { PacedObjects } from '../store/paced.js';
+import { claimHandler, claimPeers } from './claimpeers.js';
 import { ConfigurationFeed } from './configurationfeed.js';
 import { DemandReport } from './demandreport.js';
 import { Isolation } from './isolation.js';
@@ -99,6 +101,8 @@
 
   readonly #isolation: Isolation;
 
+  #resting = false;
+
   private constructor(settings: InstanceSettings, adapters: Adapters) {
     const {
       scheduler, random, wallClock, list, network,
@@ -124,6 +128,15 @@
       name, objects, heartbeats: this.heartbeats, network, scheduler, random, log,
     });
     const configuration = () => this.feed.current;
+    const claims = ClaimLedger.of({
+      name,
+      api: objects,
+      peers: claimPeers(this.heartbeats, network),
+      members: () => this.#aliveNames(),
+      scheduler,
+      random,
+      wallClock,
+    });
     this.publisher = Publisher.of({
       api: objects, scheduler, random, wallClock,
     });
@@ -146,6 +159,7 @@
       random,
       log,
       leaving: () => leaving.current(),
+      daemons: () => this.heartbeats.current().length,
       zone,
     });
     const demand = DemandReport.of(this.router);
@@ -186,10 +200,12 @@
       scheduler,
       log,
       configuration,
+      claims,
       ...(settings.cursorKey === undefined ? {} : { cursorKey: settings.cursorKey }),
     });
     this.handlers = {
       heartbeat: (request) => this.heartbeats.receive(request),
+      claim: claimHandler(claims),
       configuration: async () => this.feed.text(),
     };
     const context = { scheduler, random, log };
@@ -220,7 +236,14 @@
 
   /** Whether the balancer may send requests here. */
   get ready(): boolean {
-    return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated;
+    return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated
+      && !this.#resting;
+  }
+
+  /** Takes the instance out of the balancer, or puts it back; whatever still comes is served. */
+  rest(resting: boolean): void {
+    this.#resting = resting;
+    this.decisions.event('info', 'rest', { resting });
   }
 
   /** Leaves the balancer and the list of members; `drain.ended` tells when it may exit. */
@@ -247,9 +270,12 @@
   }
 
   #isLeaseCandidate(): boolean {
-    return this.drain.state === 'serving' && this.heartbeats.current()
-      .filter(({ state }) => state === 'alive')
-      .slice(0, LEASE_CANDIDATES)
-      .some(({ name }) => name === this.settings.name);
+    return this.drain.state === 'serving'
+      && this.#aliveNames().slice(0, LEASE_CANDIDATES).includes(this.settings.name);
+  }
+
+  #aliveNames(): readonly string[] {
+    return this.heartbeats.current().filter(({ state }) => state === 'alive')
+      .map(({ name }) => name);
   }
 }
--- /dev/null
+++ b/src/daemon/listeners.ts
@@ -0,0 +1,43 @@
+/** Sockets of a daemon: servers as supervised children, and addresses. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Observable } from 'rxjs';
+import type { Child } from './supervisor.js';
+
+export interface HostPort { readonly host: string; readonly port: number }
+
+/** Splits `host:port`; an IPv6 host stands in brackets. */
+export function hostPort(address: string): HostPort {
+  const separator = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, separator).replace(/^\[|\]$/g, ''),
+    port: Number(address.slice(separator + 1)),
+  };
+}
+
+/** Listens and resolves with the address, whose port is the one taken for port 0. */
+export function listen(server: Server, { host, port }: HostPort): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve(`${host}:${(server.address() as AddressInfo).port}`));
+  });
+}
+
+/**
+ * A server that listens while its child runs. Stopping it lets open connections finish; a server
+ * that fails is made anew.
+ */
+export function listenerOf(name: string, address: string, create: () => Server): Child {
+  return {
+    name,
+    run: new Observable<never>((subscriber) => {
+      const server = create();
+      listen(server, hostPort(address)).catch((error: unknown) => subscriber.error(error));
+      server.on('error', (error) => subscriber.error(error));
+      return () => {
+        server.close();
+        server.closeIdleConnections();
+      };
+    }),
+  };
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,91 @@
+/**
+ * The daemon's own settings: where it listens, what it meets, and its keys. They are read once,
+ * from one TOML file; everything that operators change while it runs is in the configuration.
+ */
+import { z } from 'zod';
+import type { Finding } from '../common/finding.js';
+import type { LogLevel } from '../common/log.js';
+import {
+  address, choice, duration, matching, NAME_PATTERN, text,
+} from '../configuration/fields.js';
+import { readDocument } from '../configuration/document.js';
+import { validate } from '../configuration/validate.js';
+
+/** Stands for a table that the file leaves out; its settings fall back one by one. */
+const LEFT_OUT = {} as never;
+const NAME = 'a name of letters, digits, dots, hyphens and underscores';
+const LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
+const HASH_PATTERN = /^[0-9a-f]{64}$/;
+const URL_PATTERN = /^http:\/\/[0-9.[\]:a-fA-F]+(?::\d+)?\/\S*$/;
+const KEY_PATTERN = /^\S{16,256}$/;
+const KEY = 'a text of 16 to 256 characters without spaces';
+
+const LISTEN = z.strictObject({
+  callers: address('Where callers, by way of the balancer, reach this instance.'),
+  peers: address('Where other instances reach it.'),
+  administrators: address('Where administrators reach it.'),
+});
+
+const PLATFORM = z.strictObject({
+  objects: address('The object API.'),
+  instances: matching('The list of instances.', 'a URL with an IP address', URL_PATTERN),
+});
+
+const ADMINISTRATOR = z.strictObject({
+  name: matching('Named in the history of the configuration and in logs.', NAME, NAME_PATTERN),
+  key_hash: matching(
+    'SHA-256 of the key.',
+    '64 hexadecimal digits in lower case',
+    HASH_PATTERN,
+  ),
+});
+
+const KEYS = z.strictObject({
+  peers: matching('Signs calls between instances; the same on all.', KEY, KEY_PATTERN),
+  cursors: matching(
+    'Signs the cursors that callers return with; the same on all.',
+    KEY,
+    KEY_PATTERN,
+  ),
+  administrators: z.array(ADMINISTRATOR).default([]),
+});
+
+const STOP = z.strictObject({
+  balancer_lag: duration(
+    'How long the balancer may go on sending requests after readiness is off.',
+    { min: '0ms', max: '10m' },
+    '5s',
+  ),
+  limit: duration(
+    'Open answers are cut off after so long.',
+    { min: '1s', max: '24h' },
+    '15m',
+  ),
+}).prefault(LEFT_OUT);
+
+export const SETTINGS = z.strictObject({
+  name: matching('The name of this instance.', NAME, NAME_PATTERN),
+  zone: matching('The availability zone that it runs in.', NAME, NAME_PATTERN),
+  advertise: text('The peers\' address as others see it; listen.peers if left out.', '-'),
+  log_level: choice('Events below this level are not logged.', LEVELS, 'info'),
+  listen: LISTEN,
+  platform: PLATFORM,
+  keys: KEYS,
+  stop: STOP,
+});
+
+export type Settings = z.output<typeof SETTINGS>;
+
+export interface SettingsReading {
+  /** Undefined when there are error findings. */
+  readonly settings: Settings | undefined;
+  readonly findings: readonly Finding[];
+}
+
+/** @param file the file's name, for the findings' places */
+export function readSettings(file: string, contents: string): SettingsReading {
+  const { table, findings } = readDocument(file, contents);
+  const checked = validate(SETTINGS, table);
+  const all = [...findings, ...checked.findings];
+  return { settings: all.length === 0 ? checked.data : undefined, findings: all };
+}
