--- a/src/engines/monitor.ts
+++ b/src/engines/monitor.ts
@@ -160,7 +160,7 @@
           this.#take(engine, report);
         },
         (error: unknown) => engine.watch.unreported(error, 'report', {
-          awakeAt, deadlineMs: REPORT_DEADLINE_MS,
+          awakeAt, askedAt, deadlineMs: REPORT_DEADLINE_MS,
         }),
       ).finally(() => Object.assign(engine, { asking: false }))
         .catch((error: unknown) => {
--- a/src/engines/watch.ts
+++ b/src/engines/watch.ts
@@ -33,8 +33,12 @@
   ): WatchedStream | undefined;
 }
 
-/** When, in awake time, an answer was asked for, and until when. */
-export interface Asked { readonly awakeAt: number; readonly deadlineMs: number }
+/** When an answer was asked for, in awake and in scheduler time, and within what time. */
+export interface Asked {
+  readonly awakeAt: number;
+  readonly askedAt: number;
+  readonly deadlineMs: number;
+}
 
 export interface WatchContext {
   readonly name: string;
@@ -128,9 +132,12 @@
   /** A load report failed to come. */
   unreported(error: unknown, to: 'ping' | 'report', asked: Asked): void {
     const refused = (error as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
-    const waitedMs = this.context.awake() - asked.awakeAt;
+    const { awakeAt, askedAt, deadlineMs } = asked;
+    const awake = this.context.awake() - awakeAt >= deadlineMs * AWAKE_SHARE;
+    // A call that failed before its deadline has failed for a reason other than a pause.
+    const early = this.context.scheduler.now() - askedAt < deadlineMs;
     if (refused) this.#observe({ kind: 'connection_refused' });
-    else if (waitedMs >= asked.deadlineMs * AWAKE_SHARE) this.#observe({ kind: 'unanswered', to });
+    else if (early || awake) this.#observe({ kind: 'unanswered', to });
     else if (to === 'ping') this.#observe({ kind: 'inconclusive' });
   }
 
@@ -233,7 +240,7 @@
         this.reported(report, askedAt, 'ping');
         this.context.report(report);
       },
-      (error: unknown) => this.unreported(error, 'ping', { awakeAt, deadlineMs }),
+      (error: unknown) => this.unreported(error, 'ping', { awakeAt, askedAt, deadlineMs }),
     );
   }
 }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -19,7 +19,7 @@
 import { RetryBudgets } from '../limits/retrybudget.js';
 import { CacheFollower } from './cachefollower.js';
 import { choose } from './choice.js';
-import type { Choice } from './choice.js';
+import type { Choice, Chooser } from './choice.js';
 import type {
   Admission, Assignment, AttemptOutcome, Demand, Dispatcher,
 } from './dispatcher.js';
@@ -55,8 +55,12 @@
   readonly log: Log;
   /** Servers that other daemons know to be leaving. */
   readonly leaving: () => ReadonlySet<string>;
+  /** Live daemons that send to the same servers, this one included. */
+  readonly daemons: () => number;
   /** This daemon's availability zone. */
   readonly zone: string;
+  /** Chooses among candidates; measurements put others in its place. */
+  readonly choose?: Chooser;
 }
 
 export class Router implements Dispatcher {
@@ -131,7 +135,7 @@
         this.#refuse(demand, subscriber, 'not_found', 'no such model or service');
         return undefined;
       }
-      if (kindOf(demand) === 'retry' && !this.#budgets.spend(this.#triedPool(demand), this.#now)) {
+      if (!this.#mayRetry(demand)) {
         this.#refuse(demand, subscriber, 'overloaded', 'too many retries in the pool');
         return undefined;
       }
@@ -145,17 +149,23 @@
     return this.#context.scheduler.now();
   }
 
+  /** The pool whose budget a retry draws on. */
   #triedPool({ exclude }: Demand): string {
     return this.#configuration.servers[exclude.at(-1) ?? '']?.pool ?? '';
   }
 
+  #mayRetry(demand: Demand): boolean {
+    return kindOf(demand) !== 'retry'
+      || this.#budgets.mayRetry(this.#triedPool(demand), this.#now);
+  }
+
   #wait(
     demand: Demand,
     need: Need,
     subscriber: Subscriber<Result<Assignment, Refusal>>,
   ): Waiting {
     const {
-      workspace, priority, resume, exclude,
+      workspace, priority, resume, exclude, waitedMs = 0,
     } = demand;
     const key = needKey(need);
     const id = this.#nextId;
@@ -169,7 +179,7 @@
       key,
       cost: this.#holdTimes.expected(workspace, priority),
       enteredAt: this.#now,
-      deadline: deadlineOf(priority, resume, this.#now, this.#configuration.limits),
+      deadline: deadlineOf(priority, resume, this.#now - waitedMs, this.#configuration.limits),
     };
     const group = exclude.length > 0 ? `${id}` : `${priority} ${resume} ${key}`;
     return {
@@ -191,10 +201,12 @@
     if (survey.candidates.length > 0) {
       const { favour } = this.#configuration.deployment;
       const { zone, random } = this.#context;
-      this.#dispatch(waiting, survey, choose(survey.candidates, { zone, favour }, random));
+      const chooser = this.#context.choose ?? choose;
+      this.#dispatch(waiting, survey, chooser(survey.candidates, { zone, favour }, random));
       return 'done';
     }
-    const patient = entry.resume && now - entry.enteredAt < NO_SERVER_WAIT_MS;
+    const patient = entry.resume && !survey.excluded.tried
+      && now - entry.enteredAt < NO_SERVER_WAIT_MS;
     if (!isHopeless(survey) || patient) return 'waits';
     this.#line.leave(waiting);
     this.#refuse(demand, waiting.subscriber, 'unavailable', 'no server can take the request');
@@ -202,7 +214,7 @@
   }
 
   #dispatch(waiting: Waiting, survey: Survey, choice: Choice): void {
-    const { entry, demand, ask } = waiting;
+    const { demand, ask } = waiting;
     const { candidate } = choice.chosen;
     const { log } = this.#context;
     const now = this.#now;
@@ -211,10 +223,9 @@
     this.#line.placed(waiting);
     this.#servers.sent(ask, candidate, now);
     this.#assigned[kind] += 1;
-    if (kind === 'first') {
-      const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
-      this.#budgets.earn(pool, retryRatio, now);
-    }
+    const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
+    if (kind === 'first') this.#budgets.earn(pool, retryRatio, now);
+    if (kind === 'retry') this.#budgets.spend(pool, now);
     logRoute(log, waiting, survey, choice, now);
     const version = ask.need.kind === 'model' ? ask.need.version : '';
     waiting.subscriber.next(ok(this.#assignment(demand, candidate.server, version, now)));
--- a/test/transaction.test.ts
+++ b/test/transaction.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { CancelOutcome } from '../src/engines/engine.js';
-import type { GenerationEvent } from '../src/generation/change.js';
+import type { GenerationEffect, GenerationEvent } from '../src/generation/change.js';
 import type { GenerationOptions } from '../src/generation/state.js';
 import { generationState } from '../src/generation/state.js';
 import { transaction } from '../src/generation/transaction.js';
@@ -46,28 +46,29 @@
   repeatable: true, maxAttempts: 3, hedges: true, maxTokens: 100,
 };
 
+function label(effect: GenerationEffect): string {
+  switch (effect.kind) {
+    case 'token': return effect.text;
+    case 'drop': return `drop:${effect.cause}`;
+    case 'refuse': return `refuse:${effect.refusal.ran}`;
+    case 'assign': return [effect.reason, ...effect.exclude].join('-');
+    case 'dispatch':
+      return `${effect.attempt.kind === 'join' ? 'join' : 'run'}:${effect.attempt.number}`;
+    case 'cancel': return `cancel:${effect.attempt.number}`;
+    case 'settle': return `settle:${effect.attempt.number}`;
+    case 'finish': return `finish:${effect.reason}@${effect.tokens}`;
+    case 'close':
+    case 'withdraw': return '';
+  }
+}
+
 function play(events: readonly GenerationEvent[], options: Partial<GenerationOptions> = {}) {
   const effects: string[] = [];
   let state = generationState({ ...OPTIONS, ...options });
   events.forEach((event) => {
     const tr = transaction(state, event);
     state = tr.state;
-    tr.effects.forEach((effect) => {
-      switch (effect.kind) {
-        case 'token': effects.push(effect.text); break;
-        case 'drop': effects.push(`drop:${effect.cause}`); break;
-        case 'refuse': effects.push(`refuse:${effect.refusal.ran}`); break;
-        case 'assign': effects.push([effect.reason, ...effect.exclude].join('-')); break;
-        case 'dispatch':
-          effects.push(`${effect.attempt.kind === 'join' ? 'join' : 'run'}:${effect.attempt.number}`);
-          break;
-        case 'cancel': effects.push(`cancel:${effect.attempt.number}`); break;
-        case 'settle': effects.push(`settle:${effect.attempt.number}`); break;
-        case 'finish': effects.push(`finish:${effect.reason}@${effect.tokens}`); break;
-        case 'close':
-        case 'withdraw': break;
-      }
-    });
+    effects.push(...tr.effects.map(label).filter((text) => text !== ''));
   });
   return effects.join(' ');
 }
