--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -66,7 +66,10 @@
 
   private constructor(options: HeartbeatsOptions) {
     this.#options = options;
-    this.#states = new BehaviorSubject(initialState(options.origin, options.scheduler.now()));
+    // Wall clocks may tell fractions; messages carry whole numbers.
+    const incarnation = Math.floor(options.origin.incarnation);
+    const origin = { ...options.origin, incarnation };
+    this.#states = new BehaviorSubject(initialState(origin, options.scheduler.now()));
     this.members = this.#states.pipe(map(membersOf), distinctUntilChanged(sameMembers));
     this.softState = SoftState.of(
       this.#states,
