--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -13,7 +13,7 @@
 /** What a silent server is worth avoiding; it is taken when no other is left. */
 const SUSPECT_MS = 10_000;
 /** Engine steps' worth of delay that a full server adds to each request against an empty one. */
-const CONTENTION_STEPS = 1;
+const CONTENTION_STEPS = 4;
 /** How much more cached prefixes count where engine work matters more than time. */
 const RESOURCES_PREFILL_FACTOR = 4;
 /** Scores this much above the best still count as equal. */
--- a/src/routing/eligibility.ts
+++ b/src/routing/eligibility.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendServer, Configuration, Pool } from '../configuration/configuration.js';
 import type { Health } from '../engines/directory.js';
-import type { LoadReport, Priority } from '../engines/engine.js';
+import type { LoadReport } from '../engines/engine.js';
 import type { Demand } from './dispatcher.js';
 
 /** What a server has to hold. */
@@ -31,11 +31,6 @@
   models: [], retryRatio: 0.1, concurrencyPerServer: 64,
 };
 
-/** Part of a server's room that a class leaves to the classes above it. */
-const RESERVED: Readonly<Record<Priority, number>> = {
-  interactive: 0, standard: 0.05, batch: 0.1,
-};
-
 export function needOf(demand: Demand, configuration: Configuration): Need | undefined {
   const { target } = demand;
   switch (target.kind) {
@@ -98,9 +93,3 @@
   if (health === 'down') return 'down';
   return need.kind === 'model' ? engineExclusion(need, report) : undefined;
 }
-
-/** Requests that a class may have in flight at a server, of `slots`; resumes may use them all. */
-export function roomFor(priority: Priority, resume: boolean, slots: number): number {
-  if (resume) return slots;
-  return Math.max(1, slots - Math.ceil(slots * RESERVED[priority]));
-}
--- /dev/null
+++ b/src/routing/reserve.ts
@@ -0,0 +1,64 @@
+/**
+ * Places that lower classes leave free at each server of a pool, so that an interactive request
+ * finds one. They follow the interactive requests that are in flight: their mean at a server, and
+ * three times its deviation, since arrivals are random and reports lag.
+ */
+import type { Priority } from '../engines/engine.js';
+
+/** How fast the mean follows. */
+const AVERAGING_MS = 5_000;
+/** Requests in flight per server that are assumed at first. */
+const FIRST_MEAN = 0.5;
+const DEVIATIONS = 3;
+/** Places left whatever the traffic is. */
+const MIN_PLACES = 1;
+const MAX_PART = 0.5;
+
+/** Interactive requests that this daemon has in flight in a pool, averaged over time. */
+export interface InteractiveLoad {
+  readonly inFlight: number;
+  readonly mean: number;
+  readonly updatedAt: number;
+}
+
+/** What is assumed of a pool of `servers` until its traffic is known. */
+export function interactiveLoad(daemons: number, servers: number, now: number): InteractiveLoad {
+  return { inFlight: 0, mean: (FIRST_MEAN * servers) / daemons, updatedAt: now };
+}
+
+/** Brings the mean up to now, then adds `change` to what is in flight. */
+export function interactiveChanged(
+  { inFlight, mean, updatedAt }: InteractiveLoad,
+  change: number,
+  now: number,
+): InteractiveLoad {
+  const kept = Math.exp((updatedAt - now) / AVERAGING_MS);
+  return {
+    inFlight: Math.max(0, inFlight + change),
+    mean: inFlight + (mean - inFlight) * kept,
+    updatedAt: now,
+  };
+}
+
+/** The mean number of interactive requests in flight at one server, by this daemon's part. */
+export function perServer(
+  load: InteractiveLoad,
+  daemons: number,
+  servers: number,
+  now: number,
+): number {
+  const { mean } = interactiveChanged(load, 0, now);
+  return (mean * daemons) / Math.max(1, servers);
+}
+
+/** Requests that a class may have in flight at a server. */
+export function roomFor(
+  priority: Priority,
+  slots: number,
+  interactivePerServer: number,
+): number {
+  if (priority === 'interactive') return slots;
+  const wanted = MIN_PLACES + interactivePerServer + DEVIATIONS * Math.sqrt(interactivePerServer);
+  const reserved = Math.min(Math.round(wanted), Math.floor(slots * MAX_PART));
+  return slots - (priority === 'batch' ? reserved : Math.ceil(reserved / 2));
+}
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -63,6 +63,14 @@
   readonly choose?: Chooser;
 }
 
+/** An attempt that was given to a server. */
+interface Sent {
+  readonly server: string;
+  readonly pool: string;
+  readonly version: string;
+  readonly sentAt: number;
+}
+
 export class Router implements Dispatcher {
   readonly #context: RouterContext;
 
@@ -222,17 +230,21 @@
     const pool = this.#configuration.servers[candidate.server]?.pool ?? '';
     this.#line.placed(waiting);
     this.#servers.sent(ask, candidate, now);
+    if (demand.priority === 'interactive') this.#servers.interactiveChanged(pool, 1, now);
     this.#assigned[kind] += 1;
     const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
     if (kind === 'first') this.#budgets.earn(pool, retryRatio, now);
     if (kind === 'retry') this.#budgets.spend(pool, now);
     logRoute(log, waiting, survey, choice, now);
     const version = ask.need.kind === 'model' ? ask.need.version : '';
-    waiting.subscriber.next(ok(this.#assignment(demand, candidate.server, version, now)));
+    waiting.subscriber.next(ok(this.#assignment(demand, {
+      server: candidate.server, version, pool, sentAt: now,
+    })));
     waiting.subscriber.complete();
   }
 
-  #assignment(demand: Demand, server: string, version: string, sentAt: number): Assignment {
+  #assignment(demand: Demand, sent: Sent): Assignment {
+    const { server, version } = sent;
     let held = true;
     return {
       server,
@@ -240,13 +252,14 @@
       release: (outcome) => {
         if (!held) return;
         held = false;
-        this.#release(demand, server, outcome, sentAt);
+        this.#release(demand, sent, outcome);
       },
     };
   }
 
-  #release(demand: Demand, server: string, outcome: AttemptOutcome, sentAt: number): void {
+  #release(demand: Demand, { server, pool, sentAt }: Sent, outcome: AttemptOutcome): void {
     const now = this.#now;
+    if (demand.priority === 'interactive') this.#servers.interactiveChanged(pool, -1, now);
     if (outcome === 'answered') {
       this.#holdTimes.observe(demand.workspace, demand.priority, now - sentAt);
     }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -12,9 +12,13 @@
 import type { Breaker } from './breaker.js';
 import type { Candidate } from './choice.js';
 import type { AttemptOutcome } from './dispatcher.js';
-import { DEFAULT_POOL, exclusion, roomFor } from './eligibility.js';
+import { DEFAULT_POOL, exclusion } from './eligibility.js';
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
+import {
+  interactiveChanged, interactiveLoad, perServer, roomFor,
+} from './reserve.js';
+import type { InteractiveLoad } from './reserve.js';
 import {
   IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
@@ -87,6 +91,11 @@
 
   readonly #books = new Map<string, Book>();
 
+  /** By pool. */
+  readonly #interactive = new Map<string, InteractiveLoad>();
+
+  readonly #poolSizes = new Map<string, number>();
+
   private constructor(context: ServersContext, prefixes: PrefixIndex) {
     this.#context = context;
     this.#prefixes = prefixes;
@@ -120,12 +129,18 @@
         view.report?.slots ?? Infinity,
       );
       const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
-      if (this.#hasRoom(ask, candidate)) candidates.push(candidate);
+      if (this.#hasRoom(ask, view.server.pool, candidate, now)) candidates.push(candidate);
       else full += 1;
     });
     return { candidates, full, excluded };
   }
 
+  /** Notes that interactive requests began or ended in a pool. */
+  interactiveChanged(pool: string, change: 1 | -1, now: number): void {
+    const load = this.#interactiveIn(pool, now);
+    this.#interactive.set(pool, interactiveChanged(load, change, now));
+  }
+
   /** Notes that a request was given to a server. */
   sent(ask: Ask, candidate: Candidate, now: number): void {
     const { server } = candidate;
@@ -148,6 +163,10 @@
 
   /** Forgets servers that the configuration no longer names and that have nothing in flight. */
   configured({ servers }: Configuration): void {
+    this.#poolSizes.clear();
+    Object.values(servers).filter(({ drained }) => !drained).forEach(({ pool }) => {
+      this.#poolSizes.set(pool, (this.#poolSizes.get(pool) ?? 0) + 1);
+    });
     this.#books.forEach(({ load }, name) => {
       if (servers[name] || load.own > 0) return;
       this.#books.delete(name);
@@ -170,14 +189,28 @@
     return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
   }
 
-  #hasRoom({ priority, resume }: Ask, { server, slots, busyMs }: Candidate): boolean {
+  #interactiveIn(pool: string, now: number): InteractiveLoad {
+    const known = this.#interactive.get(pool);
+    if (known) return known;
+    const load = interactiveLoad(this.#context.daemons(), this.#poolSizes.get(pool) ?? 1, now);
+    this.#interactive.set(pool, load);
+    return load;
+  }
+
+  #hasRoom(
+    { priority, resume }: Ask,
+    pool: string,
+    { server, slots, busyMs }: Candidate,
+    now: number,
+  ): boolean {
     const { load } = this.#book(server);
-    const room = roomFor(priority, resume, slots);
-    if (priority === 'interactive') return occupancy(load) < room;
+    if (priority === 'interactive') return occupancy(load) < slots;
     if (busyMs > MAX_BUSY_MS) return false;
-    return resume
-      ? occupancy(load) < room
-      : placesLeft(load, room, this.#context.daemons()) > 0;
+    if (resume) return occupancy(load) < slots;
+    const daemons = this.#context.daemons();
+    const size = this.#poolSizes.get(pool) ?? 1;
+    const interactive = perServer(this.#interactiveIn(pool, now), daemons, size, now);
+    return placesLeft(load, roomFor(priority, slots, interactive), daemons) > 0;
   }
 
   #candidate(
