Never say "not run" of a request that a backend server may have had

The oracle had been narrowed to let the first case pass. Change: the state remembers for good whether a backend server may have had the request, apart from whether it may be begun again; the oracle asks again for no attempt at all.

--- a/src/generation/loss.ts
+++ b/src/generation/loss.ts
@@ -47,7 +47,8 @@
 /** What a refusal says has run, given what the caller already has. */
 export function honest(state: GenerationState, refusal: Refusal): Refusal {
   if (state.accepted.tokens > 0) return { ...refusal, ran: 'partly' };
-  return { ...refusal, ran: state.begun ? 'unknown' : refusal.ran };
+  const given = state.given || liveAttempts(state).length > 0;
+  return { ...refusal, ran: given ? 'unknown' : refusal.ran };
 }
 
 export function lossRefusal(state: GenerationState, message: string): Refusal {
@@ -94,12 +95,13 @@
   if (phase.kind !== 'running') return unchanged(state);
   const live = phase.live.filter((other) => other !== attempt);
   const begun = state.begun || failure.ran !== 'no';
+  const given = state.given || begun;
   // An engine that no longer has a joined stream may still be the best one to go on at.
   const excluded = attempt.kind === 'join' && failure.ran === 'no'
     ? state.excluded
     : [...new Set([...state.excluded, attempt.server])];
   const next: GenerationState = {
-    ...state, begun, excluded, phase: { ...phase, live },
+    ...state, begun, given, excluded, phase: { ...phase, live },
   };
   const stop: GenerationEffect = failure.ran === 'no'
     ? { kind: 'close', attempt, outcome: 'refused' }
--- a/src/generation/state.ts
+++ b/src/generation/state.ts
@@ -49,8 +49,10 @@
   readonly fruitless: number;
   /** The model version that the answer is made with; later attempts must match it. */
   readonly version: string | undefined;
-  /** Whether any backend server may have begun the request. */
+  /** Whether a backend server may have made anything of the request. */
   readonly begun: boolean;
+  /** Whether a backend server may ever have had the request; never unsaid. */
+  readonly given: boolean;
   /** Servers that lost or refused this generation since the last token. */
   readonly excluded: readonly string[];
   /** Where an engine last said that it ended for length, short of the length asked for. */
@@ -66,6 +68,7 @@
     fruitless: 0,
     version: undefined,
     begun: false,
+    given: false,
     excluded: [],
     shortAt: undefined,
     ...options,
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -86,7 +86,9 @@
   }
   const live = phase.live.map((other) => (
     other === attempt ? { ...attempt, incarnation } : other));
-  return unchanged({ ...state, begun: true, phase: { ...phase, live } });
+  return unchanged({
+    ...state, begun: true, given: true, phase: { ...phase, live },
+  });
 }
 
 /** Reading a character makes the runtime join the parts of a concatenated string. */
@@ -120,6 +122,7 @@
     state: {
       ...state,
       begun: true,
+      given: true,
       fruitless: 0,
       excluded: state.excluded.length === 0 ? state.excluded : [],
       phase: alone ? phase : { kind: 'running', live: [attempt], hedging: false },
@@ -168,6 +171,7 @@
       attempts: epoch * ATTEMPTS_PER_INSTANCE,
       version: from.version,
       begun: true,
+      given: true,
       phase: { kind: 'running', live: [attempt], hedging: false },
     },
     effects: [{ kind: 'dispatch', attempt }],
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -51,7 +51,7 @@
 export interface BegunAttempt {
   readonly request: AttemptRequest;
   readonly at: number;
-  readonly stream: Pick<Stream, 'position' | 'cancelled'>;
+  readonly stream: Pick<Stream, 'position'>;
 }
 
 function streamKey(generation: string, attempt: number): string {
@@ -151,7 +151,6 @@
   cancel(generation: string, attempt: number): Promise<CancelOutcome> {
     const stream = this.#streams.get(streamKey(generation, attempt));
     if (!stream) return Promise.resolve({ kind: 'not_found' });
-    stream.cancel();
     this.#end(stream);
     this.#streams.delete(streamKey(generation, attempt));
     return Promise.resolve({ kind: 'cancelled', made: stream.position });
--- a/src/standin/stream.ts
+++ b/src/standin/stream.ts
@@ -24,8 +24,6 @@
 
   #ended = false;
 
-  #cancelled = false;
-
   private constructor(request: AttemptRequest, prefillTokens: number) {
     this.request = request;
     this.prefillTokens = prefillTokens;
@@ -37,11 +35,6 @@
     return new Stream(request, prefillTokens);
   }
 
-  /** Whether the attempt was stopped by a cancel. */
-  get cancelled(): boolean {
-    return this.#cancelled;
-  }
-
   get ended(): boolean {
     return this.#ended;
   }
@@ -82,10 +75,6 @@
     };
   }
 
-  cancel(): void {
-    this.#cancelled = !this.#ended;
-  }
-
   end(): void {
     this.#ended = true;
     this.out.complete();
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -144,9 +144,7 @@
   /** Checks at the end, when nothing runs any more, what the engines have run. */
   checkRuns(begun: readonly BegunAttempt[]): void {
     this.calls.forEach((call) => {
-      // An attempt that was cancelled before its first token made nothing: it did not run.
-      const runs = begun.filter(({ request, stream }) => (
-        request.generation === call.request.id && !(stream.cancelled && stream.position === 0)));
+      const runs = begun.filter(({ request }) => request.generation === call.request.id);
       if (call.outcome.kind === 'refused' && call.outcome.ran === 'no' && runs.length > 0) {
         this.#report(call, `told "not run" and begun ${runs.length} times`);
       }
