Tell the decisions behind a request from every instance; control metrics

Cause: `why` knew only the daemon that was asked; /metrics had nothing of the control path; a wrong key or a lost answer looked to the tool like an unreachable daemon. Change: peers answer `why`; configuration, members, lease, store calls and loop lag are on /metrics; the tool tells refused, unreachable and unknown apart, and can be run as a function; settings that clash are found before the start; an instance stays isolated while the platform's list names peers, also after it has given them up for dead.

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -50,8 +50,11 @@
 const flags = values.flags.split(' ').filter((flag) => flag !== '');
 
 /** Milliseconds from the accepting answer until the change was in force on the last daemon. */
-async function changeOnce(fleet: ControlFleet, index: number): Promise<number> {
-  const daemon = fleet.daemons[index % fleet.daemons.length]!;
+async function changeOnce(
+  fleet: ControlFleet,
+  daemon: ControlDaemon,
+  index: number,
+): Promise<number> {
   const { revision } = await daemon.connection.configuration.pull.query();
   const reaching = Promise.all(fleet.daemons
     .map((other) => other.inForce(revision + 1, IN_FORCE_DEADLINE_MS)));
@@ -66,9 +69,11 @@
 async function changes(fleet: ControlFleet, cut: boolean): Promise<Row> {
   const random = Random.of(SEED);
   fleet.cutStore(cut);
-  const durations = await inTurn(Array.from({ length: CHANGES }, (_, index) => index), async (i) => {
-    // A change is made through a daemon that reaches the store.
-    const took = await changeOnce(fleet, cut && i % 3 === 2 ? i + 1 : i);
+  // A change is made through a daemon that reaches the store.
+  const daemons = fleet.daemons.filter((_, index) => !cut || index % 3 !== 2);
+  const indexes = Array.from({ length: CHANGES }, (_, index) => index);
+  const durations = await inTurn(indexes, async (index) => {
+    const took = await changeOnce(fleet, daemons[index % daemons.length]!, index);
     await sleep(random.jitter(CHANGE_PAUSE_MS, 0.9));
     return took;
   });
@@ -101,9 +106,9 @@
 async function holderOf(fleet: ControlFleet): Promise<ControlDaemon> {
   for (;;) {
     // eslint-disable-next-line no-await-in-loop -- one look after the other
-    const leases = await Promise.all(fleet.daemons
+    const views = await Promise.all(fleet.daemons
       .map(({ connection }) => connection.lease.query().catch(() => undefined)));
-    const index = leases.findIndex((lease) => lease?.heldHere);
+    const index = views.findIndex((lease) => lease?.heldHere);
     if (index >= 0) return fleet.daemons[index]!;
     // eslint-disable-next-line no-await-in-loop -- a pause between two looks
     await sleep(200);
--- a/bench/controldaemon.ts
+++ b/bench/controldaemon.ts
@@ -10,7 +10,6 @@
 import { sha256 } from '../src/common/hash.js';
 import { connect } from '../src/cli/connection.js';
 import type { Connection } from '../src/cli/connection.js';
-import { Terminal } from '../src/cli/terminal.js';
 
 const PROGRAM = 'dist/shallotshuntd.mjs';
 const ADMINISTRATOR_KEY = 'bench-administrator-key';
@@ -107,9 +106,13 @@
     this.settings = settings;
     this.#file = join(directory, `${settings.name}.toml`);
     this.#flags = flags;
-    const terminal = Terminal.of(process.stdout, process.stderr, false);
     const values = { daemon: settings.administrators, key: ADMINISTRATOR_KEY };
-    this.connection = connect({ positionals: [], values, terminal }, {})._unsafeUnwrap();
+    this.connection = connect({ values, environment: {} }).match(
+      (connection) => connection,
+      (reason) => {
+        throw new Error(reason);
+      },
+    );
     writeFileSync(this.#file, settingsText(settings));
   }
 
--- a/bench/controledits.ts
+++ b/bench/controledits.ts
@@ -39,7 +39,14 @@
     case 'accepted': return { outcome: 'accepted', revision: publication.revision };
     case 'unchanged': return { outcome: 'accepted', revision: publication.revision };
     case 'unsettled': return { outcome: 'unknown', revision: 0 };
-    default: return { outcome: 'refused', revision: 0 };
+    case 'conflict':
+    case 'base_unknown':
+    case 'invalid':
+    case 'empty':
+    case 'no_such_file':
+    case 'too_large':
+    case 'unavailable':
+      return { outcome: 'refused', revision: 0 };
   }
 }
 
--- a/bench/controlfleet.ts
+++ b/bench/controlfleet.ts
@@ -1,7 +1,7 @@
 /** The fleet of the control measurements: daemons, the platform's stand-ins and engines. */
 import { mkdtempSync, rmSync } from 'node:fs';
-import { createServer, connect as connectTo } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { request } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
 import { tmpdir } from 'node:os';
@@ -12,6 +12,7 @@
 import { LaggingList, listServer } from '../src/standin/listserver.js';
 import { Program } from './fleet.js';
 import { ControlDaemon } from './controldaemon.js';
+import { Relay } from './controlrelay.js';
 
 const LOOPBACK = '127.0.0.1';
 const ANY_PORT = { host: LOOPBACK, port: 0 };
@@ -26,53 +27,6 @@
   readonly flags: readonly string[];
 }
 
-/** Carries connections to an address, until it is told to carry nothing more. */
-class Relay {
-  readonly #server: Server;
-
-  readonly #sockets = new Set<Socket>();
-
-  #cut = false;
-
-  private constructor(target: string) {
-    const [host = '', port = ''] = target.split(':');
-    this.#server = createServer((near) => {
-      const far = connectTo(Number(port), host);
-      [near, far].forEach((socket) => {
-        this.#sockets.add(socket);
-        socket.on('error', () => undefined);
-        socket.on('close', () => {
-          this.#sockets.delete(socket);
-          near.destroy();
-          far.destroy();
-        });
-      });
-      near.on('data', (bytes) => (this.#cut ? undefined : far.write(bytes)));
-      far.on('data', (bytes) => (this.#cut ? undefined : near.write(bytes)));
-    });
-  }
-
-  static async to(target: string): Promise<{ relay: Relay; address: string }> {
-    const relay = new Relay(target);
-    await new Promise<void>((resolve) => {
-      relay.#server.listen(0, LOOPBACK, resolve);
-    });
-    return { relay, address: `${LOOPBACK}:${(relay.#server.address() as AddressInfo).port}` };
-  }
-
-  /** Bytes are dropped while the relay is cut; connections stay open, as behind a lost route. */
-  cut(cut: boolean): void {
-    this.#cut = cut;
-    // What lost bytes can't go on.
-    if (!cut) this.#sockets.forEach((socket) => socket.destroy());
-  }
-
-  close(): void {
-    this.#server.close();
-    this.#sockets.forEach((socket) => socket.destroy());
-  }
-}
-
 /** Ports that were free a moment ago. */
 async function freePorts(count: number): Promise<readonly number[]> {
   const servers = await Promise.all(Array.from({ length: count }, () => (
--- a/src/admin/administration.ts
+++ b/src/admin/administration.ts
@@ -12,7 +12,7 @@
   /** The revision in force, 0 for none. */
   readonly revision: number;
   /** A higher revision that could not be put in force. */
-  readonly rejectedRevision: number | undefined;
+  readonly rejectedRevision?: number | undefined;
   readonly openAnswers: number;
   /** Since the object API, or a peer, was last heard from. */
   readonly storeSilentMs: number;
@@ -55,14 +55,28 @@
   readonly requestsPerSecondShare: number;
 }
 
+/** One instance as the instance that is asked sees it. */
+export interface InstanceEntry extends Member {
+  /** Taken out of the balancer by an administrator. */
+  readonly drained: boolean;
+}
+
+/** What one instance decided about a request. */
+export interface InstanceDecisions {
+  readonly instance: string;
+  /** Oldest first; their times compare within one instance only. */
+  readonly decisions: readonly Decision[];
+}
+
 export interface Administration {
   status(): InstanceStatus;
-  members(): readonly Member[];
+  members(): readonly InstanceEntry[];
   engines(): readonly EngineStatus[];
   lease(): LeaseStatus;
   queues(): readonly QueueStatus[];
   workspaces(): readonly WorkspaceStatus[];
-  why(request: string): readonly Decision[];
+  /** The instances that know the request, as far as they answer. */
+  why(request: string): Promise<readonly InstanceDecisions[]>;
   /** Takes this instance out of the balancer; open answers are finished. */
   drain(): void;
   undrain(): void;
--- /dev/null
+++ b/src/admin/metrics.ts
@@ -0,0 +1,134 @@
+/** The control path's metrics, read from the instance's state when they are asked for. */
+import { Counter, Gauge, Histogram } from 'prom-client';
+import type { Registry } from 'prom-client';
+import { MILLISECONDS_PER_SECOND } from '../common/time.js';
+import type { Health } from '../engines/directory.js';
+import type { MemberState } from '../membership/instances.js';
+import type { CallClass, StoreErrorCode } from '../store/objects.js';
+
+const STORE_CALL_BUCKETS = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+const MEMBER_STATES: readonly MemberState[] = ['alive', 'suspect', 'leaving', 'dead'];
+const HEALTHS: readonly Health[] = ['up', 'suspect', 'down'];
+
+export type StoreCallKind = 'read' | 'write' | 'watch';
+
+/** A call to the object API that has ended. */
+export interface StoreCall {
+  readonly kind: StoreCallKind;
+  readonly use: CallClass;
+  readonly outcome: 'ok' | StoreErrorCode;
+  readonly durationMs: number;
+}
+
+/** What the metrics show of an instance at the moment when they are asked for. */
+export interface ControlView {
+  readonly ready: boolean;
+  readonly isolated: boolean;
+  readonly revision: number;
+  readonly rejectedRevision: number;
+  readonly storeSilentMs: number;
+  readonly members: readonly MemberState[];
+  readonly engines: readonly Health[];
+  readonly leaseHeld: boolean;
+  readonly fence: number;
+  readonly openAnswers: number;
+  /** The longest recent delay of a timer. */
+  readonly loopLagMs: number;
+}
+
+/** What each gauge without labels shows. */
+const READINGS: readonly (readonly [string, string, (view: ControlView) => number])[] = [
+  ['ready', 'Whether the balancer may send requests here', ({ ready }) => Number(ready)],
+  ['isolated', 'Whether neither the object API nor any peer answers', ({ isolated }) => (
+    Number(isolated))],
+  ['configuration_revision', 'Revision in force, 0 for none', ({ revision }) => revision],
+  [
+    'configuration_rejected_revision',
+    'Higher revision that could not be put in force, 0 for none',
+    ({ rejectedRevision }) => rejectedRevision,
+  ],
+  [
+    'store_silent_seconds',
+    'Time since the object API was last heard from',
+    ({ storeSilentMs }) => storeSilentMs / MILLISECONDS_PER_SECOND,
+  ],
+  ['lease_held', 'Whether this instance holds the placement lease', ({ leaseHeld }) => (
+    Number(leaseHeld))],
+  ['lease_fence', 'Fencing number of the lease as last seen', ({ fence }) => fence],
+  ['open_answers', 'Answers that a stop would wait for', ({ openAnswers }) => openAnswers],
+  [
+    'event_loop_lag_seconds',
+    'Longest delay of a timer in the last minute or two',
+    ({ loopLagMs }) => loopLagMs / MILLISECONDS_PER_SECOND,
+  ],
+];
+
+/** A gauge whose labels each count how often they occur in what `read` gives. */
+function countGauge<Label extends string>(
+  { name, help, label }: { name: string; help: string; label: string },
+  known: readonly Label[],
+  read: () => readonly Label[],
+  registry: Registry,
+): Gauge {
+  return new Gauge({
+    name,
+    help,
+    labelNames: [label],
+    registers: [registry],
+    collect() {
+      const found = read();
+      known.forEach((value) => {
+        this.set({ [label]: value }, found.filter((item) => item === value).length);
+      });
+    },
+  });
+}
+
+export class ControlMetrics {
+  readonly #calls: Counter<'class' | 'kind' | 'outcome'>;
+
+  readonly #durations: Histogram<'kind'>;
+
+  private constructor(registry: Registry, view: () => ControlView) {
+    const registers = [registry];
+    READINGS.forEach(([name, help, read]) => new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read(view()));
+      },
+    }));
+    const members = { name: 'members', help: 'Instances by state', label: 'state' };
+    countGauge(members, MEMBER_STATES, () => view().members, registry);
+    const engines = { name: 'engines', help: 'Engines by health', label: 'health' };
+    countGauge(engines, HEALTHS, () => view().engines, registry);
+    this.#calls = new Counter({
+      name: 'store_calls_total',
+      help: 'Calls to the object API that have ended, and watches that were opened',
+      labelNames: ['class', 'kind', 'outcome'],
+      registers,
+    });
+    this.#durations = new Histogram({
+      name: 'store_call_seconds',
+      help: 'Time from a read or write to its answer',
+      labelNames: ['kind'],
+      buckets: STORE_CALL_BUCKETS,
+      registers,
+    });
+  }
+
+  /** Adds the control path's metrics to `registry`. */
+  static of(registry: Registry, view: () => ControlView): ControlMetrics {
+    return new ControlMetrics(registry, view);
+  }
+
+  storeCall({
+    kind, use, outcome, durationMs,
+  }: StoreCall): void {
+    this.#calls.inc({ class: use, kind, outcome });
+    if (kind !== 'watch') {
+      this.#durations.observe({ kind }, durationMs / MILLISECONDS_PER_SECOND);
+    }
+  }
+}
--- a/src/cli/changes.ts
+++ b/src/cli/changes.ts
@@ -28,14 +28,27 @@
   'allow-empty': { type: 'boolean', help: 'allow a change that leaves no file' },
 } as const;
 
-function operator(): string {
-  return process.env.SHALLOTSHUNT_OPERATOR ?? userInfo().username;
+function operator({ environment }: Invocation): string {
+  return environment.SHALLOTSHUNT_OPERATOR ?? userInfo().username;
 }
 
 function baseOf({ values }: Invocation): number | undefined {
   return typeof values.base === 'string' ? Number(values.base) : undefined;
 }
 
+/** Runs a command that edits the configuration, if its base is a revision. */
+function withEdit(
+  invocation: Invocation,
+  run: (connection: Connection, base: number | undefined) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const base = baseOf(invocation);
+  if (base === undefined || (Number.isSafeInteger(base) && base >= 0)) {
+    return withDaemon(invocation, (connection) => run(connection, base));
+  }
+  invocation.terminal.error('--base takes the number of a revision');
+  return Promise.resolve(2);
+}
+
 /** Reports the change and, when asked, waits until it is in force everywhere. */
 async function finish(
   invocation: Invocation,
@@ -91,18 +104,18 @@
   operands: 'DIR',
   arity: [1, 1],
   options: EDIT_OPTIONS,
-  run: (invocation) => withDaemon(invocation, async (connection) => {
+  run: (invocation) => withEdit(invocation, async (connection, given) => {
     const { positionals, values, terminal } = invocation;
     const directory = positionals[0]!;
     const folder = await readFolder(directory);
-    const base = baseOf(invocation) ?? await readRevision(directory)
+    const base = given ?? await readRevision(directory)
       ?? ((await connection.configuration.pull.query()).revision === 0 ? 0 : undefined);
     if (base === undefined) {
       terminal.error('not known which revision the folder was made from; pull first, or --base N');
       return 2;
     }
     const publication = await connection.configuration.applyFolder.mutate({
-      folder, base, who: operator(), allowEmpty: values['allow-empty'] === true,
+      folder, base, who: operator(invocation), allowEmpty: values['allow-empty'] === true,
     });
     // After a merge the folder on disk lacks what the others changed, so its base stays.
     if (publication.kind === 'accepted' && publication.taken.length === 0) {
@@ -118,13 +131,13 @@
   operands: 'FILE',
   arity: [1, 1],
   options: EDIT_OPTIONS,
-  run: (invocation) => withDaemon(invocation, async (connection) => {
+  run: (invocation) => withEdit(invocation, async (connection, base) => {
     const path = invocation.positionals[0]!;
     const publication = await connection.configuration.put.mutate({
       file: basename(path),
       text: await readFile(path, 'utf8'),
-      who: operator(),
-      base: baseOf(invocation),
+      who: operator(invocation),
+      base,
     });
     return finish(invocation, connection, publication);
   }),
@@ -136,11 +149,11 @@
   operands: 'NAME',
   arity: [1, 1],
   options: EDIT_OPTIONS,
-  run: (invocation) => withDaemon(invocation, async (connection) => {
+  run: (invocation) => withEdit(invocation, async (connection, base) => {
     const publication = await connection.configuration.remove.mutate({
       file: invocation.positionals[0]!,
-      who: operator(),
-      base: baseOf(invocation),
+      who: operator(invocation),
+      base,
       allowEmpty: invocation.values['allow-empty'] === true,
     });
     return finish(invocation, connection, publication);
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -23,6 +23,8 @@
   readonly positionals: readonly string[];
   readonly values: Readonly<Record<string, string | boolean | undefined>>;
   readonly terminal: Terminal;
+  /** Environment variables. */
+  readonly environment: Readonly<Record<string, string | undefined>>;
 }
 
 export interface Command {
@@ -74,7 +76,7 @@
 export function readArguments(
   command: Command,
   args: readonly string[],
-): Result<Omit<Invocation, 'terminal'>, string> {
+): Result<Pick<Invocation, 'positionals' | 'values'>, string> {
   const options: ParseArgsConfig['options'] = Object.fromEntries(
     Object.entries({ ...command.options, ...COMMON_OPTIONS })
       .map(([name, { type, short }]) => [name, short ? { type, short } : { type }]),
--- a/src/cli/connection.ts
+++ b/src/cli/connection.ts
@@ -38,8 +38,7 @@
 
 /** A connection to the daemon that the options or the environment name. */
 export function connect(
-  { values }: Invocation,
-  environment: NodeJS.ProcessEnv,
+  { values, environment }: Pick<Invocation, 'values' | 'environment'>,
 ): Result<Connection, string> {
   const address = values.daemon ?? environment.SHALLOTSHUNT_DAEMON;
   const key = values.key ?? environment.SHALLOTSHUNT_KEY;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,51 +1,6 @@
 /** The command-line tool `shallotshunt`. */
-import { CHANGE_COMMANDS } from './changes.js';
-import { commandHelp, readArguments } from './command.js';
-import type { Command, ExitCode } from './command.js';
-import { Terminal } from './terminal.js';
-import { VIEW_COMMANDS } from './views.js';
+import { runTool } from './run.js';
 
-const COMMANDS: readonly Command[] = [...CHANGE_COMMANDS, ...VIEW_COMMANDS];
-const NAME_WIDTH = 12;
-
-function usage(): string {
-  return [
-    'usage: shallotshunt COMMAND [OPTION]... [OPERAND]',
-    '',
-    ...COMMANDS.map(({ name, summary }) => `  ${name.padEnd(NAME_WIDTH)}${summary}`),
-    '',
-    'shallotshunt COMMAND --help tells more. Exit codes: 0 done, 1 refused with findings or a',
-    'reason, 2 wrong command line, 3 conflict with another operator, 4 no daemon or not in time.',
-  ].join('\n');
-}
-
-async function main(args: readonly string[]): Promise<ExitCode> {
-  const json = args.includes('--json');
-  const terminal = Terminal.of(process.stdout, process.stderr, json);
-  const [name, ...rest] = args;
-  const command = COMMANDS.find((known) => known.name === name);
-  if (!command) {
-    const asked = name === undefined || name === '--help' || name === '-h' || name === 'help';
-    if (asked) terminal.line(usage());
-    else terminal.error(`there is no command ${name}; shallotshunt --help lists them`);
-    return asked ? 0 : 2;
-  }
-  const read = readArguments(command, rest);
-  if (read.isErr()) {
-    terminal.error(read.error);
-    terminal.error(commandHelp(command));
-    return 2;
-  }
-  if (read.value.values.help) {
-    terminal.line(commandHelp(command));
-    return 0;
-  }
-  try {
-    return await command.run({ ...read.value, terminal });
-  } catch (error) {
-    terminal.error(error instanceof Error ? error.message : String(error));
-    return 1;
-  }
-}
-
-process.exitCode = await main(process.argv.slice(2));
+process.exitCode = await runTool(process.argv.slice(2), {
+  out: process.stdout, errors: process.stderr, environment: process.env,
+});
--- a/src/cli/session.ts
+++ b/src/cli/session.ts
@@ -1,14 +1,41 @@
 /** Runs the part of a command that needs a daemon, and tells what kept it from one. */
 import { TRPCClientError } from '@trpc/client';
-import type { ExitCode, Invocation } from './command.js';
 import { connect } from './connection.js';
 import type { Connection } from './connection.js';
+import type { ExitCode, Invocation } from './command.js';
+
+const UNAUTHORIZED = 401;
+const UNAVAILABLE = 503;
+const SERVER_ERRORS_FROM = 500;
+
+interface Failure { readonly code: ExitCode; readonly text: string }
+
+/** The status that the daemon answered with; undefined when no answer came. */
+function statusOf({ meta, data }: TRPCClientError<never>): number | undefined {
+  const answered = (data as { httpStatus?: number } | undefined)?.httpStatus;
+  return answered ?? (meta?.response as { status?: number } | undefined)?.status;
+}
+
+function failureOf(error: TRPCClientError<never>): Failure {
+  const status = statusOf(error);
+  if (status === UNAUTHORIZED) return { code: 1, text: 'refused: the daemon has no such key' };
+  if (status === UNAVAILABLE) return { code: 4, text: `not done: ${error.message}` };
+  if (status !== undefined && status < SERVER_ERRORS_FROM) {
+    return { code: 1, text: `refused: ${error.message}` };
+  }
+  const { code } = (error.cause ?? {}) as NodeJS.ErrnoException;
+  if (code === 'ECONNREFUSED') return { code: 4, text: 'not done: no daemon listens there' };
+  // Every command may be given again: what is in force already is not changed twice.
+  const text = `no answer (${error.message}); a change may have been accepted all the same, and the`
+    + ' same command, given again, tells';
+  return { code: 4, text };
+}
 
 export async function withDaemon(
   invocation: Invocation,
   run: (connection: Connection) => Promise<ExitCode>,
 ): Promise<ExitCode> {
-  const connected = connect(invocation, process.env);
+  const connected = connect(invocation);
   if (connected.isErr()) {
     invocation.terminal.error(connected.error);
     return 2;
@@ -17,7 +44,8 @@
     return await run(connected.value);
   } catch (error) {
     if (!(error instanceof TRPCClientError)) throw error;
-    invocation.terminal.error(`the daemon did not do it: ${error.message}`);
-    return 4;
+    const { code, text } = failureOf(error);
+    invocation.terminal.error(text);
+    return code;
   }
 }
--- a/src/cli/views.ts
+++ b/src/cli/views.ts
@@ -1,4 +1,6 @@
 /** The commands that show a deployment's state, and those that drain. */
+import type { InstanceDecisions, InstanceStatus } from '../admin/administration.js';
+import { formatEvent } from '../common/log.js';
 import { DAEMON_OPTIONS } from './command.js';
 import type { Command, ExitCode, Invocation } from './command.js';
 import type { Connection } from './connection.js';
@@ -10,6 +12,8 @@
 /** Merged after every other file, so that what it drains stays drained. */
 const DRAINED_FILE = 'zz-drained.toml';
 const DRAINED_SERVER = /^\[servers\."(.+)"\]$/gm;
+/** Times that a drain is made anew on top of another operator's. */
+const DRAIN_ATTEMPTS = 5;
 
 interface View<Value> {
   readonly name: string;
@@ -54,13 +58,17 @@
   connection: Connection,
   server: string,
   drained: boolean,
+  attempts = DRAIN_ATTEMPTS,
 ): Promise<ExitCode> {
   const { revision, files } = await connection.configuration.pull.query();
   const others = drainedServers(files[DRAINED_FILE] ?? '').filter((name) => name !== server);
   const text = drainedText(drained ? [...others, server] : others);
   const publication = await connection.configuration.put.mutate({
-    file: DRAINED_FILE, text, who: 'drain', base: revision,
+    file: DRAINED_FILE, text, who: drained ? 'drain' : 'undrain', base: revision,
   });
+  if (publication.kind === 'conflict' && attempts > 1) {
+    return setDrained(invocation, connection, server, drained, attempts - 1);
+  }
   return reportPublication(invocation.terminal, publication);
 }
 
@@ -84,31 +92,85 @@
   };
 }
 
+function decisionsText({ instance, decisions }: InstanceDecisions): string {
+  const from = decisions[0]?.atMs ?? 0;
+  return [
+    `${instance}:`,
+    ...decisions.map(({ atMs, event, fields }) => (
+      `  ${Math.round(atMs - from)} ms  ${formatEvent(event, fields)}`)),
+  ].join('\n');
+}
+
 const why: Command = {
   name: 'why',
-  summary: 'Prints the decisions behind one request, as the daemon that served it made them.',
+  summary: 'Prints the decisions behind one request, by the instances that served it.',
   operands: 'REQUEST',
   arity: [1, 1],
   options: DAEMON_OPTIONS,
   run: (invocation) => withDaemon(invocation, async (connection) => {
-    const decisions = await connection.why.query({ request: invocation.positionals[0]! });
-    invocation.terminal.result(decisions, (list) => list.map(({ atMs, event, fields }) => (
-      `${Math.round(atMs - (list[0]?.atMs ?? 0))} ms  ${event}  ${JSON.stringify(fields)}`
-    )).join('\n') || 'this daemon does not know the request');
-    return decisions.length > 0 ? 0 : 1;
+    const found = await connection.why.query({ request: invocation.positionals[0]! });
+    invocation.terminal.result(found, (instances) => (
+      instances.map(decisionsText).join('\n') || 'no instance that answers knows the request'));
+    return found.length > 0 ? 0 : 1;
   }),
 };
 
-const status: Command = viewCommand({
-  name: 'status',
-  summary: 'Shows the daemon that is called and the revision in force on each instance.',
+const instances: Command = viewCommand({
+  name: 'instances',
+  summary: 'Shows the instances and the revision in force on each.',
   query: (connection) => connection.instances.query(),
   header: ['INSTANCE', 'ZONE', 'STATE', 'REVISION', 'ADDRESS'],
   row: (member) => [
-    member.name, member.zone, member.state, member.revision, member.peerAddress,
+    member.name, member.zone, member.drained ? 'drained' : member.state, member.revision,
+    member.peerAddress,
   ],
 });
 
+function statusText(status: InstanceStatus): string {
+  const { rejectedRevision } = status;
+  return [
+    `instance        ${status.name} in ${status.zone}`,
+    `ready           ${status.ready ? 'yes' : 'no'}${status.draining ? ', stopping' : ''}`,
+    `revision        ${status.revision}`,
+    ...(rejectedRevision === undefined ? [] : [`rejected        revision ${rejectedRevision}`]),
+    `open answers    ${status.openAnswers}`,
+    `store silent    ${status.storeSilentMs} ms`,
+  ].join('\n');
+}
+
+const status: Command = {
+  name: 'status',
+  summary: 'Shows the daemon that is called.',
+  operands: '',
+  arity: [0, 0],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    invocation.terminal.result(await connection.status.query(), statusText);
+    return 0;
+  }),
+};
+
+/** Instances that work by another revision than the stored one. */
+const revisions: Command = {
+  name: 'revisions',
+  summary: 'Shows the stored revision and the instances that work by another; exit code 1 if any.',
+  operands: '',
+  arity: [0, 0],
+  options: DAEMON_OPTIONS,
+  run: (invocation) => withDaemon(invocation, async (connection) => {
+    const { revision } = await connection.configuration.pull.query();
+    const members = await connection.instances.query();
+    const differing = members.filter((member) => member.revision !== revision)
+      .map(({ name, revision: held }) => ({ name, revision: held }));
+    invocation.terminal.result({ stored: revision, differing }, () => [
+      `stored revision ${revision}, in force on ${members.length - differing.length} of`
+        + ` ${members.length} instances`,
+      ...differing.map(({ name, revision: held }) => `${name}: revision ${held}`),
+    ].join('\n'));
+    return differing.length === 0 ? 0 : 1;
+  }),
+};
+
 const engines: Command = viewCommand({
   name: 'engines',
   summary: 'Shows the engines as the daemon that is called sees them.',
@@ -150,6 +212,6 @@
 });
 
 export const VIEW_COMMANDS: readonly Command[] = [
-  status, engines, lease, queues, workspaces, why,
+  status, instances, revisions, engines, lease, queues, workspaces, why,
   drainCommand('drain', true), drainCommand('undrain', false),
 ];
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -29,11 +29,16 @@
   return PLAIN.test(text) ? text : JSON.stringify(text);
 }
 
-/** One log line without its line end. Fields that are undefined are left out. */
-export function formatLine(level: LogLevel, event: string, fields: LogFields, time: Date): string {
+/** The event and its fields as key=value pairs; fields that are undefined are left out. */
+export function formatEvent(event: string, fields: LogFields): string {
   const pairs = Object.entries(fields)
     .flatMap(([key, value]) => (value === undefined ? [] : [`${key}=${format(value)}`]));
-  return [`time=${time.toISOString()}`, `level=${level}`, `event=${event}`, ...pairs].join(' ');
+  return [`event=${event}`, ...pairs].join(' ');
+}
+
+/** One log line without its line end. */
+export function formatLine(level: LogLevel, event: string, fields: LogFields, time: Date): string {
+  return `time=${time.toISOString()} level=${level} ${formatEvent(event, fields)}`;
 }
 
 /** Writes log lines to standard error through consola. */
--- a/src/daemon/administration.ts
+++ b/src/daemon/administration.ts
@@ -1,9 +1,10 @@
 /** Shows an instance to its administrators. */
 import type {
-  Administration, EngineStatus, InstanceStatus,
+  Administration, EngineStatus, InstanceEntry, InstanceStatus,
 } from '../admin/administration.js';
 import type { EngineView } from '../engines/directory.js';
 import { copyName } from '../placement/inventory.js';
+import { RESTING_KEY } from './instance.js';
 import type { Instance } from './instance.js';
 
 function instanceStatus(instance: Instance): InstanceStatus {
@@ -21,6 +22,11 @@
   };
 }
 
+function instanceEntries({ heartbeats }: Instance): readonly InstanceEntry[] {
+  const resting = new Set(heartbeats.softState.entries(RESTING_KEY).map(({ origin }) => origin));
+  return heartbeats.current().map((member) => ({ ...member, drained: resting.has(member.name) }));
+}
+
 function engineStatus({ server, health, report }: EngineView, inFlight: number): EngineStatus {
   return {
     name: server.name,
@@ -41,11 +47,11 @@
 /** The administration of `instance`. */
 export function administrationOf(instance: Instance): Administration {
   const {
-    heartbeats, lease, router, workspaces, monitor,
+    lease, router, workspaces, monitor,
   } = instance;
   return {
     status: () => instanceStatus(instance),
-    members: () => heartbeats.current(),
+    members: () => instanceEntries(instance),
     engines: () => {
       const loads = new Map(router.snapshot().servers
         .map(({ server, inFlight }) => [server, inFlight]));
@@ -67,7 +73,7 @@
         requestsPerSecondShare: parts.rate
           * (instance.configuration.workspaces[workspace]?.requestsPerSecond ?? 0),
       })),
-    why: (request) => instance.decisions.why(request),
+    why: (request) => instance.history.why(request),
     drain: () => instance.rest(true),
     undrain: () => instance.rest(false),
   };
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -3,8 +3,9 @@
  * adapters, so that tests run several instances in one process under one virtual clock.
  */
 import { err } from 'neverthrow';
-import type { Observable, SchedulerLike, Subscription } from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
 import { DecisionLog } from '../admin/decisions.js';
+import { ControlMetrics } from '../admin/metrics.js';
 import { ClaimLedger } from '../claims/ledger.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
@@ -29,14 +30,20 @@
 import { ConfigurationFeed } from './configurationfeed.js';
 import { DemandReport } from './demandreport.js';
 import { Isolation } from './isolation.js';
+import { controlView } from './controlview.js';
 import { LeavingServers } from './leavingservers.js';
+import { LoopLag } from './looplag.js';
+import { MeteredObjects } from './meteredobjects.js';
 import type { PeerHandlers } from './peerserver.js';
+import { RequestHistory } from './requesthistory.js';
 import { shareExchange } from './shareexchange.js';
-import { childOf, Supervisor } from './supervisor.js';
+import { childOfSubscription, Supervisor } from './supervisor.js';
 
 /** How many members, by name, look first for a lapsed lease. */
 const LEASE_CANDIDATES = 3;
 const NOT_READY_RETRY_MS = 1_000;
+/** The soft-state key of an instance that is taken out of the balancer by hand. */
+export const RESTING_KEY = 'resting';
 
 export interface InstanceSettings {
   readonly name: string;
@@ -61,13 +68,6 @@
   readonly network: PeerNetwork;
 }
 
-function childOfSubscription(name: string, start: () => Subscription) {
-  return childOf(name, () => {
-    const running = start();
-    return () => running.unsubscribe();
-  });
-}
-
 export class Instance {
   readonly settings: InstanceSettings;
 
@@ -93,6 +93,10 @@
 
   readonly decisions: DecisionLog;
 
+  readonly history: RequestHistory;
+
+  readonly loopLag: LoopLag;
+
   /** What this instance answers to its peers. */
   readonly handlers: PeerHandlers;
 
@@ -112,7 +116,10 @@
     this.decisions = DecisionLog.of(adapters.log, scheduler);
     const log = this.decisions;
     const incarnation = wallClock();
-    const objects = PacedObjects.of(adapters.objects, { scheduler, random });
+    this.loopLag = LoopLag.of(scheduler);
+    const meter = ControlMetrics.of(this.metrics.registry, () => controlView(this));
+    const metered = MeteredObjects.of(adapters.objects, scheduler, (call) => meter.storeCall(call));
+    const objects = PacedObjects.of(metered, { scheduler, random });
     this.heartbeats = Heartbeats.of({
       origin: {
         name, zone, peerAddress, incarnation,
@@ -124,6 +131,9 @@
       log,
     });
     const { softState } = this.heartbeats;
+    this.history = RequestHistory.of({
+      name, decisions: this.decisions, membership: this.heartbeats, network,
+    });
     this.feed = ConfigurationFeed.of({
       name, objects, heartbeats: this.heartbeats, network, scheduler, random, log,
     });
@@ -167,7 +177,7 @@
       objects,
       scheduler,
       log,
-      hasPeers: () => this.heartbeats.current().length > 1,
+      hasPeers: () => this.heartbeats.expectsPeers,
       peerHeardAt: () => this.heartbeats.contactAt(),
       storeSilentMs: () => this.feed.status.storeSilentMs,
     });
@@ -207,6 +217,7 @@
       heartbeat: (request) => this.heartbeats.receive(request),
       claim: claimHandler(claims),
       configuration: async () => this.feed.text(),
+      why: this.history.handler,
     };
     const context = { scheduler, random, log };
     const requests = Supervisor.of('requests', [
@@ -220,6 +231,7 @@
       childOfSubscription('demand', () => demand.start(softState, configuration, scheduler)),
       childOfSubscription('leaving', () => leaving.start(scheduler)),
       childOfSubscription('isolation', () => this.#isolation.start()),
+      childOfSubscription('loop_lag', () => this.loopLag.start()),
       this.lease,
       controller,
     ], context);
@@ -234,6 +246,11 @@
     return this.feed.current;
   }
 
+  /** Whether the instance is cut off from the object API and all peers. */
+  get isolated(): boolean {
+    return this.#isolation.isolated;
+  }
+
   /** Whether the balancer may send requests here. */
   get ready(): boolean {
     return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated
@@ -243,6 +260,7 @@
   /** Takes the instance out of the balancer, or puts it back; whatever still comes is served. */
   rest(resting: boolean): void {
     this.#resting = resting;
+    this.heartbeats.softState.publish(RESTING_KEY, resting || undefined);
     this.decisions.event('info', 'rest', { resting });
   }
 
--- /dev/null
+++ b/src/daemon/looplag.ts
@@ -0,0 +1,50 @@
+/** Measures how late the event loop runs its timers, for the metrics. */
+import { defer, repeat, timer } from 'rxjs';
+import type { SchedulerLike, Subscription } from 'rxjs';
+
+const PERIOD_MS = 1_000;
+/** The longest delay is kept for one to two of these. */
+const KEPT_PERIODS = 60;
+
+export class LoopLag {
+  readonly #scheduler: SchedulerLike;
+
+  #longestMs = 0;
+
+  #earlierMs = 0;
+
+  #periods = 0;
+
+  private constructor(scheduler: SchedulerLike) {
+    this.#scheduler = scheduler;
+  }
+
+  static of(scheduler: SchedulerLike): LoopLag {
+    return new LoopLag(scheduler);
+  }
+
+  /** Measures until the subscription ends. */
+  start(): Subscription {
+    let dueAt = 0;
+    return defer(() => {
+      dueAt = this.#scheduler.now() + PERIOD_MS;
+      return timer(PERIOD_MS, this.#scheduler);
+    }).pipe(repeat()).subscribe(() => {
+      this.#note(this.#scheduler.now() - dueAt);
+    });
+  }
+
+  /** The longest recent delay. */
+  get longestMs(): number {
+    return Math.max(this.#longestMs, this.#earlierMs);
+  }
+
+  #note(delayMs: number): void {
+    this.#longestMs = Math.max(this.#longestMs, delayMs);
+    this.#periods += 1;
+    if (this.#periods < KEPT_PERIODS) return;
+    this.#earlierMs = this.#longestMs;
+    this.#longestMs = 0;
+    this.#periods = 0;
+  }
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,7 +4,9 @@
  *     shallotshuntd --settings FILE
  *     shallotshuntd --demo
  *
- * SIGTERM and SIGINT stop it gracefully; a repeated signal changes nothing.
+ * SIGTERM and SIGINT stop it gracefully; a repeated signal changes nothing. Exit codes: 0 stopped
+ * with every answer whole, 1 answers were cut off at the stop's limit, 2 wrong command line or
+ * settings.
  */
 import { randomInt } from 'node:crypto';
 import { readFileSync } from 'node:fs';
@@ -18,6 +20,7 @@
 
 const MAX_SEED = 0x7fff_ffff;
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+const USAGE = 'usage: shallotshuntd --settings FILE | --demo';
 const EXIT_SETTINGS = 2;
 const EXIT_CUT_OFF = 1;
 
@@ -41,27 +44,43 @@
   });
 }
 
-async function main(): Promise<void> {
-  const { values } = parseArgs({
-    options: { demo: { type: 'boolean' }, settings: { type: 'string' } },
-  });
-  if (values.demo) {
-    const { runDemo } = await import('./demo.js');
-    await runDemo();
+function refuse(...lines: readonly string[]): void {
+  process.stderr.write(`${lines.join('\n')}\n`);
+  process.exitCode = EXIT_SETTINGS;
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+function startFrom(file: string): void {
+  let contents: string;
+  try {
+    contents = readFileSync(file, 'utf8');
+  } catch (error) {
+    refuse(`the settings can't be read: ${messageOf(error)}`);
     return;
   }
-  if (values.settings === undefined) {
-    process.stderr.write('usage: shallotshuntd --settings FILE | --demo\n');
-    process.exitCode = EXIT_SETTINGS;
+  const { settings, findings } = readSettings(file, contents);
+  if (settings) runDaemon(settings);
+  else refuse(...findings.map(formatFinding));
+}
+
+async function main(): Promise<void> {
+  let values;
+  try {
+    ({ values } = parseArgs({
+      options: { demo: { type: 'boolean' }, settings: { type: 'string' } },
+    }));
+  } catch (error) {
+    refuse(messageOf(error), USAGE);
     return;
   }
-  const { settings, findings } = readSettings(
-    values.settings,
-    readFileSync(values.settings, 'utf8'),
-  );
-  findings.forEach((finding) => process.stderr.write(`${formatFinding(finding)}\n`));
-  if (settings) runDaemon(settings);
-  else process.exitCode = EXIT_SETTINGS;
+  if (values.demo) {
+    const { runDemo } = await import('./demo.js');
+    await runDemo();
+  } else if (values.settings === undefined) refuse(USAGE);
+  else startFrom(values.settings);
 }
 
 await main();
--- a/src/daemon/peerserver.ts
+++ b/src/daemon/peerserver.ts
@@ -38,6 +38,8 @@
   readonly claim?: CallHandler;
   /** Hands out the configuration that this instance holds. */
   readonly configuration?: CallHandler;
+  /** Tells the decisions behind a request. */
+  readonly why?: CallHandler;
 }
 
 export interface PeerServerOptions {
@@ -78,12 +80,13 @@
     }),
     claim: callProcedure(handlers.claim),
     configuration: callProcedure(handlers.configuration),
+    why: callProcedure(handlers.why),
   });
 }
 
 export type PeerRouter = ReturnType<typeof routerOf>;
 
-const METHODS = ['heartbeat', 'claim', 'configuration'] as const;
+const METHODS = ['heartbeat', 'claim', 'configuration', 'why'] as const;
 
 function isMethod(name: string): name is typeof METHODS[number] {
   return METHODS.some((method) => method === name);
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -4,11 +4,14 @@
  */
 import { z } from 'zod';
 import type { Finding } from '../common/finding.js';
+import { sha256 } from '../common/hash.js';
 import type { LogLevel } from '../common/log.js';
 import {
   address, choice, duration, matching, NAME_PATTERN, text,
 } from '../configuration/fields.js';
 import { readDocument } from '../configuration/document.js';
+import { formatPath, placeOf } from '../configuration/tree.js';
+import type { Path } from '../configuration/tree.js';
 import { validate } from '../configuration/validate.js';
 
 /** Stands for a table that the file leaves out; its settings fall back one by one. */
@@ -82,10 +85,52 @@
   readonly findings: readonly Finding[];
 }
 
+/** A setting that does not go with another. */
+interface Clash { readonly path: Path; readonly message: string }
+
+function repeatedAddresses({ listen }: Settings): readonly Clash[] {
+  const entries = Object.entries(listen);
+  return entries.flatMap(([key, value], index) => {
+    const [earlier] = entries.slice(0, index).find(([, other]) => other === value) ?? [];
+    return earlier === undefined
+      ? []
+      : [{ path: ['listen', key], message: `must differ from listen.${earlier}` }];
+  });
+}
+
+/** Who holds one key must not be able to act with it as another. */
+function sharedKeys({ keys }: Settings): readonly Clash[] {
+  const message = 'must differ from keys.peers';
+  const same = keys.cursors === keys.peers ? [{ path: ['keys', 'cursors'], message }] : [];
+  const hashes = [sha256(keys.peers), sha256(keys.cursors)];
+  return [...same, ...keys.administrators.flatMap((administrator, index) => (
+    hashes.includes(administrator.key_hash)
+      ? [{
+        path: ['keys', 'administrators', index, 'key_hash'],
+        message: 'must not be the hash of keys.peers or keys.cursors',
+      }]
+      : []))];
+}
+
+function clashes(settings: Settings): readonly Clash[] {
+  const { stop } = settings;
+  return [
+    ...repeatedAddresses(settings),
+    ...sharedKeys(settings),
+    ...(stop.limit < stop.balancer_lag
+      ? [{ path: ['stop', 'limit'], message: 'must not be shorter than stop.balancer_lag' }]
+      : []),
+  ];
+}
+
 /** @param file the file's name, for the findings' places */
 export function readSettings(file: string, contents: string): SettingsReading {
   const { table, findings } = readDocument(file, contents);
   const checked = validate(SETTINGS, table);
-  const all = [...findings, ...checked.findings];
+  const clashing = (checked.data ? clashes(checked.data) : []).map(({ path, message }): Finding => (
+    {
+      severity: 'error', place: placeOf(table, path), path: formatPath(path), message,
+    }));
+  const all = [...findings, ...checked.findings, ...clashing];
   return { settings: all.length === 0 ? checked.data : undefined, findings: all };
 }
--- a/src/daemon/supervisor.ts
+++ b/src/daemon/supervisor.ts
@@ -6,7 +6,7 @@
 import {
   defer, merge, Observable, retry, tap, timer,
 } from 'rxjs';
-import type { SchedulerLike } from 'rxjs';
+import type { SchedulerLike, Subscription } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 
@@ -33,6 +33,14 @@
   return { name, run: new Observable<never>(() => start()) };
 }
 
+/** A child made of a function that returns the subscription it works by. */
+export function childOfSubscription(name: string, start: () => Subscription): Child {
+  return childOf(name, () => {
+    const running = start();
+    return () => running.unsubscribe();
+  });
+}
+
 export class Supervisor implements Child {
   readonly name: string;
 
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -87,6 +87,12 @@
     return membersOf(this.#states.value);
   }
 
+  /** Whether another instance lives, as far as this one or the platform's list knows. */
+  get expectsPeers(): boolean {
+    const { listed } = this.#states.value;
+    return this.current().length > 1 || [...listed.values()].some(({ state }) => state === 'live');
+  }
+
   /** When any peer was last heard from, in scheduler time; the start when none was. */
   contactAt(): number {
     return this.#states.value.contactAt;
@@ -115,7 +121,7 @@
   #listings(): Observable<never> {
     const { scheduler, random } = this.#options;
     const pause = () => {
-      const alone = this.#states.value.records.size <= 1;
+      const alone = this.current().length <= 1;
       return timer(random.jitter(alone ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS, SPREAD), scheduler);
     };
     return defer(() => this.#options.list.read()).pipe(
--- a/src/membership/instances.ts
+++ b/src/membership/instances.ts
@@ -20,7 +20,7 @@
 }
 
 /** Calls beside heartbeats that a peer may answer. */
-export type PeerMethod = 'claim' | 'configuration';
+export type PeerMethod = 'claim' | 'configuration' | 'why';
 
 /** Carries messages of this project's own protocol between daemons. */
 export interface PeerNetwork {
