--- /dev/null
+++ b/test/fakes/callers.ts
@@ -0,0 +1,58 @@
+/** Callers of the daemons of a world that ask by their own words and keep what they get. */
+import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
+import type { World } from './world.js';
+import { WORKSPACE } from './worldconfiguration.js';
+
+export interface Asked {
+  readonly model: string;
+  readonly tokens: number;
+  readonly key?: string;
+}
+
+/** An answer as far as it has come. */
+export interface Answered {
+  tokens: number;
+  /** The last event, undefined while the answer is open. */
+  end: AnswerEvent | undefined;
+}
+
+let requests = 0;
+
+/** Asks the daemon now; the result fills as time advances. */
+export function ask(world: World, daemon: string, { model, tokens, key }: Asked): Answered {
+  requests += 1;
+  const request: GenerationRequest = {
+    id: `asked-${requests}`,
+    workspace: WORKSPACE,
+    model,
+    adapter: undefined,
+    input: { kind: 'prompt', text: `request ${requests}` },
+    sampling: {
+      seed: 1, temperature: 1, maxTokens: tokens, stop: [],
+    },
+    priority: 'standard',
+    repeat: world.configuration.value.models[model]!.repeat,
+    idempotencyKey: key,
+    bodyHash: 'same',
+  };
+  const answered: Answered = { tokens: 0, end: undefined };
+  world.daemon(daemon).instance!.gateway.generate(request).subscribe((event) => {
+    if (event.kind === 'token') answered.tokens += 1;
+    else answered.end = event;
+  });
+  return answered;
+}
+
+/** `finish` or the refusal's code and what it says of having run; `open` while there is none. */
+export function endOf({ end }: Answered): string {
+  if (!end) return 'open';
+  return end.kind === 'refusal' ? `${end.refusal.code} ${end.refusal.ran}` : end.kind;
+}
+
+/** Cuts all links between the daemon and the others named, or mends them. */
+export function separate(world: World, daemon: string, others: readonly string[]): void {
+  others.forEach((other) => {
+    world.network.cut(daemon, other);
+    world.network.cut(other, daemon);
+  });
+}
