--- a/src/cli/changes.ts
+++ b/src/cli/changes.ts
@@ -4,6 +4,7 @@
 import { userInfo } from 'node:os';
 import { checkFolder, explain } from '../configuration/check.js';
 import { hasErrors } from '../common/finding.js';
+import { MILLISECONDS_PER_SECOND } from '../common/time.js';
 import type { Publication } from '../configuration/publisher.js';
 import type { FileChange } from '../configuration/stored.js';
 import { DAEMON_OPTIONS } from './command.js';
@@ -15,10 +16,11 @@
 import { reportPublication } from './publication.js';
 import { withDaemon } from './session.js';
 import { table } from './terminal.js';
-import { waitInForce } from './wait.js';
+import { WAIT_LIMIT_MS, waitInForce } from './wait.js';
 
 const WAIT_OPTION = {
   wait: { type: 'boolean', help: 'return once every live instance works by the revision' },
+  'wait-limit': { type: 'string', help: 'seconds that --wait waits at most; 30 if left out' },
 } as const;
 
 const EDIT_OPTIONS = {
@@ -36,17 +38,26 @@
   return typeof values.base === 'string' ? Number(values.base) : undefined;
 }
 
-/** Runs a command that edits the configuration, if its base is a revision. */
+function waitLimitMs({ values }: Invocation): number {
+  const seconds = values['wait-limit'];
+  return typeof seconds === 'string' ? Number(seconds) * MILLISECONDS_PER_SECOND : WAIT_LIMIT_MS;
+}
+
+/** Runs a command that edits the configuration, if its base and its wait are numbers. */
 function withEdit(
   invocation: Invocation,
   run: (connection: Connection, base: number | undefined) => Promise<ExitCode>,
 ): Promise<ExitCode> {
   const base = baseOf(invocation);
-  if (base === undefined || (Number.isSafeInteger(base) && base >= 0)) {
-    return withDaemon(invocation, (connection) => run(connection, base));
+  if (base !== undefined && !(Number.isSafeInteger(base) && base >= 0)) {
+    invocation.terminal.error('--base takes the number of a revision');
+    return Promise.resolve(2);
+  }
+  if (!(waitLimitMs(invocation) >= 0)) {
+    invocation.terminal.error('--wait-limit takes seconds');
+    return Promise.resolve(2);
   }
-  invocation.terminal.error('--base takes the number of a revision');
-  return Promise.resolve(2);
+  return withDaemon(invocation, (connection) => run(connection, base));
 }
 
 /** Reports the change and, when asked, waits until it is in force everywhere. */
@@ -59,7 +70,8 @@
   const code = reportPublication(terminal, publication);
   const accepted = publication.kind === 'accepted' || publication.kind === 'unchanged';
   if (!accepted || !values.wait) return code;
-  const missing = await waitInForce(connection, publication.revision, terminal);
+  const limitMs = waitLimitMs(invocation);
+  const missing = await waitInForce(connection, publication.revision, terminal, limitMs);
   missing.forEach(({ name, revision }) => {
     terminal.error(`${name} still works by revision ${revision}`);
   });
--- a/src/cli/wait.ts
+++ b/src/cli/wait.ts
@@ -4,7 +4,7 @@
 import type { Terminal } from './terminal.js';
 
 const POLL_MS = 100;
-const LIMIT_MS = 30_000;
+export const WAIT_LIMIT_MS = 30_000;
 
 function waitingFor(members: readonly Member[], revision: number): readonly Member[] {
   return members.filter((member) => member.state !== 'leaving' && member.revision < revision);
@@ -15,8 +15,9 @@
   connection: Connection,
   revision: number,
   terminal: Terminal,
+  limitMs = WAIT_LIMIT_MS,
 ): Promise<readonly Member[]> {
-  const until = Date.now() + LIMIT_MS;
+  const until = Date.now() + limitMs;
   const reached = new Set<string>();
   for (;;) {
     // eslint-disable-next-line no-await-in-loop -- each look follows the one before
--- a/src/daemon/administration.ts
+++ b/src/daemon/administration.ts
@@ -22,9 +22,12 @@
   };
 }
 
-function instanceEntries({ heartbeats }: Instance): readonly InstanceEntry[] {
-  const resting = new Set(heartbeats.softState.entries(RESTING_KEY).map(({ origin }) => origin));
-  return heartbeats.current().map((member) => ({ ...member, drained: resting.has(member.name) }));
+/** Peers tell whether they are drained with their heartbeats, this instance knows it at once. */
+function instanceEntries({ heartbeats, settings, resting }: Instance): readonly InstanceEntry[] {
+  const told = new Set(heartbeats.softState.entries(RESTING_KEY).map(({ origin }) => origin));
+  return heartbeats.current().map((member) => ({
+    ...member, drained: member.name === settings.name ? resting : told.has(member.name),
+  }));
 }
 
 function engineStatus({ server, health, report }: EngineView, inFlight: number): EngineStatus {
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -3,29 +3,25 @@
  * adapters, so that tests run several instances in one process under one virtual clock.
  */
 import { err } from 'neverthrow';
-import type { Observable, SchedulerLike } from 'rxjs';
+import type { Observable } from 'rxjs';
 import { DecisionLog } from '../admin/decisions.js';
 import { ControlMetrics } from '../admin/metrics.js';
 import { ClaimLedger } from '../claims/ledger.js';
-import type { Log } from '../common/log.js';
-import type { Random } from '../common/random.js';
 import type { Configuration } from '../configuration/configuration.js';
 import { Publisher } from '../configuration/publisher.js';
 import { EngineMonitor } from '../engines/monitor.js';
-import type { EngineDialer } from '../engines/monitor.js';
 import { Drain } from '../entry/drain.js';
 import type { DrainOptions } from '../entry/drain.js';
 import { Gateway } from '../entry/gateway.js';
 import { RequestMetrics } from '../entry/metrics.js';
 import { WorkspaceAdmissions } from '../limits/admission.js';
 import { Heartbeats } from '../membership/heartbeats.js';
-import type { InstanceList, PeerNetwork } from '../membership/instances.js';
 import { PlacementController } from '../placement/controller.js';
 import { LeaseKeeper } from '../placement/leasekeeper.js';
 import { Router } from '../routing/router.js';
 import type { Admissions } from '../routing/router.js';
-import type { ObjectApi } from '../store/objects.js';
 import { PacedObjects } from '../store/paced.js';
+import type { Adapters } from './adapters.js';
 import { claimHandler, claimPeers } from './claimpeers.js';
 import { ConfigurationFeed } from './configurationfeed.js';
 import { DemandReport } from './demandreport.js';
@@ -55,19 +51,6 @@
   readonly drain?: DrainOptions;
 }
 
-/** What an instance meets of the outside world. */
-export interface Adapters {
-  readonly scheduler: SchedulerLike;
-  /** Milliseconds since 1970. */
-  readonly wallClock: () => number;
-  readonly random: Random;
-  readonly log: Log;
-  readonly dial: EngineDialer;
-  readonly objects: ObjectApi;
-  readonly list: InstanceList;
-  readonly network: PeerNetwork;
-}
-
 export class Instance {
   readonly settings: InstanceSettings;
 
@@ -246,6 +229,11 @@
     return this.feed.current;
   }
 
+  /** Whether an administrator has taken the instance out of the balancer. */
+  get resting(): boolean {
+    return this.#resting;
+  }
+
   /** Whether the instance is cut off from the object API and all peers. */
   get isolated(): boolean {
     return this.#isolation.isolated;
--- a/test/fakes/callers.ts
+++ b/test/fakes/callers.ts
@@ -11,6 +11,8 @@
 
 /** An answer as far as it has come. */
 export interface Answered {
+  /** Names the request in logs. */
+  readonly request: string;
   tokens: number;
   /** The last event, undefined while the answer is open. */
   end: AnswerEvent | undefined;
@@ -35,7 +37,7 @@
     idempotencyKey: key,
     bodyHash: 'same',
   };
-  const answered: Answered = { tokens: 0, end: undefined };
+  const answered: Answered = { request: request.id, tokens: 0, end: undefined };
   world.daemon(daemon).instance!.gateway.generate(request).subscribe((event) => {
     if (event.kind === 'token') answered.tokens += 1;
     else answered.end = event;
