--- a/src/claims/committer.ts
+++ b/src/claims/committer.ts
@@ -7,7 +7,7 @@
 import type { SchedulerLike } from 'rxjs';
 import type { Random } from '../common/random.js';
 import { backoffMs, pause } from '../store/backoff.js';
-import type { ObjectApi, StoredObject } from '../store/objects.js';
+import type { ObjectApi, StoredObject, StoreError } from '../store/objects.js';
 import { settledPut } from '../store/settle.js';
 import type { Settlement } from '../store/settle.js';
 import {
@@ -24,6 +24,9 @@
 /** How long an end may wait for a claim to be committed with. */
 const LINGER_MS = 500;
 const MAX_BACKOFF_MS = 1_000;
+const MIN_SPACING_MS = 50;
+const MAX_SPACING_MS = 400;
+const SPACING_DECAY = 0.9;
 
 export interface CommitterContext {
   readonly api: ObjectApi;
@@ -75,6 +78,9 @@
 
   #failures = 0;
 
+  /** Pause between two updates, in which operations collect. */
+  #spacingMs = 0;
+
   #sequence = 0;
 
   private constructor(name: string, context: CommitterContext) {
@@ -143,17 +149,22 @@
   }
 
   async #run(): Promise<void> {
+    /* eslint-disable no-await-in-loop -- one update after the other */
     while (this.#queue.length > 0) {
-      // eslint-disable-next-line no-await-in-loop -- one update after the other
       const done = await this.#commitQueue().catch(() => this.#lose());
-      if (done) {
-        this.#failures = 0;
-      } else {
-        this.#failures += 1;
-        // eslint-disable-next-line no-await-in-loop
-        await pause(this.#backoffMs(), this.#context.scheduler);
-      }
+      this.#failures = done ? 0 : this.#failures + 1;
+      const delayMs = done ? this.#spacingMs : this.#backoffMs();
+      if (delayMs > 0) await pause(delayMs, this.#context.scheduler);
+      if (done) this.#spacingMs = Math.floor(this.#spacingMs * SPACING_DECAY);
     }
+    /* eslint-enable no-await-in-loop */
+  }
+
+  /** A write that had no effect leaves the copy as it is; a busy store gets fewer updates. */
+  #refused({ code }: StoreError): void {
+    if (code === 'conflict') this.#copy = undefined;
+    if (code !== 'rate_limited' && code !== 'budget') return;
+    this.#spacingMs = Math.min(MAX_SPACING_MS, Math.max(MIN_SPACING_MS, this.#spacingMs * 2));
   }
 
   /** An update that ended in an exception may have taken effect. */
@@ -213,7 +224,7 @@
         this.#keep(settlement.object, sent);
         return true;
       case 'refused':
-        this.#copy = undefined;
+        this.#refused(settlement.error);
         return false;
       case 'unsettled':
         batch.forEach((pending) => this.#uncertain.add(pending));
--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -19,9 +19,10 @@
 } from './shard.js';
 
 const SHARDS = 64;
-const FORWARD_DEADLINE_MS = 600;
-/** Part of the deadline that a home may use up, so that its outcome comes in time. */
-const HOME_DEADLINE_MS = 500;
+/** How long a home is waited for; what is left of the claim's time is for an update from here. */
+const FORWARD_DEADLINE_MS = 1_500;
+/** A home that can't write answers before it is taken for dead. */
+const HOME_DEADLINE_MS = 1_300;
 const KEY_CHARS = 22;
 const NONCE_CHARS = 16;
 /** Requests that are remembered as never dispatched. */
@@ -59,6 +60,10 @@
   return sha256(`${workspace}\n${key}`).slice(0, KEY_CHARS);
 }
 
+function releaseOf(ref: ClaimReference): Operation {
+  return { kind: 'release', key: keyOf(ref), nonce: ref.nonce };
+}
+
 function shardOf(key: string): number {
   return hash32(key) % SHARDS;
 }
@@ -115,12 +120,12 @@
   complete(ref: ClaimReference, status: number): void {
     this.#commit({
       kind: 'complete', key: keyOf(ref), nonce: ref.nonce, status,
-    });
+    }).catch(() => undefined);
   }
 
   release(ref: ClaimReference): void {
     this.#remember(ref);
-    this.#commit({ kind: 'release', key: keyOf(ref), nonce: ref.nonce });
+    this.#commit(releaseOf(ref)).catch(() => undefined);
   }
 
   /** Commits what another instance forwarded to this one as the home. */
@@ -137,7 +142,7 @@
   async disown(request: string): Promise<boolean> {
     const ref = this.#abandoned.get(request);
     if (!ref) return false;
-    await this.#releaseHere(ref);
+    await this.#commit(releaseOf(ref));
     return true;
   }
 
@@ -154,9 +159,10 @@
     const committer = this.#committer(operation.key);
     if (this.#isHome(shardOf(operation.key))) return committer.claim(operation, withinMs());
     const forwarded = await this.#forward(operation, withinMs());
-    if (forwarded && forwarded.outcome.kind !== 'unavailable') return forwarded;
-    const { outcome, open } = await committer.claim(operation, withinMs());
-    return { outcome, open: open || (forwarded?.open ?? true) };
+    // A home that can't write in time shows that the store is out or busy; more writers don't help.
+    if (forwarded) return forwarded;
+    const { outcome } = await committer.claim(operation, withinMs());
+    return { outcome, open: true };
   }
 
   static #outcomeOf(outcome: Outcome, ref: ClaimReference): ClaimOutcome {
@@ -176,7 +182,7 @@
     this.#remember(ref);
     if (this.#releases >= MAX_RELEASES) return;
     this.#releases += 1;
-    this.#releaseHere(ref).finally(() => {
+    this.#commit(releaseOf(ref)).finally(() => {
       this.#releases -= 1;
     }).catch(() => undefined);
   }
@@ -187,12 +193,6 @@
     if (this.#abandoned.size > KEPT_ABANDONED && !oldest.done) this.#abandoned.delete(oldest.value);
   }
 
-  /** Releases by an update from here, which no update of the home can then follow unseen. */
-  async #releaseHere(ref: ClaimReference): Promise<void> {
-    const key = keyOf(ref);
-    await this.#committer(key).commit({ kind: 'release', key, nonce: ref.nonce });
-  }
-
   /** Whether what holds the key is a claim that its owner has just given up. */
   async #isDisowned(outcome: Outcome, until: number): Promise<boolean> {
     if (outcome.kind !== 'running') return false;
@@ -220,12 +220,11 @@
     return lastValueFrom(calling).catch(() => undefined);
   }
 
-  #commit(operation: Operation): void {
+  /** Commits through the home, or from here if there is no answer, however long it takes. */
+  async #commit(operation: Operation): Promise<Answer> {
     const here = () => this.#committer(operation.key).commit(operation);
-    const committing = this.#isHome(shardOf(operation.key))
-      ? here()
-      : this.#forward(operation, FORWARD_DEADLINE_MS).then((answer) => answer ?? here());
-    committing.catch(() => undefined);
+    if (this.#isHome(shardOf(operation.key))) return here();
+    return await this.#forward(operation, FORWARD_DEADLINE_MS) ?? here();
   }
 
   #homeOf(shard: number): string {
--- a/test/entryservice.test.ts
+++ b/test/entryservice.test.ts
@@ -181,7 +181,12 @@
   return { said, claims };
 }
 
-const GRANTED: ClaimOutcome = { kind: 'granted', ref: { workspace: 'w', key: 'k', nonce: 'n' } };
+const GRANTED: ClaimOutcome = {
+  kind: 'granted',
+  ref: {
+    workspace: 'w', key: 'k', nonce: 'n', request: 'r',
+  },
+};
 
 const KEYED: readonly [string, ClaimOutcome, 'ok' | 'breaks' | 'refuses', object][] = [
   ['granted', GRANTED, 'ok', { status: 200, seen: 1, said: ['complete 200'] }],
