--- a/src/configuration/follower.ts
+++ b/src/configuration/follower.ts
@@ -113,6 +113,11 @@
     this.#dispatch({ kind: 'heard', from: 'peer' });
   }
 
+  /** Tells that the platform lists no other instance, so that the first revision need not wait. */
+  beAlone(): void {
+    this.#dispatch({ kind: 'alone' });
+  }
+
   /** Tells which revisions the other daemons work by, this one not among them. */
   seePeers(peers: readonly PeerRevision[]): void {
     this.#dispatch({ kind: 'peers', peers });
--- a/src/configuration/followstate.ts
+++ b/src/configuration/followstate.ts
@@ -37,6 +37,8 @@
   readonly held: Revision | undefined;
   /** The highest revision that could not be put in force and is above the one in force. */
   readonly rejected: Rejection | undefined;
+  /** The platform lists no other instance, so there is nobody to be heard first. */
+  readonly alone: boolean;
   readonly peers: readonly PeerRevision[];
   /** Peers that a revision could not be had from, until all that have it were asked. */
   readonly failed: readonly string[];
@@ -55,6 +57,7 @@
   | { readonly kind: 'fetch_failed'; readonly address: string }
   /** A fetch came to its end, or was no longer needed. */
   | { readonly kind: 'fetch_ended' }
+  | { readonly kind: 'alone' }
   | { readonly kind: 'first_wait_ended' };
 
 export type Effect =
@@ -77,6 +80,7 @@
     inForce: undefined,
     held: undefined,
     rejected: undefined,
+    alone: false,
     peers: [],
     failed: [],
     failures: 0,
@@ -122,7 +126,7 @@
 /** Whether a first revision may be put in force. */
 function mayBegin(state: State, revision: number, now: number): boolean {
   if (isBehindPeers(state, revision)) return false;
-  return state.peerHeardAt !== undefined || now - state.startedAt >= FIRST_WAIT_MS;
+  return state.alone || state.peerHeardAt !== undefined || now - state.startedAt >= FIRST_WAIT_MS;
 }
 
 function putInForce(state: State, next: Revision): Transaction {
@@ -183,6 +187,7 @@
       failures: state.failures + 1,
     });
     case 'fetch_ended': return none({ ...state, fetching: false, failures: 0 });
+    case 'alone': return begin({ ...state, alone: true }, now);
     case 'first_wait_ended': return begin(state, now);
   }
 }
--- a/src/store/follow.ts
+++ b/src/store/follow.ts
@@ -15,7 +15,7 @@
 import { Sightings } from './sightings.js';
 import type { StoreChange } from './sightings.js';
 
-const RENEW_MS = 10_000;
+const RENEW_MS = 20_000;
 const POLL_MS = 60_000;
 /** Pause between the end of a watch and the next. */
 const REOPEN_MS = 50;
--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -68,6 +68,17 @@
   t.is(follower.current(), undefined);
 });
 
+test('a first revision waits 3 s for a peer, but not in a daemon that is alone', async (t) => {
+  const { clock, join, publish } = start(t);
+  await publish(BASE, 0);
+  const [waiting, alone] = [join('a'), join('b')];
+  await clock.advance(10);
+  alone.follower.beAlone();
+  t.deepEqual([waiting.seen, alone.seen], [[], [1]]);
+  await clock.advance(3_000);
+  t.deepEqual(waiting.seen, [1]);
+});
+
 test('a change is in force at once through the watch', async (t) => {
   const { clock, join, publish } = start(t);
   await publish(BASE, 0);
