Work out the homes of claim shards once for each change of members

The members come as a new list with each call, so the homes of all 64 shards were worked out anew several times a claim. Calls to a home now wait 1.5 s, longer than a home that can't write takes to say so; they gave up after 1 s and wrote around it.

--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -20,7 +20,7 @@
 
 const SHARDS = 64;
 /** How long a home is waited for; what is left of the claim's time is for an update from here. */
-const FORWARD_DEADLINE_MS = 1_500;
+export const FORWARD_DEADLINE_MS = 1_500;
 /** A home that can't write answers before it is taken for dead. */
 const HOME_DEADLINE_MS = 1_300;
 const KEY_CHARS = 22;
@@ -68,7 +68,15 @@
   return hash32(key) % SHARDS;
 }
 
-interface Homes { readonly members: readonly string[]; readonly names: readonly string[] }
+function sameNames(left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length && left.every((name, index) => name === right[index]);
+}
+
+/** The homes of shards, worked out as they are asked for. */
+interface Homes {
+  readonly members: readonly string[];
+  readonly names: Map<number, string>;
+}
 
 export class ClaimLedger implements Claims {
   readonly #context: LedgerContext;
@@ -81,7 +89,7 @@
   /** Releases that wait for the store. */
   #releases = 0;
 
-  #homes: Homes = { members: [], names: [] };
+  #homes: Homes = { members: [], names: new Map() };
 
   private constructor(context: LedgerContext) {
     this.#context = context;
@@ -228,14 +236,13 @@
   }
 
   #homeOf(shard: number): string {
-    const { members, name } = this.#context;
-    const current = members();
-    if (current !== this.#homes.members) {
-      const names = Array.from({ length: SHARDS }, (_, index) => (
-        rendezvousOrder(ClaimLedger.#objectOf(index), current)[0] ?? name));
-      this.#homes = { members: current, names };
-    }
-    return this.#homes.names[shard] ?? name;
+    const members = this.#context.members();
+    if (!sameNames(members, this.#homes.members)) this.#homes = { members, names: new Map() };
+    const { names } = this.#homes;
+    const home = names.get(shard)
+      ?? rendezvousOrder(ClaimLedger.#objectOf(shard), members)[0] ?? this.#context.name;
+    names.set(shard, home);
+    return home;
   }
 
   #isHome(shard: number): boolean {
--- a/src/daemon/claimpeers.ts
+++ b/src/daemon/claimpeers.ts
@@ -1,12 +1,11 @@
 /** Carries claims between instances: to the home of a shard, and back to a claim's owner. */
 import { z } from 'zod';
+import { FORWARD_DEADLINE_MS } from '../claims/ledger.js';
 import type { ClaimLedger, LedgerPeers } from '../claims/ledger.js';
 import type { Answer, Operation } from '../claims/shard.js';
 import type { MembershipView, PeerNetwork } from '../membership/instances.js';
 import type { CallHandler } from './peerserver.js';
 
-const CALL_DEADLINE_MS = 1_000;
-
 const operation = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('claim'),
@@ -47,7 +46,7 @@
   const ask = (name: string, body: z.input<typeof call>): Promise<unknown> => {
     const member = membership.current().find((known) => known.name === name);
     if (!member) return Promise.reject(new Error(`${name} is no member`));
-    return network.call('claim', member.peerAddress, body, CALL_DEADLINE_MS);
+    return network.call('claim', member.peerAddress, body, FORWARD_DEADLINE_MS);
   };
   return {
     forward: async (home: string, forwarded: Operation): Promise<Answer> => (
--- a/test/claims-ledger.test.ts
+++ b/test/claims-ledger.test.ts
@@ -146,6 +146,19 @@
   t.deepEqual(new Set(kinds(retried)), new Set(['granted']));
 });
 
+test('the homes of shards follow the live members', async (t) => {
+  let members: readonly string[] = ['a'];
+  const { ledgers, claim, run } = start(1, () => members);
+  t.is(ledgers.get('a')!.homed, 1);
+  await run(Promise.all(KEYS.map((key) => claim('a', key))));
+  members = NAMES;
+  const parts = NAMES.map((name) => ledgers.get(name)!.homed);
+  t.is(parts.reduce((sum, part) => sum + part, 0), 1);
+  t.true(parts.every((part) => part > 0.15 && part < 0.55), parts.join());
+  const retried = await run(Promise.all(KEYS.map((key) => claim('c', key))));
+  t.deepEqual(new Set(kinds(retried)), new Set(['running']));
+});
+
 test('an end is written soon even if no claim follows', async (t) => {
   const {
     clock, objects, ledgers, claim, run,
--- a/test/fakes/ledgers.ts
+++ b/test/fakes/ledgers.ts
@@ -39,12 +39,11 @@
     },
   };
   NAMES.forEach((name, index) => {
-    const known = members(name);
     ledgers.set(name, ClaimLedger.of({
       name,
       api: objects,
       peers,
-      members: () => known,
+      members: () => [...members(name)],
       scheduler: clock,
       random: Random.of(seed * 10 + index),
       wallClock: () => clock.now(),
