--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -9,8 +9,8 @@
 import type { Model } from '../src/configuration/configuration.js';
 import { holds } from '../src/placement/inventory.js';
 import type { Decision, EngineState } from '../src/placement/inventory.js';
-import { byState, planOf } from '../src/placement/plan.js';
-import type { Plan } from '../src/placement/plan.js';
+import { planOf } from '../src/placement/plan.js';
+import type { Grouping, Plan } from '../src/placement/plan.js';
 import { isIdle } from '../src/placement/scope.js';
 import type { PlanInput } from '../src/placement/scope.js';
 import { targetOf } from '../src/placement/targets.js';
@@ -106,9 +106,17 @@
   return { decisions, blocked: [] };
 }
 
+/** Groups engines by all that a plan looks at. */
+const byState: Grouping = ({
+  server, report, ordered, busy,
+}) => JSON.stringify([
+  server.pool, server.zone, server.memory, report.role, busy, report.running + report.waiting === 0,
+  report.models.map((held) => [held.model, held.version]), report.loading, ordered,
+]);
+
 const PLANNERS: Readonly<Record<string, Planner>> = {
   greedy,
-  machines: (input) => planOf(input, ({ server }) => server.name),
+  engines: (input) => planOf(input),
   states: (input) => planOf(input, byState),
 };
 
--- a/src/placement/inventory.ts
+++ b/src/placement/inventory.ts
@@ -60,6 +60,8 @@
 
   readonly #coming = new Map<string, number>();
 
+  readonly #rooms = new Map<EngineState, number>();
+
   readonly #touched = new Set<string>();
 
   readonly #decisions: Decision[] = [];
@@ -93,13 +95,6 @@
     return this.#coming.get(model) ?? 0;
   }
 
-  /** Whether the engine holds the copy, loads it, was ordered to, or is by this plan. */
-  willHold(engine: EngineState, model: string, version: string): boolean {
-    return holds(engine, model, version) || this.#decisions.some(({ server, order }) => (
-      server === engine.server.name && order.kind === 'load'
-        && order.model === model && order.version === version));
-  }
-
   isFree(engine: EngineState): boolean {
     return !engine.busy && !this.#touched.has(engine.server.name);
   }
@@ -129,7 +124,10 @@
   }
 
   /** Memory that nothing on the engine takes; a model that the configuration lacks takes all. */
-  room({ server, report, ordered }: EngineState): number {
+  room(engine: EngineState): number {
+    const known = this.#rooms.get(engine);
+    if (known !== undefined) return known;
+    const { server, report, ordered } = engine;
     const copies = new Set([
       ...report.models.map((held) => copyName(held.model, held.version)),
       ...report.loading,
@@ -137,7 +135,9 @@
     ]);
     const taken = [...copies].map((copy) => (
       this.#configuration.models[modelOf(copy)]?.memory ?? server.memory));
-    return server.memory - taken.reduce((sum, memory) => sum + memory, 0);
+    const room = server.memory - taken.reduce((sum, memory) => sum + memory, 0);
+    this.#rooms.set(engine, room);
+    return room;
   }
 
   #count({ report, ordered }: EngineState, change: number): void {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -5,8 +5,7 @@
  *
  * At every step each model keeps the engines that its demand needs and all but one of its
  * replicas. A new version is loaded beside the old one where there is room; else one engine at a
- * time is taken out of service, emptied once nothing runs on it, loaded and put back. Engines in
- * the same state are interchangeable: a plan chooses among states, and then any engine in it.
+ * time is taken out of service, emptied once nothing runs on it, loaded and put back.
  */
 import type { Model } from '../configuration/configuration.js';
 import type { LoadedModel } from '../engines/engine.js';
@@ -30,13 +29,7 @@
 
 const NO_DEMAND: Demand = { running: 0, waiting: 0 };
 
-/** Groups engines by all that a plan looks at. */
-export const byState: Grouping = ({
-  server, report, ordered, busy,
-}) => JSON.stringify([
-  server.pool, server.zone, server.memory, report.role, busy, report.running + report.waiting === 0,
-  report.models.map((held) => [held.model, held.version]), report.loading, ordered,
-]);
+const alone: Grouping = ({ server }) => server.name;
 
 function groupsOf(
   engines: readonly EngineState[],
@@ -80,9 +73,9 @@
   });
 }
 
-function zoneCounts({ inventory }: Scope, model: Model): ReadonlyMap<string, number> {
+function zoneCounts({ inventory }: Scope, model: Model): Map<string, number> {
   const counts = new Map<string, number>();
-  inventory.usable.filter((engine) => inventory.willHold(engine, model.name, model.version))
+  inventory.usable.filter((engine) => holds(engine, model.name, model.version))
     .forEach(({ server }) => counts.set(server.zone, (counts.get(server.zone) ?? 0) + 1));
   return counts;
 }
@@ -100,9 +93,12 @@
   return refilled + replaces + spread + inventory.room(engine);
 }
 
-function candidate(scope: Scope, model: Model): EngineState | undefined {
+function candidate(
+  scope: Scope,
+  model: Model,
+  zones: ReadonlyMap<string, number>,
+): EngineState | undefined {
   const { input: { configuration }, inventory, groups } = scope;
-  const zones = zoneCounts(scope, model);
   let best: EngineState | undefined;
   let highest = -Infinity;
   groups.forEach((group) => {
@@ -132,13 +128,16 @@
   let { loads } = scope.input;
   targets.forEach((target) => {
     const { model } = target;
+    const zones = zoneCounts(scope, model);
     let left = missing(scope, target);
     let reason: Blocked['reason'] | undefined;
     while (left > 0 && !reason) {
-      const engine = loads > 0 ? candidate(scope, model) : undefined;
+      const engine = loads > 0 ? candidate(scope, model, zones) : undefined;
       if (engine) {
         const order = { kind: 'load', model: model.name, version: model.version } as const;
         inventory.decide(engine, order, loadReason(scope, target));
+        const { zone } = engine.server;
+        zones.set(zone, (zones.get(zone) ?? 0) + 1);
         loads -= 1;
         left -= 1;
       } else reason = loads > 0 ? 'no_room' : 'weight_store_rate';
@@ -169,8 +168,8 @@
   });
 }
 
-/** Makes a plan; `grouping` says which engines may stand for each other. */
-export function planOf(input: PlanInput, grouping: Grouping = byState): Plan {
+/** Makes a plan; by default no engine stands for another. */
+export function planOf(input: PlanInput, grouping: Grouping = alone): Plan {
   const { configuration, engines, demand } = input;
   const inventory = Inventory.of(configuration, engines);
   const slots = slotsOf(inventory.usable);
