--- a/src/daemon/peerserver.ts
+++ b/src/daemon/peerserver.ts
@@ -25,6 +25,7 @@
 const MAX_HEADER_BYTES = 8_192;
 const REQUEST_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_MS = 30_000;
+const REFUSAL_LOG_PERIOD_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_REFUSED = 403;
 
@@ -112,6 +113,8 @@
 
   readonly #nonces = new LRUCache<string, true>({ max: MAX_NONCES });
 
+  #refusedAt = -Infinity;
+
   private constructor(options: PeerServerOptions) {
     this.#options = options;
     // Called without tRPC's HTTP adapters, which cost several times what the call does.
@@ -182,9 +185,14 @@
   }
 
   #refuse(request: IncomingMessage, response: ServerResponse, reason: Reason): void {
-    this.#options.log.event('warn', 'peer_refused', {
-      from: request.socket.remoteAddress, reason,
-    });
+    const now = this.#options.wallClock();
+    // Whoever has no key must not be able to fill the log.
+    if (now - this.#refusedAt >= REFUSAL_LOG_PERIOD_MS) {
+      this.#refusedAt = now;
+      this.#options.log.event('warn', 'peer_refused', {
+        from: request.socket.remoteAddress, reason,
+      });
+    }
     response.writeHead(HTTP_REFUSED, { connection: 'close' });
     response.end(reason);
   }
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -18,7 +18,7 @@
 } from './membership.js';
 import type { Effect, Event } from './membership.js';
 import { plainHeartbeat } from './merge.js';
-import { answerSchema, PROTOCOL } from './message.js';
+import { answerSchema, MAX_KEY, PROTOCOL } from './message.js';
 import type { PeerAnswer, PeerRequest, Probe } from './message.js';
 import { SoftState } from './softstate.js';
 import { initialState, membersOf } from './state.js';
@@ -74,7 +74,7 @@
     this.softState = SoftState.of(
       this.#states,
       () => this.#states.value,
-      (key, value) => this.#apply({ kind: 'publish', key, value }),
+      (key, value) => this.#publish(key, value),
     );
     this.run = merge(this.#ticks(), this.#listings());
   }
@@ -129,6 +129,12 @@
     );
   }
 
+  /** A key that peers would refuse would cost this daemon all its heartbeats. */
+  #publish(key: string, value: unknown): void {
+    if (key.length > 0 && key.length <= MAX_KEY) this.#apply({ kind: 'publish', key, value });
+    else this.#options.log.event('error', 'key_refused', { key: key.slice(0, MAX_KEY) });
+  }
+
   #apply(event: Event) {
     const { scheduler, random } = this.#options;
     const { state, effects, reply } = transaction(
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -91,7 +91,9 @@
     if (record.condition === 'dead' && !listed && elapsed >= DEAD_RETAINED_MS) {
       const records = new Map(next.records);
       records.delete(record.name);
-      next = { ...next, records };
+      const progress = new Map(next.progress);
+      progress.delete(record.name);
+      next = { ...next, records, progress };
     }
   });
   return { state: next, effects };
--- a/src/membership/message.ts
+++ b/src/membership/message.ts
@@ -8,6 +8,7 @@
 export const PROTOCOL = 1;
 
 const MAX_NAME = 128;
+export const MAX_KEY = 256;
 const MAX_ITEMS = 4_096;
 
 const name = z.string().min(1).max(MAX_NAME);
@@ -30,7 +31,7 @@
 const entrySchema = z.object({
   origin: name,
   incarnation: count,
-  key: z.string().min(1).max(2 * MAX_NAME),
+  key: z.string().min(1).max(MAX_KEY),
   version: count,
   /** Absent when the key was withdrawn. */
   value: z.unknown().optional(),
--- a/test/membershippeers.test.ts
+++ b/test/membershippeers.test.ts
@@ -102,6 +102,16 @@
   t.regex(lines[0] ?? '', /replayed/);
 });
 
+test('calls of strangers are refused without filling the log', async (t) => {
+  const { address, lines } = await listen(t);
+  const stranger = clientOf(t, 'another key');
+  for (let tries = 0; tries < 5; tries += 1) {
+    // eslint-disable-next-line no-await-in-loop -- One call after the other.
+    await t.throwsAsync(stranger.exchange(address, PROBE, DEADLINE_MS));
+  }
+  t.is(lines.length, 1);
+});
+
 test('an answer that no peer has signed is not taken', async (t) => {
   const impostor = createServer((request, response) => {
     request.resume();
@@ -182,6 +192,7 @@
     const subscription = daemon.run.subscribe();
     t.teardown(() => subscription.unsubscribe());
   });
+  daemons[0]!.softState.publish('x'.repeat(300), 'a key that peers would refuse');
   daemons[0]!.softState.publish('configuration', { revision: 4 });
   const seen = () => daemons.map((daemon) => daemon.current()
     .map((member) => `${member.name}:${member.state}:${member.revision}`).join(' '));
