Give each part of the shared state its own bytes per second

Cause: one kind of value that grows, such as rows that name every member, would have made the engines' loads older. Change: load, demand and the rest each rest by their own size.

--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -18,7 +18,7 @@
 import type { PeerAnswer, PeerRequest } from '../src/membership/message.js';
 import { PeerClient } from '../src/membership/peernetwork.js';
 import { pack, unpack } from '../src/membership/peerwire.js';
-import { publishIntervalMs } from '../src/membership/publication.js';
+import { intervalMs } from '../src/membership/parts.js';
 import { Cluster, namesOf, runTo } from '../test/fakes/peers.js';
 import { fitLine, quantile } from './fit.js';
 import type { Point } from './fit.js';
@@ -209,7 +209,7 @@
     kilobytes: rates.reduce((sum, rate) => sum + rate, 0) / daemons,
     largestKilobytes: Math.max(...rates),
     cpuPercent: (total / daemons / MEASURED_MS) * 100,
-    intervalMs: publishIntervalMs(cluster.state(names[0]!)),
+    intervalMs: intervalMs(cluster.state(names[0]!).sizes, 'load/'),
     ageMs: quantile(ages, 0.5),
     oldestMs: quantile(ages, 0.99),
   };
--- a/src/membership/merge.ts
+++ b/src/membership/merge.ts
@@ -6,8 +6,9 @@
 import type {
   EntryMessage, Heartbeat, RecordMessage, Sync,
 } from './message.js';
+import { resized } from './parts.js';
 import {
-  compareRecords, entryId, entryMessage, isUrgent, ownRecord, rateOf, recordMessage,
+  compareRecords, entryId, entryMessage, isUrgent, ownRecord, recordMessage,
 } from './state.js';
 import type {
   Entry, MemberRecord, Progress, State,
@@ -67,9 +68,9 @@
   if (dropped.length === 0) return state;
   const entries = new Map(state.entries);
   dropped.forEach(([id]) => entries.delete(id));
-  const gone = dropped.reduce((sum, [, { size, key }]) => sum + size * rateOf(key), 0);
-  const freshBytes = state.freshBytes - gone;
-  return { ...state, entries, freshBytes };
+  const sizes = dropped
+    .reduce((left, [, { key, size }]) => resized(left, key, -size), state.sizes);
+  return { ...state, entries, sizes };
 }
 
 /** Puts `message` in force, as told by `peer`, or by this daemon itself. */
@@ -121,7 +122,7 @@
 ): State {
   if (messages.length === 0) return state;
   const entries = new Map(state.entries);
-  let { sequence, freshBytes, urgentAt } = state;
+  let { sequence, sizes, urgentAt } = state;
   messages.filter((message) => accepts(state, message)).forEach((message) => {
     const id = entryId(message.origin, message.key);
     const known = entries.get(id);
@@ -129,7 +130,7 @@
     if (order > 0) {
       sequence += 1;
       const size = JSON.stringify(message).length;
-      freshBytes += (size - (known?.size ?? 0)) * rateOf(message.key);
+      sizes = resized(sizes, message.key, size - (known?.size ?? 0));
       if (isUrgent(message.key)) urgentAt = sequence;
       entries.set(id, {
         ...message, changed: sequence, holders: [peer], size, changedAt: now,
@@ -139,7 +140,7 @@
     }
   });
   return {
-    ...state, entries, sequence, freshBytes, urgentAt,
+    ...state, entries, sequence, sizes, urgentAt,
   };
 }
 
--- a/src/membership/publication.ts
+++ b/src/membership/publication.ts
@@ -1,18 +1,14 @@
 /**
  * What a daemon publishes to all others. A key rests between two changes for a time that grows
- * with the whole shared state, so that the bytes per second stay the same in a larger deployment
- * and the values get older instead. Urgent keys don't rest.
+ * with its part of the shared state, so that the bytes per second stay the same in a larger
+ * deployment and the values get older instead. Urgent keys don't rest.
  */
 import {
-  entryId, entryMessage, isUrgent, ownRecord, rateOf,
+  entryId, entryMessage, isUrgent, ownRecord,
 } from './state.js';
+import { intervalMs, resized } from './parts.js';
 import type { Entry, State } from './state.js';
 
-/** The shortest time between two changes of one key. */
-const PUBLISH_INTERVAL_MS = 1_000;
-/** JSON that all daemons together may publish in a second. */
-const FRESH_BYTES_PER_SECOND = 20_000;
-const MILLISECONDS_PER_SECOND = 1_000;
 /** Puts one waiting value in force as this daemon's next version. */
 export function publishNow(state: State, key: string, value: unknown, now: number): State {
   const { name: origin, incarnation } = ownRecord(state);
@@ -28,31 +24,24 @@
     ...message, changed: sequence, holders: [], size, changedAt: now,
   };
   const id = entryId(origin, key);
-  const freshBytes = state.freshBytes
-    + (size - (state.entries.get(id)?.size ?? 0)) * rateOf(key);
+  const sizes = resized(state.sizes, key, size - (state.entries.get(id)?.size ?? 0));
   return {
     ...state,
     version,
     sequence,
     pending,
-    freshBytes,
+    sizes,
     entries: new Map(state.entries).set(id, entry),
     urgentAt: isUrgent(key) ? sequence : state.urgentAt,
   };
 }
 
-/** How long a key of the given rate rests between two changes: longer as the state grows. */
-export function publishIntervalMs(state: State, rate = 1): number {
-  const spread = (state.freshBytes * MILLISECONDS_PER_SECOND) / FRESH_BYTES_PER_SECOND;
-  return Math.max(PUBLISH_INTERVAL_MS, spread / rate);
-}
-
 /** Publishes the waiting values whose keys have rested long enough. */
 export function publishDue(state: State, now: number): State {
   if (state.pending.size === 0) return state;
   return [...state.pending].reduce((next, [key, value]) => {
     const last = state.entries.get(entryId(state.self, key));
-    const resting = last && now - last.changedAt < publishIntervalMs(state, rateOf(key));
+    const resting = last && now - last.changedAt < intervalMs(state.sizes, key);
     return resting ? next : publishNow(next, key, value, now);
   }, state);
 }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -9,6 +9,8 @@
  */
 import type { ListedInstance, Member, MemberState } from './instances.js';
 import type { EntryMessage, RecordMessage } from './message.js';
+import { NO_SIZES } from './parts.js';
+import type { Sizes } from './parts.js';
 
 /** What is remembered of each thing that is passed on. */
 interface Passed {
@@ -49,8 +51,7 @@
   readonly sequence: number;
   readonly records: ReadonlyMap<string, MemberRecord>;
   readonly entries: ReadonlyMap<string, Entry>;
-  /** JSON that is published in one interval: that of all entries, by how often each may change. */
-  readonly freshBytes: number;
+  readonly sizes: Sizes;
   /** This daemon's sequence number of the last change of an urgent entry. */
   readonly urgentAt: number;
   readonly progress: ReadonlyMap<string, Progress>;
@@ -83,10 +84,6 @@
 /** Keys whose changes don't wait for the next period. */
 const URGENT_PREFIXES = [CONFIGURATION_KEY, 'leaving/'];
 
-/** Keys that change less often than others, and how often in comparison. */
-const SLOW_PREFIX = 'demand/';
-const SLOW_RATE = 0.25;
-
 const RANK = { alive: 0, suspect: 1, dead: 2 } as const;
 
 export function entryId(origin: string, key: string): string {
@@ -97,11 +94,6 @@
   return URGENT_PREFIXES.some((prefix) => key.startsWith(prefix));
 }
 
-/** How often the key may change, compared to others: 1 or less. */
-export function rateOf(key: string): number {
-  return key.startsWith(SLOW_PREFIX) ? SLOW_RATE : 1;
-}
-
 export function initialState(origin: Origin, now: number): State {
   const record: MemberRecord = {
     ...origin,
@@ -117,7 +109,7 @@
     sequence: 1,
     records: new Map([[origin.name, record]]),
     entries: new Map(),
-    freshBytes: 0,
+    sizes: NO_SIZES,
     urgentAt: 0,
     progress: new Map(),
     checks: new Map(),
