--- a/src/daemon/peerserver.ts
+++ b/src/daemon/peerserver.ts
@@ -93,7 +93,7 @@
 interface Outcome { readonly status: number; readonly text: string }
 
 /** Why a call was refused before it was read. */
-type Reason = 'unsigned' | 'signature' | 'stale' | 'replayed';
+type Reason = 'too_large' | 'unsigned' | 'signature' | 'stale' | 'replayed';
 
 interface Call { readonly signed: Signed; readonly body: Packed; readonly signature: string }
 
@@ -154,6 +154,15 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const from = request.socket.remoteAddress;
+    const bytes = await readBody(request).catch((error: unknown) => {
+      if (error instanceof RangeError) return undefined;
+      throw error;
+    });
+    if (!bytes) {
+      this.#refuse(from, response, 'too_large');
+      return;
+    }
     const call: Call = {
       signed: {
         direction: 'request',
@@ -163,13 +172,13 @@
       },
       body: {
         encoding: encodingOf(request.headers[ENCODING_HEADER]),
-        bytes: await readBody(request),
+        bytes,
       },
       signature: headerOf(request, SIGNATURE_HEADER),
     };
     const reason = this.#refusal(call);
     if (reason) {
-      this.#refuse(request, response, reason);
+      this.#refuse(from, response, reason);
       return;
     }
     this.#nonces.set(call.signed.nonce, true);
@@ -184,14 +193,12 @@
     return this.#nonces.has(signed.nonce) ? 'replayed' : undefined;
   }
 
-  #refuse(request: IncomingMessage, response: ServerResponse, reason: Reason): void {
+  #refuse(from: string | undefined, response: ServerResponse, reason: Reason): void {
     const now = this.#options.wallClock();
     // Whoever has no key must not be able to fill the log.
     if (now - this.#refusedAt >= REFUSAL_LOG_PERIOD_MS) {
       this.#refusedAt = now;
-      this.#options.log.event('warn', 'peer_refused', {
-        from: request.socket.remoteAddress, reason,
-      });
+      this.#options.log.event('warn', 'peer_refused', { from, reason });
     }
     response.writeHead(HTTP_REFUSED, { connection: 'close' });
     response.end(reason);
--- a/test/membershippeers.test.ts
+++ b/test/membershippeers.test.ts
@@ -126,11 +126,12 @@
 });
 
 test('a body over the limit ends its call and the listener goes on', async (t) => {
-  const { address } = await listen(t);
+  const { address, lines } = await listen(t);
   const random = Random.of(3);
   const noise = Array.from({ length: MAX_BODY_BYTES / 16 }, () => random.identifier()).join('');
   const client = clientOf(t);
   await t.throwsAsync(client.exchange(address, { ...PROBE, noise }, DEADLINE_MS));
+  t.regex(lines[0] ?? '', /too_large/);
   t.deepEqual(await client.exchange(address, PROBE, DEADLINE_MS), ALIVE);
 });
 
