Publish a daemon's values anew whenever it denies a suspicion

Cause: a random test found a daemon, paused and suspect to some while already dead to another, whose values were lost there: only a denial of death published them again. Change: every denial does, and the record goes before the values.

--- a/src/membership/merge.ts
+++ b/src/membership/merge.ts
@@ -51,14 +51,14 @@
     ? claim.incarnation + 1
     : own.incarnation;
   const refutation = incarnation > own.incarnation ? 0 : claim.refutation + 1;
-  // Whoever took this daemon for dead has dropped its entries.
-  const dropped = claim.condition === 'dead' || incarnation > own.incarnation;
-  const next = dropped ? republish(state, incarnation, now) : state;
-  const sequence = next.sequence + 1;
+  const sequence = state.sequence + 1;
   const record: MemberRecord = {
     ...own, incarnation, refutation, changed: sequence, holders: [],
   };
-  return { ...next, sequence, records: new Map(next.records).set(state.self, record) };
+  const records = new Map(state.records).set(state.self, record);
+  // Somebody may have taken this daemon for dead and dropped its entries. They follow the record,
+  // so that nobody is told them before it.
+  return republish({ ...state, sequence, records }, incarnation, now);
 }
 
 /** Drops the origin's entries of incarnations earlier than `before`. */
--- a/test/membershipentries.test.ts
+++ b/test/membershipentries.test.ts
@@ -1,3 +1,4 @@
+import { fc, testProp } from '@fast-check/ava';
 import test from 'ava';
 import { VirtualTimeScheduler } from 'rxjs';
 import { EXCHANGE_DEADLINE_MS, PERIOD_MS } from '../src/membership/membership.js';
@@ -132,3 +133,49 @@
   setting.run(8 * PERIOD_MS);
   t.deepEqual(valuesOf(setting, names, 'd000\nload/e'), [5]);
 });
+
+const stepArbitrary = fc.record({
+  act: fc.constantFrom('crash', 'start', 'pause', 'wake', 'cut', 'mend', 'publish', 'urgent'),
+  name: fc.integer({ min: 0, max: 5 }),
+  other: fc.integer({ min: 0, max: 5 }),
+  runMs: fc.integer({ min: 50, max: 8_000 }),
+});
+
+testProp(
+  'after any crashes, pauses and partitions all see all again, and the same values',
+  [fc.array(stepArbitrary, { minLength: 3, maxLength: 30 })],
+  (t, steps) => {
+    const setting = settingOf(6);
+    const { cluster, names } = setting;
+    const down = new Set<string>();
+    const start = (name: string) => {
+      cluster.wake(name);
+      if (down.delete(name)) cluster.start(name);
+    };
+    steps.forEach((step, index) => {
+      const [name, other] = [names[step.name]!, names[step.other]!];
+      if (step.act === 'crash') {
+        cluster.crash(name);
+        down.add(name);
+      }
+      if (step.act === 'start') start(name);
+      if (step.act === 'pause') cluster.pause(name);
+      if (step.act === 'wake') cluster.wake(name);
+      if (step.act === 'cut') cluster.cut([name], [other]);
+      if (step.act === 'mend') cluster.mend();
+      if (step.act === 'publish') publish(setting, name, 'load/e', index);
+      if (step.act === 'urgent') publish(setting, name, 'configuration', { revision: index });
+      setting.run(step.runMs);
+    });
+    cluster.mend();
+    names.forEach(start);
+    setting.run(40 * PERIOD_MS);
+    names.forEach((name) => t.is(cluster.view(name), names.join(' ')));
+    names.forEach((origin) => ['load/e', 'configuration'].forEach((key) => {
+      const id = `${origin}\n${key}`;
+      const own = cluster.state(origin).entries.get(id)?.value;
+      t.deepEqual(valuesOf(setting, names, id), [own]);
+    }));
+  },
+  { numRuns: 100, seed: 20_261_203 },
+);
