--- a/src/limits/retrybudget.ts
+++ b/src/limits/retrybudget.ts
@@ -2,7 +2,7 @@
  * The retry budget of one pool: how many requests may be begun again at position 0 on another
  * server. First attempts earn a fraction of a retry each, and a small rate is always granted, so
  * that retries can't multiply the load of a pool that fails. Resumes of answers in progress don't
- * draw on it; routing paces those by the prefill work that each server has to do.
+ * draw on it: they wait ahead of new work for the places that are free.
  */
 import { MILLISECONDS_PER_SECOND } from '../common/time.js';
 
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -27,8 +27,6 @@
 
 const CHARACTERS_PER_TOKEN = 4;
 const PREFILL_TOKENS_PER_STEP = 2_048;
-/** Prefill work ahead at a server past which only new interactive requests are sent there. */
-const MAX_BUSY_MS = 100;
 /** A plain service's call counts as this many engine steps' worth of contention. */
 const SERVICE_STEP_MS = 1;
 
@@ -200,17 +198,17 @@
   #hasRoom(
     { priority, resume }: Ask,
     pool: string,
-    { server, slots, busyMs }: Candidate,
+    { server, slots }: Candidate,
     now: number,
   ): boolean {
     const { load } = this.#book(server);
     if (priority === 'interactive') return occupancy(load) < slots;
-    if (busyMs > MAX_BUSY_MS) return false;
-    if (resume) return occupancy(load) < slots;
     const daemons = this.#context.daemons();
     const size = this.#poolSizes.get(pool) ?? 1;
     const interactive = perServer(this.#interactiveIn(pool, now), daemons, size, now);
-    return placesLeft(load, roomFor(priority, slots, interactive), daemons) > 0;
+    // After a loss all daemons resume at once; the places are theirs by lot, too.
+    const room = roomFor(resume ? 'standard' : priority, slots, interactive);
+    return placesLeft(load, room, daemons) > 0;
   }
 
   #candidate(
