--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -20,7 +20,13 @@
 
 interface Node { readonly clock: NodeClock; liveness: Liveness }
 
-interface Link { cut: boolean; delayMs: number; readonly held: (() => void)[] }
+interface Link {
+  cut: boolean;
+  delayMs: number;
+  readonly held: (() => void)[];
+  /** Since when the link has been neither cut nor slow. */
+  clearSince: number;
+}
 
 export class Network {
   readonly #clock: VirtualClock;
@@ -75,6 +81,7 @@
 
   mend(from: string, to: string): void {
     const link = this.#link(from, to);
+    if (link.cut || link.delayMs > 0) link.clearSince = this.#clock.now();
     link.cut = false;
     link.delayMs = 0;
     link.held.splice(0).forEach((send) => send());
@@ -87,6 +94,12 @@
     });
   }
 
+  /** Since when both directions have been neither cut nor slow; infinite while one is. */
+  clearSince(one: string, other: string): number {
+    return Math.max(...[this.#link(one, other), this.#link(other, one)]
+      .map((link) => (link.cut || link.delayMs > 0 ? Number.POSITIVE_INFINITY : link.clearSince)));
+  }
+
   /** Calls `work` at `to` and brings its result back; rejects on a loss or past the deadline. */
   call<Value>(
     from: string,
@@ -163,7 +176,9 @@
     const key = `${from}>${to}`;
     let link = this.#links.get(key);
     if (!link) {
-      link = { cut: false, delayMs: 0, held: [] };
+      link = {
+        cut: false, delayMs: 0, held: [], clearSince: 0,
+      };
       this.#links.set(key, link);
     }
     return link;
--- a/test/fakes/worldconfiguration.ts
+++ b/test/fakes/worldconfiguration.ts
@@ -5,7 +5,8 @@
 } from '../../src/configuration/configuration.js';
 import { EMPTY_CONFIGURATION } from '../../src/configuration/defaults.js';
 
-export const VERSION = '1';
+/** Engines hold both; the configuration says which new generations run on. */
+export const VERSIONS = ['1', '2'] as const;
 export const MODELS = ['listing', 'billing'] as const;
 export const WORKSPACE = 'hotel';
 export const WORKSPACE_KEY = 'hotel-key';
@@ -15,7 +16,7 @@
 function model(name: string, repeat: Repeat): Model {
   return {
     name,
-    version: VERSION,
+    version: VERSIONS[0],
     adapters: [],
     replicas: 2,
     memory: 1,
@@ -64,3 +65,44 @@
     },
   };
 }
+
+const ADDRESS_PORTS_FROM = 9_000;
+
+function serverText({
+  name, zone, pool, checksFence, drained,
+}: BackendServer, index: number) {
+  return `[servers.${name}]
+address = "127.0.0.1:${ADDRESS_PORTS_FROM + index}"
+zone = "${zone}"
+pool = "${pool}"
+checks_fence = ${checksFence}
+memory = "4B"
+drained = ${drained}`;
+}
+
+function modelText({
+  name, version, replicas, maxTokens, repeat,
+}: Model): string {
+  return `[models.${name}]
+version = "${version}"
+replicas = ${replicas}
+memory = "1B"
+max_tokens = ${maxTokens}
+repeat = "${repeat}"`;
+}
+
+/** The configuration as an operator's file. */
+export function fileText({ deployment: { name, favour, zones }, ...rest }: Configuration): string {
+  return [
+    `[deployment]\nname = "${name}"\nfavour = "${favour}"\nzones = ["${zones.join('", "')}"]`,
+    '[pools.engines]\nretry_ratio = 1\nconcurrency_per_server = 64',
+    ...Object.values(rest.models).map(modelText),
+    ...Object.values(rest.servers).map(serverText),
+    ...Object.values(rest.workspaces).map((workspace) => `[workspaces.${workspace.name}]
+key_hashes = ["${workspace.keyHashes.join('", "')}"]
+requests_per_second = ${workspace.requestsPerSecond}
+burst = ${workspace.burst}
+concurrency = ${workspace.concurrency}`),
+    '',
+  ].join('\n\n');
+}
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -1,7 +1,7 @@
 /** The commands that the fuzzing draws from, and which of them are possible at a moment. */
 import fc from 'fast-check';
 import type { AsyncCommand } from 'fast-check';
-import { MAX_TOKENS, MODELS } from '../fakes/worldconfiguration.js';
+import { MAX_TOKENS, MODELS, VERSIONS } from '../fakes/worldconfiguration.js';
 import { LIST, STORE } from '../fakes/links.js';
 import { BUSIEST } from '../fakes/world.js';
 import type { World } from '../fakes/world.js';
@@ -33,12 +33,14 @@
     case 'cut':
     case 'delay':
     case 'mend': return step.from !== step.to;
+    case 'leave_engine': return world.runs(world.place(step.engine));
     case 'hang_up': return world.oracle.open.length > 0;
     case 'advance':
     case 'isolate':
     case 'mend_all':
-    case 'reports_lag':
-    case 'cache_events': return true;
+    case 'engine_faults':
+    case 'drain':
+    case 'version': return true;
   }
 }
 
@@ -87,6 +89,7 @@
         daemon,
         model: fc.constantFrom(...MODELS),
         tokens: fc.integer({ min: 1, max: MAX_TOKENS }),
+        stop: fc.constantFrom([], ['.']),
         priority: fc.constantFrom('interactive' as const, 'standard' as const, 'batch' as const),
       }),
     },
@@ -124,9 +127,26 @@
     },
     { weight: 2, arbitrary: fc.record({ kind: kind('mend'), from: place, to: daemon }) },
     { weight: 2, arbitrary: fc.record({ kind: kind('mend_all') }) },
-    fc.record({ kind: kind('reports_lag'), engine, ms }),
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: kind('engine_faults'),
+        engine: target,
+        faults: fc.oneof(
+          fc.record({ reportLagMs: ms }),
+          fc.record({ cacheLoss: fraction, cacheRepeat: fraction }),
+          fc.record({
+            eventLoss: fc.constantFrom(0, 0.03, 0.3), eventRepeat: fc.constantFrom(0, 0.1, 1),
+          }),
+        ),
+      }),
+    },
+    fc.record({ kind: kind('leave_engine'), engine: target }),
+    { weight: 2, arbitrary: fc.record({ kind: kind('drain'), engine, drained: fc.boolean() }) },
     fc.record({
-      kind: kind('cache_events'), engine, cacheLoss: fraction, cacheRepeat: fraction,
+      kind: kind('version'),
+      model: fc.constantFrom(...MODELS),
+      version: fc.constantFrom(...VERSIONS),
     }),
   );
 }
