--- a/src/routing/reserve.ts
+++ b/src/routing/reserve.ts
@@ -3,6 +3,7 @@
  * finds one. They follow the interactive requests that are in flight: their mean at a server, and
  * three times its deviation, since arrivals are random and reports lag.
  */
+import type { BackendServer } from '../configuration/configuration.js';
 import type { Priority } from '../engines/engine.js';
 
 /** How fast the mean follows. */
@@ -62,3 +63,54 @@
   const reserved = Math.min(Math.round(wanted), Math.floor(slots * MAX_PART));
   return slots - (priority === 'batch' ? reserved : Math.ceil(reserved / 2));
 }
+
+/** The interactive loads of all pools. */
+export class InteractiveLoads {
+  readonly #loads = new Map<string, InteractiveLoad>();
+
+  readonly #sizes = new Map<string, number>();
+
+  private constructor() {
+    // Pools are known once a configuration is.
+  }
+
+  static of(): InteractiveLoads {
+    return new InteractiveLoads();
+  }
+
+  /** Counts the servers of each pool. */
+  configured(servers: readonly BackendServer[]): void {
+    this.#sizes.clear();
+    servers.filter(({ drained }) => !drained).forEach(({ pool }) => {
+      this.#sizes.set(pool, this.#size(pool, 0) + 1);
+    });
+  }
+
+  /** Notes that an interactive request began or ended in a pool. */
+  changed(pool: string, change: 1 | -1, daemons: number, now: number): void {
+    this.#loads.set(pool, interactiveChanged(this.#load(pool, daemons, now), change, now));
+  }
+
+  /** The requests per server by pool, worked out once for each pool that is asked for. */
+  perServer(daemons: number, now: number): (pool: string) => number {
+    const known = new Map<string, number>();
+    return (pool) => {
+      const value = known.get(pool)
+        ?? perServer(this.#load(pool, daemons, now), daemons, this.#size(pool), now);
+      known.set(pool, value);
+      return value;
+    };
+  }
+
+  #size(pool: string, otherwise = 1): number {
+    return this.#sizes.get(pool) ?? otherwise;
+  }
+
+  #load(pool: string, daemons: number, now: number): InteractiveLoad {
+    const known = this.#loads.get(pool);
+    if (known) return known;
+    const load = interactiveLoad(daemons, this.#size(pool), now);
+    this.#loads.set(pool, load);
+    return load;
+  }
+}
--- a/src/routing/serverload.ts
+++ b/src/routing/serverload.ts
@@ -72,6 +72,8 @@
  * there now; a place that an own request gave back is this daemon's to fill.
  */
 export function placesLeft(load: ServerLoad, room: number, daemons: number): number {
+  // A server that reports nothing is divided evenly, with a place for each daemon at least.
+  if (load.reportedAt < 0) return Math.max(1, Math.floor(room / daemons)) - load.own;
   const free = room - load.others - load.counted;
   return Math.floor(free / daemons + load.draw) - (load.own - load.counted);
 }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -15,10 +15,7 @@
 import { DEFAULT_POOL, exclusion } from './eligibility.js';
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
-import {
-  interactiveChanged, interactiveLoad, perServer, roomFor,
-} from './reserve.js';
-import type { InteractiveLoad } from './reserve.js';
+import { InteractiveLoads, roomFor } from './reserve.js';
 import {
   IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
@@ -65,6 +62,13 @@
   readonly daemons: () => number;
 }
 
+/** Who else sends to the servers. */
+interface Crowd {
+  readonly daemons: number;
+  /** Interactive requests in flight per server, by pool. */
+  readonly interactive: (pool: string) => number;
+}
+
 interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
 
 const NEW_SERVER: Book = { load: IDLE_SERVER, breaker: CLOSED };
@@ -89,10 +93,7 @@
 
   readonly #books = new Map<string, Book>();
 
-  /** By pool. */
-  readonly #interactive = new Map<string, InteractiveLoad>();
-
-  readonly #poolSizes = new Map<string, number>();
+  readonly #interactive = InteractiveLoads.of();
 
   private constructor(context: ServersContext, prefixes: PrefixIndex) {
     this.#context = context;
@@ -106,6 +107,8 @@
   survey(ask: Ask, configuration: Configuration, now: number): Survey {
     const { need } = ask;
     const leaving = this.#context.leaving();
+    const daemons = this.#context.daemons();
+    const crowd: Crowd = { daemons, interactive: this.#interactive.perServer(daemons, now) };
     const credits = new Map(this.#prefixes.lookup(ask.blocks, now)
       .map(({ engine, blocks, confidence }) => [engine, blocks * confidence]));
     const views = need.kind === 'model'
@@ -127,7 +130,7 @@
         view.report?.slots ?? Infinity,
       );
       const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
-      if (this.#hasRoom(ask, view.server.pool, candidate, now)) candidates.push(candidate);
+      if (this.#hasRoom(ask, view, slots, crowd)) candidates.push(candidate);
       else full += 1;
     });
     return { candidates, full, excluded };
@@ -135,8 +138,7 @@
 
   /** Notes that interactive requests began or ended in a pool. */
   interactiveChanged(pool: string, change: 1 | -1, now: number): void {
-    const load = this.#interactiveIn(pool, now);
-    this.#interactive.set(pool, interactiveChanged(load, change, now));
+    this.#interactive.changed(pool, change, this.#context.daemons(), now);
   }
 
   /** Notes that a request was given to a server. */
@@ -161,10 +163,7 @@
 
   /** Forgets servers that the configuration no longer names and that have nothing in flight. */
   configured({ servers }: Configuration): void {
-    this.#poolSizes.clear();
-    Object.values(servers).filter(({ drained }) => !drained).forEach(({ pool }) => {
-      this.#poolSizes.set(pool, (this.#poolSizes.get(pool) ?? 0) + 1);
-    });
+    this.#interactive.configured(Object.values(servers));
     this.#books.forEach(({ load }, name) => {
       if (servers[name] || load.own > 0) return;
       this.#books.delete(name);
@@ -187,27 +186,16 @@
     return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
   }
 
-  #interactiveIn(pool: string, now: number): InteractiveLoad {
-    const known = this.#interactive.get(pool);
-    if (known) return known;
-    const load = interactiveLoad(this.#context.daemons(), this.#poolSizes.get(pool) ?? 1, now);
-    this.#interactive.set(pool, load);
-    return load;
-  }
-
   #hasRoom(
     { priority, resume }: Ask,
-    pool: string,
-    { server, slots }: Candidate,
-    now: number,
+    { server: { name, pool } }: ServerView,
+    slots: number,
+    { daemons, interactive }: Crowd,
   ): boolean {
-    const { load } = this.#book(server);
+    const { load } = this.#book(name);
     if (priority === 'interactive') return occupancy(load) < slots;
-    const daemons = this.#context.daemons();
-    const size = this.#poolSizes.get(pool) ?? 1;
-    const interactive = perServer(this.#interactiveIn(pool, now), daemons, size, now);
     // After a loss all daemons resume at once; the places are theirs by lot, too.
-    const room = roomFor(resume ? 'standard' : priority, slots, interactive);
+    const room = roomFor(resume ? 'standard' : priority, slots, interactive(pool));
     return placesLeft(load, room, daemons) > 0;
   }
 
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -217,6 +217,15 @@
   t.is(bench.ask({ target: { kind: 'service', service: 'none' } }).outcome, 'not_found');
 });
 
+test('a plain service that many daemons share has a place for each', (t) => {
+  const change: Partial<Configuration> = {
+    servers: { s: serverOf({ name: 's' }, 'service') },
+    services: { stock: { name: 'stock', pool: 'p', routes: [] } },
+  };
+  const bench = new RoutingBench([], change, { daemons: () => 380 });
+  t.is(servers(bench.asks(2, { target: { kind: 'service', service: 'stock' } })), 's -');
+});
+
 test('each decision logs what was weighed', (t) => {
   const bench = new RoutingBench([A, { ...B, zone: 'b' }, { name: 'c', drained: true }]);
   bench.ask();
