--- a/src/routing/reserve.ts
+++ b/src/routing/reserve.ts
@@ -60,7 +60,7 @@
 ): number {
   if (priority === 'interactive') return slots;
   const wanted = MIN_PLACES + interactivePerServer + DEVIATIONS * Math.sqrt(interactivePerServer);
-  const reserved = Math.min(Math.round(wanted), Math.floor(slots * MAX_PART));
+  const reserved = Math.min(Math.ceil(wanted), Math.floor(slots * MAX_PART));
   return slots - (priority === 'batch' ? reserved : Math.ceil(reserved / 2));
 }
 
