--- a/bench/tokens.ts
+++ b/bench/tokens.ts
@@ -3,7 +3,7 @@
  * for each open stream, and what it adds to the first token. Real processes on loopback; the
  * engines are several stand-ins, so that they are not what is measured.
  *
- *     tsx bench/tokens.ts [--seconds N] [--json]
+ *     tsx bench/tokens.ts [--seconds N] [--json] [--only tokens|memory|first]
  */
 import { readFileSync } from 'node:fs';
 import { request } from 'node:http';
@@ -24,6 +24,7 @@
   options: {
     seconds: { type: 'string', default: '6' },
     json: { type: 'boolean', default: false },
+    only: { type: 'string' },
   },
 });
 
@@ -33,9 +34,14 @@
 const MAX_TOKENS = 4_096;
 const TICKS_PER_SECOND = 100;
 const TAIL_BYTES = 600;
-const FIRST_TOKENS = 400;
+const FIRST_TOKENS = 600;
+const WARM_REQUESTS = 100;
 
-interface Size { readonly streams: number; readonly stepMs: number }
+interface Size {
+  readonly streams: number;
+  readonly stepMs: number;
+  readonly maxTokens?: number;
+}
 
 const SIZES: readonly Size[] = [
   { streams: 25, stepMs: 4 },
@@ -46,6 +52,8 @@
   { streams: 100, stepMs: 20 },
   { streams: 400, stepMs: 20 },
 ];
+/** Answers of one token each, which cost little but their requests. */
+const SHORT: Size = { streams: 16, stepMs: 2, maxTokens: 1 };
 const MEMORY_STREAMS: readonly number[] = [0, 100, 200, 400, 800];
 
 function siteOf(stepMs: number, favour: Favour = 'resources'): Site {
@@ -108,6 +116,8 @@
 class Callers {
   readonly #address: string;
 
+  readonly #maxTokens: number;
+
   readonly #requests = new Set<ClientRequest>();
 
   #open = true;
@@ -118,12 +128,13 @@
 
   broken = 0;
 
-  private constructor(address: string) {
+  private constructor(address: string, maxTokens: number) {
     this.#address = address;
+    this.#maxTokens = maxTokens;
   }
 
-  static of(address: string, streams: number): Callers {
-    const callers = new Callers(address);
+  static of(address: string, streams: number, maxTokens = MAX_TOKENS): Callers {
+    const callers = new Callers(address, maxTokens);
     Array.from({ length: streams }).forEach((_, index) => {
       setTimeout(() => callers.#ask(), index * 2);
     });
@@ -168,7 +179,7 @@
     this.#requests.add(req);
     req.on('error', () => undefined);
     req.end(JSON.stringify({
-      model: 'listing', prompt: `item ${this.asked}`, max_tokens: MAX_TOKENS, stream: true,
+      model: 'listing', prompt: `item ${this.asked}`, max_tokens: this.#maxTokens, stream: true,
     }));
   }
 }
@@ -182,7 +193,7 @@
 
 async function measure(size: Size): Promise<Measured> {
   const running = await start(size.stepMs);
-  const callers = Callers.of(running.daemon.address, size.streams);
+  const callers = Callers.of(running.daemon.address, size.streams, size.maxTokens);
   await sleep(WARM_MS);
   const before = {
     cpu: cpuSeconds(running.daemon.pid),
@@ -258,9 +269,9 @@
 }
 
 /** First-token times straight from an engine and through the daemon, one after the other. */
-async function firstTokens(): Promise<Row> {
+async function firstTokens(streams: number): Promise<Row> {
   const running = await start(2);
-  const callers = Callers.of(running.daemon.address, 50);
+  const callers = Callers.of(running.daemon.address, streams);
   await sleep(WARM_MS);
   const client = HttpEngineClient.of(running.engines[0]!.address);
   const direct: number[] = [];
@@ -285,8 +296,10 @@
   });
   callers.stop();
   running.stop();
-  const [straight, through] = [percentiles(direct), percentiles(relayed)];
+  const warm = (times: readonly number[]) => percentiles(times.slice(WARM_REQUESTS));
+  const [straight, through] = [warm(direct), warm(relayed)];
   return {
+    'other streams': streams,
     'direct p50 ms': straight.p50,
     'direct p99 ms': straight.p99,
     'daemon p50 ms': through.p50,
@@ -296,31 +309,44 @@
   };
 }
 
+async function tokenCosts(): Promise<readonly (readonly Row[])[]> {
+  const short = await measure(SHORT);
+  const measured = await inTurn(SIZES, measure);
+  const [idle] = await inTurn([{ streams: 0, stepMs: 20 }], measure);
+  const perRequest = (short.cores - idle!.cores) / short.requestsPerSecond;
+  const slopes = fit(
+    measured.map(({ tokensPerSecond, streams }) => [1, tokensPerSecond, streams]),
+    measured.map(({ cores, requestsPerSecond }) => cores - requestsPerSecond * perRequest),
+  );
+  return [
+    [short, ...measured, idle!].map(({ maxTokens, ...row }) => ({ ...row })),
+    [{
+      'idle cores': idle!.cores,
+      'us per request': perRequest * 1e6,
+      'fitted cores at 0': slopes[0]!,
+      'us per token': slopes[1]! * 1e6,
+      'us per stream and second': slopes[2]! * 1e6,
+    }],
+  ];
+}
+
+async function memoryCosts(): Promise<readonly (readonly Row[])[]> {
+  const rows = await memory();
+  const slopes = fit(
+    rows.map(({ streams }) => [1, Number(streams)]),
+    rows.map((row) => Number(row['resident MB']) * 1024),
+  );
+  return [rows, [{ 'resident MB at 0': slopes[0]! / 1024, 'KB per stream': slopes[1]! }]];
+}
+
+async function firstTokenCosts(): Promise<readonly (readonly Row[])[]> {
+  return [await inTurn([0, 50], firstTokens)];
+}
+
+const PARTS = { tokens: tokenCosts, memory: memoryCosts, first: firstTokenCosts };
+
 await buildPrograms();
-const measured = await inTurn(SIZES, measure);
-const slopes = fit(
-  measured.map(({ tokensPerSecond, streams, requestsPerSecond }) => (
-    [1, tokensPerSecond, streams, requestsPerSecond])),
-  measured.map(({ cores }) => cores),
-);
-const memoryRows = await memory();
-const bytes = fit(
-  memoryRows.map(({ streams }) => [1, Number(streams)]),
-  memoryRows.map((row) => Number(row['resident MB']) * 1024),
-);
-const first = await firstTokens();
-const summary: Row = {
-  'idle cores': slopes[0]!,
-  'us per token': slopes[1]! * 1e6,
-  'us per stream and second': slopes[2]! * 1e6,
-  'us per request': slopes[3]! * 1e6,
-  'resident MB at 0': bytes[0]! / 1024,
-  'KB per stream': bytes[1]!,
-};
-const rows: readonly Row[] = measured.map((each) => ({ ...each }));
-const report = values.json
-  ? JSON.stringify({
-    rows, memory: memoryRows, first, summary,
-  })
-  : [table(rows), table(memoryRows), table([first]), table([summary])].join('\n\n');
+const chosen = Object.entries(PARTS).filter(([name]) => (values.only ?? name) === name);
+const tables = (await inTurn(chosen, ([, part]) => part())).flat();
+const report = values.json ? JSON.stringify(tables) : tables.map(table).join('\n\n');
 process.stdout.write(`${report}\n`);
