--- /dev/null
+++ b/test/fakes/callers.ts
@@ -0,0 +1,77 @@
+/** Callers of the daemons in a world under test. */
+import type { Subscription } from 'rxjs';
+import type { Priority } from '../../src/engines/engine.js';
+import type { GenerationRequest } from '../../src/generation/request.js';
+import { cut } from '../fuzz/oracle.js';
+import type { Call } from '../fuzz/oracle.js';
+import type { World } from './world.js';
+import { WORKSPACE } from './worldconfiguration.js';
+import type { MODELS } from './worldconfiguration.js';
+
+export interface Question {
+  readonly daemon: string;
+  readonly model: typeof MODELS[number];
+  readonly tokens: number;
+  readonly priority: Priority;
+  readonly stop: readonly string[];
+  /** The idempotency key; requests with one key are the same request. */
+  readonly key: string | undefined;
+}
+
+export class Callers {
+  readonly #world: World;
+
+  readonly #answers = new Map<Call, Subscription>();
+
+  private constructor(world: World) {
+    this.#world = world;
+  }
+
+  static of(world: World): Callers {
+    return new Callers(world);
+  }
+
+  ask({
+    daemon, model, tokens, priority, stop, key,
+  }: Question): void {
+    const { base, network, oracle } = this.#world;
+    const { instance } = this.#world.daemon(daemon);
+    if (!instance) return;
+    const name = this.#world.name('request');
+    const { repeat } = base.models[model]!;
+    const request: GenerationRequest = {
+      id: name,
+      workspace: WORKSPACE,
+      model,
+      adapter: undefined,
+      input: { kind: 'prompt', text: `${key ?? name} `.repeat(40) },
+      sampling: {
+        seed: 1, temperature: 1, maxTokens: tokens, stop,
+      },
+      priority,
+      repeat,
+      idempotencyKey: key,
+    };
+    const call = oracle.asked(daemon, name, request);
+    const { clock } = network.node(daemon);
+    const { epoch } = clock;
+    clock.run(epoch, () => {
+      if (call.outcome.kind !== 'open') return;
+      const left = instance.drain.enter();
+      const answer = instance.gateway.generate(request).subscribe((event) => {
+        if (clock.epoch === epoch) oracle.answered(call, event);
+      });
+      answer.add(left);
+      this.#answers.set(call, answer);
+    });
+  }
+
+  /** The caller of an open request goes away. */
+  hangUp(call: Call): void {
+    const { network } = this.#world;
+    const { clock } = network.node(call.daemon);
+    cut(call);
+    clock.run(clock.epoch, () => this.#answers.get(call)?.unsubscribe());
+    this.#answers.delete(call);
+  }
+}
--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -159,7 +159,7 @@
 
   readonly #history: { readonly at: number; readonly listed: readonly ListedInstance[] }[] = [];
 
-  lagMs = 0;
+  #lagMs = 0;
 
   private constructor(network: Network) {
     this.#network = network;
@@ -173,10 +173,14 @@
     this.#history.push({ at, listed });
   }
 
+  lag(ms: number): void {
+    this.#lagMs = ms;
+  }
+
   link(daemon: string): InstanceList {
     return {
       read: () => this.#network.call(daemon, LIST, STORE_DEADLINE_MS, () => {
-        const until = this.#network.node(LIST).clock.wall() - this.lagMs;
+        const until = this.#network.node(LIST).clock.wall() - this.#lagMs;
         const known = this.#history.filter(({ at }) => at <= until);
         return Promise.resolve((known.at(-1) ?? this.#history[0])?.listed ?? []);
       }),
--- a/test/fakes/network.ts
+++ b/test/fakes/network.ts
@@ -156,6 +156,9 @@
         const forget = this.#onReset(to, () => reply(() => lose('reset')));
         const serving = open().subscribe({
           next: (value) => reply(() => subscriber.next(value)),
+          error: (error: unknown) => {
+            if (forget()) reply(() => subscriber.error(error));
+          },
           complete: () => {
             if (forget()) reply(() => lose('reset'));
           },
--- /dev/null
+++ b/test/fakes/operators.ts
@@ -0,0 +1,82 @@
+/** Operators of a world under test, who change the stored configuration and race each other. */
+import { Publisher } from '../../src/configuration/publisher.js';
+import type { Publication } from '../../src/configuration/publisher.js';
+import { objectLink } from './links.js';
+import type { World } from './world.js';
+import { fileOf, showsEdit, textOf } from './worldconfiguration.js';
+import type { Edit } from './worldconfiguration.js';
+
+export const OPERATORS = ['operator-0', 'operator-1'] as const;
+
+export class Operators {
+  readonly #world: World;
+
+  private constructor(world: World) {
+    this.#world = world;
+  }
+
+  static of(world: World): Operators {
+    return new Operators(world);
+  }
+
+  /** Stores the folder that everything begins with. */
+  begin(text: string): void {
+    this.#publisher(OPERATORS[0]).put('base.toml', text, { who: 'setup' })
+      .catch((error: unknown) => this.#world.oracle.report(String(error)));
+  }
+
+  /** An operator puts or removes one file of the stored folder. */
+  edit(operator: string, edit: Edit): void {
+    const { network, oracle, revisions } = this.#world;
+    const file = fileOf(edit);
+    const text = textOf(edit);
+    const settled = revisions.change(file, (configuration) => showsEdit(edit, configuration));
+    if (edit.kind === 'drain') oracle.returns(edit.engine);
+    const publisher = this.#publisher(operator);
+    const { clock } = network.node(operator);
+    clock.run(clock.epoch, () => {
+      const published = text === undefined
+        ? publisher.remove(file, { who: operator })
+        : publisher.put(file, text, { who: operator });
+      published.then((publication) => this.#published(publication, edit, settled))
+        .catch((error: unknown) => oracle.report(String(error)));
+    });
+  }
+
+  #publisher(operator: string): Publisher {
+    const { network, objects, random } = this.#world;
+    const links = { network, random, daemon: operator };
+    const { clock } = network.node(operator);
+    return Publisher.of({
+      api: objectLink(links, objects),
+      scheduler: clock,
+      random,
+      wallClock: clock.wall,
+    });
+  }
+
+  #published(
+    publication: Publication,
+    edit: Edit,
+    settled: (revision: number | undefined) => void,
+  ): void {
+    switch (publication.kind) {
+      case 'accepted':
+      case 'unchanged':
+        settled(publication.revision);
+        if (edit.kind === 'drain' && edit.drained) this.#world.oracle.leaves(edit.engine);
+        break;
+      // It may still be written, so nothing is known of the file from now on.
+      case 'unsettled': break;
+      case 'conflict':
+      case 'invalid':
+      case 'empty':
+      case 'no_such_file':
+      case 'base_unknown':
+      case 'too_large':
+      case 'unavailable':
+        settled(undefined);
+        break;
+    }
+  }
+}
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -2,32 +2,34 @@
  * Several daemons in one process under one virtual clock, with small fakes of what they meet:
  * engines, the object API, the instance list, callers, and the network between all of them.
  */
-import { BehaviorSubject } from 'rxjs';
-import type { Subscription } from 'rxjs';
 import { silentLog } from '../../src/common/log.js';
 import { Random } from '../../src/common/random.js';
 import type { Configuration, Favour } from '../../src/configuration/configuration.js';
-import { encodeStored, parseStored, STORED_NAME } from '../../src/configuration/stored.js';
 import { Instance } from '../../src/daemon/instance.js';
-import type { Priority } from '../../src/engines/engine.js';
-import type { GenerationRequest } from '../../src/generation/request.js';
 import type { InstanceSettings } from '../../src/daemon/instance.js';
 import { StandInEngine } from '../../src/standin/engine.js';
-import { MemoryObjects } from '../../src/standin/objects.js';
+import { MemoryObjects, NO_FAULTS } from '../../src/standin/objects.js';
+import type { ObjectFaults } from '../../src/standin/objects.js';
 import { cut, LEAVING_BOUND_MS, Oracle } from '../fuzz/oracle.js';
-import type { Call } from '../fuzz/oracle.js';
+import { CONFIGURATION_BOUND_MS, Revisions } from '../fuzz/revisions.js';
+import { Callers } from './callers.js';
 import { VirtualClock } from './clock.js';
 import {
-  deployment, engineEntry, fileText, MODELS, VERSIONS, WORKSPACE,
+  deployment, engineEntry, fileText, MODELS, VERSIONS,
 } from './worldconfiguration.js';
 import {
   engineLink, LaggingList, NO_ENGINE_FAULTS, objectLink, peerLink, STORE,
 } from './links.js';
 import type { EngineFaults, EngineNode } from './links.js';
 import { Network } from './network.js';
+import { Operators, OPERATORS } from './operators.js';
 
 const STEP_MS = 20;
 const SLOTS = 4;
+const DRAIN = { lagMs: 2_000, limitMs: 120_000 };
+/** Within this time a watch that has fallen silent is replaced. */
+const RENEWAL_MS = 12_000;
+const EPOCH_MS = 1_700_000_000_000;
 
 /** Names the engine that runs the most generations at that moment. */
 export const BUSIEST = 'busiest';
@@ -45,18 +47,6 @@
   readonly favour: Favour;
 }
 
-export interface Question {
-  readonly daemon: string;
-  readonly model: typeof MODELS[number];
-  readonly tokens: number;
-  readonly priority: Priority;
-  readonly stop: readonly string[];
-}
-
-function revisionOf(text: string): number {
-  return parseStored(text).map(({ revision }) => revision).unwrapOr(0);
-}
-
 export class World {
   readonly clock = new VirtualClock();
 
@@ -74,9 +64,17 @@
 
   readonly daemons = new Map<string, Daemon>();
 
-  readonly configuration: BehaviorSubject<Configuration>;
+  readonly revisions: Revisions;
+
+  readonly base: Configuration;
+
+  readonly operators: Operators;
+
+  readonly callers: Callers;
+
+  #storeWellSince = 0;
 
-  readonly #answers = new Map<Call, Subscription>();
+  #watchesMissed = false;
 
   #names = 0;
 
@@ -89,12 +87,17 @@
     this.list = LaggingList.of(this.network);
     const servers = Array.from({ length: engines }, (_, index) => (
       engineEntry(`engine-${index}`, index % 2 === 0)));
-    this.configuration = new BehaviorSubject(deployment(servers, favour));
-    this.#store(this.configuration.value, 0).catch(() => undefined);
-    this.oracle = Oracle.of(() => this.clock.now(), () => this.configuration.value, VERSIONS);
+    this.base = deployment(servers, favour);
+    this.oracle = Oracle.of(() => this.clock.now(), this.base, VERSIONS);
+    this.revisions = Revisions.of(() => this.clock.now(), (what) => this.oracle.report(what));
+    this.operators = Operators.of(this);
+    this.operators.begin(fileText(this.base));
+    this.callers = Callers.of(this);
     servers.forEach((server, variant) => this.#addEngine(server.name, server.checksFence, variant));
     Array.from({ length: daemons }, (_, index) => `daemon-${index}`).forEach((name) => {
-      const settings = { name, zone: 'lis-a', peerAddress: name };
+      const settings = {
+        name, zone: 'lis-a', peerAddress: name, cursorKey: 'cursor-key', drain: DRAIN,
+      };
       this.daemons.set(name, { settings, instance: undefined, incarnation: 0 });
     });
     this.daemons.forEach((_, name) => this.startDaemon(name));
@@ -131,6 +134,7 @@
     daemon.incarnation += 1;
     this.network.start(name);
     const { clock } = this.network.node(name);
+    clock.wokenAt = this.clock.now();
     const links = { network: this.network, random: this.random, daemon: name };
     const instance = Instance.of(daemon.settings, {
       scheduler: clock,
@@ -142,7 +146,8 @@
       objects: objectLink(links, this.objects),
       list: this.list.link(name),
       network: peerLink(links, (peer) => this.daemon(peer).instance?.handlers),
-      wallClock: () => clock.wall(),
+      // A process does not start twice in one millisecond.
+      wallClock: () => EPOCH_MS + clock.wall() + daemon.incarnation,
     });
     instance.run.subscribe();
     daemon.instance = instance;
@@ -157,11 +162,33 @@
     this.#publishList();
   }
 
+  /** Stops the daemon gracefully: its process ends by itself once its answers have ended. */
+  stopDaemon(name: string): void {
+    const { instance } = this.daemon(name);
+    const { clock } = this.network.node(name);
+    clock.run(clock.epoch, () => {
+      instance?.leave();
+      this.#publishList();
+      instance?.drain.ended.subscribe((whole) => {
+        if (this.daemon(name).instance !== instance) return;
+        const open = this.oracle.open.filter((call) => call.daemon === name);
+        if (whole && open.length > 0) this.oracle.report(`${name} stopped and cut ${open.length}`);
+        this.killDaemon(name, 'ended');
+      });
+    });
+  }
+
+  /** Whether the balancer still sends requests to the daemon. */
+  balanced(name: string): boolean {
+    const state = this.daemon(name).instance?.drain.state;
+    return state === 'serving' || state === 'lagging';
+  }
+
   crashEngine(name: string, how: 'ended' | 'silent'): void {
     this.network.end(name, how);
-    this.engine(name).engine.crash(this.#name('incarnation'));
+    this.engine(name).engine.crash(this.name('incarnation'));
     this.engine(name).reports.length = 0;
-    if (!this.configuration.value.servers[name]!.drained) this.oracle.returns(name);
+    this.oracle.returns(name);
   }
 
   setFaults(name: string, faults: Partial<EngineFaults>): void {
@@ -169,28 +196,15 @@
     this.engines.set(name, { ...node, faults: { ...node.faults, ...faults } });
   }
 
-  /** An operator changes the stored configuration; `accepted` is called if the store takes it. */
-  configure(
-    change: (configuration: Configuration) => Partial<Configuration>,
-    accepted: () => void = () => undefined,
-  ): void {
-    const { value } = this.configuration;
-    const next = { ...value, ...change(value), revision: value.revision + 1 };
-    this.#store(next, value.revision).then((stored) => {
-      if (!stored) return;
-      this.configuration.next(next);
-      accepted();
-    }).catch((error: unknown) => this.oracle.violations.push(String(error)));
-  }
-
-  /** Takes a server out of use, or back, by configuration. */
-  drain(name: string, drained: boolean): void {
-    this.configure(({ servers }) => ({
-      servers: { ...servers, [name]: { ...servers[name]!, drained } },
-    }), () => {
-      if (drained) this.oracle.leaves(name);
-      else if (this.engine(name).engine.models.role !== 'leaving') this.oracle.returns(name);
-    });
+  /** Changes what is wrong with the store; without a fault it is well again. */
+  setStoreFaults(faults: Partial<ObjectFaults>): void {
+    this.objects.setFaults({ ...NO_FAULTS, ...faults });
+    const well = Object.keys(faults).length === 0;
+    // Watches that missed changes show it only once they are renewed.
+    if (faults.silentWatches) this.#watchesMissed = true;
+    const renewalMs = this.#watchesMissed ? RENEWAL_MS : 0;
+    this.#storeWellSince = well ? this.clock.now() + renewalMs : Number.POSITIVE_INFINITY;
+    if (well) this.#watchesMissed = false;
   }
 
   /** The engine takes nothing new from now on. */
@@ -199,54 +213,21 @@
     this.oracle.leaves(name);
   }
 
-  ask({
-    daemon, model, tokens, priority, stop,
-  }: Question): void {
-    const { instance } = this.daemon(daemon);
-    if (!instance) return;
-    const name = this.#name('request');
-    const { repeat } = this.configuration.value.models[model]!;
-    const request: GenerationRequest = {
-      id: name,
-      workspace: WORKSPACE,
-      model,
-      adapter: undefined,
-      input: { kind: 'prompt', text: `${name} `.repeat(40) },
-      sampling: {
-        seed: this.#names, temperature: 1, maxTokens: tokens, stop,
-      },
-      priority,
-      repeat,
-      idempotencyKey: undefined,
-    };
-    const call = this.oracle.asked(daemon, name, request);
-    const { clock } = this.network.node(daemon);
-    const { epoch } = clock;
-    clock.run(epoch, () => {
-      if (call.outcome.kind !== 'open') return;
-      this.#answers.set(call, instance.gateway.generate(request).subscribe((event) => {
-        if (clock.epoch === epoch) this.oracle.answered(call, event);
-      }));
-    });
-  }
-
-  /** The caller of an open request goes away. */
-  hangUp(call: Call): void {
-    const { clock } = this.network.node(call.daemon);
-    cut(call);
-    clock.run(clock.epoch, () => this.#answers.get(call)?.unsubscribe());
-    this.#answers.delete(call);
-  }
-
   async advance(ms: number): Promise<void> {
     await this.clock.advance(ms);
     this.oracle.checkWaiting((call) => this.runs(call.daemon));
+    this.daemons.forEach(({ instance, incarnation }, name) => {
+      if (!instance || !this.runs(name)) return;
+      const reachable = this.#hearsStore(name, this.clock.now() - CONFIGURATION_BOUND_MS);
+      this.revisions.sample(`${name}/${incarnation}`, instance.configuration, reachable);
+    });
   }
 
   /** Ends every fault and lets what is open end; then checks what has run. */
   async finish(maxMs: number): Promise<void> {
     this.network.mendAll();
-    [...this.engines.keys(), ...this.daemons.keys()].forEach((name) => {
+    this.setStoreFaults({});
+    [...this.engines.keys(), ...this.daemons.keys(), ...OPERATORS].forEach((name) => {
       if (this.network.node(name).clock.paused) this.network.node(name).clock.wake();
     });
     this.oracle.disturb();
@@ -268,48 +249,40 @@
       models: MODELS.flatMap((model) => VERSIONS.map((version) => ({
         model, version, adapters: [],
       }))),
-    }, this.network.node(name).clock, this.#name('incarnation'));
+    }, this.network.node(name).clock, this.name('incarnation'));
     this.engines.set(name, {
       engine, faults: NO_ENGINE_FAULTS, reports: [],
     });
   }
 
-  /** Stores the configuration over revision `over`, 0 for none; false if it was not taken. */
-  async #store(configuration: Configuration, over: number): Promise<boolean> {
-    const text = encodeStored({
-      revision: configuration.revision,
-      files: { 'world.toml': fileText(configuration) },
-      history: [],
-    }).unwrapOr('');
-    const read = await this.objects.get(STORED_NAME, 'configuration');
-    if (over > 0 && !read.map(({ value }) => revisionOf(value) === over).unwrapOr(false)) {
-      return false;
-    }
-    const expected = read.isOk()
-      ? { kind: 'version', version: read.value.version } as const
-      : { kind: 'absent' } as const;
-    const put = await this.objects.put(STORED_NAME, text, expected, 'configuration');
-    if (put.isOk()) return true;
-    const after = await this.objects.get(STORED_NAME, 'configuration');
-    return after.map(({ value }) => value === text).unwrapOr(false);
-  }
-
   /** Whether the daemon can have known for a while what the server and the operators said. */
   #informed(daemon: string, server: string): boolean {
     const { clock } = this.network.node(daemon);
     const since = this.clock.now() - LEAVING_BOUND_MS;
     const { faults } = this.engine(server);
     return clock.wokenAt < since && faults.reportLagMs === 0
-      && [server, STORE].every((other) => this.network.clearSince(daemon, other) < since);
+      && this.network.clearSince(daemon, server) < since && this.#hearsStore(daemon, since);
+  }
+
+  /** Whether the daemon has run and has been able to hear from the store since then. */
+  #hearsStore(daemon: string, since: number): boolean {
+    return this.network.node(daemon).clock.wokenAt < since && this.#storeWellSince < since
+      && this.network.clearSince(daemon, STORE) < since;
   }
 
   #publishList(): void {
     const listed = [...this.daemons.values()].filter(({ instance }) => instance)
-      .map(({ settings }) => ({ ...settings, state: 'live' as const }));
+      .map(({ settings: { name, zone, peerAddress }, instance }) => ({
+        name,
+        zone,
+        peerAddress,
+        state: instance?.drain.state === 'serving' ? 'live' as const : 'leaving' as const,
+      }));
     this.list.publish(this.clock.now(), listed);
   }
 
-  #name(kind: string): string {
+  /** A name that nothing else in this world has. */
+  name(kind: string): string {
     this.#names += 1;
     return `${kind}-${this.#names}`;
   }
--- a/test/fakes/worldconfiguration.ts
+++ b/test/fakes/worldconfiguration.ts
@@ -66,6 +66,11 @@
   };
 }
 
+/** What an operator can change: each is one file of the folder. */
+export type Edit =
+  | { readonly kind: 'drain'; readonly engine: string; readonly drained: boolean }
+  | { readonly kind: 'version'; readonly model: string; readonly version: string };
+
 const ADDRESS_PORTS_FROM = 9_000;
 
 function serverText({
@@ -106,3 +111,25 @@
     '',
   ].join('\n\n');
 }
+
+/** The file that the edit changes. */
+export function fileOf(edit: Edit): string {
+  return edit.kind === 'drain' ? `drain-${edit.engine}.toml` : `version-${edit.model}.toml`;
+}
+
+/** The file's new text; undefined when the edit removes it. */
+export function textOf(edit: Edit): string | undefined {
+  switch (edit.kind) {
+    case 'drain':
+      return edit.drained ? `[servers.${edit.engine}]\ndrained = true\n` : undefined;
+    case 'version': return `[models.${edit.model}]\nversion = "${edit.version}"\n`;
+  }
+}
+
+/** Whether the edit shows in a configuration. */
+export function showsEdit(edit: Edit, { models, servers }: Configuration): boolean {
+  switch (edit.kind) {
+    case 'drain': return servers[edit.engine]?.drained === edit.drained;
+    case 'version': return models[edit.model]?.version === edit.version;
+  }
+}
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -1,8 +1,10 @@
 /** The commands that the fuzzing draws from, and which of them are possible at a moment. */
 import fc from 'fast-check';
 import type { AsyncCommand } from 'fast-check';
+import type { ObjectFaults } from '../../src/standin/objects.js';
 import { MAX_TOKENS, MODELS, VERSIONS } from '../fakes/worldconfiguration.js';
 import { LIST, STORE } from '../fakes/links.js';
+import { OPERATORS } from '../fakes/operators.js';
 import { BUSIEST } from '../fakes/world.js';
 import type { World } from '../fakes/world.js';
 import { play } from './steps.js';
@@ -19,8 +21,9 @@
 /** Whether the step changes anything now. */
 function possible(world: World, step: Step): boolean {
   switch (step.kind) {
-    case 'ask':
+    case 'ask': return up(world, step.daemon) && world.balanced(step.daemon);
     case 'kill_daemon': return up(world, step.daemon);
+    case 'stop_daemon': return world.runs(step.daemon) && world.balanced(step.daemon);
     case 'start_daemon': return !up(world, step.daemon);
     case 'crash_engine': return up(world, world.place(step.engine));
     case 'start_engine': return !up(world, step.engine);
@@ -39,8 +42,10 @@
     case 'isolate':
     case 'mend_all':
     case 'engine_faults':
-    case 'drain':
-    case 'version': return true;
+    case 'edit':
+    case 'store':
+    case 'compact':
+    case 'list_lag': return true;
   }
 }
 
@@ -70,13 +75,25 @@
 
 const DURATIONS_MS = [1, 7, 20, 60, 150, 400, 1_000, 2_500, 6_000];
 
+function storeFaults(): fc.Arbitrary<Partial<ObjectFaults>> {
+  return fc.oneof(
+    { weight: 5, arbitrary: fc.constant({}) },
+    fc.constant({ outage: true }),
+    fc.record({ latencyMs: fc.constantFrom(20, 300, 1_500) }),
+    fc.record({ lostAnswers: fc.constantFrom(0.3, 1), lostWrites: fc.constantFrom(0, 0.3) }),
+    fc.constant({ staleReads: true }),
+    fc.constant({ silentWatches: true }),
+    fc.record({ readsPerSecond: fc.constant(3), writesPerSecond: fc.constant(1) }),
+  );
+}
+
 /** Draws one step of a world with these processes. */
 function stepOf(daemons: readonly string[], engines: readonly string[]): fc.Arbitrary<Step> {
   const daemon = fc.constantFrom(...daemons);
   const engine = fc.constantFrom(...engines);
-  const node = fc.constantFrom(...daemons, ...engines);
+  const node = fc.constantFrom(...daemons, ...engines, ...OPERATORS);
   const target = fc.constantFrom(BUSIEST, BUSIEST, ...engines);
-  const place = fc.constantFrom(...daemons, ...engines, STORE, LIST);
+  const place = fc.constantFrom(...daemons, ...engines, ...OPERATORS, STORE, LIST);
   const ms = fc.constantFrom(...DURATIONS_MS);
   const how = fc.constantFrom('ended' as const, 'silent' as const);
   const fraction = fc.constantFrom(0, 0.5, 1);
@@ -90,6 +107,7 @@
         model: fc.constantFrom(...MODELS),
         tokens: fc.integer({ min: 1, max: MAX_TOKENS }),
         stop: fc.constantFrom([], ['.']),
+        key: fc.constantFrom(undefined, undefined, undefined, 'key-0', 'key-1'),
         priority: fc.constantFrom('interactive' as const, 'standard' as const, 'batch' as const),
       }),
     },
@@ -109,7 +127,10 @@
     {
       weight: 3,
       arbitrary: fc.record({
-        kind: kind('cut'), both: fc.boolean(), from: daemon, to: place,
+        kind: kind('cut'),
+        both: fc.boolean(),
+        from: fc.oneof(daemon, fc.constantFrom(...OPERATORS)),
+        to: place,
       }),
     },
     {
@@ -126,7 +147,7 @@
       }),
     },
     { weight: 2, arbitrary: fc.record({ kind: kind('mend'), from: place, to: daemon }) },
-    { weight: 2, arbitrary: fc.record({ kind: kind('mend_all') }) },
+    { weight: 4, arbitrary: fc.record({ kind: kind('mend_all') }) },
     {
       weight: 3,
       arbitrary: fc.record({
@@ -142,12 +163,25 @@
       }),
     },
     fc.record({ kind: kind('leave_engine'), engine: target }),
-    { weight: 2, arbitrary: fc.record({ kind: kind('drain'), engine, drained: fc.boolean() }) },
-    fc.record({
-      kind: kind('version'),
-      model: fc.constantFrom(...MODELS),
-      version: fc.constantFrom(...VERSIONS),
-    }),
+    fc.record({ kind: kind('stop_daemon'), daemon }),
+    {
+      weight: 4,
+      arbitrary: fc.record({
+        kind: kind('edit'),
+        operator: fc.constantFrom(...OPERATORS),
+        edit: fc.oneof(
+          fc.record({ kind: fc.constant('drain' as const), engine, drained: fc.boolean() }),
+          fc.record({
+            kind: fc.constant('version' as const),
+            model: fc.constantFrom(...MODELS),
+            version: fc.constantFrom(...VERSIONS),
+          }),
+        ),
+      }),
+    },
+    { weight: 4, arbitrary: fc.record({ kind: kind('store'), faults: storeFaults() }) },
+    fc.record({ kind: kind('compact') }),
+    fc.record({ kind: kind('list_lag'), ms }),
   );
 }
 
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -3,6 +3,8 @@
  * the system keeps them: it sees requests, answers, and what engines did, and no state of a daemon.
  */
 import type { Configuration } from '../../src/configuration/configuration.js';
+import type { Input } from '../../src/engines/engine.js';
+import { inputText } from '../../src/engines/prefix.js';
 import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
 import type { BegunAttempt } from '../../src/standin/engine.js';
 import { answerLength, firstBadToken } from '../../src/standin/tokens.js';
@@ -31,6 +33,10 @@
   outcome: Outcome;
 }
 
+function sameInput(left: Input, right: Input): boolean {
+  return inputText(left) === inputText(right);
+}
+
 /** Ends a call that is open, without an answer that its caller sees. */
 export function cut(call: Call): void {
   const target = call;
@@ -44,7 +50,7 @@
 
   readonly #now: () => number;
 
-  readonly #configuration: () => Configuration;
+  readonly #configuration: Configuration;
 
   /** When the last fault began or ended; waiting is counted from it. */
   #disturbedAt = 0;
@@ -56,7 +62,7 @@
 
   private constructor(
     now: () => number,
-    configuration: () => Configuration,
+    configuration: Configuration,
     versions: readonly string[],
   ) {
     this.#now = now;
@@ -66,7 +72,7 @@
 
   static of(
     now: () => number,
-    configuration: () => Configuration,
+    configuration: Configuration,
     versions: readonly string[],
   ): Oracle {
     return new Oracle(now, configuration, versions);
@@ -134,7 +140,7 @@
   checkWaiting(waits: (call: Call) => boolean): void {
     const now = this.#now();
     this.open.filter(waits).forEach((call) => {
-      const { queueWaitMs } = this.#configuration().limits;
+      const { queueWaitMs } = this.#configuration.limits;
       const since = Math.max(call.lastAt, this.#disturbedAt);
       const bound = WAIT_BOUND_MS + queueWaitMs[call.request.priority];
       if (now - since > bound) this.#report(call, `waited more than ${bound} ms`);
@@ -150,7 +156,11 @@
       if (call.outcome.kind === 'refused' && call.outcome.ran === 'no' && runs.length > 0) {
         this.#report(call, `told "not run" and begun ${runs.length} times`);
       }
-      const fromStart = runs.filter(({ request, stream }) => (
+      const { idempotencyKey: key } = call.request;
+      const same = key === undefined ? runs : begun
+        .filter(({ request }) => request.model === call.request.model
+          && sameInput(request.input, call.request.input));
+      const fromStart = same.filter(({ request, stream }) => (
         request.accepted.tokens === 0 && stream.position > 0));
       if (call.request.repeat === 'never' && fromStart.length > 1) {
         this.#report(call, `run ${fromStart.length} times`);
--- a/test/fuzz/steps.ts
+++ b/test/fuzz/steps.ts
@@ -2,9 +2,12 @@
  * What can be done to a world: requests, what the platform and operators do, and what fails. A
  * step is plain data, so that a run can be printed and played again.
  */
+import type { Question } from '../fakes/callers.js';
 import { LIST, STORE } from '../fakes/links.js';
+import type { ObjectFaults } from '../../src/standin/objects.js';
 import type { EngineFaults } from '../fakes/links.js';
-import type { Question, World } from '../fakes/world.js';
+import type { World } from '../fakes/world.js';
+import type { Edit } from '../fakes/worldconfiguration.js';
 
 interface Link { readonly from: string; readonly to: string }
 
@@ -28,8 +31,11 @@
     readonly faults: Partial<EngineFaults>;
   }
   | { readonly kind: 'leave_engine'; readonly engine: string }
-  | { readonly kind: 'drain'; readonly engine: string; readonly drained: boolean }
-  | { readonly kind: 'version'; readonly model: string; readonly version: string };
+  | { readonly kind: 'stop_daemon'; readonly daemon: string }
+  | { readonly kind: 'edit'; readonly operator: string; readonly edit: Edit }
+  | { readonly kind: 'store'; readonly faults: Partial<ObjectFaults> }
+  | { readonly kind: 'compact' }
+  | { readonly kind: 'list_lag'; readonly ms: number };
 
 function cutLinks(world: World, links: readonly Link[]): void {
   links.forEach(({ from, to }) => world.network.cut(from, to));
@@ -38,11 +44,11 @@
 async function perform(world: World, step: Step): Promise<void> {
   const { network } = world;
   switch (step.kind) {
-    case 'ask': return world.ask(step);
+    case 'ask': return world.callers.ask(step);
     case 'hang_up': {
       const { open } = world.oracle;
       const call = open[step.call % Math.max(1, open.length)];
-      return call && world.hangUp(call);
+      return call && world.callers.hangUp(call);
     }
     case 'advance': return world.advance(step.ms);
     case 'crash_engine': return world.crashEngine(world.place(step.engine), step.how);
@@ -67,10 +73,11 @@
     case 'mend_all': return network.mendAll();
     case 'engine_faults': return world.setFaults(world.place(step.engine), step.faults);
     case 'leave_engine': return world.leaveEngine(world.place(step.engine));
-    case 'drain': return world.drain(step.engine, step.drained);
-    case 'version': return world.configure(({ models }) => ({
-      models: { ...models, [step.model]: { ...models[step.model]!, version: step.version } },
-    }));
+    case 'stop_daemon': return world.stopDaemon(step.daemon);
+    case 'edit': return world.operators.edit(step.operator, step.edit);
+    case 'store': return world.setStoreFaults(step.faults);
+    case 'compact': return world.objects.compact();
+    case 'list_lag': return world.list.lag(step.ms);
   }
 }
 
