--- a/src/entry/gateway.ts
+++ b/src/entry/gateway.ts
@@ -50,6 +50,12 @@
   readonly cursor?: (cursor: string, generation: string) => void;
 }
 
+/** A returning caller's request was given to an engine before, whatever becomes of it now. */
+function hasRun(refusal: Refusal, returning: ReturningCaller | undefined): Refusal {
+  if (!returning) return refusal;
+  return { ...refusal, ran: returning.tokens > 0 ? 'partly' : 'unknown' };
+}
+
 export class Gateway {
   readonly #context: GatewayContext;
 
@@ -101,9 +107,10 @@
   /** Admits the request and streams its answer; unsubscribing cancels it. */
   generate(request: GenerationRequest, options: AnswerOptions = {}): Observable<AnswerEvent> {
     return new Observable((subscriber) => {
-      const admitted = this.admit(request.workspace, request.priority);
+      const admitted = this.#context.dispatcher.admit(request.workspace, request.priority);
       if (admitted.isErr()) {
-        subscriber.next({ kind: 'refusal', refusal: admitted.error });
+        const refusal = this.#refused(hasRun(admitted.error, options.returning));
+        subscriber.next({ kind: 'refusal', refusal });
         subscriber.complete();
         return undefined;
       }
@@ -186,7 +193,8 @@
     return new Observable((subscriber) => {
       const opened = openCursor(returning.cursor, request, cursorKey);
       if (opened.isErr()) {
-        subscriber.next({ kind: 'refusal', refusal: this.#refused(opened.error) });
+        const refusal = this.#refused(hasRun(opened.error, returning));
+        subscriber.next({ kind: 'refusal', refusal });
         subscriber.complete();
         return undefined;
       }
--- a/test/fakes/callers.ts
+++ b/test/fakes/callers.ts
@@ -1,6 +1,8 @@
 /** Callers of the daemons in a world under test. */
 import type { Subscription } from 'rxjs';
+import type { Instance } from '../../src/daemon/instance.js';
 import type { Priority } from '../../src/engines/engine.js';
+import type { ReturningCaller } from '../../src/entry/gateway.js';
 import type { GenerationRequest } from '../../src/generation/request.js';
 import { cut } from '../fuzz/oracle.js';
 import type { Call } from '../fuzz/oracle.js';
@@ -23,6 +25,9 @@
 
   readonly #answers = new Map<Call, Subscription>();
 
+  /** The last cursor that each call was told. */
+  readonly #cursors = new Map<Call, string>();
+
   private constructor(world: World) {
     this.#world = world;
   }
@@ -34,7 +39,7 @@
   ask({
     daemon, model, tokens, priority, stop, key,
   }: Question): void {
-    const { base, network, oracle } = this.#world;
+    const { base, oracle } = this.#world;
     const { instance } = this.#world.daemon(daemon);
     if (!instance) return;
     const name = this.#world.name('request');
@@ -52,13 +57,39 @@
       repeat,
       idempotencyKey: key,
     };
-    const call = oracle.asked(daemon, name, request);
-    const { clock } = network.node(daemon);
+    this.#open(oracle.asked(daemon, name, request), instance);
+  }
+
+  /** Calls whose daemon ended, and that can be returned for. */
+  get lost(): readonly Call[] {
+    return this.#world.oracle.calls.filter((call) => (
+      call.outcome.kind === 'cut' && call.outcome.by === 'daemon' && this.#cursors.has(call)));
+  }
+
+  /** A caller whose daemon ended comes back to another, with its answer's text or without. */
+  comeBack(before: Call, daemon: string, withText: boolean): void {
+    const { instance } = this.#world.daemon(daemon);
+    const cursor = this.#cursors.get(before);
+    if (!instance || cursor === undefined) return;
+    this.#cursors.delete(before);
+    const { tokens, text, request } = before;
+    const call = this.#world.oracle.asked(daemon, `${before.name}, again`, request, before);
+    this.#open(call, instance, {
+      cursor, tokens, text: withText || tokens === 0 ? text : undefined,
+    });
+  }
+
+  #open(call: Call, instance: Instance, returning?: ReturningCaller): void {
+    const { network, oracle } = this.#world;
+    const { clock } = network.node(call.daemon);
     const { epoch } = clock;
     clock.run(epoch, () => {
       if (call.outcome.kind !== 'open') return;
       const left = instance.drain.enter();
-      const answer = instance.gateway.generate(request).subscribe((event) => {
+      const answer = instance.gateway.generate(call.request, {
+        cursor: (cursor) => this.#cursors.set(call, cursor),
+        ...(returning ? { returning } : {}),
+      }).subscribe((event) => {
         if (clock.epoch === epoch) oracle.answered(call, event);
       });
       answer.add(left);
@@ -70,7 +101,7 @@
   hangUp(call: Call): void {
     const { network } = this.#world;
     const { clock } = network.node(call.daemon);
-    cut(call);
+    cut(call, 'caller');
     clock.run(clock.epoch, () => this.#answers.get(call)?.unsubscribe());
     this.#answers.delete(call);
   }
--- a/test/fakes/nodeclock.ts
+++ b/test/fakes/nodeclock.ts
@@ -9,7 +9,7 @@
 export class NodeClock implements SchedulerLike {
   readonly #clock: VirtualClock;
 
-  readonly #held: (() => void)[] = [];
+  readonly #held = { timers: [] as (() => void)[], arrivals: [] as (() => void)[] };
 
   #epoch = 0;
 
@@ -50,14 +50,14 @@
 
   schedule<Value>(work: Work<Value>, delay = 0, state?: Value): Subscription {
     const epoch = this.#epoch;
-    return this.#clock.gated<Value>(work, delay, state as Value, (fire) => this.run(epoch, fire));
+    return this.#clock.gated<Value>(work, delay, state as Value, (fire) => {
+      this.#run(epoch, fire, 'timers');
+    });
   }
 
   /** Runs `action` now, or on waking, unless the process of `epoch` has ended. */
   run(epoch: number, action: () => void): void {
-    if (epoch !== this.#epoch) return;
-    if (this.#paused) this.#held.push(action);
-    else action();
+    this.#run(epoch, action, 'arrivals');
   }
 
   /** @param suspended whether the monotonic clock stands still meanwhile */
@@ -72,8 +72,11 @@
     this.#paused = false;
     this.wokenAt = this.#clock.now();
     const epoch = this.#epoch;
-    this.#held.splice(0).forEach((action) => {
-      this.#clock.schedule(() => this.run(epoch, action));
+    // An event loop runs the timers that are due before it reads what has arrived.
+    (['timers', 'arrivals'] as const).forEach((queue) => {
+      this.#held[queue].splice(0).forEach((action) => {
+        this.#clock.schedule(() => this.#run(epoch, action, queue));
+      });
     });
   }
 
@@ -81,8 +84,15 @@
   end(): void {
     this.#epoch += 1;
     this.wokenAt = this.#clock.now();
-    this.#held.length = 0;
+    this.#held.timers.length = 0;
+    this.#held.arrivals.length = 0;
     this.#paused = false;
     this.#suspendedAt = undefined;
   }
+
+  #run(epoch: number, action: () => void, queue: 'timers' | 'arrivals'): void {
+    if (epoch !== this.#epoch) return;
+    if (this.#paused) this.#held[queue].push(action);
+    else action();
+  }
 }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -38,6 +38,8 @@
   readonly settings: InstanceSettings;
   instance: Instance | undefined;
   incarnation: number;
+  /** When its graceful stop began. */
+  stoppedAt: number | undefined;
 }
 
 export interface WorldOptions {
@@ -98,7 +100,9 @@
       const settings = {
         name, zone: 'lis-a', peerAddress: name, cursorKey: 'cursor-key', drain: DRAIN,
       };
-      this.daemons.set(name, { settings, instance: undefined, incarnation: 0 });
+      this.daemons.set(name, {
+        settings, instance: undefined, incarnation: 0, stoppedAt: undefined,
+      });
     });
     this.daemons.forEach((_, name) => this.startDaemon(name));
   }
@@ -132,6 +136,7 @@
   startDaemon(name: string): void {
     const daemon = this.daemon(name);
     daemon.incarnation += 1;
+    daemon.stoppedAt = undefined;
     this.network.start(name);
     const { clock } = this.network.node(name);
     clock.wokenAt = this.clock.now();
@@ -158,7 +163,7 @@
   killDaemon(name: string, how: 'ended' | 'silent'): void {
     this.network.end(name, how);
     this.daemon(name).instance = undefined;
-    this.oracle.open.filter((call) => call.daemon === name).forEach((call) => cut(call));
+    this.oracle.open.filter((call) => call.daemon === name).forEach((call) => cut(call, 'daemon'));
     this.#publishList();
   }
 
@@ -168,6 +173,7 @@
     const { clock } = this.network.node(name);
     clock.run(clock.epoch, () => {
       instance?.leave();
+      this.daemon(name).stoppedAt = this.clock.now();
       this.#publishList();
       instance?.drain.ended.subscribe((whole) => {
         if (this.daemon(name).instance !== instance) return;
@@ -180,8 +186,9 @@
 
   /** Whether the balancer still sends requests to the daemon. */
   balanced(name: string): boolean {
-    const state = this.daemon(name).instance?.drain.state;
-    return state === 'serving' || state === 'lagging';
+    const { instance, stoppedAt } = this.daemon(name);
+    if (instance === undefined) return false;
+    return stoppedAt === undefined || this.clock.now() - stoppedAt < DRAIN.lagMs;
   }
 
   crashEngine(name: string, how: 'ended' | 'silent'): void {
@@ -199,12 +206,14 @@
   /** Changes what is wrong with the store; without a fault it is well again. */
   setStoreFaults(faults: Partial<ObjectFaults>): void {
     this.objects.setFaults({ ...NO_FAULTS, ...faults });
-    const well = Object.keys(faults).length === 0;
-    // Watches that missed changes show it only once they are renewed.
-    if (faults.silentWatches) this.#watchesMissed = true;
-    const renewalMs = this.#watchesMissed ? RENEWAL_MS : 0;
-    this.#storeWellSince = well ? this.clock.now() + renewalMs : Number.POSITIVE_INFINITY;
-    if (well) this.#watchesMissed = false;
+    if (Object.keys(faults).length > 0) {
+      this.#watchesMissed ||= faults.silentWatches ?? false;
+      this.#storeWellSince = Number.POSITIVE_INFINITY;
+    } else if (this.#storeWellSince === Number.POSITIVE_INFINITY) {
+      // Watches that missed changes show it only once they are renewed.
+      this.#storeWellSince = this.clock.now() + (this.#watchesMissed ? RENEWAL_MS : 0);
+      this.#watchesMissed = false;
+    }
   }
 
   /** The engine takes nothing new from now on. */
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -37,6 +37,8 @@
     case 'delay':
     case 'mend': return step.from !== step.to;
     case 'leave_engine': return world.runs(world.place(step.engine));
+    case 'come_back': return world.callers.lost.length > 0 && up(world, step.daemon)
+      && world.balanced(step.daemon);
     case 'hang_up': return world.oracle.open.length > 0;
     case 'advance':
     case 'isolate':
@@ -113,6 +115,12 @@
     },
     { weight: 10, arbitrary: fc.record({ kind: kind('advance'), ms }) },
     fc.record({ kind: kind('hang_up'), call: fc.nat(9) }),
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: kind('come_back'), call: fc.nat(9), daemon, withText: fc.boolean(),
+      }),
+    },
     { weight: 3, arbitrary: fc.record({ kind: kind('crash_engine'), engine: target, how }) },
     { weight: 2, arbitrary: fc.record({ kind: kind('start_engine'), engine }) },
     {
@@ -122,7 +130,7 @@
       }),
     },
     { weight: 3, arbitrary: fc.record({ kind: kind('wake'), node }) },
-    fc.record({ kind: kind('kill_daemon'), daemon, how }),
+    { weight: 2, arbitrary: fc.record({ kind: kind('kill_daemon'), daemon, how }) },
     { weight: 2, arbitrary: fc.record({ kind: kind('start_daemon'), daemon }) },
     {
       weight: 3,
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -18,8 +18,8 @@
   | { readonly kind: 'open' }
   | { readonly kind: 'answered' }
   | { readonly kind: 'refused'; readonly ran: string }
-  /** The caller went away, or the daemon was killed under it. */
-  | { readonly kind: 'cut' };
+  /** The caller went away, or the daemon ended under it. */
+  | { readonly kind: 'cut'; readonly by: 'caller' | 'daemon' };
 
 /** One request as its caller knows it. */
 export interface Call {
@@ -38,9 +38,9 @@
 }
 
 /** Ends a call that is open, without an answer that its caller sees. */
-export function cut(call: Call): void {
+export function cut(call: Call, by: 'caller' | 'daemon'): void {
   const target = call;
-  if (call.outcome.kind === 'open') target.outcome = { kind: 'cut' };
+  if (call.outcome.kind === 'open') target.outcome = { kind: 'cut', by };
 }
 
 export class Oracle {
@@ -103,9 +103,16 @@
     if (lateMs > LEAVING_BOUND_MS) this.report(`${server}, leaving, got work after ${lateMs} ms`);
   }
 
-  asked(daemon: string, name: string, request: GenerationRequest): Call {
+  /** @param before the call that the caller lost and returns for, whose answer it has */
+  asked(daemon: string, name: string, request: GenerationRequest, before?: Call): Call {
     const call: Call = {
-      request, daemon, name, text: '', tokens: 0, lastAt: this.#now(), outcome: { kind: 'open' },
+      request,
+      daemon,
+      name,
+      text: before?.text ?? '',
+      tokens: before?.tokens ?? 0,
+      lastAt: this.#now(),
+      outcome: { kind: 'open' },
     };
     this.calls.push(call);
     return call;
--- a/test/fuzz/steps.ts
+++ b/test/fuzz/steps.ts
@@ -14,6 +14,12 @@
 export type Step =
   | { readonly kind: 'ask' } & Question
   | { readonly kind: 'hang_up'; readonly call: number }
+  | {
+    readonly kind: 'come_back';
+    readonly call: number;
+    readonly daemon: string;
+    readonly withText: boolean;
+  }
   | { readonly kind: 'advance'; readonly ms: number }
   | { readonly kind: 'crash_engine'; readonly engine: string; readonly how: 'ended' | 'silent' }
   | { readonly kind: 'start_engine'; readonly engine: string }
@@ -50,6 +56,10 @@
       const call = open[step.call % Math.max(1, open.length)];
       return call && world.callers.hangUp(call);
     }
+    case 'come_back': {
+      const { lost } = world.callers;
+      return world.callers.comeBack(lost[step.call % lost.length]!, step.daemon, step.withText);
+    }
     case 'advance': return world.advance(step.ms);
     case 'crash_engine': return world.crashEngine(world.place(step.engine), step.how);
     case 'start_engine': return network.start(step.engine);
