--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -20,6 +20,9 @@
 
 export const DEFAULT_DRAIN: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
 
+/** A timer this late means that the process was paused. */
+const PAUSED_FROM_MS = 100;
+
 export class Drain {
   readonly #scheduler: SchedulerLike;
 
@@ -82,16 +85,25 @@
       return;
     }
     const { lagMs, limitMs } = this.#options;
+    const begunAt = this.#scheduler.now();
     this.#move('lagging');
-    timer(lagMs, this.#scheduler).subscribe(() => {
-      this.#move('finishing');
-      this.#settle();
-    });
+    timer(lagMs, this.#scheduler)
+      .subscribe(() => this.#lagPassed(this.#scheduler.now() - begunAt - lagMs));
     timer(limitMs, this.#scheduler).subscribe(() => {
       if (this.state !== 'done') this.#move('expired');
     });
   }
 
+  /** A process that was paused meanwhile first reads the requests that came in time. */
+  #lagPassed(lateMs: number): void {
+    if (lateMs > PAUSED_FROM_MS) {
+      timer(PAUSED_FROM_MS, this.#scheduler).subscribe(() => this.#lagPassed(0));
+      return;
+    }
+    this.#move('finishing');
+    this.#settle();
+  }
+
   #settle(): void {
     if (this.state === 'finishing' && this.#open === 0) this.#move('done');
   }
--- a/test/cursor.test.ts
+++ b/test/cursor.test.ts
@@ -84,3 +84,12 @@
   await clock.advance(500);
   t.like(caller.end(), { kind: 'refusal', refusal: { ran: 'partly' } });
 });
+
+test('a returning caller is never told that its request was not run', async (t) => {
+  const { gateway, call } = deployment();
+  const refused = (tokens: number) => call(REQUEST, gateway.generate(REQUEST, {
+    returning: { cursor: 'bad', tokens, text: undefined },
+  })).end();
+  t.like(refused(3), { kind: 'refusal', refusal: { ran: 'partly' } });
+  t.like(refused(0), { kind: 'refusal', refusal: { ran: 'unknown' } });
+});
--- a/test/entrydrain.test.ts
+++ b/test/entrydrain.test.ts
@@ -2,6 +2,8 @@
 import { VirtualTimeScheduler } from 'rxjs';
 import { silentLog } from '../src/common/log.js';
 import { Drain } from '../src/entry/drain.js';
+import { VirtualClock } from './fakes/clock.js';
+import { NodeClock } from './fakes/nodeclock.js';
 
 function drainOf() {
   const clock = new VirtualTimeScheduler();
@@ -49,3 +51,16 @@
   at(10_000);
   t.deepEqual([drain.state, ended], ['expired', [false]]);
 });
+
+test('a process that was paused first reads the requests that came in time', async (t) => {
+  const clock = new VirtualClock();
+  const node = NodeClock.of(clock);
+  const drain = Drain.of(node, silentLog, { lagMs: 1_000, limitMs: 10_000 });
+  drain.begin();
+  node.pause();
+  node.run(node.epoch, () => drain.enter());
+  await clock.advance(3_000);
+  node.wake();
+  await clock.advance(1_000);
+  t.deepEqual([drain.state, drain.open], ['finishing', 1]);
+});
