--- a/bench/tokens.ts
+++ b/bench/tokens.ts
@@ -100,6 +100,7 @@
   const setup: DaemonSetup = {
     name: 'd',
     baseline: 'ours',
+    timeoutMs: 0,
     configuration: configurationOf(site, engines.map(({ address }, index) => (
       { name: `e${index}`, group: group!, address }))),
   };
