--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -15,10 +15,7 @@
 import { DEFAULT_POOL, exclusion } from './eligibility.js';
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
-import {
-  interactiveChanged, interactiveLoad, perServer, roomFor,
-} from './reserve.js';
-import type { InteractiveLoad } from './reserve.js';
+import { InteractiveLoads, roomFor } from './reserve.js';
 import {
   IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
@@ -27,8 +24,6 @@
 
 const CHARACTERS_PER_TOKEN = 4;
 const PREFILL_TOKENS_PER_STEP = 2_048;
-/** Prefill work ahead at a server past which only new interactive requests are sent there. */
-const MAX_BUSY_MS = 100;
 /** A plain service's call counts as this many engine steps' worth of contention. */
 const SERVICE_STEP_MS = 1;
 
@@ -67,6 +62,13 @@
   readonly daemons: () => number;
 }
 
+/** Who else sends to the servers. */
+interface Crowd {
+  readonly daemons: number;
+  /** Interactive requests in flight per server, by pool. */
+  readonly interactive: (pool: string) => number;
+}
+
 interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
 
 const NEW_SERVER: Book = { load: IDLE_SERVER, breaker: CLOSED };
@@ -84,6 +86,41 @@
     .map((server) => ({ server, health: 'up', report: undefined }));
 }
 
+function candidateOf(
+  { characters }: Ask,
+  { server, health, report }: ServerView,
+  slots: number,
+  load: ServerLoad,
+  cachedBlocks: number,
+  now: number,
+): Candidate {
+  const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
+  return {
+    server: server.name,
+    zone: server.zone,
+    health,
+    occupancy: occupancy(load),
+    slots,
+    stepMs,
+    busyMs: Math.max(0, load.busyUntil - now),
+    prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
+  };
+}
+
+/** Whether the request finds a place at the server now. */
+function hasRoom(
+  { priority, resume }: Ask,
+  { server: { pool } }: ServerView,
+  slots: number,
+  load: ServerLoad,
+  { daemons, interactive }: Crowd,
+): boolean {
+  if (priority === 'interactive') return occupancy(load) < slots;
+  // After a loss all daemons resume at once; the places are theirs by lot, too.
+  const room = roomFor(resume ? 'standard' : priority, slots, interactive(pool));
+  return placesLeft(load, room, daemons) > 0;
+}
+
 export class Servers {
   readonly #context: ServersContext;
 
@@ -91,10 +128,7 @@
 
   readonly #books = new Map<string, Book>();
 
-  /** By pool. */
-  readonly #interactive = new Map<string, InteractiveLoad>();
-
-  readonly #poolSizes = new Map<string, number>();
+  readonly #interactive = InteractiveLoads.of();
 
   private constructor(context: ServersContext, prefixes: PrefixIndex) {
     this.#context = context;
@@ -108,6 +142,8 @@
   survey(ask: Ask, configuration: Configuration, now: number): Survey {
     const { need } = ask;
     const leaving = this.#context.leaving();
+    const daemons = this.#context.daemons();
+    const crowd: Crowd = { daemons, interactive: this.#interactive.perServer(daemons, now) };
     const credits = new Map(this.#prefixes.lookup(ask.blocks, now)
       .map(({ engine, blocks, confidence }) => [engine, blocks * confidence]));
     const views = need.kind === 'model'
@@ -128,17 +164,19 @@
         (pool ?? DEFAULT_POOL).concurrencyPerServer,
         view.report?.slots ?? Infinity,
       );
-      const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
-      if (this.#hasRoom(ask, view.server.pool, candidate, now)) candidates.push(candidate);
-      else full += 1;
+      const load = this.#reported(view, now);
+      if (!hasRoom(ask, view, slots, load, crowd)) {
+        full += 1;
+        return;
+      }
+      candidates.push(candidateOf(ask, view, slots, load, credits.get(name) ?? 0, now));
     });
     return { candidates, full, excluded };
   }
 
   /** Notes that interactive requests began or ended in a pool. */
   interactiveChanged(pool: string, change: 1 | -1, now: number): void {
-    const load = this.#interactiveIn(pool, now);
-    this.#interactive.set(pool, interactiveChanged(load, change, now));
+    this.#interactive.changed(pool, change, this.#context.daemons(), now);
   }
 
   /** Notes that a request was given to a server. */
@@ -163,10 +201,7 @@
 
   /** Forgets servers that the configuration no longer names and that have nothing in flight. */
   configured({ servers }: Configuration): void {
-    this.#poolSizes.clear();
-    Object.values(servers).filter(({ drained }) => !drained).forEach(({ pool }) => {
-      this.#poolSizes.set(pool, (this.#poolSizes.get(pool) ?? 0) + 1);
-    });
+    this.#interactive.configured(Object.values(servers));
     this.#books.forEach(({ load }, name) => {
       if (servers[name] || load.own > 0) return;
       this.#books.delete(name);
@@ -189,52 +224,6 @@
     return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
   }
 
-  #interactiveIn(pool: string, now: number): InteractiveLoad {
-    const known = this.#interactive.get(pool);
-    if (known) return known;
-    const load = interactiveLoad(this.#context.daemons(), this.#poolSizes.get(pool) ?? 1, now);
-    this.#interactive.set(pool, load);
-    return load;
-  }
-
-  #hasRoom(
-    { priority, resume }: Ask,
-    pool: string,
-    { server, slots, busyMs }: Candidate,
-    now: number,
-  ): boolean {
-    const { load } = this.#book(server);
-    if (priority === 'interactive') return occupancy(load) < slots;
-    if (busyMs > MAX_BUSY_MS) return false;
-    if (resume) return occupancy(load) < slots;
-    const daemons = this.#context.daemons();
-    const size = this.#poolSizes.get(pool) ?? 1;
-    const interactive = perServer(this.#interactiveIn(pool, now), daemons, size, now);
-    return placesLeft(load, roomFor(priority, slots, interactive), daemons) > 0;
-  }
-
-  #candidate(
-    { characters }: Ask,
-    view: ServerView | EngineView,
-    slots: number,
-    cachedBlocks: number,
-    now: number,
-  ): Candidate {
-    const { server, health, report } = view;
-    const load = this.#reported(view, now);
-    const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
-    return {
-      server: server.name,
-      zone: server.zone,
-      health,
-      occupancy: occupancy(load),
-      slots,
-      stepMs,
-      busyMs: Math.max(0, load.busyUntil - now),
-      prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
-    };
-  }
-
   /** Takes in a waiting report before the counts change, so that it is compared with its own. */
   #takeReport(server: string, now: number): void {
     const view = this.#context.directory.engine(server);
--- a/test/admin.test.ts
+++ b/test/admin.test.ts
@@ -2,7 +2,7 @@
 import { text as readText } from 'node:stream/consumers';
 import test from 'ava';
 import { ADMINISTRATOR_KEY, administered, runAgainst } from './fakes/adminserver.js';
-import { ask, endOf } from './fakes/callers.js';
+import { ask, endOf } from './fakes/questions.js';
 import { World } from './fakes/world.js';
 
 interface Answer { readonly status: number; readonly body: string }
--- a/test/fakes/callers.ts
+++ b/test/fakes/callers.ts
@@ -1,60 +1,108 @@
-/** Callers of the daemons of a world that ask by their own words and keep what they get. */
-import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
+/** Callers of the daemons in a world under test. */
+import type { Subscription } from 'rxjs';
+import type { Instance } from '../../src/daemon/instance.js';
+import type { Priority } from '../../src/engines/engine.js';
+import type { ReturningCaller } from '../../src/entry/gateway.js';
+import type { GenerationRequest } from '../../src/generation/request.js';
+import { cut } from '../fuzz/oracle.js';
+import type { Call } from '../fuzz/oracle.js';
 import type { World } from './world.js';
 import { WORKSPACE } from './worldconfiguration.js';
+import type { MODELS } from './worldconfiguration.js';
 
-export interface Asked {
-  readonly model: string;
+export interface Question {
+  readonly daemon: string;
+  readonly model: typeof MODELS[number];
   readonly tokens: number;
-  readonly key?: string;
+  readonly priority: Priority;
+  readonly stop: readonly string[];
+  /** The idempotency key; requests with one key are the same request. */
+  readonly key: string | undefined;
 }
 
-/** An answer as far as it has come. */
-export interface Answered {
-  /** Names the request in logs. */
-  readonly request: string;
-  tokens: number;
-  /** The last event, undefined while the answer is open. */
-  end: AnswerEvent | undefined;
-}
+export class Callers {
+  readonly #world: World;
 
-let requests = 0;
-
-/** Asks the daemon now; the result fills as time advances. */
-export function ask(world: World, daemon: string, { model, tokens, key }: Asked): Answered {
-  requests += 1;
-  const request: GenerationRequest = {
-    id: `asked-${requests}`,
-    workspace: WORKSPACE,
-    model,
-    adapter: undefined,
-    input: { kind: 'prompt', text: `request ${requests}` },
-    sampling: {
-      seed: 1, temperature: 1, maxTokens: tokens, stop: [],
-    },
-    priority: 'standard',
-    repeat: world.configuration.value.models[model]!.repeat,
-    idempotencyKey: key,
-    bodyHash: 'same',
-  };
-  const answered: Answered = { request: request.id, tokens: 0, end: undefined };
-  world.daemon(daemon).instance!.gateway.generate(request).subscribe((event) => {
-    if (event.kind === 'token') answered.tokens += 1;
-    else answered.end = event;
-  });
-  return answered;
-}
+  readonly #answers = new Map<Call, Subscription>();
 
-/** `finish` or the refusal's code and what it says of having run; `open` while there is none. */
-export function endOf({ end }: Answered): string {
-  if (!end) return 'open';
-  return end.kind === 'refusal' ? `${end.refusal.code} ${end.refusal.ran}` : end.kind;
-}
+  /** The last cursor that each call was told. */
+  readonly #cursors = new Map<Call, string>();
+
+  private constructor(world: World) {
+    this.#world = world;
+  }
+
+  static of(world: World): Callers {
+    return new Callers(world);
+  }
+
+  ask({
+    daemon, model, tokens, priority, stop, key,
+  }: Question): void {
+    const { base, oracle } = this.#world;
+    const { instance } = this.#world.daemon(daemon);
+    if (!instance) return;
+    const name = this.#world.name('request');
+    const { repeat } = base.models[model]!;
+    const request: GenerationRequest = {
+      id: name,
+      workspace: WORKSPACE,
+      model,
+      adapter: undefined,
+      input: { kind: 'prompt', text: `${key ?? name} `.repeat(40) },
+      sampling: {
+        seed: 1, temperature: 1, maxTokens: tokens, stop,
+      },
+      priority,
+      repeat,
+      idempotencyKey: key,
+    };
+    this.#open(oracle.asked(daemon, name, request), instance);
+  }
+
+  /** Calls whose daemon ended, and that can be returned for. */
+  get lost(): readonly Call[] {
+    return this.#world.oracle.calls.filter((call) => (
+      call.outcome.kind === 'cut' && call.outcome.by === 'daemon' && this.#cursors.has(call)));
+  }
+
+  /** A caller whose daemon ended comes back to another, with its answer's text or without. */
+  comeBack(before: Call, daemon: string, withText: boolean): void {
+    const { instance } = this.#world.daemon(daemon);
+    const cursor = this.#cursors.get(before);
+    if (!instance || cursor === undefined) return;
+    this.#cursors.delete(before);
+    const { tokens, text, request } = before;
+    const call = this.#world.oracle.asked(daemon, `${before.name}, again`, request, before);
+    this.#open(call, instance, {
+      cursor, tokens, text: withText || tokens === 0 ? text : undefined,
+    });
+  }
+
+  #open(call: Call, instance: Instance, returning?: ReturningCaller): void {
+    const { network, oracle } = this.#world;
+    const { clock } = network.node(call.daemon);
+    const { epoch } = clock;
+    clock.run(epoch, () => {
+      if (call.outcome.kind !== 'open') return;
+      const left = instance.drain.enter();
+      const answer = instance.gateway.generate(call.request, {
+        cursor: (cursor) => this.#cursors.set(call, cursor),
+        ...(returning ? { returning } : {}),
+      }).subscribe((event) => {
+        if (clock.epoch === epoch) oracle.answered(call, event);
+      });
+      answer.add(left);
+      this.#answers.set(call, answer);
+    });
+  }
 
-/** Cuts all links between the daemon and the others named, or mends them. */
-export function separate(world: World, daemon: string, others: readonly string[]): void {
-  others.forEach((other) => {
-    world.network.cut(daemon, other);
-    world.network.cut(other, daemon);
-  });
+  /** The caller of an open request goes away. */
+  hangUp(call: Call): void {
+    const { network } = this.#world;
+    const { clock } = network.node(call.daemon);
+    cut(call, 'caller');
+    clock.run(clock.epoch, () => this.#answers.get(call)?.unsubscribe());
+    this.#answers.delete(call);
+  }
 }
--- a/test/instance.test.ts
+++ b/test/instance.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import { ask, endOf, separate } from './fakes/callers.js';
-import type { Answered } from './fakes/callers.js';
+import { ask, endOf, separate } from './fakes/questions.js';
+import type { Answered } from './fakes/questions.js';
 import { STORE } from './fakes/links.js';
 import { World } from './fakes/world.js';
 
--- a/test/isolation.test.ts
+++ b/test/isolation.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { ISOLATED_AFTER_MS } from '../src/daemon/isolation.js';
-import { ask, endOf, separate } from './fakes/callers.js';
+import { ask, endOf, separate } from './fakes/questions.js';
 import { LIST, STORE } from './fakes/links.js';
 import { World } from './fakes/world.js';
 
