--- a/test/fakes/questions.ts
+++ b/test/fakes/questions.ts
@@ -1,4 +1,4 @@
-/** Callers of the daemons of a world that ask by their own words and keep what they get. */
+/** Single requests to a world's daemons, beside those that its oracle follows. */
 import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
 import type { World } from './world.js';
 import { WORKSPACE } from './worldconfiguration.js';
@@ -33,7 +33,7 @@
       seed: 1, temperature: 1, maxTokens: tokens, stop: [],
     },
     priority: 'standard',
-    repeat: world.configuration.value.models[model]!.repeat,
+    repeat: world.base.models[model]!.repeat,
     idempotencyKey: key,
     bodyHash: 'same',
   };
--- a/test/instance.test.ts
+++ b/test/instance.test.ts
@@ -21,9 +21,7 @@
 }
 
 function change(world: World): void {
-  world.configure(({ models }) => ({
-    models: { ...models, listing: { ...models.listing!, maxTokens: 90 } },
-  }));
+  world.operators.edit('operator-0', { kind: 'version', model: 'listing', version: '2' });
 }
 
 function names(world: World): readonly string[] {
@@ -36,7 +34,7 @@
   await world.advance(IN_FORCE_MS);
   t.deepEqual(revisions(world), [2, 2, 2, 2]);
   t.true([...world.daemons.values()]
-    .every(({ instance }) => instance!.configuration.models.listing!.maxTokens === 90));
+    .every(({ instance }) => instance!.configuration.models.listing!.version === '2'));
 });
 
 test('a change reaches an instance that cannot reach the store through its peers', async (t) => {
