--- a/test/admin.test.ts
+++ b/test/admin.test.ts
@@ -1,10 +1,17 @@
 import { request } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
 import test from 'ava';
+import { silentLog } from '../src/common/log.js';
+import { Random } from '../src/common/random.js';
+import { monotonicScheduler } from '../src/common/time.js';
+import { PeerServer } from '../src/daemon/peerserver.js';
+import { PeerClient } from '../src/membership/peernetwork.js';
 import { ADMINISTRATOR_KEY, administered, runAgainst } from './fakes/adminserver.js';
 import { ask, endOf } from './fakes/questions.js';
 import { World } from './fakes/world.js';
 
+const PEERS_KEY = 'a key that only peers know';
+
 interface Answer { readonly status: number; readonly body: string }
 
 function get(address: string, path: string, headers: Record<string, string> = {}): Promise<Answer> {
@@ -118,6 +125,33 @@
   t.deepEqual((await asking).map(({ instance }) => instance), ['daemon-0']);
 });
 
+test('peers answer why to each other, and to nobody without their key', async (t) => {
+  const port = await new Promise<number>((resolve) => {
+    const running = PeerServer.of({
+      host: '127.0.0.1',
+      port: 0,
+      key: PEERS_KEY,
+      handlers: {
+        heartbeat: () => Promise.reject(new Error('not asked')),
+        why: (body) => Promise.resolve([body]),
+      },
+      log: silentLog,
+      wallClock: () => 0,
+      onListening: resolve,
+    }).run.subscribe();
+    t.teardown(() => running.unsubscribe());
+  });
+  const call = (key: string) => {
+    const client = PeerClient.of({
+      key, scheduler: monotonicScheduler, random: Random.of(1), wallClock: () => 0,
+    });
+    t.teardown(() => client.close());
+    return client.call('why', `127.0.0.1:${port}`, { request: 'r-1' }, 5_000);
+  };
+  t.deepEqual(await call(PEERS_KEY), [{ request: 'r-1' }]);
+  await t.throwsAsync(call(ADMINISTRATOR_KEY));
+});
+
 test('metrics tell the revision, the members, the lease and the store\'s calls', async (t) => {
   const world = World.of({
     seed: 1, daemons: 3, engines: 2, favour: 'latency',
