Bring an operator's folder up to date after a merge

Cause: after apply had merged others' changes, the folder kept its old base, so that the operator's next edit of the same file conflicted with their own last one. Change: apply writes the files it took from others into the folder and moves its base; if the store has moved on meanwhile, the base stays.

--- a/bench/controlfleet.ts
+++ b/bench/controlfleet.ts
@@ -10,6 +10,7 @@
 import { listen } from '../src/daemon/listeners.js';
 import type { CallCounts, ObjectFaults } from '../src/standin/objects.js';
 import { LaggingList, listServer } from '../src/standin/listserver.js';
+import { sleep } from './deployed.js';
 import { Program } from './fleet.js';
 import { ControlDaemon } from './controldaemon.js';
 import { Relay } from './controlrelay.js';
@@ -18,6 +19,7 @@
 const ANY_PORT = { host: LOOPBACK, port: 0 };
 const LIST_LAG_MS = 2_000;
 const START_MS = 15_000;
+const RETRY_MS = 100;
 const ZONES = ['lis-a', 'lis-b', 'lis-c'];
 
 export interface FleetOptions {
@@ -114,14 +116,25 @@
       return daemon.next(({ event }) => event === 'started', START_MS);
     });
     await Promise.all(started);
-    const inForce = daemons.map((daemon) => daemon.inForce(1, START_MS));
-    await daemons[0]!.connection.configuration.put.mutate({
-      file: '00-base.toml', text: baseFile(engines), who: 'bench',
-    });
-    await Promise.all(inForce);
+    await fleet.#configure(baseFile(engines));
     return fleet;
   }
 
+  /** Tries until the first daemon listens, and waits until every daemon works by the file. */
+  async #configure(text: string): Promise<void> {
+    const inForce = Promise.all(this.daemons.map((daemon) => daemon.inForce(1, START_MS)));
+    const put = () => this.daemons[0]!.connection.configuration.put.mutate({
+      file: '00-base.toml', text, who: 'bench',
+    });
+    for (let left = START_MS / RETRY_MS; left > 0; left -= 1) {
+      // eslint-disable-next-line no-await-in-loop -- one try after the other
+      if (await put().then(() => true, () => false)) break;
+      // eslint-disable-next-line no-await-in-loop -- a pause between two tries
+      await sleep(RETRY_MS);
+    }
+    await inForce;
+  }
+
   /** Keeps one in three daemons from the store, or lets them reach it again. */
   cutStore(cut: boolean): void {
     this.#relay.cut(cut);
--- a/src/cli/changes.ts
+++ b/src/cli/changes.ts
@@ -11,7 +11,7 @@
 import type { Command, ExitCode, Invocation } from './command.js';
 import type { Connection } from './connection.js';
 import {
-  readFolder, readRevision, writeFolder, writeRevision,
+  readFolder, readRevision, takeFiles, writeFolder, writeRevision,
 } from './folder.js';
 import { reportPublication } from './publication.js';
 import { withDaemon } from './session.js';
@@ -78,6 +78,23 @@
   return missing.length === 0 ? 0 : 4;
 }
 
+/**
+ * Brings the folder on disk up to the revision that was made of it, others' changes included. If
+ * that is no longer the latest, the folder keeps its base, so that nothing of others is undone.
+ */
+async function settleFolder(
+  connection: Connection,
+  directory: string,
+  { revision, taken }: { readonly revision: number; readonly taken: readonly string[] },
+): Promise<void> {
+  if (taken.length === 0) {
+    await writeRevision(directory, revision);
+    return;
+  }
+  const stored = await connection.configuration.pull.query();
+  if (stored.revision === revision) await takeFiles(directory, stored.files, taken, revision);
+}
+
 function describeChange({ file, before, after }: FileChange): string {
   if (before === undefined) return `added    ${file}`;
   return after === undefined ? `removed  ${file}` : `changed  ${file}`;
@@ -112,7 +129,7 @@
 
 const apply: Command = {
   name: 'apply',
-  summary: 'Makes a folder the configuration, merged with what others changed meanwhile.',
+  summary: 'Makes a folder the configuration; what others changed meanwhile is merged into both.',
   operands: 'DIR',
   arity: [1, 1],
   options: EDIT_OPTIONS,
@@ -129,10 +146,7 @@
     const publication = await connection.configuration.applyFolder.mutate({
       folder, base, who: operator(invocation), allowEmpty: values['allow-empty'] === true,
     });
-    // After a merge the folder on disk lacks what the others changed, so its base stays.
-    if (publication.kind === 'accepted' && publication.taken.length === 0) {
-      await writeRevision(directory, publication.revision);
-    }
+    if (publication.kind === 'accepted') await settleFolder(connection, directory, publication);
     return finish(invocation, connection, publication);
   }),
 };
--- a/src/cli/folder.ts
+++ b/src/cli/folder.ts
@@ -34,6 +34,22 @@
   await writeFile(join(directory, REVISION_FILE), `${revision}\n`);
 }
 
+async function writeOne(directory: string, name: string, text: string | undefined): Promise<void> {
+  const path = join(directory, name);
+  await (text === undefined ? rm(path, { force: true }) : writeFile(path, text));
+}
+
+/** Makes the files named as `folder` has them, which is then the directory's revision. */
+export async function takeFiles(
+  directory: string,
+  folder: Folder,
+  names: readonly string[],
+  revision: number,
+): Promise<void> {
+  await Promise.all(names.map((name) => writeOne(directory, name, folder[name])));
+  await writeRevision(directory, revision);
+}
+
 /** Makes the directory's configuration files exactly those of `folder`. */
 export async function writeFolder(
   directory: string,
--- a/test/clichanges.test.ts
+++ b/test/clichanges.test.ts
@@ -42,6 +42,9 @@
   const merged = await tool('apply', bela.directory);
   t.is(merged.code, 0);
   t.regex(merged.out, /kept the changes of others to x\.toml/);
+  t.is(await readFile(join(bela.directory, 'x.toml'), 'utf8'), model('x'), 'the folder has it too');
+  await bela.write('y.toml', model('y', '2'));
+  t.is((await tool('apply', bela.directory)).code, 0, 'an edit goes on from one\'s own');
   await tool('pull', bela.directory);
   const names = (await readdir(bela.directory)).filter((name) => name.endsWith('.toml'));
   t.deepEqual(names.sort(), ['base.toml', 'm.toml', 'x.toml', 'y.toml']);
