--- a/src/membership/contacts.ts
+++ b/src/membership/contacts.ts
@@ -8,6 +8,8 @@
 
 /** Members that are only listed and tried in one period. */
 const FIRST_CONTACTS = 3;
+/** While all are alive, a random member is tried once in so many periods, on average. */
+const QUIET_PERIODS = 3;
 
 /** A heartbeat to send; the peer's answer comes back as an event. */
 export interface Exchange {
@@ -44,14 +46,19 @@
   ));
 }
 
-/** Members to try beside the neighbours: one known at random, some of those only listed. */
+/**
+ * Members to try beside the neighbours: one known at random, some of those only listed. While
+ * nobody is missing, the neighbours see enough of each other, and the random one is tried less.
+ */
 function strangers(state: State, met: readonly string[], random: Random): readonly string[] {
   const known = [...state.records.keys()]
     .filter((name) => name !== state.self && !met.includes(name));
+  const missing = [...state.records.values()].some((record) => record.condition !== 'alive');
+  const size = missing || random.integer(1, QUIET_PERIODS) === 1 ? 1 : 0;
   const unmet = [...state.listed.values()]
     .filter((instance) => instance.state === 'live' && !state.records.has(instance.name))
     .map((instance) => instance.name);
-  return [...sample(known, 1, random), ...sample(unmet, FIRST_CONTACTS, random)];
+  return [...sample(known, size, random), ...sample(unmet, FIRST_CONTACTS, random)];
 }
 
 /** The exchanges that one period begins with. */
