--- a/src/engines/detector.ts
+++ b/src/engines/detector.ts
@@ -28,7 +28,7 @@
     minSuspectMs: 40,
     maxSuspectMs: 300,
     pingDeadlineMs: 100,
-    firstTokenMs: 250,
+    firstTokenMs: 150,
     streamSilenceMs: 250,
   },
   resources: {
@@ -101,7 +101,7 @@
 export interface Queue { readonly waiting: number; readonly full: boolean }
 
 const QUEUED_FIRST_TOKEN_MS = 10_000;
-const PREFILL_MS_PER_TOKEN = 0.25;
+const PREFILL_MS_PER_TOKEN = 0.1;
 
 /** Time within which a first token is due, from the prompt's size and what waits at the engine. */
 export function firstTokenMs(pace: Pace, prefillTokens: number, queue: Queue): number {
--- a/src/engines/watch.ts
+++ b/src/engines/watch.ts
@@ -18,7 +18,7 @@
 import type { StreamListener, StreamOwner, WatchedStream } from './watched.js';
 
 /** A silence of one stream, as a multiple of the time that makes it suspect, that loses it. */
-const LOST_FACTOR = 4;
+const LOST_FACTOR = 3;
 /** How much of the longest gap between tokens is remembered from one check to the next. */
 const GAP_DECAY = 0.998;
 /** Share of a deadline that the daemon has to have been awake for a miss to count. */
--- a/src/generation/state.ts
+++ b/src/generation/state.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * `waiting`: no attempt is live and one is being assigned. `running`: one attempt is live, or two
- * while a hedge races; `hedging` while another is being assigned. `settling`: the first engine is
+ * `waiting`: no attempt is live and one is being assigned. `running`: one attempt is live, or more
+ * while hedges race; `hedging` while another is being assigned. `settling`: the first engine is
  * asked to confirm that it made nothing of a request that may not be run twice.
  */
 export type Phase =
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -15,6 +15,8 @@
 import type { Transaction } from './loss.js';
 import type { Attempt, GenerationState } from './state.js';
 
+/** Attempts that may race for the next token. */
+const MAX_LIVE_ATTEMPTS = 3;
 /** Numbers of attempts begun through different instances differ by at least this. */
 const ATTEMPTS_PER_INSTANCE = 64;
 /** Text is made contiguous once in so many tokens, which bounds the memory of its parts. */
@@ -59,18 +61,23 @@
   };
 }
 
-/** Starts a second attempt beside a silent one, where that can't run the request twice. */
+/** Starts another attempt beside a silent one, where that can't run the request twice. */
 function suspected(state: GenerationState, number: number): Transaction {
   const { phase } = state;
-  if (phase.kind !== 'running' || phase.hedging || phase.live.length !== 1) return unchanged(state);
-  const [attempt] = phase.live;
+  if (phase.kind !== 'running' || phase.hedging) return unchanged(state);
+  if (phase.live.length >= MAX_LIVE_ATTEMPTS) return unchanged(state);
+  const attempt = phase.live.at(-1);
   const safe = state.repeatable || state.accepted.tokens > 0;
   const allowed = state.hedges && safe && state.textKnown && state.fruitless < state.maxAttempts;
   if (!attempt || attempt.number !== number || !allowed) return unchanged(state);
   return {
     state: { ...state, phase: { ...phase, hedging: true } },
     effects: [
-      { kind: 'assign', reason: 'hedge', exclude: [...state.excluded, attempt.server] },
+      {
+        kind: 'assign',
+        reason: 'hedge',
+        exclude: [...state.excluded, ...phase.live.map(({ server }) => server)],
+      },
     ],
   };
 }
