--- a/test/entryservice.test.ts
+++ b/test/entryservice.test.ts
@@ -7,9 +7,10 @@
 import type { ClaimOutcome, Claims } from '../src/claims/claims.js';
 import { endToEnd } from '../src/entry/upstream.js';
 import {
-  call, entry, sleep,
+  call, entry,
 } from './fakes/entry.js';
 import type { EntryFixture } from './fakes/entry.js';
+import { eventually } from './fakes/eventually.js';
 
 /** Records the calls that reach a service. */
 function recorder(answer: (req: IncomingMessage, res: ServerResponse) => void) {
@@ -119,7 +120,7 @@
   await withEntry(t, {
     services: [mute.listener],
     routes: [{
-      path: '/reserve', methods: ['POST'], repeat: 'never', priority: 'standard', timeoutMs: 100,
+      path: '/reserve', methods: ['POST'], repeat: 'never', priority: 'standard', timeoutMs: 2_000,
     }],
   }, async ({ address }) => {
     const reply = await call(address, '/services/stock/reserve', { method: 'POST', body: '{}' });
@@ -155,19 +156,21 @@
 });
 
 test('a caller that leaves is gone for the service too', async (t) => {
-  const state = { left: false };
+  const state = { taken: false, left: false };
   await withEntry(t, {
-    services: [(_, res) => res.on('close', () => {
-      state.left = true;
-    })],
+    services: [(_, res) => {
+      state.taken = true;
+      res.on('close', () => {
+        state.left = true;
+      });
+    }],
   }, async ({ address }) => {
     const [host, port] = address.split(':');
     const socket = connect(Number(port), host);
     socket.write('GET /services/stock/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key\r\n\r\n');
-    await sleep(50);
+    t.true(await eventually(() => state.taken));
     socket.destroy();
-    await sleep(50);
-    t.true(state.left);
+    t.true(await eventually(() => state.left));
   });
 });
 
