--- a/src/routing/serverload.ts
+++ b/src/routing/serverload.ts
@@ -74,6 +74,9 @@
 export function placesLeft(load: ServerLoad, room: number, daemons: number): number {
   // A server that reports nothing is divided evenly, with a place for each daemon at least.
   if (load.reportedAt < 0) return Math.max(1, Math.floor(room / daemons)) - load.own;
-  const free = room - load.others - load.counted;
-  return Math.floor(free / daemons + load.draw) - (load.own - load.counted);
+  const reported = load.others + load.counted;
+  const free = room - reported;
+  // What is too much is given up by those who hold it.
+  const part = free < 0 ? (free * load.counted) / reported : free / daemons;
+  return Math.floor(part + load.draw) - (load.own - load.counted);
 }
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -255,4 +255,7 @@
   const full = loadReported(holding, { ...REPORT, running: 10 }, 100, 0.5);
   t.is(placesLeft(full, 10, 9), 0);
   t.is(placesLeft(loadReleased(full), 10, 9), 1);
+  // Above the bound, those who hold the excess give it up.
+  t.is(placesLeft(loadReported(holding, { ...REPORT, running: 2 }, 100, 0), 1, 9), -1);
+  t.is(placesLeft(loadReported(IDLE_SERVER, { ...REPORT, running: 12 }, 100, 0), 10, 9), 0);
 });
