--- a/src/membership/merge.ts
+++ b/src/membership/merge.ts
@@ -6,8 +6,9 @@
 import type {
   EntryMessage, Heartbeat, RecordMessage, Sync,
 } from './message.js';
+import { resized } from './parts.js';
 import {
-  compareRecords, entryId, entryMessage, isUrgent, ownRecord, rateOf, recordMessage,
+  compareRecords, entryId, entryMessage, isUrgent, ownRecord, recordMessage,
 } from './state.js';
 import type {
   Entry, MemberRecord, Progress, State,
@@ -50,14 +51,14 @@
     ? claim.incarnation + 1
     : own.incarnation;
   const refutation = incarnation > own.incarnation ? 0 : claim.refutation + 1;
-  // Whoever took this daemon for dead has dropped its entries.
-  const dropped = claim.condition === 'dead' || incarnation > own.incarnation;
-  const next = dropped ? republish(state, incarnation, now) : state;
-  const sequence = next.sequence + 1;
+  const sequence = state.sequence + 1;
   const record: MemberRecord = {
     ...own, incarnation, refutation, changed: sequence, holders: [],
   };
-  return { ...next, sequence, records: new Map(next.records).set(state.self, record) };
+  const records = new Map(state.records).set(state.self, record);
+  // Somebody may have taken this daemon for dead and dropped its entries. They follow the record,
+  // so that nobody is told them before it.
+  return republish({ ...state, sequence, records }, incarnation, now);
 }
 
 /** Drops the origin's entries of incarnations earlier than `before`. */
@@ -67,9 +68,9 @@
   if (dropped.length === 0) return state;
   const entries = new Map(state.entries);
   dropped.forEach(([id]) => entries.delete(id));
-  const gone = dropped.reduce((sum, [, { size, key }]) => sum + size * rateOf(key), 0);
-  const freshBytes = state.freshBytes - gone;
-  return { ...state, entries, freshBytes };
+  const sizes = dropped
+    .reduce((left, [, { key, size }]) => resized(left, key, -size), state.sizes);
+  return { ...state, entries, sizes };
 }
 
 /** Puts `message` in force, as told by `peer`, or by this daemon itself. */
@@ -121,7 +122,7 @@
 ): State {
   if (messages.length === 0) return state;
   const entries = new Map(state.entries);
-  let { sequence, freshBytes, urgentAt } = state;
+  let { sequence, sizes, urgentAt } = state;
   messages.filter((message) => accepts(state, message)).forEach((message) => {
     const id = entryId(message.origin, message.key);
     const known = entries.get(id);
@@ -129,7 +130,7 @@
     if (order > 0) {
       sequence += 1;
       const size = JSON.stringify(message).length;
-      freshBytes += (size - (known?.size ?? 0)) * rateOf(message.key);
+      sizes = resized(sizes, message.key, size - (known?.size ?? 0));
       if (isUrgent(message.key)) urgentAt = sequence;
       entries.set(id, {
         ...message, changed: sequence, holders: [peer], size, changedAt: now,
@@ -139,7 +140,7 @@
     }
   });
   return {
-    ...state, entries, sequence, freshBytes, urgentAt,
+    ...state, entries, sequence, sizes, urgentAt,
   };
 }
 
