Begin generations on any version held, the configured one first

While a new version had been loaded nowhere, new requests were refused; placement loads it beside the old one, which now carries them. A resume still needs the version it began on.

--- a/bench/routingcost.ts
+++ b/bench/routingcost.ts
@@ -56,7 +56,7 @@
   for (let holder = 0; holder < 32; holder += 1) prefixes.dispatched(`e${holder}`, blocks, 0);
   const ask: Ask = {
     need: {
-      kind: 'model', model: 'm', version: '1', adapter: undefined,
+      kind: 'model', model: 'm', version: undefined, configured: '1', adapter: undefined,
     },
     priority: 'standard',
     resume: false,
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -16,6 +16,8 @@
 const CONTENTION_STEPS = 4;
 /** How much more cached prefixes count where engine work matters more than time. */
 const RESOURCES_PREFILL_FACTOR = 4;
+/** What another than the configured version is worth avoiding. */
+const OTHER_VERSION_MS = 5_000;
 /** Scores this much above the best still count as equal. */
 const EQUAL_WITHIN_MS = 0.25;
 const LOGGED = 4;
@@ -32,6 +34,10 @@
   readonly busyMs: number;
   /** Prefill work of this request after what is cached. */
   readonly prefillMs: number;
+  /** The model version it would run; empty for services. */
+  readonly version: string;
+  /** Whether that is the version in the configuration. */
+  readonly configured: boolean;
 }
 
 export interface Score {
@@ -40,6 +46,7 @@
   readonly prefillMs: number;
   readonly zoneMs: number;
   readonly healthMs: number;
+  readonly versionMs: number;
   readonly totalMs: number;
 }
 
@@ -67,9 +74,10 @@
   const prefillMs = candidate.prefillMs * factor;
   const zoneMs = candidate.zone === zone ? 0 : CROSS_ZONE_MS;
   const healthMs = candidate.health === 'suspect' ? SUSPECT_MS : 0;
-  const totalMs = waitMs + prefillMs + zoneMs + healthMs;
+  const versionMs = candidate.configured ? 0 : OTHER_VERSION_MS;
+  const totalMs = waitMs + prefillMs + zoneMs + healthMs + versionMs;
   return {
-    candidate, waitMs, prefillMs, zoneMs, healthMs, totalMs,
+    candidate, waitMs, prefillMs, zoneMs, healthMs, versionMs, totalMs,
   };
 }
 
--- a/src/routing/eligibility.ts
+++ b/src/routing/eligibility.ts
@@ -12,7 +12,10 @@
   | {
     readonly kind: 'model';
     readonly model: string;
-    readonly version: string;
+    /** The only version that will do, for an attempt that goes on; undefined for any. */
+    readonly version: string | undefined;
+    /** The version to begin on where there is a choice. */
+    readonly configured: string;
     readonly adapter: string | undefined;
   }
   | { readonly kind: 'service'; readonly pool: string };
@@ -39,10 +42,11 @@
       return service && { kind: 'service', pool: service.pool };
     }
     case 'model': {
-      const version = target.version ?? configuration.models[target.model]?.version;
-      if (version === undefined) return undefined;
+      const { model, version, adapter } = target;
+      const configured = version ?? configuration.models[model]?.version;
+      if (configured === undefined) return undefined;
       return {
-        kind: 'model', model: target.model, version, adapter: target.adapter,
+        kind: 'model', model, version, configured, adapter,
       };
     }
   }
@@ -51,16 +55,22 @@
 /** Equal for needs that the same servers fill. */
 export function needKey(need: Need): string {
   switch (need.kind) {
-    case 'model': return `${need.model}@${need.version}/${need.adapter ?? ''}`;
+    case 'model': return `${need.model}@${need.version ?? '*'}/${need.adapter ?? ''}`;
     case 'service': return `service ${need.pool}`;
   }
 }
 
-function holds(need: Need, report: LoadReport): boolean {
-  if (need.kind === 'service') return true;
-  return report.models.some(({ model, version, adapters }) => (
-    model === need.model && version === need.version
-    && (need.adapter === undefined || adapters.includes(need.adapter))));
+/**
+ * The version that the engine would run: the configured one if it holds it, else another. A new
+ * version is loaded beside the old one, which carries the requests until then.
+ */
+export function heldVersion(need: Need, report: LoadReport | undefined): string | undefined {
+  if (need.kind === 'service' || !report) return undefined;
+  const versions = report.models.filter(({ model, version, adapters }) => (
+    model === need.model && version === (need.version ?? version)
+    && (need.adapter === undefined || adapters.includes(need.adapter))))
+    .map(({ version }) => version);
+  return versions.includes(need.configured) ? need.configured : versions.at(-1);
 }
 
 function engineExclusion(need: Need, report: LoadReport | undefined): Exclusion | undefined {
@@ -68,7 +78,7 @@
   switch (report.role) {
     case 'leaving': return 'leaving';
     case 'idle': return 'not_held';
-    case 'serve': return holds(need, report) ? undefined : 'not_held';
+    case 'serve': return heldVersion(need, report) === undefined ? 'not_held' : undefined;
   }
 }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -236,9 +236,8 @@
     if (kind === 'first') this.#budgets.earn(pool, retryRatio, now);
     if (kind === 'retry') this.#budgets.spend(pool, now);
     logRoute(log, waiting, survey, choice, now);
-    const version = ask.need.kind === 'model' ? ask.need.version : '';
     waiting.subscriber.next(ok(this.#assignment(demand, {
-      server: candidate.server, version, pool, sentAt: now,
+      server: candidate.server, version: candidate.version, pool, sentAt: now,
     })));
     waiting.subscriber.complete();
   }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -12,7 +12,7 @@
 import type { Breaker } from './breaker.js';
 import type { Candidate } from './choice.js';
 import type { AttemptOutcome } from './dispatcher.js';
-import { DEFAULT_POOL, exclusion } from './eligibility.js';
+import { DEFAULT_POOL, exclusion, heldVersion } from './eligibility.js';
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
 import { InteractiveLoads, roomFor } from './reserve.js';
@@ -87,7 +87,7 @@
 }
 
 function candidateOf(
-  { characters }: Ask,
+  { characters, need }: Ask,
   { server, health, report }: ServerView,
   slots: number,
   load: ServerLoad,
@@ -95,6 +95,7 @@
   now: number,
 ): Candidate {
   const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
+  const version = heldVersion(need, report);
   return {
     server: server.name,
     zone: server.zone,
@@ -104,6 +105,8 @@
     stepMs,
     busyMs: Math.max(0, load.busyUntil - now),
     prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
+    version: version ?? '',
+    configured: need.kind === 'service' || version === need.configured,
   };
 }
 
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -226,6 +226,18 @@
   t.is(servers(bench.asks(2, { target: { kind: 'service', service: 'stock' } })), 's -');
 });
 
+test('the configured version goes first, and an older one carries while it has no room', (t) => {
+  const held = (version: string) => ({ models: [{ model: 'm', version, adapters: [] }], slots: 2 });
+  const old = { ...A, report: held('0') };
+  const bench = new RoutingBench([old]);
+  t.is(bench.ask({ priority: 'interactive' }).assignment?.version, '0');
+  bench.report([old, { ...B, report: held('1') }]);
+  const asked = bench.asks(4, { priority: 'interactive' });
+  t.is(servers(asked), 'b b a -');
+  t.is(asked[2]?.assignment?.version, '0');
+  t.is(bench.ask({ resume: true, target: { ...MODEL, version: '9' } }).outcome, undefined);
+});
+
 test('each decision logs what was weighed', (t) => {
   const bench = new RoutingBench([A, { ...B, zone: 'b' }, { name: 'c', drained: true }]);
   bench.ask();
