--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -11,7 +11,7 @@
 import { Gateway } from '../../src/entry/gateway.js';
 import type { GatewayContext } from '../../src/entry/gateway.js';
 import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
-import { LeastLoaded } from '../../src/routing/leastloaded.js';
+import { LeastLoaded } from './leastloaded.js';
 import { StandInEngine } from '../../src/standin/engine.js';
 import type { EngineOptions } from '../../src/standin/engine.js';
 import { firstBadToken, tokensOf } from '../../src/standin/tokens.js';
--- a/test/fakes/entry.ts
+++ b/test/fakes/entry.ts
@@ -17,7 +17,7 @@
 import type { GatewayContext } from '../../src/entry/gateway.js';
 import { RequestMetrics } from '../../src/entry/metrics.js';
 import { EntryServer } from '../../src/entry/server.js';
-import { LeastLoaded } from '../../src/routing/leastloaded.js';
+import { LeastLoaded } from './leastloaded.js';
 import { StandInEngine } from '../../src/standin/engine.js';
 import type { EngineOptions } from '../../src/standin/engine.js';
 import { engineServer } from '../../src/standin/engineserver.js';
--- a/src/routing/leastloaded.ts
+++ b/test/fakes/leastloaded.ts
@@ -3,13 +3,13 @@
 import type { Result } from 'neverthrow';
 import { of } from 'rxjs';
 import type { Observable } from 'rxjs';
-import type { Log } from '../common/log.js';
-import type { Refusal } from '../common/refusal.js';
-import type { Configuration } from '../configuration/configuration.js';
-import type { Directory, EngineView } from '../engines/directory.js';
+import type { Log } from '../../src/common/log.js';
+import type { Refusal } from '../../src/common/refusal.js';
+import type { Configuration } from '../../src/configuration/configuration.js';
+import type { Directory, EngineView } from '../../src/engines/directory.js';
 import type {
   Admission, Assignment, Demand, Dispatcher,
-} from './dispatcher.js';
+} from '../../src/routing/dispatcher.js';
 
 const RETRY_AFTER_MS = 1_000;
 
