--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -3,6 +3,8 @@
  * the system keeps them: it sees requests, answers, and what engines did, and no state of a daemon.
  */
 import type { Configuration } from '../../src/configuration/configuration.js';
+import type { Input } from '../../src/engines/engine.js';
+import { inputText } from '../../src/engines/prefix.js';
 import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
 import type { BegunAttempt } from '../../src/standin/engine.js';
 import { answerLength, firstBadToken } from '../../src/standin/tokens.js';
@@ -16,8 +18,8 @@
   | { readonly kind: 'open' }
   | { readonly kind: 'answered' }
   | { readonly kind: 'refused'; readonly ran: string }
-  /** The caller went away, or the daemon was killed under it. */
-  | { readonly kind: 'cut' };
+  /** The caller went away, or the daemon ended under it. */
+  | { readonly kind: 'cut'; readonly by: 'caller' | 'daemon' };
 
 /** One request as its caller knows it. */
 export interface Call {
@@ -31,10 +33,14 @@
   outcome: Outcome;
 }
 
+function sameInput(left: Input, right: Input): boolean {
+  return inputText(left) === inputText(right);
+}
+
 /** Ends a call that is open, without an answer that its caller sees. */
-export function cut(call: Call): void {
+export function cut(call: Call, by: 'caller' | 'daemon'): void {
   const target = call;
-  if (call.outcome.kind === 'open') target.outcome = { kind: 'cut' };
+  if (call.outcome.kind === 'open') target.outcome = { kind: 'cut', by };
 }
 
 export class Oracle {
@@ -44,7 +50,7 @@
 
   readonly #now: () => number;
 
-  readonly #configuration: () => Configuration;
+  readonly #configuration: Configuration;
 
   /** When the last fault began or ended; waiting is counted from it. */
   #disturbedAt = 0;
@@ -56,7 +62,7 @@
 
   private constructor(
     now: () => number,
-    configuration: () => Configuration,
+    configuration: Configuration,
     versions: readonly string[],
   ) {
     this.#now = now;
@@ -66,7 +72,7 @@
 
   static of(
     now: () => number,
-    configuration: () => Configuration,
+    configuration: Configuration,
     versions: readonly string[],
   ): Oracle {
     return new Oracle(now, configuration, versions);
@@ -97,9 +103,16 @@
     if (lateMs > LEAVING_BOUND_MS) this.report(`${server}, leaving, got work after ${lateMs} ms`);
   }
 
-  asked(daemon: string, name: string, request: GenerationRequest): Call {
+  /** @param before the call that the caller lost and returns for, whose answer it has */
+  asked(daemon: string, name: string, request: GenerationRequest, before?: Call): Call {
     const call: Call = {
-      request, daemon, name, text: '', tokens: 0, lastAt: this.#now(), outcome: { kind: 'open' },
+      request,
+      daemon,
+      name,
+      text: before?.text ?? '',
+      tokens: before?.tokens ?? 0,
+      lastAt: this.#now(),
+      outcome: { kind: 'open' },
     };
     this.calls.push(call);
     return call;
@@ -134,7 +147,7 @@
   checkWaiting(waits: (call: Call) => boolean): void {
     const now = this.#now();
     this.open.filter(waits).forEach((call) => {
-      const { queueWaitMs } = this.#configuration().limits;
+      const { queueWaitMs } = this.#configuration.limits;
       const since = Math.max(call.lastAt, this.#disturbedAt);
       const bound = WAIT_BOUND_MS + queueWaitMs[call.request.priority];
       if (now - since > bound) this.#report(call, `waited more than ${bound} ms`);
@@ -148,7 +161,11 @@
       if (call.outcome.kind === 'refused' && call.outcome.ran === 'no' && runs.length > 0) {
         this.#report(call, `told "not run" and begun ${runs.length} times`);
       }
-      const fromStart = runs.filter(({ request, stream }) => (
+      const { idempotencyKey: key } = call.request;
+      const same = key === undefined ? runs : begun
+        .filter(({ request }) => request.model === call.request.model
+          && sameInput(request.input, call.request.input));
+      const fromStart = same.filter(({ request, stream }) => (
         request.accepted.tokens === 0 && stream.position > 0));
       if (call.request.repeat === 'never' && fromStart.length > 1) {
         this.#report(call, `run ${fromStart.length} times`);
