--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -112,11 +112,21 @@
   {
     name: 'give new work to a leaving engine',
     edits: [{
-      file: 'src/routing/leastloaded.ts', from: "report?.role !== 'leaving'", to: 'true',
+      file: 'src/routing/eligibility.ts',
+      from: "case 'leaving': return 'leaving';",
+      to: "case 'leaving': return undefined;",
+    }, {
+      file: 'src/routing/eligibility.ts',
+      from: "if (leaving.has(server.name)) return 'leaving';",
+      to: '',
     }],
   },
   {
     name: 'give new work to a drained engine',
-    edits: [{ file: 'src/routing/leastloaded.ts', from: '!server.drained', to: 'true' }],
+    edits: [{
+      file: 'src/routing/eligibility.ts',
+      from: "if (server.drained) return 'drained';",
+      to: '',
+    }],
   },
 ];
