--- a/test/entrydrain.test.ts
+++ b/test/entrydrain.test.ts
@@ -44,6 +44,7 @@
   drain.begin();
   at(2_000);
   drain.begin();
+  t.is(drain.state, 'finishing');
   at(9_999);
   t.deepEqual([drain.state, ended], ['finishing', []]);
   at(10_000);
