--- a/src/entry/gateway.ts
+++ b/src/entry/gateway.ts
@@ -24,6 +24,8 @@
 /** Attempts after a loss that may be under way at once for each engine that is up. */
 const RESUMES_PER_ENGINE = 4;
 const OK = 200;
+/** Kept for a request whose caller left; its answer was cut off. */
+const CALLER_GONE = 499;
 
 export interface GatewayContext extends GenerationContext {
   readonly configuration: () => Configuration;
@@ -50,6 +52,12 @@
   readonly cursor?: (cursor: string, generation: string) => void;
 }
 
+/** A returning caller's request was given to an engine before, whatever becomes of it now. */
+function hasRun(refusal: Refusal, returning: ReturningCaller | undefined): Refusal {
+  if (!returning) return refusal;
+  return { ...refusal, ran: returning.tokens > 0 ? 'partly' : 'unknown' };
+}
+
 export class Gateway {
   readonly #context: GatewayContext;
 
@@ -101,9 +109,10 @@
   /** Admits the request and streams its answer; unsubscribing cancels it. */
   generate(request: GenerationRequest, options: AnswerOptions = {}): Observable<AnswerEvent> {
     return new Observable((subscriber) => {
-      const admitted = this.admit(request.workspace, request.priority);
+      const admitted = this.#context.dispatcher.admit(request.workspace, request.priority);
       if (admitted.isErr()) {
-        subscriber.next({ kind: 'refusal', refusal: admitted.error });
+        const refusal = this.#refused(hasRun(admitted.error, options.returning));
+        subscriber.next({ kind: 'refusal', refusal });
         subscriber.complete();
         return undefined;
       }
@@ -161,23 +170,41 @@
   ): Observable<AnswerEvent> {
     const claims = this.#context.claims!;
     return new Observable((subscriber) => {
-      const answer = this.#answer(request, options).subscribe((event) => {
-        if (event.kind === 'finish') claims.complete(ref, OK);
+      let given = false;
+      let settled = false;
+      const settle = (status: number | undefined) => {
+        if (settled) return;
+        settled = true;
+        if (status === undefined) claims.release(ref);
+        else claims.complete(ref, status);
+      };
+      const answer = this.#answer(request, options, () => {
+        given = true;
+      }).subscribe((event) => {
+        if (event.kind === 'finish') settle(OK);
         if (event.kind === 'refusal') {
-          if (event.refusal.ran === 'no') claims.release(ref);
-          else claims.complete(ref, statusOf(event.refusal));
+          settle(event.refusal.ran === 'no' ? undefined : statusOf(event.refusal));
         }
         subscriber.next(event);
         if (event.kind !== 'token') subscriber.complete();
       });
-      return answer;
+      return () => {
+        answer.unsubscribe();
+        // A caller that left before a backend server had its request may ask again.
+        settle(given ? CALLER_GONE : undefined);
+      };
     });
   }
 
-  #answer(request: GenerationRequest, options: AnswerOptions): Observable<AnswerEvent> {
+  #answer(
+    request: GenerationRequest,
+    options: AnswerOptions,
+    given: () => void = () => undefined,
+  ): Observable<AnswerEvent> {
     const { cursorKey } = this.#context;
     const { returning, held, cursor } = options;
     const announce = (named: GenerationRequest) => (attempt: Attempt) => {
+      given();
       if (cursorKey !== undefined) cursor?.(sealCursor(named, attempt, cursorKey), named.id);
     };
     if (!returning) {
@@ -186,7 +213,9 @@
     return new Observable((subscriber) => {
       const opened = openCursor(returning.cursor, request, cursorKey);
       if (opened.isErr()) {
-        subscriber.next({ kind: 'refusal', refusal: this.#refused(opened.error) });
+        // A cursor that can't be read may still be that of a request which ran.
+        const refusal = this.#refused(hasRun(opened.error, returning));
+        subscriber.next({ kind: 'refusal', refusal });
         subscriber.complete();
         return undefined;
       }
