Let the parts of the shared state lend each other bytes

Cause: with fixed parts the few daemons of today would have published their limits' shares seconds late while most bytes went unused.

--- a/src/membership/parts.ts
+++ b/src/membership/parts.ts
@@ -28,9 +28,20 @@
   return { ...sizes, [part]: sizes[part] + change };
 }
 
+/** The part's bytes per second, and what the parts that need less leave, by their own bytes. */
+function bytesPerSecond(sizes: Sizes, part: Part): number {
+  const isOver = (other: Part) => sizes[other] > BYTES_PER_SECOND[other];
+  const spare = PARTS.filter((other) => !isOver(other))
+    .reduce((sum, other) => sum + BYTES_PER_SECOND[other] - sizes[other], 0);
+  const wanted = PARTS.filter(isOver)
+    .reduce((sum, other) => sum + BYTES_PER_SECOND[other], 0);
+  const own = BYTES_PER_SECOND[part];
+  return isOver(part) ? own + (spare * own) / wanted : own;
+}
+
 /** How long a key rests between two changes: longer as its part of the state grows. */
 export function intervalMs(sizes: Sizes, key: string): number {
   const part = partOf(key);
-  const spread = (sizes[part] * MILLISECONDS_PER_SECOND) / BYTES_PER_SECOND[part];
+  const spread = (sizes[part] * MILLISECONDS_PER_SECOND) / bytesPerSecond(sizes, part);
   return Math.max(PUBLISH_INTERVAL_MS, spread);
 }
