--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -7,6 +7,7 @@
 import { inputText } from '../../src/engines/prefix.js';
 import type { AnswerEvent, GenerationRequest } from '../../src/generation/request.js';
 import type { BegunAttempt } from '../../src/standin/engine.js';
+import type { ReceivedOrder } from '../../src/standin/enginemodels.js';
 import { answerLength, firstBadToken } from '../../src/standin/tokens.js';
 
 /** The longest that a caller waits for the next token or a refusal, queueing aside. */
@@ -174,6 +175,15 @@
     });
   }
 
+  /** Checks that an engine obeyed no holder of the lease after a later one. */
+  checkOrders(engine: string, orders: readonly ReceivedOrder[]): void {
+    const obeyed = orders.filter(({ outcome }) => outcome === 'accepted');
+    obeyed.forEach(({ fence, order }, index) => {
+      const later = obeyed.slice(0, index).find((before) => before.fence > fence);
+      if (later) this.report(`${engine} obeyed ${order.kind} of ${fence} after ${later.fence}`);
+    });
+  }
+
   report(what: string): void {
     if (!this.violations.includes(what)) this.violations.push(what);
   }
