--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -111,12 +111,101 @@
   },
   {
     name: 'give new work to a leaving engine',
+    edits: [
+      {
+        file: 'src/routing/eligibility.ts',
+        from: "    case 'leaving': return 'leaving';",
+        to: "    case 'leaving': return undefined;",
+      },
+      {
+        file: 'src/routing/eligibility.ts',
+        from: "if (leaving.has(server.name)) return 'leaving';",
+        to: '',
+      },
+    ],
+  },
+  {
+    name: 'give new work to a drained engine',
     edits: [{
-      file: 'src/routing/leastloaded.ts', from: "report?.role !== 'leaving'", to: 'true',
+      file: 'src/routing/eligibility.ts', from: "if (server.drained) return 'drained';", to: '',
     }],
   },
   {
-    name: 'give new work to a drained engine',
-    edits: [{ file: 'src/routing/leastloaded.ts', from: '!server.drained', to: 'true' }],
+    name: 'take a lower revision',
+    edits: [{
+      file: 'src/configuration/followstate.ts',
+      from: 'if (revision <= knownRevision(state) || revision === state.rejected?.revision)',
+      to: 'if (revision === knownRevision(state) || revision === state.rejected?.revision)',
+    }],
+  },
+  {
+    name: 'never renew a watch that fell silent, nor poll',
+    edits: [
+      { file: 'src/store/follow.ts', from: 'const RENEW_MS = 10_000;', to: 'const RENEW_MS = 1e8;' },
+      { file: 'src/store/follow.ts', from: 'const POLL_MS = 60_000;', to: 'const POLL_MS = 1e8;' },
+    ],
+  },
+  {
+    name: 'take a lost answer of the store for a success',
+    edits: [{
+      file: 'src/store/settle.ts',
+      from: "    ambiguous ||= code === 'ambiguous';",
+      to: `    ambiguous ||= code === 'ambiguous';
+      if (ambiguous) return { kind: 'applied', object: { name: '', version: 0, value: '' } };`,
+    }],
+  },
+  {
+    name: 'take a lost answer of the store for a failure',
+    edits: [{
+      file: 'src/store/settle.ts',
+      from: "if (!ambiguous && code !== 'ambiguous' && code !== 'conflict') {",
+      to: "if (!ambiguous && code !== 'conflict') {",
+    }],
+  },
+  {
+    name: 'dispatch a keyed request before its claim is settled',
+    edits: [{
+      file: 'src/entry/gateway.ts',
+      from: "if (key === undefined || repeat === 'safe' || options.returning) {",
+      to: 'if (key !== repeat) {',
+    }],
+  },
+  {
+    name: 'grant a claim that another request holds',
+    edits: [{
+      file: 'src/claims/shard.ts',
+      from: "if (entry.nonce === operation.nonce) return { kind: 'granted' };",
+      to: "if (entry.nonce !== '') return { kind: 'granted' };",
+    }],
+  },
+  {
+    name: 'trust a stale lease',
+    edits: [
+      {
+        file: 'src/placement/lease.ts',
+        from: 'return durationMs * (1 - DRIFT) - elapsedMs(since, at);',
+        to: 'return durationMs + Math.min(0, elapsedMs(since, at));',
+      },
+    ],
+  },
+  {
+    name: 'cut answers at a graceful stop',
+    edits: [{
+      file: 'src/entry/drain.ts',
+      from: "if (this.state === 'finishing' && this.#open === 0) this.#move('done');",
+      to: "if (this.state === 'finishing') this.#move('done');",
+    }],
+  },
+  {
+    name: 'end a stop at once after a pause',
+    edits: [{
+      file: 'src/entry/drain.ts', from: 'if (lateMs > PAUSED_FROM_MS) {', to: 'if (lateMs < 0) {',
+    }],
+  },
+  {
+    name: 'tell a returning caller "not run"',
+    edits: [{
+      file: 'src/entry/gateway.ts', from: 'if (!returning) return refusal;', to: 'return refusal;',
+    }],
   },
 ];
--- a/test/fakes/callers.ts
+++ b/test/fakes/callers.ts
@@ -20,6 +20,9 @@
   readonly key: string | undefined;
 }
 
+/** A retry of a key asks for the same. */
+const KEYED_TOKENS = 20;
+
 export class Callers {
   readonly #world: World;
 
@@ -51,7 +54,7 @@
       adapter: undefined,
       input: { kind: 'prompt', text: `${key ?? name} `.repeat(40) },
       sampling: {
-        seed: 1, temperature: 1, maxTokens: tokens, stop,
+        seed: 1, temperature: 1, maxTokens: key === undefined ? tokens : KEYED_TOKENS, stop,
       },
       priority,
       repeat,
