--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -84,7 +84,12 @@
   const attempt = (open: () => Observable<EngineEvent>) => (
     network.stream(daemon, to, () => open().pipe(concatMap((event) => {
       const { eventLoss, eventRepeat } = node().faults;
-      return event.kind === 'opened' ? of(event) : faulty(event, eventLoss, eventRepeat);
+      if (event.kind === 'opened') return of(event);
+      // The rest of the answer may be lost with a token, up to the engine's finish.
+      const short = eventLoss > 0 && event.kind === 'token' && random.fraction() < eventLoss / 2;
+      return short
+        ? of<EngineEvent>({ kind: 'finish', position: event.position + 1, reason: 'stop' })
+        : faulty(event, eventLoss, eventRepeat);
     })), lostAttempt)
       .pipe(takeWhile(({ kind }) => kind !== 'finish' && kind !== 'failed', true)));
   return {
