Count listed instances in the limits' shares; budget claims by the shards at home

Cause: each side of a lasting partition took the whole of a workspace's limit (sum of shares 2.0), since dead members left the count; the store's budget ignored which claim shards live here; the set of leaving servers was filtered out of all shared state at each decision; a lone daemon waited three seconds for peers that nobody lists. Change: the platform's listed instances count as well; rates follow the shards at home; the set is kept as it changes; an empty list lets the first revision in at once.

--- a/src/daemon/configurationfeed.ts
+++ b/src/daemon/configurationfeed.ts
@@ -11,14 +11,13 @@
 import type { Heartbeats } from '../membership/heartbeats.js';
 import type { PeerNetwork } from '../membership/instances.js';
 import { CONFIGURATION_KEY } from '../membership/state.js';
-import { FLEET_RATES, shareOf } from '../store/budget.js';
-import type { PacedObjects } from '../store/paced.js';
+import type { ObjectApi } from '../store/objects.js';
 
 const FETCH_DEADLINE_MS = 1_000;
 const PEER_LOOK_PERIOD_MS = 500;
 
 export interface FeedContext extends Omit<FollowerContext, 'api' | 'peers'> {
-  readonly objects: PacedObjects;
+  readonly objects: ObjectApi;
   readonly heartbeats: Heartbeats;
   readonly network: PeerNetwork;
 }
@@ -87,12 +86,10 @@
   }
 
   #followPeers(): Subscription {
-    const { heartbeats, name, objects } = this.#context;
+    const { heartbeats, name } = this.#context;
     return heartbeats.members.pipe(
       map((members) => members.filter((member) => member.name !== name)),
     ).subscribe((peers) => {
-      const members = peers.length + 1;
-      objects.setRates(shareOf(FLEET_RATES, members, 1 / members));
       this.#follower.seePeers(peers.map(({ peerAddress, revision }) => (
         { address: peerAddress, revision })));
     });
@@ -102,6 +99,7 @@
     const { heartbeats } = this.#context;
     let heardAt = heartbeats.contactAt();
     return timer(PEER_LOOK_PERIOD_MS, PEER_LOOK_PERIOD_MS, scheduler).subscribe(() => {
+      if (heartbeats.listed()?.length === 0) this.#follower.beAlone();
       if (heartbeats.contactAt() === heardAt) return;
       heardAt = heartbeats.contactAt();
       this.#follower.heardPeer();
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { LeaseKeeper } from '../placement/leasekeeper.js';
 import { Router } from '../routing/router.js';
 import type { Admissions } from '../routing/router.js';
+import { FLEET_RATES, shareOf } from '../store/budget.js';
 import { PacedObjects } from '../store/paced.js';
 import type { Adapters } from './adapters.js';
 import { claimHandler, claimPeers } from './claimpeers.js';
@@ -151,7 +152,7 @@
       scheduler,
       random,
       log,
-      leaving: () => leaving.current(),
+      leaving: () => leaving.current,
       daemons: () => this.heartbeats.current().length,
       zone,
     });
@@ -213,6 +214,9 @@
       this.heartbeats,
       childOfSubscription('demand', () => demand.start(softState, configuration, scheduler)),
       childOfSubscription('leaving', () => leaving.start(scheduler)),
+      childOfSubscription('store_budget', () => this.heartbeats.members.subscribe((members) => {
+        objects.setRates(shareOf(FLEET_RATES, members.length, claims.homed));
+      })),
       childOfSubscription('isolation', () => this.#isolation.start()),
       childOfSubscription('loop_lag', () => this.loopLag.start()),
       this.lease,
--- a/src/daemon/leavingservers.ts
+++ b/src/daemon/leavingservers.ts
@@ -14,6 +14,8 @@
 
   readonly #told = new Set<string>();
 
+  #current: ReadonlySet<string> = new Set();
+
   private constructor(directory: Directory, softState: SoftState) {
     this.#directory = directory;
     this.#softState = softState;
@@ -25,14 +27,17 @@
 
   /** Tells of the engines that report to be leaving, until the subscription ends. */
   start(scheduler: SchedulerLike): Subscription {
-    return timer(0, LOOK_PERIOD_MS, scheduler).subscribe(() => this.#look());
+    const running = this.#softState.changes(LEAVING_PREFIX).subscribe((entries) => {
+      this.#current = new Set(entries.filter(({ value }) => value === true)
+        .map(({ key }) => key.slice(LEAVING_PREFIX.length)));
+    });
+    running.add(timer(0, LOOK_PERIOD_MS, scheduler).subscribe(() => this.#look()));
+    return running;
   }
 
   /** Engines that any daemon has seen leaving. */
-  current(): ReadonlySet<string> {
-    return new Set(this.#softState.entries(LEAVING_PREFIX)
-      .filter(({ value }) => value === true)
-      .map(({ key }) => key.slice(LEAVING_PREFIX.length)));
+  get current(): ReadonlySet<string> {
+    return this.#current;
   }
 
   #look(): void {
--- a/src/daemon/shareexchange.ts
+++ b/src/daemon/shareexchange.ts
@@ -29,7 +29,10 @@
     rows: softState.changes(SHARES_KEY).pipe(map((entries) => entries
       .filter(({ origin }) => origin !== self)
       .flatMap(({ value }) => rowOf(value)))),
-    members: () => heartbeats.current().map(({ name }) => name),
+    // A member that is dead to this side of a partition may be serving on the other.
+    members: () => [...new Set([
+      ...heartbeats.current().map(({ name }) => name), ...heartbeats.listed() ?? [],
+    ])],
     reachable: () => heartbeats.current()
       .filter(({ state }) => state === 'alive' || state === 'leaving')
       .map(({ name }) => name),
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -64,6 +64,8 @@
 
   readonly #unsupported = new Set<string>();
 
+  #listRead = false;
+
   private constructor(options: HeartbeatsOptions) {
     this.#options = options;
     // Wall clocks may tell fractions; messages carry whole numbers.
@@ -93,6 +95,11 @@
     return this.current().length > 1 || [...listed.values()].some(({ state }) => state === 'live');
   }
 
+  /** Names of the other instances in the platform's list; undefined until it has been read. */
+  listed(): readonly string[] | undefined {
+    return this.#listRead ? [...this.#states.value.listed.keys()] : undefined;
+  }
+
   /** When any peer was last heard from, in scheduler time; the start when none was. */
   contactAt(): number {
     return this.#states.value.contactAt;
@@ -125,7 +132,10 @@
       return timer(random.jitter(alone ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS, SPREAD), scheduler);
     };
     return defer(() => this.#options.list.read()).pipe(
-      tap((instances) => this.#apply({ kind: 'listed', instances })),
+      tap((instances) => {
+        this.#listRead = true;
+        this.#apply({ kind: 'listed', instances });
+      }),
       catchError((error: unknown) => {
         this.#options.log.event('warn', 'list_unread', { reason: String(error) });
         return EMPTY;
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -124,7 +124,7 @@
   });
 });
 
-test('a cursor that can\'t be read is refused, but not as a request that was not run', async (t) => {
+test('a cursor that can\'t be read is not refused as a request that was not run', async (t) => {
   const reply = await post(address, '/v1/completions', { ...BODY, stream: true }, {
     'x-generation-cursor': 'e30.e30', 'last-event-id': 'g.3',
   });
