One standby beside the lease's holder; figures of the control path

Cause: which members look for a lapsed lease did not take the holder into account, so that three made calls when the holder was not among the first.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -36,8 +36,8 @@
 import { shareExchange } from './shareexchange.js';
 import { childOfSubscription, Supervisor } from './supervisor.js';
 
-/** How many members, by name, look first for a lapsed lease. */
-const LEASE_CANDIDATES = 2;
+/** Members beside the lease's holder, by name, that look first whether it has lapsed. */
+const LEASE_STANDBYS = 1;
 const NOT_READY_RETRY_MS = 1_000;
 /** The soft-state key of an instance that is taken out of the balancer by hand. */
 export const RESTING_KEY = 'resting';
@@ -280,8 +280,11 @@
   }
 
   #isLeaseCandidate(): boolean {
+    const { name } = this.settings;
+    const { holder } = this.lease.view();
+    const others = this.#aliveNames().filter((other) => other !== holder);
     return this.drain.state === 'serving'
-      && this.#aliveNames().slice(0, LEASE_CANDIDATES).includes(this.settings.name);
+      && (holder === name || others.slice(0, LEASE_STANDBYS).includes(name));
   }
 
   #aliveNames(): readonly string[] {
--- a/test/instance.test.ts
+++ b/test/instance.test.ts
@@ -138,6 +138,30 @@
   t.deepEqual(ended, [true]);
 });
 
+test('the lease of an instance that dies silently is taken by another', async (t) => {
+  const world = await start();
+  const held = () => names(world)
+    .filter((name) => world.daemon(name).instance?.lease.holding() !== undefined);
+  const [holder] = held();
+  world.killDaemon(holder!, 'silent');
+  await world.advance(10_000);
+  t.is(held().length, 1);
+});
+
+test('at rest an instance makes at most one store call in five seconds', async (t) => {
+  const world = await start(9);
+  await world.advance(60_000);
+  const calls = () => {
+    const { reads, writes, watches } = world.objects.counts();
+    return reads + writes + watches;
+  };
+  const before = calls();
+  const SECONDS = 300;
+  await world.advance(SECONDS * 1_000);
+  const rate = (calls() - before) / SECONDS / 9;
+  t.true(rate <= 0.2, `${rate} calls a second`);
+});
+
 test('an instance that stops gives the lease to another at once', async (t) => {
   const world = await start();
   const held = () => names(world)
