--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -3,8 +3,10 @@
  * adapters, so that tests run several instances in one process under one virtual clock.
  */
 import { err } from 'neverthrow';
-import type { Observable, SchedulerLike, Subscription } from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
 import { DecisionLog } from '../admin/decisions.js';
+import { ControlMetrics } from '../admin/metrics.js';
+import { ClaimLedger } from '../claims/ledger.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { Configuration } from '../configuration/configuration.js';
@@ -24,17 +26,24 @@
 import type { Admissions } from '../routing/router.js';
 import type { ObjectApi } from '../store/objects.js';
 import { PacedObjects } from '../store/paced.js';
+import { claimHandler, claimPeers } from './claimpeers.js';
 import { ConfigurationFeed } from './configurationfeed.js';
 import { DemandReport } from './demandreport.js';
 import { Isolation } from './isolation.js';
+import { controlView } from './controlview.js';
 import { LeavingServers } from './leavingservers.js';
+import { LoopLag } from './looplag.js';
+import { MeteredObjects } from './meteredobjects.js';
 import type { PeerHandlers } from './peerserver.js';
+import { RequestHistory } from './requesthistory.js';
 import { shareExchange } from './shareexchange.js';
-import { childOf, Supervisor } from './supervisor.js';
+import { childOfSubscription, Supervisor } from './supervisor.js';
 
 /** How many members, by name, look first for a lapsed lease. */
 const LEASE_CANDIDATES = 3;
 const NOT_READY_RETRY_MS = 1_000;
+/** The soft-state key of an instance that is taken out of the balancer by hand. */
+export const RESTING_KEY = 'resting';
 
 export interface InstanceSettings {
   readonly name: string;
@@ -59,13 +68,6 @@
   readonly network: PeerNetwork;
 }
 
-function childOfSubscription(name: string, start: () => Subscription) {
-  return childOf(name, () => {
-    const running = start();
-    return () => running.unsubscribe();
-  });
-}
-
 export class Instance {
   readonly settings: InstanceSettings;
 
@@ -91,6 +93,10 @@
 
   readonly decisions: DecisionLog;
 
+  readonly history: RequestHistory;
+
+  readonly loopLag: LoopLag;
+
   /** What this instance answers to its peers. */
   readonly handlers: PeerHandlers;
 
@@ -99,6 +105,8 @@
 
   readonly #isolation: Isolation;
 
+  #resting = false;
+
   private constructor(settings: InstanceSettings, adapters: Adapters) {
     const {
       scheduler, random, wallClock, list, network,
@@ -108,7 +116,10 @@
     this.decisions = DecisionLog.of(adapters.log, scheduler);
     const log = this.decisions;
     const incarnation = wallClock();
-    const objects = PacedObjects.of(adapters.objects, { scheduler, random });
+    this.loopLag = LoopLag.of(scheduler);
+    const meter = ControlMetrics.of(this.metrics.registry, () => controlView(this));
+    const metered = MeteredObjects.of(adapters.objects, scheduler, (call) => meter.storeCall(call));
+    const objects = PacedObjects.of(metered, { scheduler, random });
     this.heartbeats = Heartbeats.of({
       origin: {
         name, zone, peerAddress, incarnation,
@@ -120,10 +131,22 @@
       log,
     });
     const { softState } = this.heartbeats;
+    this.history = RequestHistory.of({
+      name, decisions: this.decisions, membership: this.heartbeats, network,
+    });
     this.feed = ConfigurationFeed.of({
       name, objects, heartbeats: this.heartbeats, network, scheduler, random, log,
     });
     const configuration = () => this.feed.current;
+    const claims = ClaimLedger.of({
+      name,
+      api: objects,
+      peers: claimPeers(this.heartbeats, network),
+      members: () => this.#aliveNames(),
+      scheduler,
+      random,
+      wallClock,
+    });
     this.publisher = Publisher.of({
       api: objects, scheduler, random, wallClock,
     });
@@ -146,6 +169,7 @@
       random,
       log,
       leaving: () => leaving.current(),
+      daemons: () => this.heartbeats.current().length,
       zone,
     });
     const demand = DemandReport.of(this.router);
@@ -153,7 +177,7 @@
       objects,
       scheduler,
       log,
-      hasPeers: () => this.heartbeats.current().length > 1,
+      hasPeers: () => this.heartbeats.expectsPeers,
       peerHeardAt: () => this.heartbeats.contactAt(),
       storeSilentMs: () => this.feed.status.storeSilentMs,
     });
@@ -186,11 +210,14 @@
       scheduler,
       log,
       configuration,
+      claims,
       ...(settings.cursorKey === undefined ? {} : { cursorKey: settings.cursorKey }),
     });
     this.handlers = {
       heartbeat: (request) => this.heartbeats.receive(request),
+      claim: claimHandler(claims),
       configuration: async () => this.feed.text(),
+      why: this.history.handler,
     };
     const context = { scheduler, random, log };
     const requests = Supervisor.of('requests', [
@@ -204,6 +231,7 @@
       childOfSubscription('demand', () => demand.start(softState, configuration, scheduler)),
       childOfSubscription('leaving', () => leaving.start(scheduler)),
       childOfSubscription('isolation', () => this.#isolation.start()),
+      childOfSubscription('loop_lag', () => this.loopLag.start()),
       this.lease,
       controller,
     ], context);
@@ -218,9 +246,22 @@
     return this.feed.current;
   }
 
+  /** Whether the instance is cut off from the object API and all peers. */
+  get isolated(): boolean {
+    return this.#isolation.isolated;
+  }
+
   /** Whether the balancer may send requests here. */
   get ready(): boolean {
-    return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated;
+    return this.feed.ready && this.drain.state === 'serving' && !this.#isolation.isolated
+      && !this.#resting;
+  }
+
+  /** Takes the instance out of the balancer, or puts it back; whatever still comes is served. */
+  rest(resting: boolean): void {
+    this.#resting = resting;
+    this.heartbeats.softState.publish(RESTING_KEY, resting || undefined);
+    this.decisions.event('info', 'rest', { resting });
   }
 
   /** Leaves the balancer and the list of members; `drain.ended` tells when it may exit. */
@@ -247,9 +288,12 @@
   }
 
   #isLeaseCandidate(): boolean {
-    return this.drain.state === 'serving' && this.heartbeats.current()
-      .filter(({ state }) => state === 'alive')
-      .slice(0, LEASE_CANDIDATES)
-      .some(({ name }) => name === this.settings.name);
+    return this.drain.state === 'serving'
+      && this.#aliveNames().slice(0, LEASE_CANDIDATES).includes(this.settings.name);
+  }
+
+  #aliveNames(): readonly string[] {
+    return this.heartbeats.current().filter(({ state }) => state === 'alive')
+      .map(({ name }) => name);
   }
 }
--- a/src/daemon/peerserver.ts
+++ b/src/daemon/peerserver.ts
@@ -6,7 +6,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { initTRPC, TRPCError } from '@trpc/server';
-import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
+import { getHTTPStatusCodeFromError } from '@trpc/server/http';
+import { TRPC_ERROR_CODES_BY_KEY } from '@trpc/server/rpc';
 import { LRUCache } from 'lru-cache';
 import { Observable } from 'rxjs';
 import { z } from 'zod';
@@ -24,6 +25,7 @@
 const MAX_HEADER_BYTES = 8_192;
 const REQUEST_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_MS = 30_000;
+const REFUSAL_LOG_PERIOD_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_REFUSED = 403;
 
@@ -37,6 +39,8 @@
   readonly claim?: CallHandler;
   /** Hands out the configuration that this instance holds. */
   readonly configuration?: CallHandler;
+  /** Tells the decisions behind a request. */
+  readonly why?: CallHandler;
 }
 
 export interface PeerServerOptions {
@@ -77,13 +81,22 @@
     }),
     claim: callProcedure(handlers.claim),
     configuration: callProcedure(handlers.configuration),
+    why: callProcedure(handlers.why),
   });
 }
 
 export type PeerRouter = ReturnType<typeof routerOf>;
 
+const METHODS = ['heartbeat', 'claim', 'configuration', 'why'] as const;
+
+function isMethod(name: string): name is typeof METHODS[number] {
+  return METHODS.some((method) => method === name);
+}
+
+interface Outcome { readonly status: number; readonly text: string }
+
 /** Why a call was refused before it was read. */
-type Reason = 'unsigned' | 'signature' | 'stale' | 'replayed';
+type Reason = 'too_large' | 'unsigned' | 'signature' | 'stale' | 'replayed';
 
 interface Call { readonly signed: Signed; readonly body: Packed; readonly signature: string }
 
@@ -99,13 +112,16 @@
 
   readonly #options: PeerServerOptions;
 
-  readonly #router: PeerRouter;
+  readonly #caller: ReturnType<PeerRouter['createCaller']>;
 
   readonly #nonces = new LRUCache<string, true>({ max: MAX_NONCES });
 
+  #refusedAt = -Infinity;
+
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.#router = routerOf(options.handlers);
+    // Called without tRPC's HTTP adapters, which cost several times what the call does.
+    this.#caller = routerOf(options.handlers).createCaller({});
     this.run = new Observable<never>((subscriber) => {
       const server = this.#listen((error) => subscriber.error(error));
       return () => {
@@ -141,6 +157,15 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const from = request.socket.remoteAddress;
+    const bytes = await readBody(request).catch((error: unknown) => {
+      if (error instanceof RangeError) return undefined;
+      throw error;
+    });
+    if (!bytes) {
+      this.#refuse(from, response, 'too_large');
+      return;
+    }
     const call: Call = {
       signed: {
         direction: 'request',
@@ -150,17 +175,17 @@
       },
       body: {
         encoding: encodingOf(request.headers[ENCODING_HEADER]),
-        bytes: await readBody(request),
+        bytes,
       },
       signature: headerOf(request, SIGNATURE_HEADER),
     };
     const reason = this.#refusal(call);
     if (reason) {
-      this.#refuse(request, response, reason);
+      this.#refuse(from, response, reason);
       return;
     }
     this.#nonces.set(call.signed.nonce, true);
-    await this.#answer(call, request, response);
+    await this.#answer(call, response);
   }
 
   #refusal({ signed, body, signature }: Call): Reason | undefined {
@@ -171,32 +196,22 @@
     return this.#nonces.has(signed.nonce) ? 'replayed' : undefined;
   }
 
-  #refuse(request: IncomingMessage, response: ServerResponse, reason: Reason): void {
-    this.#options.log.event('warn', 'peer_refused', {
-      from: request.socket.remoteAddress, reason,
-    });
+  #refuse(from: string | undefined, response: ServerResponse, reason: Reason): void {
+    const now = this.#options.wallClock();
+    // Whoever has no key must not be able to fill the log.
+    if (now - this.#refusedAt >= REFUSAL_LOG_PERIOD_MS) {
+      this.#refusedAt = now;
+      this.#options.log.event('warn', 'peer_refused', { from, reason });
+    }
     response.writeHead(HTTP_REFUSED, { connection: 'close' });
     response.end(reason);
   }
 
-  async #answer(call: Call, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const answer = await fetchRequestHandler({
-      endpoint: PEER_PATH,
-      req: new Request(`http://peer${request.url ?? ''}`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: unpack(call.body),
-      }),
-      router: this.#router,
-      onError: ({ path, error }) => {
-        this.#options.log.event('warn', 'peer_call_failed', { call: path, reason: error.code });
-      },
-    });
-    const body = pack(await answer.text());
-    const signed: Signed = {
-      ...call.signed, direction: 'answer', subject: String(answer.status),
-    };
-    response.writeHead(answer.status || HTTP_OK, {
+  async #answer(call: Call, response: ServerResponse): Promise<void> {
+    const { status, text } = await this.#run(call);
+    const body = pack(text);
+    const signed: Signed = { ...call.signed, direction: 'answer', subject: String(status) };
+    response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': body.bytes.length,
       [ENCODING_HEADER]: body.encoding,
@@ -204,4 +219,25 @@
     });
     response.end(body.bytes);
   }
+
+  /** Runs the procedure that the path names, and gives its answer in tRPC's form. */
+  async #run({ signed, body }: Call): Promise<Outcome> {
+    const name = signed.subject.slice(PEER_PATH.length + 1);
+    try {
+      if (!isMethod(name)) throw new TRPCError({ code: 'NOT_FOUND' });
+      const data = await this.#caller[name](JSON.parse(unpack(body)));
+      return { status: HTTP_OK, text: JSON.stringify({ result: { data } }) };
+    } catch (thrown) {
+      const error = thrown instanceof TRPCError
+        ? thrown
+        : new TRPCError({ code: 'BAD_REQUEST', cause: thrown });
+      this.#options.log.event('warn', 'peer_call_failed', { call: name, reason: error.code });
+      const shape = {
+        message: error.code, code: TRPC_ERROR_CODES_BY_KEY[error.code], data: { code: error.code },
+      };
+      return {
+        status: getHTTPStatusCodeFromError(error), text: JSON.stringify({ error: shape }),
+      };
+    }
+  }
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -68,7 +68,12 @@
   if (last === undefined) return ok({ cursor, tokens: 0, text: '' });
   const position = new RegExp(`^[^.]*\\.(\\d{1,${MAX_POSITION_DIGITS}})$`).exec(last)?.[1];
   if (position === undefined) {
-    return err(refusal('bad_request', 'Last-Event-ID: not one of an answer of this deployment'));
+    return err({
+      code: 'bad_request',
+      message: 'Last-Event-ID: not one of an answer of this deployment',
+      // A caller with a cursor has had its request run, at least in part.
+      ran: 'unknown',
+    });
   }
   return ok({ cursor, tokens: Number(position) + 1, text: text === '' ? undefined : text });
 }
@@ -262,7 +267,9 @@
     };
     if (!stream) {
       if (returning.value) {
-        return sendRefusal(res, refusal('bad_request', 'a cursor goes with a streamed answer'));
+        return sendRefusal(res, {
+          code: 'bad_request', message: 'a cursor goes with a streamed answer', ran: 'unknown',
+        });
       }
       return sendWhole(res, head, this.#gateway.generate(request));
     }
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -18,7 +18,7 @@
 } from './membership.js';
 import type { Effect, Event } from './membership.js';
 import { plainHeartbeat } from './merge.js';
-import { answerSchema, PROTOCOL } from './message.js';
+import { answerSchema, MAX_KEY, PROTOCOL } from './message.js';
 import type { PeerAnswer, PeerRequest, Probe } from './message.js';
 import { SoftState } from './softstate.js';
 import { initialState, membersOf } from './state.js';
@@ -66,12 +66,15 @@
 
   private constructor(options: HeartbeatsOptions) {
     this.#options = options;
-    this.#states = new BehaviorSubject(initialState(options.origin, options.scheduler.now()));
+    // Wall clocks may tell fractions; messages carry whole numbers.
+    const incarnation = Math.floor(options.origin.incarnation);
+    const origin = { ...options.origin, incarnation };
+    this.#states = new BehaviorSubject(initialState(origin, options.scheduler.now()));
     this.members = this.#states.pipe(map(membersOf), distinctUntilChanged(sameMembers));
     this.softState = SoftState.of(
       this.#states,
       () => this.#states.value,
-      (key, value) => this.#apply({ kind: 'publish', key, value }),
+      (key, value) => this.#publish(key, value),
     );
     this.run = merge(this.#ticks(), this.#listings());
   }
@@ -84,6 +87,12 @@
     return membersOf(this.#states.value);
   }
 
+  /** Whether another instance lives, as far as this one or the platform's list knows. */
+  get expectsPeers(): boolean {
+    const { listed } = this.#states.value;
+    return this.current().length > 1 || [...listed.values()].some(({ state }) => state === 'live');
+  }
+
   /** When any peer was last heard from, in scheduler time; the start when none was. */
   contactAt(): number {
     return this.#states.value.contactAt;
@@ -112,7 +121,7 @@
   #listings(): Observable<never> {
     const { scheduler, random } = this.#options;
     const pause = () => {
-      const alone = this.#states.value.records.size <= 1;
+      const alone = this.current().length <= 1;
       return timer(random.jitter(alone ? FIRST_LIST_PERIOD_MS : LIST_PERIOD_MS, SPREAD), scheduler);
     };
     return defer(() => this.#options.list.read()).pipe(
@@ -126,6 +135,12 @@
     );
   }
 
+  /** A key that peers would refuse would cost this daemon all its heartbeats. */
+  #publish(key: string, value: unknown): void {
+    if (key.length > 0 && key.length <= MAX_KEY) this.#apply({ kind: 'publish', key, value });
+    else this.#options.log.event('error', 'key_refused', { key: key.slice(0, MAX_KEY) });
+  }
+
   #apply(event: Event) {
     const { scheduler, random } = this.#options;
     const { state, effects, reply } = transaction(
--- a/src/membership/merge.ts
+++ b/src/membership/merge.ts
@@ -6,8 +6,9 @@
 import type {
   EntryMessage, Heartbeat, RecordMessage, Sync,
 } from './message.js';
+import { resized } from './parts.js';
 import {
-  compareRecords, entryId, entryMessage, ownRecord, recordMessage,
+  compareRecords, entryId, entryMessage, isUrgent, ownRecord, recordMessage,
 } from './state.js';
 import type {
   Entry, MemberRecord, Progress, State,
@@ -50,24 +51,26 @@
     ? claim.incarnation + 1
     : own.incarnation;
   const refutation = incarnation > own.incarnation ? 0 : claim.refutation + 1;
-  // Whoever took this daemon for dead has dropped its entries.
-  const dropped = claim.condition === 'dead' || incarnation > own.incarnation;
-  const next = dropped ? republish(state, incarnation, now) : state;
-  const sequence = next.sequence + 1;
+  const sequence = state.sequence + 1;
   const record: MemberRecord = {
     ...own, incarnation, refutation, changed: sequence, holders: [],
   };
-  return { ...next, sequence, records: new Map(next.records).set(state.self, record) };
+  const records = new Map(state.records).set(state.self, record);
+  // Somebody may have taken this daemon for dead and dropped its entries. They follow the record,
+  // so that nobody is told them before it.
+  return republish({ ...state, sequence, records }, incarnation, now);
 }
 
-function withoutEntries(
-  state: State,
-  origin: string,
-  before: number,
-): ReadonlyMap<string, Entry> {
+/** Drops the origin's entries of incarnations earlier than `before`. */
+function withoutEntries(state: State, origin: string, before: number): State {
   const stale = (entry: Entry) => entry.origin === origin && entry.incarnation < before;
-  if (![...state.entries.values()].some(stale)) return state.entries;
-  return new Map([...state.entries].filter(([, entry]) => !stale(entry)));
+  const dropped = [...state.entries].filter(([, entry]) => stale(entry));
+  if (dropped.length === 0) return state;
+  const entries = new Map(state.entries);
+  dropped.forEach(([id]) => entries.delete(id));
+  const sizes = dropped
+    .reduce((left, [, { key, size }]) => resized(left, key, -size), state.sizes);
+  return { ...state, entries, sizes };
 }
 
 /** Puts `message` in force, as told by `peer`, or by this daemon itself. */
@@ -76,11 +79,10 @@
   const record: MemberRecord = {
     ...message, changed: sequence, holders: peer === state.self ? [] : [peer], since: now,
   };
-  const records = new Map(state.records).set(message.name, record);
-  const gone = message.condition === 'dead' ? message.incarnation + 1 : message.incarnation;
-  return {
-    ...state, sequence, records, entries: withoutEntries(state, message.name, gone),
-  };
+  const next = { ...state, sequence, records: new Map(state.records).set(message.name, record) };
+  const dead = message.condition === 'dead';
+  if (!dead && state.records.get(message.name)?.incarnation === message.incarnation) return next;
+  return withoutEntries(next, message.name, message.incarnation + (dead ? 1 : 0));
 }
 
 function mergeRecord(state: State, message: RecordMessage, peer: string, now: number): State {
@@ -93,7 +95,7 @@
   }
   const order = known ? compareRecords(message, known) : 1;
   if (order > 0) return setRecord(state, message, peer, now);
-  if (order < 0 || !known) return state;
+  if (order < 0 || !known || known.holders.includes(peer)) return state;
   const records = new Map(state.records);
   records.set(known.name, { ...known, holders: withHolder(known.holders, peer) });
   return { ...state, records };
@@ -120,7 +122,7 @@
 ): State {
   if (messages.length === 0) return state;
   const entries = new Map(state.entries);
-  let { sequence } = state;
+  let { sequence, sizes, urgentAt } = state;
   messages.filter((message) => accepts(state, message)).forEach((message) => {
     const id = entryId(message.origin, message.key);
     const known = entries.get(id);
@@ -128,6 +130,8 @@
     if (order > 0) {
       sequence += 1;
       const size = JSON.stringify(message).length;
+      sizes = resized(sizes, message.key, size - (known?.size ?? 0));
+      if (isUrgent(message.key)) urgentAt = sequence;
       entries.set(id, {
         ...message, changed: sequence, holders: [peer], size, changedAt: now,
       });
@@ -135,7 +139,9 @@
       entries.set(id, { ...known, holders: withHolder(known.holders, peer) });
     }
   });
-  return { ...state, entries, sequence };
+  return {
+    ...state, entries, sequence, sizes, urgentAt,
+  };
 }
 
 function mergeSync(state: State, heartbeat: Heartbeat, sync: Sync): State {
@@ -174,6 +180,7 @@
 
 /** What changed since the peer was last told, up to the size of a message, oldest first. */
 function batchFor(state: State, peer: string, acked: number): Batch {
+  if (acked === state.sequence) return { records: [], entries: [], upto: acked };
   const news = (item: { changed: number; holders: readonly string[] }) => (
     item.changed > acked && !item.holders.includes(peer)
   );
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -9,6 +9,8 @@
  */
 import type { ListedInstance, Member, MemberState } from './instances.js';
 import type { EntryMessage, RecordMessage } from './message.js';
+import { NO_SIZES } from './parts.js';
+import type { Sizes } from './parts.js';
 
 /** What is remembered of each thing that is passed on. */
 interface Passed {
@@ -49,6 +51,9 @@
   readonly sequence: number;
   readonly records: ReadonlyMap<string, MemberRecord>;
   readonly entries: ReadonlyMap<string, Entry>;
+  readonly sizes: Sizes;
+  /** This daemon's sequence number of the last change of an urgent entry. */
+  readonly urgentAt: number;
   readonly progress: ReadonlyMap<string, Progress>;
   readonly checks: ReadonlyMap<string, Check>;
   readonly listed: ReadonlyMap<string, ListedInstance>;
@@ -76,12 +81,19 @@
 /** The soft-state key under which each daemon publishes its configuration's revision. */
 export const CONFIGURATION_KEY = 'configuration';
 
+/** Keys whose changes don't wait for the next period. */
+const URGENT_PREFIXES = [CONFIGURATION_KEY, 'leaving/'];
+
 const RANK = { alive: 0, suspect: 1, dead: 2 } as const;
 
 export function entryId(origin: string, key: string): string {
   return `${origin}\n${key}`;
 }
 
+export function isUrgent(key: string): boolean {
+  return URGENT_PREFIXES.some((prefix) => key.startsWith(prefix));
+}
+
 export function initialState(origin: Origin, now: number): State {
   const record: MemberRecord = {
     ...origin,
@@ -97,6 +109,8 @@
     sequence: 1,
     records: new Map([[origin.name, record]]),
     entries: new Map(),
+    sizes: NO_SIZES,
+    urgentAt: 0,
     progress: new Map(),
     checks: new Map(),
     listed: new Map(),
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -17,7 +17,7 @@
 /** How much more cached prefixes count where engine work matters more than time. */
 const RESOURCES_PREFILL_FACTOR = 4;
 /** Scores this much above the best still count as equal. */
-const EQUAL_WITHIN_MS = 1;
+const EQUAL_WITHIN_MS = 0.25;
 const LOGGED = 4;
 
 export interface Candidate {
@@ -51,6 +51,12 @@
 
 export interface Weighing { readonly zone: string; readonly favour: Favour }
 
+export type Chooser = (
+  candidates: readonly Candidate[],
+  weighing: Weighing,
+  random: Random,
+) => Choice;
+
 function contentionMs({ occupancy, slots, stepMs }: Candidate): number {
   return (occupancy / Math.max(1, slots)) * CONTENTION_STEPS * stepMs;
 }
@@ -61,13 +67,9 @@
   const prefillMs = candidate.prefillMs * factor;
   const zoneMs = candidate.zone === zone ? 0 : CROSS_ZONE_MS;
   const healthMs = candidate.health === 'suspect' ? SUSPECT_MS : 0;
+  const totalMs = waitMs + prefillMs + zoneMs + healthMs;
   return {
-    candidate,
-    waitMs,
-    prefillMs,
-    zoneMs,
-    healthMs,
-    totalMs: waitMs + prefillMs + zoneMs + healthMs,
+    candidate, waitMs, prefillMs, zoneMs, healthMs, totalMs,
   };
 }
 
@@ -76,6 +78,19 @@
   return candidate.occupancy / Math.max(1, candidate.slots);
 }
 
+/** The best scores, best first, without sorting all. */
+function bestOf(scores: readonly Score[], count: number): readonly Score[] {
+  const best: Score[] = [];
+  scores.forEach((each) => {
+    const last = best.at(-1);
+    if (last && best.length === count && last.totalMs <= each.totalMs) return;
+    const at = best.findIndex(({ totalMs }) => totalMs > each.totalMs);
+    best.splice(at < 0 ? best.length : at, 0, each);
+    best.length = Math.min(best.length, count);
+  });
+  return best;
+}
+
 /** @param candidates at least one */
 export function choose(
   candidates: readonly Candidate[],
@@ -83,13 +98,12 @@
   random: Random,
 ): Choice {
   const scores = candidates.map((candidate) => score(candidate, weighing));
-  const best = scores.reduce((least, { totalMs }) => Math.min(least, totalMs), Infinity);
-  const equals = scores.filter(({ totalMs }) => totalMs <= best + EQUAL_WITHIN_MS);
+  const weighed = bestOf(scores, LOGGED);
+  const bound = weighed[0]!.totalMs + EQUAL_WITHIN_MS;
+  const equals = scores.filter(({ totalMs }) => totalMs <= bound);
   const first = random.pick(equals);
   const second = random.pick(equals);
   const chosen = fullness(second) < fullness(first) ? second : first;
-  const nearest = equals.length >= LOGGED ? equals : scores;
-  const weighed = [...nearest].sort((left, right) => left.totalMs - right.totalMs).slice(0, LOGGED);
   return { chosen, weighed };
 }
 
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -30,6 +30,8 @@
    * Whether the request was given to a server before; taken from `exclude` where it is left out.
    */
   readonly retry?: boolean;
+  /** How long the request has waited for servers before, over all its attempts. */
+  readonly waitedMs?: number;
 }
 
 /** How a server did, for circuit breakers and retry budgets. */
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -19,7 +19,7 @@
 import { RetryBudgets } from '../limits/retrybudget.js';
 import { CacheFollower } from './cachefollower.js';
 import { choose } from './choice.js';
-import type { Choice } from './choice.js';
+import type { Choice, Chooser } from './choice.js';
 import type {
   Admission, Assignment, AttemptOutcome, Demand, Dispatcher,
 } from './dispatcher.js';
@@ -55,8 +55,20 @@
   readonly log: Log;
   /** Servers that other daemons know to be leaving. */
   readonly leaving: () => ReadonlySet<string>;
+  /** Live daemons that send to the same servers, this one included. */
+  readonly daemons: () => number;
   /** This daemon's availability zone. */
   readonly zone: string;
+  /** Chooses among candidates; measurements put others in its place. */
+  readonly choose?: Chooser;
+}
+
+/** An attempt that was given to a server. */
+interface Sent {
+  readonly server: string;
+  readonly pool: string;
+  readonly version: string;
+  readonly sentAt: number;
 }
 
 export class Router implements Dispatcher {
@@ -161,7 +173,7 @@
     subscriber: Subscriber<Result<Assignment, Refusal>>,
   ): Waiting {
     const {
-      workspace, priority, resume, exclude,
+      workspace, priority, resume, exclude, waitedMs = 0,
     } = demand;
     const key = needKey(need);
     const id = this.#nextId;
@@ -175,7 +187,7 @@
       key,
       cost: this.#holdTimes.expected(workspace, priority),
       enteredAt: this.#now,
-      deadline: deadlineOf(priority, resume, this.#now, this.#configuration.limits),
+      deadline: deadlineOf(priority, resume, this.#now - waitedMs, this.#configuration.limits),
     };
     const group = exclude.length > 0 ? `${id}` : `${priority} ${resume} ${key}`;
     return {
@@ -197,7 +209,8 @@
     if (survey.candidates.length > 0) {
       const { favour } = this.#configuration.deployment;
       const { zone, random } = this.#context;
-      this.#dispatch(waiting, survey, choose(survey.candidates, { zone, favour }, random));
+      const chooser = this.#context.choose ?? choose;
+      this.#dispatch(waiting, survey, chooser(survey.candidates, { zone, favour }, random));
       return 'done';
     }
     const patient = entry.resume && !survey.excluded.tried
@@ -217,17 +230,21 @@
     const pool = this.#configuration.servers[candidate.server]?.pool ?? '';
     this.#line.placed(waiting);
     this.#servers.sent(ask, candidate, now);
+    if (demand.priority === 'interactive') this.#servers.interactiveChanged(pool, 1, now);
     this.#assigned[kind] += 1;
     const { retryRatio } = this.#configuration.pools[pool] ?? DEFAULT_POOL;
     if (kind === 'first') this.#budgets.earn(pool, retryRatio, now);
     if (kind === 'retry') this.#budgets.spend(pool, now);
     logRoute(log, waiting, survey, choice, now);
     const version = ask.need.kind === 'model' ? ask.need.version : '';
-    waiting.subscriber.next(ok(this.#assignment(demand, candidate.server, version, now)));
+    waiting.subscriber.next(ok(this.#assignment(demand, {
+      server: candidate.server, version, pool, sentAt: now,
+    })));
     waiting.subscriber.complete();
   }
 
-  #assignment(demand: Demand, server: string, version: string, sentAt: number): Assignment {
+  #assignment(demand: Demand, sent: Sent): Assignment {
+    const { server, version } = sent;
     let held = true;
     return {
       server,
@@ -235,13 +252,14 @@
       release: (outcome) => {
         if (!held) return;
         held = false;
-        this.#release(demand, server, outcome, sentAt);
+        this.#release(demand, sent, outcome);
       },
     };
   }
 
-  #release(demand: Demand, server: string, outcome: AttemptOutcome, sentAt: number): void {
+  #release(demand: Demand, { server, pool, sentAt }: Sent, outcome: AttemptOutcome): void {
     const now = this.#now;
+    if (demand.priority === 'interactive') this.#servers.interactiveChanged(pool, -1, now);
     if (outcome === 'answered') {
       this.#holdTimes.observe(demand.workspace, demand.priority, now - sentAt);
     }
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -12,19 +12,18 @@
 import type { Breaker } from './breaker.js';
 import type { Candidate } from './choice.js';
 import type { AttemptOutcome } from './dispatcher.js';
-import { DEFAULT_POOL, exclusion, roomFor } from './eligibility.js';
+import { DEFAULT_POOL, exclusion } from './eligibility.js';
 import type { Exclusion, Need, ServerView } from './eligibility.js';
 import type { PrefixIndex } from './prefixindex.js';
+import { InteractiveLoads, roomFor } from './reserve.js';
 import {
-  IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy,
+  IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
 import type { ServerLoad } from './serverload.js';
 import type { Priority } from '../engines/engine.js';
 
 const CHARACTERS_PER_TOKEN = 4;
 const PREFILL_TOKENS_PER_STEP = 2_048;
-/** Prefill work ahead at a server past which only new interactive requests are sent there. */
-const MAX_BUSY_MS = 100;
 /** A plain service's call counts as this many engine steps' worth of contention. */
 const SERVICE_STEP_MS = 1;
 
@@ -59,6 +58,15 @@
   readonly directory: Directory;
   readonly leaving: () => ReadonlySet<string>;
   readonly random: Random;
+  /** Daemons that send to the same servers, this one included. */
+  readonly daemons: () => number;
+}
+
+/** Who else sends to the servers. */
+interface Crowd {
+  readonly daemons: number;
+  /** Interactive requests in flight per server, by pool. */
+  readonly interactive: (pool: string) => number;
 }
 
 interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
@@ -78,6 +86,41 @@
     .map((server) => ({ server, health: 'up', report: undefined }));
 }
 
+function candidateOf(
+  { characters }: Ask,
+  { server, health, report }: ServerView,
+  slots: number,
+  load: ServerLoad,
+  cachedBlocks: number,
+  now: number,
+): Candidate {
+  const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
+  return {
+    server: server.name,
+    zone: server.zone,
+    health,
+    occupancy: occupancy(load),
+    slots,
+    stepMs,
+    busyMs: Math.max(0, load.busyUntil - now),
+    prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
+  };
+}
+
+/** Whether the request finds a place at the server now. */
+function hasRoom(
+  { priority, resume }: Ask,
+  { server: { pool } }: ServerView,
+  slots: number,
+  load: ServerLoad,
+  { daemons, interactive }: Crowd,
+): boolean {
+  if (priority === 'interactive') return occupancy(load) < slots;
+  // After a loss all daemons resume at once; the places are theirs by lot, too.
+  const room = roomFor(resume ? 'standard' : priority, slots, interactive(pool));
+  return placesLeft(load, room, daemons) > 0;
+}
+
 export class Servers {
   readonly #context: ServersContext;
 
@@ -85,6 +128,8 @@
 
   readonly #books = new Map<string, Book>();
 
+  readonly #interactive = InteractiveLoads.of();
+
   private constructor(context: ServersContext, prefixes: PrefixIndex) {
     this.#context = context;
     this.#prefixes = prefixes;
@@ -97,6 +142,8 @@
   survey(ask: Ask, configuration: Configuration, now: number): Survey {
     const { need } = ask;
     const leaving = this.#context.leaving();
+    const daemons = this.#context.daemons();
+    const crowd: Crowd = { daemons, interactive: this.#interactive.perServer(daemons, now) };
     const credits = new Map(this.#prefixes.lookup(ask.blocks, now)
       .map(({ engine, blocks, confidence }) => [engine, blocks * confidence]));
     const views = need.kind === 'model'
@@ -117,16 +164,21 @@
         (pool ?? DEFAULT_POOL).concurrencyPerServer,
         view.report?.slots ?? Infinity,
       );
-      const candidate = this.#candidate(ask, view, slots, credits.get(name) ?? 0, now);
-      const room = roomFor(ask.priority, ask.resume, slots);
-      const paced = candidate.busyMs > MAX_BUSY_MS
-        && (ask.resume || ask.priority !== 'interactive');
-      if (candidate.occupancy >= room || paced) full += 1;
-      else candidates.push(candidate);
+      const load = this.#reported(view, now);
+      if (!hasRoom(ask, view, slots, load, crowd)) {
+        full += 1;
+        return;
+      }
+      candidates.push(candidateOf(ask, view, slots, load, credits.get(name) ?? 0, now));
     });
     return { candidates, full, excluded };
   }
 
+  /** Notes that interactive requests began or ended in a pool. */
+  interactiveChanged(pool: string, change: 1 | -1, now: number): void {
+    this.#interactive.changed(pool, change, this.#context.daemons(), now);
+  }
+
   /** Notes that a request was given to a server. */
   sent(ask: Ask, candidate: Candidate, now: number): void {
     const { server } = candidate;
@@ -149,6 +201,7 @@
 
   /** Forgets servers that the configuration no longer names and that have nothing in flight. */
   configured({ servers }: Configuration): void {
+    this.#interactive.configured(Object.values(servers));
     this.#books.forEach(({ load }, name) => {
       if (servers[name] || load.own > 0) return;
       this.#books.delete(name);
@@ -171,28 +224,6 @@
     return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
   }
 
-  #candidate(
-    { characters }: Ask,
-    view: ServerView | EngineView,
-    slots: number,
-    cachedBlocks: number,
-    now: number,
-  ): Candidate {
-    const { server, health, report } = view;
-    const load = this.#reported(view, now);
-    const stepMs = report?.stepMs ?? SERVICE_STEP_MS;
-    return {
-      server: server.name,
-      zone: server.zone,
-      health,
-      occupancy: occupancy(load),
-      slots,
-      stepMs,
-      busyMs: Math.max(0, load.busyUntil - now),
-      prefillMs: report ? prefillMs(characters, cachedBlocks, stepMs) : 0,
-    };
-  }
-
   /** Takes in a waiting report before the counts change, so that it is compared with its own. */
   #takeReport(server: string, now: number): void {
     const view = this.#context.directory.engine(server);
@@ -206,7 +237,12 @@
     if (!report || !('reportedAt' in view) || view.reportedAt === book.load.reportedAt) {
       return book.load;
     }
-    const load = loadReported(book.load, report, view.reportedAt);
+    const load = loadReported(
+      book.load,
+      report,
+      view.reportedAt,
+      this.#context.random.fraction(),
+    );
     this.#books.set(name, { ...book, load });
     this.#prefixes.reported(name, report.incarnation, now);
     return load;
