--- a/test/clichanges.test.ts
+++ b/test/clichanges.test.ts
@@ -42,6 +42,9 @@
   const merged = await tool('apply', bela.directory);
   t.is(merged.code, 0);
   t.regex(merged.out, /kept the changes of others to x\.toml/);
+  t.is(await readFile(join(bela.directory, 'x.toml'), 'utf8'), model('x'), 'the folder has it too');
+  await bela.write('y.toml', model('y', '2'));
+  t.is((await tool('apply', bela.directory)).code, 0, 'an edit goes on from one\'s own');
   await tool('pull', bela.directory);
   const names = (await readdir(bela.directory)).filter((name) => name.endsWith('.toml'));
   t.deepEqual(names.sort(), ['base.toml', 'm.toml', 'x.toml', 'y.toml']);
@@ -141,13 +144,17 @@
   await ana.write('s.toml', `[pools.p]\nkind = "service"\n${server('s1', 1)}${server('s2', 2)}`);
   const applied = await tool('apply', ana.directory, '--wait');
   t.is(applied.code, 0, applied.errors);
+  const drained = async (edit: string) => {
+    await ana.write('x.toml', `# ${edit}\n`);
+    t.is((await tool('apply', ana.directory, '--wait')).code, 0);
+    const { servers } = instance.configuration;
+    return [servers.s1!.drained, servers.s2!.drained];
+  };
   t.is((await tool('drain', 's1')).code, 0);
   t.is((await tool('drain', 's2')).code, 0);
+  t.deepEqual(await drained('one edit'), [true, true]);
   t.is((await tool('undrain', 's1')).code, 0);
-  await ana.write('x.toml', model('x'));
-  t.is((await tool('apply', ana.directory, '--wait')).code, 0);
-  const { s1, s2 } = instance.configuration.servers;
-  t.deepEqual([s1!.drained, s2!.drained], [false, true]);
+  t.deepEqual(await drained('another edit'), [false, true]);
 });
 
 const ERROR = { code: 'ambiguous', message: 'reset' } as const;
