--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -107,6 +107,8 @@
       file: 'src/engines/detector.ts',
       from: "if (after === 'down') return { state, effects: [{ kind: 'lose' }] };",
       to: "if (after === 'down') return { state, effects: [] };",
+    }, {
+      file: 'src/engines/watch.ts', from: 'LOST_FACTOR = 4;', to: 'LOST_FACTOR = 1e9;',
     }],
   },
   {
@@ -136,6 +138,11 @@
       file: 'src/configuration/followstate.ts',
       from: 'if (revision <= knownRevision(state) || revision === state.rejected?.revision)',
       to: 'if (revision === knownRevision(state) || revision === state.rejected?.revision)',
+    }, {
+      // Following the store drops older versions of its own accord.
+      file: 'src/store/sightings.ts',
+      from: 'if (before && before.version >= version) return [];',
+      to: 'if (before && before.version === version) return [];',
     }],
   },
   {
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -251,7 +251,8 @@
       // eslint-disable-next-line no-await-in-loop -- time passes in order
       await this.advance(1_000);
     }
-    await this.advance(3_000);
+    const renewedInMs = this.#renewedAt - this.clock.now();
+    await this.advance(Math.max(0, renewedInMs) + 2 * CONFIGURATION_BOUND_MS + 1_000);
     this.engines.forEach(({ engine }, name) => (
       this.oracle.checkOrders(name, engine.models.orders)));
     this.oracle.checkRuns([...this.engines.values()].flatMap(({ engine }) => engine.begun));
