--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -31,11 +31,6 @@
 const RENEWAL_MS = 24_500;
 const EPOCH_MS = 1_700_000_000_000;
 
-/** Names the engine that runs the most generations at that moment. */
-export const BUSIEST = 'busiest';
-/** Names a daemon that holds the placement lease at that moment. */
-export const HOLDER = 'holder';
-
 interface Daemon {
   readonly settings: InstanceSettings;
   instance: Instance | undefined;
@@ -121,18 +116,6 @@
     return this.engines.get(name)!;
   }
 
-  /** The process that a step's name stands for. */
-  place(name: string): string {
-    if (name === HOLDER) {
-      const holding = [...this.daemons].find(([, { instance }]) => instance?.lease.holding());
-      return holding?.[0] ?? [...this.daemons.keys()][0]!;
-    }
-    if (name !== BUSIEST) return name;
-    const [first] = [...this.engines.values()].map(({ engine }) => engine)
-      .sort((left, right) => right.running.length - left.running.length);
-    return first!.options.name;
-  }
-
   /** Whether the process runs and is not paused. */
   runs(name: string): boolean {
     const { clock, liveness } = this.network.node(name);
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -5,7 +5,9 @@
 import { MAX_TOKENS, MODELS, VERSIONS } from '../fakes/worldconfiguration.js';
 import { LIST, STORE } from '../fakes/links.js';
 import { OPERATORS } from '../fakes/operators.js';
-import { BUSIEST, HOLDER } from '../fakes/world.js';
+import {
+  BUSIEST, HOLDER, placeOf, STOPPING,
+} from '../fakes/places.js';
 import type { World } from '../fakes/world.js';
 import { play } from './steps.js';
 import type { Step } from './steps.js';
@@ -21,22 +23,25 @@
 /** Whether the step changes anything now. */
 function possible(world: World, step: Step): boolean {
   switch (step.kind) {
-    case 'ask': return up(world, step.daemon) && world.balanced(step.daemon);
-    case 'kill_daemon': return up(world, world.place(step.daemon));
+    case 'ask': {
+      const name = placeOf(world, step.daemon);
+      return up(world, name) && world.balanced(name);
+    }
+    case 'kill_daemon': return up(world, placeOf(world, step.daemon));
     case 'stop_daemon': return world.runs(step.daemon) && world.balanced(step.daemon);
     case 'start_daemon': return !up(world, step.daemon);
-    case 'crash_engine': return up(world, world.place(step.engine));
+    case 'crash_engine': return up(world, placeOf(world, step.engine));
     case 'start_engine': return !up(world, step.engine);
     case 'pause':
     case 'suspend': {
-      const name = world.place(step.node);
+      const name = placeOf(world, step.node);
       return up(world, name) && !paused(world, name);
     }
     case 'wake': return paused(world, step.node);
     case 'cut':
     case 'delay':
     case 'mend': return step.from !== step.to;
-    case 'leave_engine': return world.runs(world.place(step.engine));
+    case 'leave_engine': return world.runs(placeOf(world, step.engine));
     case 'come_back': return world.callers.lost.length > 0 && up(world, step.daemon)
       && world.balanced(step.daemon);
     case 'hang_up': return world.oracle.open.length > 0;
@@ -106,7 +111,7 @@
       weight: 12,
       arbitrary: fc.record({
         kind: kind('ask'),
-        daemon,
+        daemon: fc.constantFrom(...daemons, STOPPING),
         model: fc.constantFrom(...MODELS),
         tokens: fc.integer({ min: 1, max: MAX_TOKENS }),
         stop: fc.constantFrom([], ['.']),
@@ -117,7 +122,7 @@
     { weight: 10, arbitrary: fc.record({ kind: kind('advance'), ms }) },
     fc.record({ kind: kind('hang_up'), call: fc.nat(9) }),
     {
-      weight: 3,
+      weight: 6,
       arbitrary: fc.record({
         kind: kind('come_back'), call: fc.nat(9), daemon, withText: fc.boolean(),
       }),
@@ -128,7 +133,7 @@
       weight: 3,
       arbitrary: fc.record({
         kind: fc.constantFrom('pause' as const, 'suspend' as const),
-        node: fc.oneof(node, target, fc.constant(HOLDER)),
+        node: fc.oneof(node, target, fc.constantFrom(HOLDER, STOPPING)),
       }),
     },
     { weight: 3, arbitrary: fc.record({ kind: kind('wake'), node }) },
@@ -173,7 +178,10 @@
       }),
     },
     fc.record({ kind: kind('leave_engine'), engine: target }),
-    fc.record({ kind: kind('stop_daemon'), daemon }),
+    {
+      weight: 2,
+      arbitrary: fc.record({ kind: kind('stop_daemon'), daemon, paused: fc.boolean() }),
+    },
     {
       weight: 4,
       arbitrary: fc.record({
