--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -79,8 +79,8 @@
     name: 'say "not run" after a dispatch',
     edits: [{
       file: LOSS,
-      from: "return { ...refusal, ran: state.begun ? 'unknown' : refusal.ran };",
-      to: 'return refusal;',
+      from: "return { ...refusal, ran: given ? 'unknown' : refusal.ran };",
+      to: 'return given ? refusal : refusal;',
     }],
   },
   {
@@ -107,6 +107,8 @@
       file: 'src/engines/detector.ts',
       from: "if (after === 'down') return { state, effects: [{ kind: 'lose' }] };",
       to: "if (after === 'down') return { state, effects: [] };",
+    }, {
+      file: 'src/engines/watch.ts', from: 'LOST_FACTOR = 4;', to: 'LOST_FACTOR = 1e9;',
     }],
   },
   {
@@ -136,12 +138,17 @@
       file: 'src/configuration/followstate.ts',
       from: 'if (revision <= knownRevision(state) || revision === state.rejected?.revision)',
       to: 'if (revision === knownRevision(state) || revision === state.rejected?.revision)',
+    }, {
+      // Following the store drops older versions of its own accord.
+      file: 'src/store/sightings.ts',
+      from: 'if (before && before.version >= version) return [];',
+      to: 'if (before && before.version === version) return [];',
     }],
   },
   {
     name: 'never renew a watch that fell silent, nor poll',
     edits: [
-      { file: 'src/store/follow.ts', from: 'RENEW_MS = 10_000;', to: 'RENEW_MS = 1e8;' },
+      { file: 'src/store/follow.ts', from: 'RENEW_MS = 20_000;', to: 'RENEW_MS = 1e8;' },
       { file: 'src/store/follow.ts', from: 'POLL_MS = 60_000;', to: 'POLL_MS = 1e8;' },
     ],
   },
