--- a/test/fakes/entry.ts
+++ b/test/fakes/entry.ts
@@ -23,6 +23,7 @@
 import { engineServer } from '../../src/standin/engineserver.js';
 import { configurationOf, KEY } from './deployment.js';
 import { ServiceDispatcher } from './dispatcher.js';
+import { eventually } from './eventually.js';
 
 const LOOPBACK = '127.0.0.1';
 
@@ -107,7 +108,7 @@
   const server = EntryServer.of(gateway, Random.of(7), { metrics, drain });
   const address = await listen(server);
   // The first load reports make the engines known.
-  await sleep(100);
+  await eventually(async () => monitor.engines().every(({ report }) => report !== undefined));
   const stop = () => {
     running.unsubscribe();
     [server, ...engineServers, ...serviceServers].forEach((each) => {
