Drop an order that has not left by its deadline

Cause: an order went out on a kept connection and was abandoned at its deadline with a plain close, so that a partition could hold it in the connection and deliver it after a later lease holder's. Change: a fresh connection for each order, reset at the deadline.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -165,7 +165,7 @@
   async order(order: FencedOrder): Promise<OrderOutcome> {
     try {
       const body = JSON.stringify(order);
-      return orderOutcome.parse(await this.#call('POST', '/v1/orders', order.validForMs, body));
+      return orderOutcome.parse(await this.#order(body, order.validForMs));
     } catch {
       return 'unknown';
     }
@@ -210,6 +210,27 @@
     });
   }
 
+  /**
+   * Sends an order on a fresh connection, so that nothing leaves before the engine is reached, and
+   * resets it at the deadline, so that what is still unsent is dropped: an engine that ignores
+   * fencing numbers must not get it later.
+   */
+  #order(body: string, deadlineMs: number): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      const req = httpRequest({ ...this.#options('POST', '/v1/orders'), agent: false });
+      const deadline = setTimeout(() => {
+        req.socket?.resetAndDestroy();
+        req.destroy(new Error('no answer in time'));
+      }, deadlineMs);
+      req.on('response', (res) => {
+        readJson(res).then(resolve, reject);
+      });
+      req.on('error', reject);
+      req.on('close', () => clearTimeout(deadline));
+      req.end(body);
+    });
+  }
+
   #call(method: Method, path: string, deadlineMs: number, body?: string): Promise<unknown> {
     return new Promise((resolve, reject) => {
       const options = { ...this.#options(method, path), agent: this.#agent };
