Read what came in time also when a pause ends with the balancer's lag

The last tenth of a second of the lag is now always spent awake. The oracle also checks that no change is stored whose operator was told that it was not accepted.

--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -206,7 +206,12 @@
   {
     name: 'end a stop at once after a pause',
     edits: [{
-      file: 'src/entry/drain.ts', from: 'if (lateMs > PAUSED_FROM_MS) {', to: 'if (lateMs < 0) {',
+      file: 'src/entry/drain.ts',
+      from: 'timer(Math.max(0, lagMs - READ_MS), this.#scheduler).subscribe(() => this.#readLast());',
+      to: `timer(lagMs, this.#scheduler).subscribe(() => {
+      this.#move('finishing');
+      this.#settle();
+    });`,
     }],
   },
   {
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -20,8 +20,10 @@
 
 export const DEFAULT_DRAIN: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
 
+/** What came in time is read within this time of being awake, the last of the balancer's lag. */
+const READ_MS = 100;
 /** A timer this late means that the process was paused. */
-const PAUSED_FROM_MS = 100;
+const PAUSED_FROM_MS = 10;
 
 export class Drain {
   readonly #scheduler: SchedulerLike;
@@ -85,23 +87,24 @@
       return;
     }
     const { lagMs, limitMs } = this.#options;
-    const begunAt = this.#scheduler.now();
     this.#move('lagging');
-    timer(lagMs, this.#scheduler)
-      .subscribe(() => this.#lagPassed(this.#scheduler.now() - begunAt - lagMs));
+    timer(Math.max(0, lagMs - READ_MS), this.#scheduler).subscribe(() => this.#readLast());
     timer(limitMs, this.#scheduler).subscribe(() => {
       if (this.state !== 'done') this.#move('expired');
     });
   }
 
-  /** A process that was paused meanwhile first reads the requests that came in time. */
-  #lagPassed(lateMs: number): void {
-    if (lateMs > PAUSED_FROM_MS) {
-      timer(PAUSED_FROM_MS, this.#scheduler).subscribe(() => this.#lagPassed(0));
-      return;
-    }
-    this.#move('finishing');
-    this.#settle();
+  /** Finishes after the lag's last part; a process paused meanwhile first reads what came. */
+  #readLast(): void {
+    const due = this.#scheduler.now() + READ_MS;
+    timer(READ_MS, this.#scheduler).subscribe(() => {
+      if (this.#scheduler.now() - due > PAUSED_FROM_MS) {
+        this.#readLast();
+        return;
+      }
+      this.#move('finishing');
+      this.#settle();
+    });
   }
 
   #settle(): void {
--- a/test/entrydrain.test.ts
+++ b/test/entrydrain.test.ts
@@ -53,15 +53,18 @@
   t.deepEqual([drain.state, ended], ['expired', [false]]);
 });
 
-test('a process that was paused first reads the requests that came in time', async (t) => {
-  const clock = new VirtualClock();
-  const node = NodeClock.of(clock);
-  const drain = Drain.of(node, silentLog, { lagMs: 1_000, limitMs: 10_000 });
-  drain.begin();
-  node.pause();
-  node.run(node.epoch, () => drain.enter());
-  await clock.advance(3_000);
-  node.wake();
-  await clock.advance(1_000);
-  t.deepEqual([drain.state, drain.open], ['finishing', 1]);
+// A pause that ends long after the lag, and one that ends with it.
+[3_000, 1_000].forEach((pausedMs) => {
+  test(`a process paused for ${pausedMs} ms first reads what came in time`, async (t) => {
+    const clock = new VirtualClock();
+    const node = NodeClock.of(clock);
+    const drain = Drain.of(node, silentLog, { lagMs: 1_000, limitMs: 10_000 });
+    drain.begin();
+    node.pause();
+    node.run(node.epoch, () => drain.enter());
+    await clock.advance(pausedMs);
+    node.wake();
+    await clock.advance(1_000);
+    t.deepEqual([drain.state, drain.open], ['finishing', 1]);
+  });
 });
--- a/test/fakes/operators.ts
+++ b/test/fakes/operators.ts
@@ -1,6 +1,7 @@
 /** Operators of a world under test, who change the stored configuration and race each other. */
 import { Publisher } from '../../src/configuration/publisher.js';
 import type { Publication } from '../../src/configuration/publisher.js';
+import { parseStored, STORED_NAME } from '../../src/configuration/stored.js';
 import { objectLink } from './links.js';
 import type { World } from './world.js';
 import { fileOf, showsEdit, textOf } from './worldconfiguration.js';
@@ -11,6 +12,9 @@
 export class Operators {
   readonly #world: World;
 
+  /** Names under which changes were made that their operators were told are not accepted. */
+  readonly #refused = new Set<string>();
+
   private constructor(world: World) {
     this.#world = world;
   }
@@ -33,16 +37,26 @@
     const settled = revisions.change(file, (configuration) => showsEdit(edit, configuration));
     if (edit.kind === 'drain') oracle.returns(edit.engine);
     const publisher = this.#publisher(operator);
+    const who = this.#world.name(operator);
     const { clock } = network.node(operator);
     clock.run(clock.epoch, () => {
       const published = text === undefined
-        ? publisher.remove(file, { who: operator })
-        : publisher.put(file, text, { who: operator });
-      published.then((publication) => this.#published(publication, edit, settled))
+        ? publisher.remove(file, { who })
+        : publisher.put(file, text, { who });
+      published.then((publication) => this.#published(publication, edit, who, settled))
         .catch((error: unknown) => oracle.report(String(error)));
     });
   }
 
+  /** Checks that no change is stored whose operator was told that it is not accepted. */
+  async checkRefused(): Promise<void> {
+    const stored = await this.#world.objects.get(STORED_NAME, 'status');
+    const history = stored.andThen(({ value }) => parseStored(value))
+      .map((folder) => folder.history).unwrapOr([]);
+    history.filter(({ who }) => this.#refused.has(who)).forEach(({ revision }) => (
+      this.#world.oracle.report(`${revision} is stored and was said not to be accepted`)));
+  }
+
   #publisher(operator: string): Publisher {
     const { network, objects, random } = this.#world;
     const links = { network, random, daemon: operator };
@@ -58,6 +72,7 @@
   #published(
     publication: Publication,
     edit: Edit,
+    who: string,
     settled: (revision: number | undefined) => void,
   ): void {
     switch (publication.kind) {
@@ -75,6 +90,7 @@
       case 'base_unknown':
       case 'too_large':
       case 'unavailable':
+        this.#refused.add(who);
         settled(undefined);
         break;
     }
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -236,6 +236,7 @@
     }
     const renewedInMs = this.#renewedAt - this.clock.now();
     await this.advance(Math.max(0, renewedInMs) + 2 * CONFIGURATION_BOUND_MS + 1_000);
+    await this.operators.checkRefused();
     this.engines.forEach(({ engine }, name) => (
       this.oracle.checkOrders(name, engine.models.orders)));
     this.oracle.checkRuns([...this.engines.values()].flatMap(({ engine }) => engine.begun));
