--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -207,8 +207,8 @@
     name: 'end a stop at once after a pause',
     edits: [{
       file: 'src/entry/drain.ts',
-      from: 'timer(Math.max(0, lagMs - READ_MS), this.#scheduler).subscribe(() => this.#readLast());',
-      to: `timer(lagMs, this.#scheduler).subscribe(() => {
+      from: 'subscribe(() => this.#readLast());',
+      to: `subscribe(() => {
       this.#move('finishing');
       this.#settle();
     });`,
