--- a/src/generation/placing.ts
+++ b/src/generation/assigner.ts
@@ -8,24 +8,24 @@
 import type { GenerationRequest } from './request.js';
 import type { GenerationState } from './state.js';
 
-/** A backend server that was found, with what has to be given back. */
-export interface Placed {
+/** A backend server that was assigned, with what has to be given back. */
+export interface Assigned {
   readonly reason: AssignReason;
   readonly assignment: Assignment;
   /** Held until the attempt's first token, for attempts that follow a loss. */
   readonly permit: Permit | undefined;
 }
 
-export interface PlacingContext {
+export interface AssignerContext {
   readonly dispatcher: Dispatcher;
   readonly pacer?: ResumePacer;
   readonly scheduler?: SchedulerLike;
 }
 
-export class Placing {
+export class AttemptAssigner {
   readonly #request: GenerationRequest;
 
-  readonly #context: PlacingContext;
+  readonly #context: AssignerContext;
 
   readonly #receive: (event: GenerationEvent) => void;
 
@@ -38,11 +38,11 @@
 
   #waitingSince: number | undefined;
 
-  #placed: Placed | undefined;
+  #assigned: Assigned | undefined;
 
   private constructor(
     request: GenerationRequest,
-    context: PlacingContext,
+    context: AssignerContext,
     receive: (event: GenerationEvent) => void,
   ) {
     this.#request = request;
@@ -52,10 +52,10 @@
 
   static of(
     request: GenerationRequest,
-    context: PlacingContext,
+    context: AssignerContext,
     receive: (event: GenerationEvent) => void,
-  ): Placing {
-    return new Placing(request, context, receive);
+  ): AttemptAssigner {
+    return new AttemptAssigner(request, context, receive);
   }
 
   /** Asks for a server and reports `assigned` or `unassignable`. */
@@ -81,10 +81,10 @@
   }
 
   /** The server that was just reported as assigned; its taker gives it back. */
-  take(): Placed | undefined {
-    const placed = this.#placed;
-    this.#placed = undefined;
-    return placed;
+  take(): Assigned | undefined {
+    const assigned = this.#assigned;
+    this.#assigned = undefined;
+    return assigned;
   }
 
   /** Stops waiting. */
@@ -151,12 +151,12 @@
     this.#countWait();
     this.#permit = undefined;
     this.#waiting = undefined;
-    this.#placed = { reason, assignment, permit };
+    this.#assigned = { reason, assignment, permit };
     const { server, version } = assignment;
     this.#receive({ kind: 'assigned', server, version });
     // The generation may no longer want it.
-    if (this.#placed?.assignment !== assignment) return;
-    this.#placed = undefined;
+    if (this.#assigned?.assignment !== assignment) return;
+    this.#assigned = undefined;
     assignment.release('cancelled');
     permit?.release();
   }
--- a/src/generation/attempt.ts
+++ b/src/generation/attempt.ts
@@ -8,7 +8,7 @@
 import type { Watcher } from '../engines/watch.js';
 import type { WatchedStream } from '../engines/watched.js';
 import type { AttemptOutcome } from '../routing/dispatcher.js';
-import type { Placed } from './placing.js';
+import type { Assigned } from './assigner.js';
 import type { GenerationRequest } from './request.js';
 import type { Attempt } from './state.js';
 
@@ -19,7 +19,7 @@
   readonly request: GenerationRequest;
   readonly accepted: Accepted;
   readonly client: EngineClient;
-  readonly placed: Placed | undefined;
+  readonly assigned: Assigned | undefined;
   readonly held: Observable<boolean> | undefined;
   readonly watcher: Watcher | undefined;
 }
@@ -53,7 +53,7 @@
   /** Whether the engine has opened the stream. */
   opened = false;
 
-  readonly #placed: Placed | undefined;
+  readonly #assigned: Assigned | undefined;
 
   readonly #listener: AttemptListener;
 
@@ -65,7 +65,7 @@
 
   private constructor(context: AttemptContext, listener: AttemptListener) {
     this.#context = context;
-    this.#placed = context.placed;
+    this.#assigned = context.assigned;
     this.#listener = listener;
     this.client = context.client;
   }
@@ -100,14 +100,14 @@
   /** A token of the attempt was taken into the answer. */
   progressed(): void {
     this.#watched?.progressed();
-    this.#placed?.permit?.release();
+    this.#assigned?.permit?.release();
   }
 
   close(outcome: AttemptOutcome): void {
     this.#stream.unsubscribe();
     this.#watched?.close();
-    this.#placed?.permit?.release();
-    this.#placed?.assignment.release(outcome);
+    this.#assigned?.permit?.release();
+    this.#assigned?.assignment.release(outcome);
   }
 
   // eslint-disable-next-line class-methods-use-this
--- a/src/generation/loss.ts
+++ b/src/generation/loss.ts
@@ -45,14 +45,14 @@
 }
 
 /** What a refusal says has run, given what the caller already has. */
-export function honest(state: GenerationState, refusal: Refusal): Refusal {
+export function withRan(state: GenerationState, refusal: Refusal): Refusal {
   if (state.accepted.tokens > 0) return { ...refusal, ran: 'partly' };
   const given = state.given || liveAttempts(state).length > 0;
   return { ...refusal, ran: given ? 'unknown' : refusal.ran };
 }
 
 export function lossRefusal(state: GenerationState, message: string): Refusal {
-  return honest(state, {
+  return withRan(state, {
     code: state.accepted.tokens > 0 ? 'interrupted' : 'backend_failed',
     message: `the backend server failed: ${message}`,
     ran: 'no',
--- a/src/generation/pacing.ts
+++ b/src/generation/pacing.ts
@@ -1,7 +1,7 @@
 /**
- * Paces the attempts that follow a loss, so that the streams of a dead engine don't fell the next
- * one: only so many may be between their dispatch and their first token, and the rest wait in the
- * order of their priority.
+ * Paces the attempts that follow a loss, so that the streams of a dead engine don't overload
+ * the next one: only so many may be between their dispatch and their first token, and the rest wait
+ * in the order of their priority.
  */
 import { Observable } from 'rxjs';
 import type { Priority } from '../engines/engine.js';
--- /dev/null
+++ b/src/generation/recorder.ts
@@ -0,0 +1,110 @@
+/** Logs and meters one generation: what it asked for, what came back, and the pauses between. */
+import type { SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Refusal } from '../common/refusal.js';
+import type { AttemptFailure } from '../engines/engine.js';
+import type { AttemptOutcome } from '../routing/dispatcher.js';
+import type { AssignReason, DropCause } from './change.js';
+import { silentMeter } from './meter.js';
+import type { GenerationMeter } from './meter.js';
+import type { Attempt } from './state.js';
+
+export interface RecorderOptions {
+  /** The request's identifier. */
+  readonly request: string;
+  /** Whether the caller returned to an attempt begun earlier, so that no first token is timed. */
+  readonly returned: boolean;
+  readonly log: Log;
+  readonly meter: GenerationMeter | undefined;
+  readonly scheduler: SchedulerLike;
+  /** Tokens accepted so far. */
+  readonly tokens: () => number;
+}
+
+export class GenerationRecorder {
+  readonly #options: RecorderOptions;
+
+  readonly #meter: GenerationMeter;
+
+  readonly #startedAt: number;
+
+  readonly #drops = new Set<DropCause>();
+
+  #tokenAt: number;
+
+  /** The attempt that the last token came from. */
+  #source: number | undefined;
+
+  private constructor(options: RecorderOptions) {
+    this.#options = options;
+    this.#meter = options.meter ?? silentMeter;
+    this.#startedAt = options.scheduler.now();
+    this.#tokenAt = this.#startedAt;
+  }
+
+  static of(options: RecorderOptions): GenerationRecorder {
+    return new GenerationRecorder(options);
+  }
+
+  refused({ code, ran, message }: Refusal): void {
+    this.#meter.refused(code);
+    this.#log('refuse', { code, ran, reason: message });
+  }
+
+  /** Logs the first drop of each cause; a broken engine may cause one for every token. */
+  dropped(cause: DropCause): void {
+    this.#meter.dropped(cause);
+    if (this.#drops.has(cause)) return;
+    this.#drops.add(cause);
+    this.#log('drop', { cause });
+  }
+
+  /** Another attempt is wanted after the first one. */
+  reassigning(reason: AssignReason, exclude: readonly string[]): void {
+    const silentMs = this.#options.scheduler.now() - this.#tokenAt;
+    this.#log(reason, { exclude: exclude.join(','), silent_ms: Math.round(silentMs) });
+  }
+
+  /** @param reason left out where the attempt joins a stream begun earlier */
+  dispatched({ number, server, version }: Attempt, reason: AssignReason | undefined): void {
+    this.#meter.dispatched(reason ?? 'begin');
+    this.#log('dispatch', {
+      attempt: number, server, version, reason: reason ?? 'join',
+    });
+  }
+
+  attemptFailed(attempt: number, { cause, ran, message }: AttemptFailure): void {
+    this.#log('attempt_failed', {
+      attempt, cause, ran, reason: message,
+    });
+  }
+
+  /** A token of the attempt was taken into the answer. */
+  progressed(attempt: number): void {
+    const now = this.#options.scheduler.now();
+    const silentMs = now - this.#tokenAt;
+    this.#tokenAt = now;
+    if (this.#source === attempt) return;
+    if (this.#source !== undefined) {
+      this.#meter.resumed(silentMs);
+      this.#log('resumed', { attempt, pause_ms: Math.round(silentMs) });
+    } else if (!this.#options.returned) {
+      this.#meter.firstToken(now - this.#startedAt);
+    }
+    this.#source = attempt;
+  }
+
+  cancelled({ number, server }: Attempt, outcome: AttemptOutcome): void {
+    this.#log('cancel', { attempt: number, server, outcome });
+  }
+
+  ended(): void {
+    const tokens = this.#options.tokens();
+    if (tokens > 0) this.#meter.tokens(tokens);
+  }
+
+  #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
+    const { log, request, tokens } = this.#options;
+    log.event('info', event, { request, tokens: tokens(), ...fields });
+  }
+}
--- a/src/generation/run.ts
+++ b/src/generation/run.ts
@@ -8,14 +8,14 @@
 import type { AttemptFailure, EngineEvent } from '../engines/engine.js';
 import type { Watcher } from '../engines/watch.js';
 import type { AttemptOutcome, Dispatcher } from '../routing/dispatcher.js';
+import { AttemptAssigner } from './assigner.js';
 import { AttemptReader } from './attempt.js';
 import type {
-  AssignReason, DropCause, GenerationEffect, GenerationEvent, Return,
+  AssignReason, GenerationEffect, GenerationEvent, Return,
 } from './change.js';
-import { silentMeter } from './meter.js';
 import type { GenerationMeter } from './meter.js';
 import type { ResumePacer } from './pacing.js';
-import { Placing } from './placing.js';
+import { GenerationRecorder } from './recorder.js';
 import type { AnswerEvent, GenerationRequest } from './request.js';
 import { generationState } from './state.js';
 import type { Attempt, GenerationState } from './state.js';
@@ -65,25 +65,16 @@
 
   readonly #scheduler: SchedulerLike;
 
-  readonly #meter: GenerationMeter;
+  readonly #recorder: GenerationRecorder;
 
   readonly #readers = new Map<number, AttemptReader>();
 
-  readonly #startedAt: number;
-
-  readonly #drops = new Map<DropCause, number>();
-
   readonly #timers = new Subscription();
 
-  readonly #placing: Placing;
+  readonly #assigner: AttemptAssigner;
 
   #recovery: Subscription | undefined;
 
-  #tokenAt: number;
-
-  /** The attempt that the last token came from. */
-  #source: number | undefined;
-
   #state: GenerationState;
 
   private constructor(
@@ -97,16 +88,21 @@
     this.#options = options;
     this.#emit = emit;
     this.#scheduler = context.scheduler ?? monotonicScheduler;
-    this.#meter = context.meter ?? silentMeter;
-    this.#startedAt = this.#scheduler.now();
-    this.#tokenAt = this.#startedAt;
+    this.#recorder = GenerationRecorder.of({
+      request: request.id,
+      returned: options.from !== undefined,
+      log: context.log,
+      meter: context.meter,
+      scheduler: this.#scheduler,
+      tokens: () => this.#state.accepted.tokens,
+    });
     this.#state = generationState({
       repeatable: request.repeat === 'safe',
       maxAttempts: MAX_ATTEMPTS,
       hedges: context.hedges?.() ?? false,
       maxTokens: request.sampling.maxTokens,
     });
-    this.#placing = Placing.of(request, context, (event) => this.#receive(event));
+    this.#assigner = AttemptAssigner.of(request, context, (event) => this.#receive(event));
   }
 
   static of(
@@ -146,12 +142,7 @@
         this.#emit(effect);
         break;
       case 'refuse':
-        this.#meter.refused(effect.refusal.code);
-        this.#log('refuse', {
-          code: effect.refusal.code,
-          ran: effect.refusal.ran,
-          reason: effect.refusal.message,
-        });
+        this.#recorder.refused(effect.refusal);
         this.#end();
         this.#emit({ kind: 'refusal', refusal: effect.refusal });
         break;
@@ -159,7 +150,7 @@
         this.#assign(effect.reason, effect.exclude);
         break;
       case 'withdraw':
-        this.#placing.withdraw();
+        this.#assigner.withdraw();
         break;
       case 'dispatch':
         this.#dispatch(effect.attempt);
@@ -174,34 +165,15 @@
         this.#cancel(effect.attempt, 'failed', true);
         break;
       case 'drop':
-        this.#drop(effect.cause);
+        this.#recorder.dropped(effect.cause);
         break;
     }
   }
 
-  #log(event: string, fields: Readonly<Record<string, string | number | undefined>>): void {
-    this.#context.log.event('info', event, {
-      request: this.#request.id, tokens: this.#state.accepted.tokens, ...fields,
-    });
-  }
-
-  /** Logs the first drop of each cause; a broken engine may cause one for every token. */
-  #drop(cause: DropCause): void {
-    const count = (this.#drops.get(cause) ?? 0) + 1;
-    this.#drops.set(cause, count);
-    this.#meter.dropped(cause);
-    if (count === 1) this.#log('drop', { cause });
-  }
-
   #assign(reason: AssignReason, exclude: readonly string[]): void {
     if (reason === 'resume') this.#limitRecovery();
-    if (reason !== 'begin') {
-      this.#log(reason, {
-        exclude: exclude.join(','),
-        silent_ms: Math.round(this.#scheduler.now() - this.#tokenAt),
-      });
-    }
-    this.#placing.start(reason, this.#state, exclude);
+    if (reason !== 'begin') this.#recorder.reassigning(reason, exclude);
+    this.#assigner.start(reason, this.#state, exclude);
   }
 
   #limitRecovery(): void {
@@ -212,25 +184,22 @@
 
   #dispatch(attempt: Attempt): void {
     const { number, server } = attempt;
-    const placed = attempt.kind === 'begin' ? this.#placing.take() : undefined;
+    const assigned = attempt.kind === 'begin' ? this.#assigner.take() : undefined;
     const view = this.#context.directory.engine(server);
     if (!view) {
-      placed?.assignment.release('refused');
-      placed?.permit?.release();
+      assigned?.assignment.release('refused');
+      assigned?.permit?.release();
       this.#receive({ kind: 'failed', attempt: number, failure: removed(server) });
       return;
     }
-    this.#meter.dispatched(placed?.reason ?? 'begin');
-    this.#log('dispatch', {
-      attempt: number, server, version: attempt.version, reason: placed?.reason ?? 'join',
-    });
+    this.#recorder.dispatched(attempt, assigned?.reason);
     this.#options.dispatched?.(attempt);
     const reader = AttemptReader.of({
       attempt,
       request: this.#request,
       accepted: this.#state.accepted,
       client: view.client,
-      placed,
+      assigned,
       held: this.#options.held,
       watcher: this.#context.watcher,
     }, {
@@ -243,9 +212,7 @@
 
   #arrive(attempt: number, event: EngineEvent): void {
     if (event.kind === 'failed') {
-      this.#log('attempt_failed', {
-        attempt, cause: event.cause, ran: event.ran, reason: event.message,
-      });
+      this.#recorder.attemptFailed(attempt, event);
       this.#receive({ kind: 'failed', attempt, failure: event });
       return;
     }
@@ -255,29 +222,19 @@
   }
 
   #progressed(attempt: number): void {
-    const now = this.#scheduler.now();
     this.#readers.get(attempt)?.progressed();
-    if (this.#source !== attempt) {
-      if (this.#source !== undefined) {
-        this.#meter.resumed(now - this.#tokenAt);
-        this.#log('resumed', { attempt, pause_ms: Math.round(now - this.#tokenAt) });
-      } else if (!this.#options.from) {
-        this.#meter.firstToken(now - this.#startedAt);
-      }
-      this.#source = attempt;
-    }
+    this.#recorder.progressed(attempt);
     this.#recovery?.unsubscribe();
-    this.#tokenAt = now;
   }
 
   #cancel(attempt: Attempt, outcome: AttemptOutcome, settle: boolean): void {
-    const { number, server } = attempt;
+    const { number } = attempt;
     const reader = this.#close(attempt, outcome);
     if (!reader) {
       if (settle) this.#receive({ kind: 'settled', attempt: number, outcome: { kind: 'unknown' } });
       return;
     }
-    this.#log('cancel', { attempt: number, server, outcome });
+    this.#recorder.cancelled(attempt, outcome);
     cancelAttempt(reader.client, this.#request.id, number, reader.opened, this.#scheduler)
       .then((result) => {
         if (settle) this.#receive({ kind: 'settled', attempt: number, outcome: result });
@@ -292,12 +249,12 @@
   }
 
   #end(): void {
-    this.#placing.withdraw();
+    this.#assigner.withdraw();
     this.#timers.unsubscribe();
     this.#recovery?.unsubscribe();
     [...this.#readers.values()].forEach((reader) => reader.close('cancelled'));
     this.#readers.clear();
-    if (this.#state.accepted.tokens > 0) this.#meter.tokens(this.#state.accepted.tokens);
+    this.#recorder.ended();
   }
 }
 
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -9,7 +9,7 @@
   TokenArrival,
 } from './change.js';
 import {
-  assign, drop, ENDED, failed, honest, liveAttempts, lossRefusal, protocolFailure, refuse, settled,
+  assign, drop, ENDED, failed, liveAttempts, lossRefusal, protocolFailure, refuse, settled, withRan,
   stopAll, unchanged,
 } from './loss.js';
 import type { Transaction } from './loss.js';
@@ -57,7 +57,7 @@
   if (phase.kind !== 'waiting') return unchanged(state);
   return {
     state: { ...state, phase: ENDED },
-    effects: [{ kind: 'refuse', refusal: honest(state, refusal) }],
+    effects: [{ kind: 'refuse', refusal: withRan(state, refusal) }],
   };
 }
 
