--- a/src/configuration/defaults.ts
+++ b/src/configuration/defaults.ts
@@ -12,7 +12,7 @@
   enabled: true,
   concurrentLoads: 2,
   loadsPerMinute: 12,
-  leaseMs: 5_000,
+  leaseMs: 6_000,
   orderTimeoutMs: 2_000,
 };
 
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -147,7 +147,7 @@
   enabled: flag('Whether models are placed at all.', true),
   concurrent_loads: integer('Loads that may run at once.', { min: 1, max: 1_000 }, 2),
   loads_per_minute: decimal('Loads started in a minute.', { min: 0.1, max: 10_000 }, 12),
-  lease: duration('Duration of the lease to place.', { min: '1s', max: '5m' }, '5s'),
+  lease: duration('Duration of the lease to place.', { min: '1s', max: '5m' }, '6s'),
   order_timeout: duration('Longest time of one order.', { min: '100ms', max: '1m' }, '2s'),
 });
 
