--- a/src/routing/routelog.ts
+++ b/src/routing/routelog.ts
@@ -25,7 +25,7 @@
     version: chosen.candidate.version,
     zone: chosen.candidate.zone,
     in_flight: chosen.candidate.occupancy,
-    queued_ms: now - entry.enteredAt,
+    queued_ms: (now - entry.enteredAt).toFixed(1),
     total_ms: chosen.totalMs.toFixed(1),
     wait_ms: chosen.waitMs.toFixed(1),
     prefill_ms: chosen.prefillMs.toFixed(1),
