--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -31,7 +31,7 @@
 import type { Survey } from './servers.js';
 import type { RoutingCounts, RoutingSnapshot } from './snapshot.js';
 import { logRoute } from './routelog.js';
-import { askOf, isHopeless, kindOf } from './waiting.js';
+import { askOf, isUnserviceable, kindOf } from './waiting.js';
 import type { AttemptKind, Waiting } from './waiting.js';
 import { WaitingLine } from './waitingline.js';
 
@@ -213,9 +213,9 @@
       this.#dispatch(waiting, survey, chooser(survey.candidates, { zone, favour }, random));
       return 'done';
     }
-    const patient = entry.resume && !survey.excluded.tried
+    const mayWait = entry.resume && !survey.excluded.tried
       && now - entry.enteredAt < NO_SERVER_WAIT_MS;
-    if (!isHopeless(survey) || patient) return 'waits';
+    if (!isUnserviceable(survey) || mayWait) return 'waits';
     this.#line.leave(waiting);
     this.#refuse(demand, waiting.subscriber, 'unavailable', 'no server can take the request');
     return 'done';
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -63,15 +63,15 @@
 }
 
 /** Who else sends to the servers. */
-interface Crowd {
+interface OtherSenders {
   readonly daemons: number;
   /** Interactive requests in flight per server, by pool. */
   readonly interactive: (pool: string) => number;
 }
 
-interface Book { readonly load: ServerLoad; readonly breaker: Breaker }
+interface ServerState { readonly load: ServerLoad; readonly breaker: Breaker }
 
-const NEW_SERVER: Book = { load: IDLE_SERVER, breaker: CLOSED };
+const NEW_SERVER: ServerState = { load: IDLE_SERVER, breaker: CLOSED };
 
 /** Milliseconds that a server takes to prefill what it has not cached. */
 export function prefillMs(characters: number, cachedBlocks: number, stepMs: number): number {
@@ -116,7 +116,7 @@
   { server: { pool } }: ServerView,
   slots: number,
   load: ServerLoad,
-  { daemons, interactive }: Crowd,
+  { daemons, interactive }: OtherSenders,
 ): boolean {
   if (priority === 'interactive') return occupancy(load) < slots;
   // After a loss all daemons resume at once; the places are theirs by lot, too.
@@ -129,7 +129,7 @@
 
   readonly #prefixes: PrefixIndex;
 
-  readonly #books = new Map<string, Book>();
+  readonly #states = new Map<string, ServerState>();
 
   readonly #interactive = InteractiveLoads.of();
 
@@ -146,7 +146,8 @@
     const { need } = ask;
     const leaving = this.#context.leaving();
     const daemons = this.#context.daemons();
-    const crowd: Crowd = { daemons, interactive: this.#interactive.perServer(daemons, now) };
+    const interactive = this.#interactive.perServer(daemons, now);
+    const others: OtherSenders = { daemons, interactive };
     const credits = new Map(this.#prefixes.lookup(ask.blocks, now)
       .map(({ engine, blocks, confidence }) => [engine, blocks * confidence]));
     const views = need.kind === 'model'
@@ -168,7 +169,7 @@
         view.report?.slots ?? Infinity,
       );
       const load = this.#reported(view, now);
-      if (!hasRoom(ask, view, slots, load, crowd)) {
+      if (!hasRoom(ask, view, slots, load, others)) {
         full += 1;
         return;
       }
@@ -186,8 +187,8 @@
   sent(ask: Ask, candidate: Candidate, now: number): void {
     const { server } = candidate;
     this.#takeReport(server, now);
-    const { load, breaker } = this.#book(server);
-    this.#books.set(server, {
+    const { load, breaker } = this.#stateOf(server);
+    this.#states.set(server, {
       load: loadDispatched(load, candidate.prefillMs, now), breaker: breakerSent(breaker, now),
     });
     if (ask.need.kind === 'model') this.#prefixes.dispatched(server, ask.blocks, now);
@@ -196,35 +197,35 @@
   /** Takes the outcome of a request; true when it opened the server's circuit breaker. */
   released(server: string, outcome: AttemptOutcome, now: number): boolean {
     this.#takeReport(server, now);
-    const { load, breaker } = this.#book(server);
+    const { load, breaker } = this.#stateOf(server);
     const next = breakerOutcome(breaker, outcome, now, this.#context.random);
-    this.#books.set(server, { load: loadReleased(load), breaker: next });
+    this.#states.set(server, { load: loadReleased(load), breaker: next });
     return next.kind === 'open' && breaker.kind !== 'open';
   }
 
   /** Forgets servers that the configuration no longer names and that have nothing in flight. */
   configured({ servers }: Configuration): void {
     this.#interactive.configured(Object.values(servers));
-    this.#books.forEach(({ load }, name) => {
+    this.#states.forEach(({ load }, name) => {
       if (servers[name] || load.own > 0) return;
-      this.#books.delete(name);
+      this.#states.delete(name);
       this.#prefixes.forget(name);
     });
   }
 
   snapshot(): readonly ServerSnapshot[] {
-    return [...this.#books].map(([server, { load, breaker }]) => ({
+    return [...this.#states].map(([server, { load, breaker }]) => ({
       server, inFlight: load.own, othersInFlight: load.others, breaker: breaker.kind,
     }));
   }
 
-  #book(server: string): Book {
-    return this.#books.get(server) ?? NEW_SERVER;
+  #stateOf(server: string): ServerState {
+    return this.#states.get(server) ?? NEW_SERVER;
   }
 
   #ownExclusion({ exclude }: Ask, name: string, now: number): Exclusion | undefined {
     if (exclude.includes(name)) return 'tried';
-    return allows(this.#book(name).breaker, now) ? undefined : 'breaker';
+    return allows(this.#stateOf(name).breaker, now) ? undefined : 'breaker';
   }
 
   /** Takes in a waiting report before the counts change, so that it is compared with its own. */
@@ -236,17 +237,17 @@
   /** The server's load, with a report that is new since the last look taken in. */
   #reported(view: ServerView | EngineView, now: number): ServerLoad {
     const { server: { name }, report } = view;
-    const book = this.#book(name);
-    if (!report || !('reportedAt' in view) || view.reportedAt === book.load.reportedAt) {
-      return book.load;
+    const state = this.#stateOf(name);
+    if (!report || !('reportedAt' in view) || view.reportedAt === state.load.reportedAt) {
+      return state.load;
     }
     const load = loadReported(
-      book.load,
+      state.load,
       report,
       view.reportedAt,
       this.#context.random.fraction(),
     );
-    this.#books.set(name, { ...book, load });
+    this.#states.set(name, { ...state, load });
     this.#prefixes.reported(name, report.incarnation, now);
     return load;
   }
--- a/src/routing/waiting.ts
+++ b/src/routing/waiting.ts
@@ -1,4 +1,9 @@
-/** A request that waits for a backend server, with all that its placement depends on. */
+/**
+ * A request that waits for a backend server, with all that its placement depends on. Routing has
+ * four views of a request: `Demand` is what the caller of the dispatcher gives; `Need` is what of
+ * it a server has to hold; `Ask` adds what the choice of a server weighs, as priority and prefix;
+ * `Entry` is its place in the queue, with its workspace's weight, its cost and its deadline.
+ */
 import type { Result } from 'neverthrow';
 import type { Subscriber } from 'rxjs';
 import type { Refusal } from '../common/refusal.js';
@@ -38,6 +43,6 @@
 }
 
 /** Whether no server could take the request, room or not, nor will when its breaker closes. */
-export function isHopeless({ candidates, full, excluded }: Survey): boolean {
+export function isUnserviceable({ candidates, full, excluded }: Survey): boolean {
   return candidates.length + full === 0 && !excluded.not_reported && !excluded.breaker;
 }
