--- a/src/placement/demand.ts
+++ b/src/placement/demand.ts
@@ -6,7 +6,7 @@
 import type { Member } from '../membership/instances.js';
 import type { SoftEntry } from '../membership/softstate.js';
 import { copyName } from './inventory.js';
-import type { Demand } from './targets.js';
+import type { DeploymentDemand } from './targets.js';
 
 /** Each daemon's own generations by model: `ModelDemand`. */
 export const MODEL_DEMAND_KEY = 'demand/models';
@@ -27,8 +27,8 @@
 export type OldStreams = z.infer<typeof oldStreamsSchema>;
 
 /** The demand of all daemons together. */
-export function demandOf(entries: readonly SoftEntry[]): ReadonlyMap<string, Demand> {
-  const total = new Map<string, Demand>();
+export function demandOf(entries: readonly SoftEntry[]): ReadonlyMap<string, DeploymentDemand> {
+  const total = new Map<string, DeploymentDemand>();
   entries.filter((entry) => entry.key === MODEL_DEMAND_KEY).forEach((entry) => {
     const parsed = modelDemandSchema.safeParse(entry.value);
     if (!parsed.success) return;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -17,7 +17,7 @@
 } from './scope.js';
 import type { Blocked, PlanInput, Scope } from './scope.js';
 import { allowedIn, byUrgency, targetOf } from './targets.js';
-import type { Demand, Target } from './targets.js';
+import type { DeploymentDemand, Target } from './targets.js';
 
 export interface Plan {
   readonly decisions: readonly Decision[];
@@ -27,7 +27,7 @@
 /** Two engines with the same key may stand for each other. */
 export type Grouping = (engine: EngineState) => string;
 
-const NO_DEMAND: Demand = { running: 0, waiting: 0 };
+const NO_DEMAND: DeploymentDemand = { running: 0, waiting: 0 };
 
 const alone: Grouping = ({ server }) => server.name;
 
--- a/src/placement/scope.ts
+++ b/src/placement/scope.ts
@@ -2,13 +2,13 @@
 import type { Configuration } from '../configuration/configuration.js';
 import type { LoadedModel } from '../engines/engine.js';
 import type { EngineState, Inventory } from './inventory.js';
-import type { Demand, Target } from './targets.js';
+import type { DeploymentDemand, Target } from './targets.js';
 
 export interface PlanInput {
   readonly configuration: Configuration;
   /** The engines that answer; others count for nothing. */
   readonly engines: readonly EngineState[];
-  readonly demand: ReadonlyMap<string, Demand>;
+  readonly demand: ReadonlyMap<string, DeploymentDemand>;
   /**
    * Streams on one version of a model on one server, by all daemons' counts; undefined when not
    * all of them have told, or some may still start streams on it.
--- a/src/placement/targets.ts
+++ b/src/placement/targets.ts
@@ -10,7 +10,7 @@
 const TARGET_USE = 0.7;
 
 /** Generations of one model in the whole deployment. */
-export interface Demand { readonly running: number; readonly waiting: number }
+export interface DeploymentDemand { readonly running: number; readonly waiting: number }
 
 export interface Target {
   readonly model: Model;
@@ -35,7 +35,7 @@
  */
 export function targetOf(
   model: Model,
-  demand: Demand,
+  demand: DeploymentDemand,
   slots: number,
   serving: number,
 ): Target {
--- a/test/fakes/fleet.ts
+++ b/test/fakes/fleet.ts
@@ -11,7 +11,7 @@
 import type { Decision, EngineState } from '../../src/placement/inventory.js';
 import type { Plan } from '../../src/placement/plan.js';
 import type { PlanInput } from '../../src/placement/scope.js';
-import type { Demand } from '../../src/placement/targets.js';
+import type { DeploymentDemand } from '../../src/placement/targets.js';
 
 const LOAD_STEPS = 4;
 const STREAM_STEPS = 3;
@@ -73,7 +73,7 @@
 export class Fleet {
   configuration: Configuration;
 
-  demand = new Map<string, Demand>();
+  demand = new Map<string, DeploymentDemand>();
 
   loads = 0;
 
