--- a/src/common/refusal.ts
+++ b/src/common/refusal.ts
@@ -2,6 +2,7 @@
  * Refusals: the honest answers to requests that are not, or not wholly, answered. `ran` tells the
  * caller whether any backend server can have run the request.
  */
+import { MILLISECONDS_PER_SECOND } from './time.js';
 
 /**
  * `no`: no backend server was given the request, nor will be. `unknown`: one may have run it.
@@ -45,8 +46,6 @@
   return STATUS[refusal.code];
 }
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** The `Retry-After` header's value in whole seconds, rounded up. */
 export function retryAfterSeconds(refusal: Refusal): number | undefined {
   if (refusal.retryAfterMs === undefined) return undefined;
--- a/src/membership/contacts.ts
+++ b/src/membership/contacts.ts
@@ -50,7 +50,7 @@
  * Members to try beside the neighbours: one known at random, some of those only listed. While
  * nobody is missing, the neighbours see enough of each other, and the random one is tried less.
  */
-function strangers(state: State, met: readonly string[], random: Random): readonly string[] {
+function othersToTry(state: State, met: readonly string[], random: Random): readonly string[] {
   const known = [...state.records.keys()]
     .filter((name) => name !== state.self && !met.includes(name));
   const missing = [...state.records.values()].some((record) => record.condition !== 'alive');
@@ -64,7 +64,7 @@
 /** The exchanges that one period begins with. */
 export function exchanges(state: State, random: Random): readonly Exchange[] {
   const neighbours = successors(state.self, presentPeers(state));
-  const others = strangers(state, neighbours, random);
+  const others = othersToTry(state, neighbours, random);
   return [
     ...neighbours.flatMap((peer) => exchangeWith(state, peer, true)),
     ...others.flatMap((peer) => exchangeWith(state, peer, false)),
--- a/src/membership/parts.ts
+++ b/src/membership/parts.ts
@@ -2,6 +2,8 @@
  * The kinds of shared state, each with its own part of the bytes that may be published in a second,
  * so that one kind that grows makes only its own values older.
  */
+import { MILLISECONDS_PER_SECOND } from '../common/time.js';
+
 const PARTS = ['load', 'demand', 'other'] as const;
 
 export type Part = typeof PARTS[number];
@@ -11,7 +13,6 @@
 
 /** JSON that all daemons together may publish in a second. */
 const BYTES_PER_SECOND: Sizes = { load: 13_000, demand: 4_000, other: 3_000 };
-const MILLISECONDS_PER_SECOND = 1_000;
 /** The shortest time between two changes of one key. */
 const PUBLISH_INTERVAL_MS = 1_000;
 
@@ -39,7 +40,7 @@
   return isOver(part) ? own + (spare * own) / wanted : own;
 }
 
-/** How long a key rests between two changes: longer as its part of the state grows. */
+/** The interval between two changes of a key: longer as its part of the state grows. */
 export function intervalMs(sizes: Sizes, key: string): number {
   const part = partOf(key);
   const spread = (sizes[part] * MILLISECONDS_PER_SECOND) / bytesPerSecond(sizes, part);
--- a/src/membership/publication.ts
+++ b/src/membership/publication.ts
@@ -1,7 +1,7 @@
 /**
- * What a daemon publishes to all others. A key rests between two changes for a time that grows
- * with its part of the shared state, so that the bytes per second stay the same in a larger
- * deployment and the values get older instead. Urgent keys don't rest.
+ * What a daemon publishes to all others. The interval between two changes of a key grows with its
+ * part of the shared state, so that the bytes per second stay the same in a larger deployment and
+ * the values get older instead. Urgent keys have no interval.
  */
 import {
   entryId, entryMessage, isUrgent, ownRecord,
@@ -36,12 +36,12 @@
   };
 }
 
-/** Publishes the waiting values whose keys have rested long enough. */
+/** Publishes the waiting values whose keys' intervals are over. */
 export function publishDue(state: State, now: number): State {
   if (state.pending.size === 0) return state;
   return [...state.pending].reduce((next, [key, value]) => {
     const last = state.entries.get(entryId(state.self, key));
-    const resting = last && now - last.changedAt < intervalMs(state.sizes, key);
-    return resting ? next : publishNow(next, key, value, now);
+    const early = last && now - last.changedAt < intervalMs(state.sizes, key);
+    return early ? next : publishNow(next, key, value, now);
   }, state);
 }
--- a/src/store/paced.ts
+++ b/src/store/paced.ts
@@ -1,8 +1,8 @@
 /**
  * The object API within one instance's call budget, with retries. A call that the budget refuses
- * waits for its turn as long as its use has patience. Reads are tried again after a failure; writes
- * only where the failure says that they had no effect. An ambiguous write is the caller's to
- * settle, see `settle`.
+ * waits for its turn, at most as long as its use allows. Reads are tried again after a failure;
+ * writes only where the failure says that they had no effect. An ambiguous write is the caller's
+ * to settle, see `settle`.
  */
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -21,7 +21,7 @@
 } from './objects.js';
 
 /** How long a call of each use may take to be admitted and to succeed, its retries included. */
-const PATIENCE_MS: Readonly<Record<CallClass, number>> = {
+const CALL_TIMEOUT_MS: Readonly<Record<CallClass, number>> = {
   configuration: 5_000, claims: 1_000, lease: 1_000, status: 0,
 };
 
@@ -90,7 +90,7 @@
 
   /** Errors with `budget` when the budget has no room for one more call. */
   watch(prefix: string, version: number, use: CallClass): Observable<WatchEvent> {
-    const until = () => this.#context.scheduler.now() + PATIENCE_MS[use];
+    const until = () => this.#context.scheduler.now() + CALL_TIMEOUT_MS[use];
     return defer(() => from(this.#admitted('reads', use, until()))).pipe(
       switchMap((refusal) => (refusal
         ? throwError(() => refusal)
@@ -103,7 +103,7 @@
     use: CallClass,
     send: () => Promise<Result<Value, StoreError>>,
     tries = 0,
-    until = this.#context.scheduler.now() + PATIENCE_MS[use],
+    until = this.#context.scheduler.now() + CALL_TIMEOUT_MS[use],
   ): Promise<Result<Value, StoreError>> {
     const { scheduler, random } = this.#context;
     const refusal = await this.#admitted(name, use, until);
