--- a/scripts/mutants/list.mjs
+++ b/scripts/mutants/list.mjs
@@ -56,7 +56,7 @@
     edits: [{
       file: LOSS,
       from: 'if (begun && state.accepted.tokens === 0 && !state.repeatable) {',
-      to: 'if (state.fruitless < 0) {',
+      to: 'if (state.attemptsWithoutToken < 0) {',
     }],
   },
   {
--- a/src/generation/loss.ts
+++ b/src/generation/loss.ts
@@ -78,7 +78,7 @@
       effects: [{ kind: 'finish', reason: 'length', tokens: accepted.tokens }],
     };
   }
-  if (state.fruitless >= state.maxAttempts || !state.textKnown) {
+  if (state.attemptsWithoutToken >= state.maxAttempts || !state.textKnown) {
     return refuse(state, lossRefusal(state, message));
   }
   // With nothing delivered, the version in force now is as good as the first one.
--- a/src/generation/state.ts
+++ b/src/generation/state.ts
@@ -46,7 +46,7 @@
   /** Number of the last attempt. */
   readonly attempts: number;
   /** Attempts dispatched since the last token. */
-  readonly fruitless: number;
+  readonly attemptsWithoutToken: number;
   /** The model version that the answer is made with; later attempts must match it. */
   readonly version: string | undefined;
   /** Whether a backend server may have made anything of the request. */
@@ -65,7 +65,7 @@
     textKnown: true,
     phase: { kind: 'waiting' },
     attempts: 0,
-    fruitless: 0,
+    attemptsWithoutToken: 0,
     version: undefined,
     begun: false,
     given: false,
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -41,7 +41,7 @@
     state: {
       ...state,
       attempts: attempt.number,
-      fruitless: state.fruitless + 1,
+      attemptsWithoutToken: state.attemptsWithoutToken + 1,
       version,
       phase: { kind: 'running', live: [...liveAttempts(state), attempt], hedging: false },
     },
@@ -68,7 +68,8 @@
   if (phase.live.length >= MAX_LIVE_ATTEMPTS) return unchanged(state);
   const attempt = phase.live.at(-1);
   const safe = state.repeatable || state.accepted.tokens > 0;
-  const allowed = state.hedges && safe && state.textKnown && state.fruitless < state.maxAttempts;
+  const allowed = state.hedges && safe && state.textKnown
+    && state.attemptsWithoutToken < state.maxAttempts;
   if (!attempt || attempt.number !== number || !allowed) return unchanged(state);
   return {
     state: { ...state, phase: { ...phase, hedging: true } },
@@ -130,7 +131,7 @@
       ...state,
       begun: true,
       given: true,
-      fruitless: 0,
+      attemptsWithoutToken: 0,
       excluded: state.excluded.length === 0 ? state.excluded : [],
       phase: alone ? phase : { kind: 'running', live: [attempt], hedging: false },
       accepted: { text: tokens % FLATTEN_EVERY_TOKENS === 0 ? flatten(joined) : joined, tokens },
