--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -28,7 +28,10 @@
  * `reused_key`: the key was claimed with another body. `unavailable`: the claim could not be
  * settled in time; it was not granted and a later retry of the key is not locked out by it.
  */
-export type ClaimOutcome = | { readonly kind: 'granted'; readonly ref: ClaimReference }
+export type ClaimOutcome = { readonly kind: 'granted'; readonly ref: ClaimReference } | NotGranted;
+
+/** Why a claim was not granted. */
+export type NotGranted =
   | { readonly kind: 'running'; readonly owner: string; readonly request: string }
   | {
     readonly kind: 'done';
--- a/src/claims/shard.ts
+++ b/src/claims/shard.ts
@@ -6,6 +6,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import type { NotGranted } from './claims.js';
 
 /** A claim without an end is kept longer than any request may run. */
 const RUNNING_TTL_MS = 7_200_000;
@@ -60,15 +61,7 @@
 /** What an operation comes to; `applied` is the outcome of one that is not a claim. */
 export type Outcome =
   | { readonly kind: 'granted' }
-  | { readonly kind: 'running'; readonly owner: string; readonly request: string }
-  | {
-    readonly kind: 'done';
-    readonly owner: string;
-    readonly request: string;
-    readonly status: number;
-  }
-  | { readonly kind: 'reused_key' }
-  | { readonly kind: 'unavailable'; readonly message: string }
+  | NotGranted
   | { readonly kind: 'applied' };
 
 /**
