--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,4 +1,5 @@
 /** Callers that ask at random moments at a given rate, whatever the answers take. */
+import { MAX_SEED } from '../src/common/random.js';
 import type { Random } from '../src/common/random.js';
 import { ask } from './caller.js';
 import type { Outcome, Question } from './caller.js';
@@ -7,7 +8,6 @@
 import { KEY, WORKSPACES } from './site.js';
 import type { Group } from './site.js';
 
-const MAX_SEED = 0x7fff_ffff;
 /** Distinct beginnings of prompts, which engines may have cached. */
 const PREFIXES = 20;
 
--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -6,6 +6,8 @@
 
 const HEX = 16;
 const MAX_INT = 0x7fff_ffff;
+/** The largest seed of a generation or of `Random`. */
+export const MAX_SEED = MAX_INT;
 
 export class Random {
   readonly #generator: RandomGenerator;
--- a/src/daemon/demo.ts
+++ b/src/daemon/demo.ts
@@ -6,7 +6,7 @@
 import type { Subscription } from 'rxjs';
 import { sha256 } from '../common/hash.js';
 import { ConsoleLog, silentLog } from '../common/log.js';
-import { Random } from '../common/random.js';
+import { MAX_SEED, Random } from '../common/random.js';
 import { monotonicScheduler } from '../common/time.js';
 import { Publisher } from '../configuration/publisher.js';
 import { StandInEngine } from '../standin/engine.js';
@@ -27,7 +27,6 @@
 const MODEL = 'listing';
 const VERSION = '1';
 const READY_POLL_MS = 50;
-const MAX_SEED = 0x7fff_ffff;
 
 export const DEMO_KEY = 'demo-key';
 const ADMINISTRATOR_KEY = 'demo-administrator';
@@ -53,7 +52,7 @@
 }
 
 /** The demonstration's configuration, as the one file of an operator's folder. */
-export function demoFile(engines: readonly string[]): string {
+function demoFile(engines: readonly string[]): string {
   return [
     '[deployment]\nname = "demo"\nfavour = "latency"\nzones = ["demo-a"]\n',
     `[models.${MODEL}]\nversion = "${VERSION}"\nreplicas = ${ENGINES}\nrepeat = "safe"\n`,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -13,12 +13,11 @@
 import { parseArgs } from 'node:util';
 import { formatFinding } from '../common/finding.js';
 import { ConsoleLog } from '../common/log.js';
-import { Random } from '../common/random.js';
+import { MAX_SEED, Random } from '../common/random.js';
 import { Daemon } from './daemon.js';
 import { readSettings } from './settings.js';
 import type { Settings } from './settings.js';
 
-const MAX_SEED = 0x7fff_ffff;
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 const USAGE = 'usage: shallotshuntd --settings FILE | --demo';
 const EXIT_SETTINGS = 2;
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import { MAX_SEED } from '../common/random.js';
 import type { Refusal } from '../common/refusal.js';
 import type { Model, Workspace } from '../configuration/configuration.js';
 import type { Input } from '../engines/engine.js';
@@ -9,7 +10,6 @@
 
 export type Form = 'completion' | 'chat';
 
-const MAX_SEED = 0x7fff_ffff;
 const MAX_STOPS = 4;
 const MAX_STOP_CHARACTERS = 256;
 const MAX_MESSAGES = 4_096;
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -7,6 +7,7 @@
 import type { SchedulerLike } from 'rxjs';
 import { Batch } from '../common/batch.js';
 import { sha256 } from '../common/hash.js';
+import { MAX_SEED } from '../common/random.js';
 import type { Random } from '../common/random.js';
 import { bodyOf } from '../common/refusal.js';
 import type { Refusal, RefusalCode } from '../common/refusal.js';
@@ -26,7 +27,6 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const CONNECTIONS_CHECK_MS = 1_000;
-const MAX_SEED = 0x7fff_ffff;
 const MAX_KEY_CHARACTERS = 255;
 const MAX_POSITION_DIGITS = 9;
 const JSON_TYPE = { 'content-type': 'application/json' };
@@ -38,6 +38,8 @@
   /** Served at `/metrics`, and counts requests. */
   readonly metrics?: RequestMetrics;
   readonly scheduler?: SchedulerLike;
+  /** Milliseconds since 1970, for the time of creation that an answer tells. */
+  readonly wallClock?: () => number;
 }
 
 function refusal(code: RefusalCode, message: string): Refusal {
@@ -261,7 +263,8 @@
       idempotencyKey: key.value,
       bodyHash: sha256(`${req.url}\n${text.unwrapOr('')}`),
     });
-    const created = Math.floor(Date.now() / MILLISECONDS_PER_SECOND);
+    const { wallClock = Date.now } = this.#options;
+    const created = Math.floor(wallClock() / MILLISECONDS_PER_SECOND);
     const head = {
       form, id, model: request.model, created, includeUsage,
     };
