--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -39,7 +39,7 @@
 }
 
 /** Options of every command. */
-export const COMMON_OPTIONS: Options = {
+const COMMON_OPTIONS: Options = {
   json: { type: 'boolean', help: 'print JSON for scripts' },
   help: { type: 'boolean', short: 'h', help: 'print this help' },
 };
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -37,7 +37,7 @@
 }
 
 /** One log line without its line end. */
-export function formatLine(level: LogLevel, event: string, fields: LogFields, time: Date): string {
+function formatLine(level: LogLevel, event: string, fields: LogFields, time: Date): string {
   return `time=${time.toISOString()} level=${level} ${formatEvent(event, fields)}`;
 }
 
--- a/src/configuration/fields.ts
+++ b/src/configuration/fields.ts
@@ -45,7 +45,7 @@
 }
 
 /** A size such as `"64KiB"` in bytes, or undefined. */
-export function parseSize(input: unknown): number | undefined {
+function parseSize(input: unknown): number | undefined {
   return parseUnit(input, SIZE, SIZE_UNITS);
 }
 
--- a/src/entry/answer.ts
+++ b/src/entry/answer.ts
@@ -16,7 +16,7 @@
 import type { AnswerHead } from './completionjson.js';
 
 export const CURSOR_HEADER = 'x-generation-cursor';
-export const GENERATION_HEADER = 'x-generation-id';
+const GENERATION_HEADER = 'x-generation-id';
 
 export interface AnswerContext {
   readonly head: AnswerHead;
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -18,7 +18,7 @@
   readonly limitMs: number;
 }
 
-export const DEFAULT_DRAIN: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
+const DEFAULT_DRAIN: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
 
 /** What came in time is read within this time of being awake, the last of the balancer's lag. */
 const READ_MS = 100;
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -27,7 +27,7 @@
 }
 
 /** The route that decides for a call; one that is not configured is safe for reads only. */
-export function routeOf(service: Service, method: string, path: string): Route {
+function routeOf(service: Service, method: string, path: string): Route {
   const found = service.routes.find((route) => path.startsWith(route.path)
     && (route.methods.length === 0 || route.methods.includes(method)));
   return found ?? {
--- a/src/limits/shares.ts
+++ b/src/limits/shares.ts
@@ -18,9 +18,9 @@
 /** Changes of a share smaller than this part of the limit are left out. */
 const MIN_CHANGE = 0.02;
 /** After this silence a member counts as on the other side of a partition. */
-export const LAPSE_MS = 6_000;
+const LAPSE_MS = 6_000;
 /** After this silence a member is taken to have come down to its side's part. */
-export const RECLAIM_MS = 18_000;
+const RECLAIM_MS = 18_000;
 /** A daemon that was paused this long has at most an even share until it has looked again. */
 const PAUSED_MS = 2_000;
 const EPSILON = 1e-9;
--- a/src/placement/leasekeeper.ts
+++ b/src/placement/leasekeeper.ts
@@ -14,7 +14,7 @@
 import { leaseOf } from './leasestate.js';
 import type { Lease } from './leasestate.js';
 
-export const LEASE_NAME = 'lease/placement';
+const LEASE_NAME = 'lease/placement';
 
 const TICK_MS = 250;
 const SPREAD = 0.2;
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -32,7 +32,7 @@
   readonly models: readonly LoadedModel[];
 }
 
-export const DEFAULT_ENGINE: EngineOptions = {
+const DEFAULT_ENGINE: EngineOptions = {
   name: 'engine',
   stepMs: 2,
   slots: 64,
--- a/src/standin/tokens.ts
+++ b/src/standin/tokens.ts
@@ -16,7 +16,7 @@
 export type Subject = Pick<AttemptRequest, 'model' | 'version' | 'adapter' | 'input' | 'sampling'>;
 
 /** The chain's state before the first token. */
-export function chainStart({
+function chainStart({
   model, version, adapter, input, sampling,
 }: Subject): number {
   return hash32(JSON.stringify([model, version, adapter ?? '', sampling.seed, inputText(input)]));
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -39,7 +39,7 @@
 export const FLEET_RATES: StoreRates = { readsPerSecond: 1_500, writesPerSecond: 300 };
 
 /** Part of the writes that is set aside for the claim shards and follows their homes. */
-export const CLAIM_WRITES_PART = 0.6;
+const CLAIM_WRITES_PART = 0.6;
 
 /**
  * One instance's part of the fleet's rates. The parts of all instances add up to the whole as long
