--- a/bench/fairness.ts
+++ b/bench/fairness.ts
@@ -8,8 +8,10 @@
  */
 import { Random } from '../src/common/random.js';
 import { NAMES, ShareFleet } from '../test/fakes/sharefleet.js';
-import { RoutingWorld, SLOTS } from './routingworld.js';
-import type { Measured, Policy, Setting } from './routingworld.js';
+import { SLOTS } from './routingsite.js';
+import type { Setting } from './routingsite.js';
+import { RoutingWorld } from './routingworld.js';
+import type { Measured, Policy } from './routingworld.js';
 
 const LISBON: Setting = {
   name: 'lisbon',
--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -10,9 +10,11 @@
 import type { Chooser } from '../src/routing/choice.js';
 import { choose } from '../src/routing/choice.js';
 import { measureCost } from './routingcost.js';
-import { RoutingWorld, SLOTS } from './routingworld.js';
+import { SLOTS } from './routingsite.js';
+import type { Setting } from './routingsite.js';
+import { RoutingWorld } from './routingworld.js';
 import type {
-  Measured, Policy, Sample, Setting, Traffic,
+  Measured, Policy, Sample, Traffic,
 } from './routingworld.js';
 
 const SETTINGS: Readonly<Record<'lisbon' | 'moravia', Setting>> = {
--- a/bench/routingworld.ts
+++ b/bench/routingworld.ts
@@ -6,10 +6,7 @@
 import { BehaviorSubject } from 'rxjs';
 import { silentLog } from '../src/common/log.js';
 import { Random } from '../src/common/random.js';
-import type {
-  BackendServer, Configuration, Favour, Model, Pool, Workspace,
-} from '../src/configuration/configuration.js';
-import { EMPTY_CONFIGURATION } from '../src/configuration/defaults.js';
+import type { Configuration } from '../src/configuration/configuration.js';
 import type { Directory } from '../src/engines/directory.js';
 import type { Priority } from '../src/engines/engine.js';
 import { BLOCK_CHARACTERS } from '../src/engines/prefix.js';
@@ -22,16 +19,8 @@
 import { VirtualClock } from '../test/fakes/clock.js';
 import { Baseline } from './baselines.js';
 import type { Rule } from './baselines.js';
-
-export interface Setting {
-  readonly name: string;
-  readonly zones: readonly string[];
-  readonly longEngines: number;
-  readonly shortEngines: number;
-  readonly stepMs: number;
-  readonly favour: Favour;
-  readonly daemons: number;
-}
+import { configurationOf, SLOTS, WORKSPACES } from './routingsite.js';
+import type { Setting } from './routingsite.js';
 
 export type Policy =
   | { readonly kind: 'router'; readonly choose?: Chooser }
@@ -69,77 +58,13 @@
   readonly crossZone: number;
 }
 
-export const SLOTS = 16;
 const CACHE_BLOCKS = 512;
 const CROSS_ZONE_MS = 3;
-const WORKSPACES = 10;
 const TEMPLATES = 4;
 const TEMPLATE_BLOCKS = 24;
 const MILLISECONDS = 1_000;
 const WARM_UP_MS = 2_000;
 
-function model(name: string): Model {
-  return {
-    name,
-    version: '1',
-    adapters: [],
-    replicas: 1,
-    memory: 1,
-    maxTokens: 4_096,
-    priority: 'standard',
-    repeat: 'safe',
-  };
-}
-
-function pool(name: string): Pool {
-  return {
-    name, kind: 'engine', models: [], retryRatio: 0.1, concurrencyPerServer: SLOTS,
-  };
-}
-
-function workspace(name: string): Workspace {
-  return {
-    name,
-    keyHashes: [],
-    weight: 1,
-    requestsPerSecond: 1_000_000,
-    burst: 1_000_000,
-    concurrency: 1_000_000,
-    priority: 'standard',
-    models: [],
-  };
-}
-
-function keyed<Item extends { readonly name: string }>(items: readonly Item[]) {
-  return Object.fromEntries(items.map((item) => [item.name, item]));
-}
-
-function configurationOf(setting: Setting): Configuration {
-  const servers = ['long', 'short'].flatMap((kind) => {
-    const count = kind === 'long' ? setting.longEngines : setting.shortEngines;
-    return Array.from({ length: count }, (_, index): BackendServer => ({
-      name: `${kind}-${index}`,
-      kind: 'engine',
-      address: `${kind}-${index}`,
-      zone: setting.zones[index % setting.zones.length]!,
-      pool: kind,
-      checksFence: true,
-      memory: 1,
-      drained: false,
-    }));
-  });
-  const names = Array.from({ length: WORKSPACES }, (_, index) => `w${index}`);
-  return {
-    ...EMPTY_CONFIGURATION,
-    revision: 1,
-    deployment: { name: setting.name, favour: setting.favour, zones: setting.zones },
-    models: keyed([model('long'), model('short')]),
-    pools: keyed([pool('long'), pool('short')]),
-    servers: keyed(servers),
-    workspaces: keyed(names.map(workspace)),
-  };
-}
-
 /** A text of whole blocks that begins no other one. */
 function textOf(seed: number, blocks: number): string {
   const word = `${seed.toString(36).padStart(8, '0')} `;
