Move the callers of the relaying bench to a module; build their request once

The callers were seen to count against a small server (476 answers of two tokens, none broken); the bench itself was not run to its end after the move.

--- a/bench/tokens.ts
+++ b/bench/tokens.ts
@@ -6,8 +6,6 @@
  *     tsx bench/tokens.ts [--seconds N] [--json] [--only tokens|memory|first]
  */
 import { readFileSync } from 'node:fs';
-import { request } from 'node:http';
-import type { ClientRequest } from 'node:http';
 import { parseArgs } from 'node:util';
 import { firstValueFrom, filter } from 'rxjs';
 import type { Favour } from '../src/configuration/configuration.js';
@@ -15,10 +13,11 @@
 import { inTurn, sleep } from './deployed.js';
 import type { DaemonSetup } from './deployed.js';
 import { buildPrograms, Program } from './fleet.js';
-import { configurationOf, KEY } from './site.js';
+import { configurationOf } from './site.js';
 import type { Site } from './site.js';
 import { percentiles, table } from './statistics.js';
 import type { Row } from './statistics.js';
+import { Callers, firstToken, MAX_TOKENS } from './tokencallers.js';
 
 const { values } = parseArgs({
   options: {
@@ -31,9 +30,7 @@
 const WINDOW_MS = Number(values.seconds) * 1_000;
 const WARM_MS = 2_000;
 const ENGINES = 8;
-const MAX_TOKENS = 4_096;
 const TICKS_PER_SECOND = 100;
-const TAIL_BYTES = 600;
 const FIRST_TOKENS = 600;
 const WARM_REQUESTS = 100;
 
@@ -113,78 +110,6 @@
   };
 }
 
-/** Callers that each read one answer after another and count what comes. */
-class Callers {
-  readonly #address: string;
-
-  readonly #maxTokens: number;
-
-  readonly #requests = new Set<ClientRequest>();
-
-  #open = true;
-
-  tokens = 0;
-
-  asked = 0;
-
-  broken = 0;
-
-  private constructor(address: string, maxTokens: number) {
-    this.#address = address;
-    this.#maxTokens = maxTokens;
-  }
-
-  static of(address: string, streams: number, maxTokens = MAX_TOKENS): Callers {
-    const callers = new Callers(address, maxTokens);
-    Array.from({ length: streams }).forEach((_, index) => {
-      setTimeout(() => callers.#ask(), index * 2);
-    });
-    return callers;
-  }
-
-  stop(): void {
-    this.#open = false;
-    this.#requests.forEach((req) => req.destroy());
-  }
-
-  #ask(): void {
-    if (!this.#open) return;
-    this.asked += 1;
-    const [host, port] = this.#address.split(':');
-    let seen = 0;
-    let tail = '';
-    const req = request({
-      host,
-      port,
-      method: 'POST',
-      path: '/v1/completions',
-      agent: false,
-      headers: { authorization: `Bearer ${KEY}-0` },
-    }, (res) => {
-      res.setEncoding('latin1');
-      res.on('data', (chunk: string) => {
-        tail = (chunk.length >= TAIL_BYTES ? chunk : tail + chunk).slice(-TAIL_BYTES);
-        const at = tail.lastIndexOf('\nid: ');
-        if (at < 0) return;
-        const position = Number(/\.(\d+)\n/.exec(tail.slice(at))?.[1] ?? seen - 1);
-        this.tokens += position + 1 - seen;
-        seen = position + 1;
-      });
-      res.on('close', () => {
-        this.#requests.delete(req);
-        if (!tail.endsWith('[DONE]\n\n') && this.#open) this.broken += 1;
-        this.#ask();
-      });
-      res.on('error', () => undefined);
-    });
-    this.#requests.add(req);
-    req.on('error', () => undefined);
-    req.end(JSON.stringify({
-      model: 'listing', prompt: `item ${this.asked}`, max_tokens: this.#maxTokens, stream: true,
-    }));
-  }
-}
-
 interface Measured extends Size {
   readonly tokensPerSecond: number;
   readonly requestsPerSecond: number;
@@ -247,28 +172,6 @@
   return rows;
 }
 
-function firstToken(address: string, index: number): Promise<number> {
-  const [host, port] = address.split(':');
-  const from = performance.now();
-  return new Promise((resolve, reject) => {
-    const req = request({
-      host,
-      port,
-      method: 'POST',
-      path: '/v1/completions',
-      agent: false,
-      headers: { authorization: `Bearer ${KEY}-0` },
-    }, (res) => {
-      res.once('data', () => resolve(performance.now() - from));
-      res.resume();
-    });
-    req.on('error', reject);
-    req.end(JSON.stringify({
-      model: 'listing', prompt: `item ${index}`, max_tokens: 1, stream: true,
-    }));
-  });
-}
-
 /** First-token times straight from an engine and through the daemon, one after the other. */
 async function firstTokens(streams: number): Promise<Row> {
   const running = await start(2);
