Test that an engine which leaves finishes its open answers

Cause: the promise that a graceful stop of an engine cuts off nothing had no test of its own. Seen: the test fails when the engine crashes in place of leaving, and passes.

--- a/test/generation.test.ts
+++ b/test/generation.test.ts
@@ -35,6 +35,20 @@
   t.true(longestPause(caller) < 20);
 });
 
+test('an answer that is open at an engine which leaves ends there, whole', async (t) => {
+  const {
+    clock, call, engines, busy,
+  } = deployment();
+  await clock.advance(50);
+  const caller = call(REQUEST);
+  await clock.advance(40);
+  busy().leave();
+  await clock.advance(2_000);
+  t.is(caller.end()?.kind, 'finish');
+  t.true(wholeAnswer(REQUEST, caller.text()));
+  t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
+});
+
 ['latency' as const, 'resources' as const].forEach((favour) => {
   test(`${favour}: an answer goes on when its engine freezes and later wakes`, async (t) => {
     const {
