--- a/test/generation.test.ts
+++ b/test/generation.test.ts
@@ -2,6 +2,7 @@
 import {
   NEVER, Observable, concat, filter, merge, of,
 } from 'rxjs';
+import type { Configuration } from '../src/configuration/configuration.js';
 import type { EngineClient, EngineEvent } from '../src/engines/engine.js';
 import type { StandInEngine } from '../src/standin/engine.js';
 import {
@@ -49,6 +50,29 @@
   t.is([...engines.values()].flatMap(({ begun }) => begun).length, 1);
 });
 
+const RELOADS: readonly [string, (before: Configuration) => Partial<Configuration>][] = [
+  ['its workspace', () => ({ workspaces: {} })],
+  ['its model', () => ({ models: {} })],
+  ['its engine', () => ({ servers: {} })],
+  ['the favour', ({ deployment: named }) => ({
+    deployment: { ...named, favour: 'resources' },
+  })],
+];
+
+RELOADS.forEach(([what, change]) => {
+  test(`an open answer ends whole when a reload removes or changes ${what}`, async (t) => {
+    const { clock, call, configurations } = deployment();
+    await clock.advance(50);
+    const caller = call(REQUEST);
+    await clock.advance(40);
+    const before = configurations.value;
+    configurations.next({ ...before, ...change(before), revision: before.revision + 1 });
+    await clock.advance(2_000);
+    t.is(caller.end()?.kind, 'finish');
+    t.true(wholeAnswer(REQUEST, caller.text()));
+  });
+});
+
 ['latency' as const, 'resources' as const].forEach((favour) => {
   test(`${favour}: an answer goes on when its engine freezes and later wakes`, async (t) => {
     const {
