Work out the members once for each state of membership

Cause: each routing decision asks how many daemons there are, and each answer built and sorted the whole list of members again. Change: Heartbeats keeps the list with the state that it was worked out from. Checked: 152 tests of membership, instances, isolation, claims, routing and administration pass; the time saved was not measured.

--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -66,13 +66,18 @@
 
   #listRead = false;
 
+  #latest: { readonly state: State; readonly members: readonly Member[] } | undefined;
+
   private constructor(options: HeartbeatsOptions) {
     this.#options = options;
     // Wall clocks may tell fractions; messages carry whole numbers.
     const incarnation = Math.floor(options.origin.incarnation);
     const origin = { ...options.origin, incarnation };
     this.#states = new BehaviorSubject(initialState(origin, options.scheduler.now()));
-    this.members = this.#states.pipe(map(membersOf), distinctUntilChanged(sameMembers));
+    this.members = this.#states.pipe(
+      map(() => this.current()),
+      distinctUntilChanged(sameMembers),
+    );
     this.softState = SoftState.of(
       this.#states,
       () => this.#states.value,
@@ -85,8 +90,11 @@
     return new Heartbeats(options);
   }
 
+  /** Worked out once for each state, as routing asks with every decision. */
   current(): readonly Member[] {
-    return membersOf(this.#states.value);
+    const state = this.#states.value;
+    if (this.#latest?.state !== state) this.#latest = { state, members: membersOf(state) };
+    return this.#latest.members;
   }
 
   /** Whether another instance lives, as far as this one or the platform's list knows. */
