Take an answer without a length for broken when its connection was reset

When the last bytes and the reset are read in one go the runtime reports an orderly end and no error; the trace showed the peer's address gone at that end. Change: a connection without a peer at its end was reset, for relayed answers and plain services. Test: relay-exchange, against a server that resets behind its last bytes; it fails without the check.

--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -1,9 +1,10 @@
 /** Sends one call to one backend server and its answer back to the caller. */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream';
+import { pipeline } from 'node:stream/promises';
 import { Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { isFramed, watchUnframed } from './unframed.js';
 
 const HOP_BY_HOP: readonly string[] = [
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te',
@@ -114,8 +115,14 @@
       answer.setTimeout(timeoutMs, () => answer.destroy(new Error('the service fell silent')));
       const headers = endToEnd(answer.rawHeaders);
       res.writeHead(answer.statusCode ?? 502, answer.statusMessage, headers);
+      const broken = isFramed(answer, req.method ?? '') ? () => undefined : watchUnframed(answer);
       // An answer that breaks off is broken off for the caller too, and never looks whole.
-      pipeline(answer, res, (error) => settle({ kind: 'answered', whole: !error }));
+      pipeline(answer, res, { end: false }).then(() => broken() === undefined, () => false)
+        .then((whole) => {
+          if (whole) res.end();
+          else res.destroy();
+          settle({ kind: 'answered', whole });
+        }, fail);
     });
     upstream.flushHeaders();
   });
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -4,9 +4,9 @@
  */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
 import { Observable, Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { isFramed, watchUnframed } from '../entry/unframed.js';
 import type { CleanAgent } from './connections.js';
 import type { RawHeaders } from './dialect.js';
 
@@ -37,38 +37,22 @@
   | { readonly kind: 'end' }
   | { readonly kind: 'failed'; readonly ran: 'no' | 'unknown'; readonly message: string };
 
-function framed(answer: IncomingMessage, method: string): boolean {
-  const { statusCode = 0, headers } = answer;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-    || method === 'HEAD' || statusCode === 204 || statusCode === 304;
+interface AnswerListener {
+  piece(bytes: Buffer): void;
+  end(): void;
+  fail(message: string): void;
 }
 
 /** Reads one answer; calls `end` only when it is whole. */
-function readAnswer(
-  answer: IncomingMessage,
-  socket: Socket,
-  whole: boolean,
-  listener: { piece(bytes: Buffer): void; end(): void; fail(message: string): void },
-): void {
-  let broken: string | undefined;
-  const onError = (error: Error) => {
-    broken = error.message;
-  };
-  socket.on('error', onError);
-  answer.once('close', () => socket.off('error', onError));
+function readAnswer(answer: IncomingMessage, method: string, listener: AnswerListener): void {
+  const broken = isFramed(answer, method) ? () => undefined : watchUnframed(answer);
   answer.on('data', (bytes: Buffer) => listener.piece(bytes));
   answer.once('error', (error) => listener.fail(error.message));
   answer.once('aborted', () => listener.fail('the answer broke off'));
   answer.once('end', () => {
-    if (!answer.complete) listener.fail('the answer broke off');
-    else if (whole) listener.end();
-    // Without a length only the way in which the connection closes tells the end from a loss.
-    else {
-      const settle = () => (broken === undefined ? listener.end() : listener.fail(broken));
-      if (socket.closed) settle();
-      else socket.once('close', settle);
-      socket.destroySoon();
-    }
+    const reason = answer.complete ? broken() : 'the answer broke off';
+    if (reason === undefined) listener.end();
+    else listener.fail(reason);
   });
 }
 
@@ -117,7 +101,7 @@
       if (!request.writableFinished) request.shouldKeepAlive = false;
       outgoing.agent.hint(answer.socket, answer.headers['keep-alive']);
       emit({ kind: 'head', status: answer.statusCode ?? 0, headers: answer.rawHeaders });
-      readAnswer(answer, answer.socket, framed(answer, outgoing.method), {
+      readAnswer(answer, outgoing.method, {
         piece: (bytes) => emit({ kind: 'piece', bytes }),
         end: () => emit({ kind: 'end' }),
         fail,
--- /dev/null
+++ b/test/relay-exchange.test.ts
@@ -0,0 +1,117 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { lastValueFrom, toArray } from 'rxjs';
+import { monotonicScheduler } from '../src/common/time.js';
+import { Connections } from '../src/relay/connections.js';
+import { exchange } from '../src/relay/exchange.js';
+import type { ExchangeEvent } from '../src/relay/exchange.js';
+
+const WHOLE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=10\r\n\r\nbody';
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
+
+/** A server that answers each request on each connection as `answer` says. */
+async function peer(
+  t: ExecutionContext,
+  answer: (socket: Socket, request: number) => void,
+): Promise<{ address: string; connections: () => number }> {
+  let connections = 0;
+  let requests = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      requests += 1;
+      answer(socket, requests);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, connections: () => connections };
+}
+
+function send(address: string, connections: Connections): Promise<ExchangeEvent[]> {
+  return lastValueFrom(exchange({
+    agent: connections.agent('s'),
+    address,
+    method: 'GET',
+    target: '/',
+    headers: ['Host', 'h'],
+    body: Buffer.alloc(0),
+    reuse: true,
+  }, monotonicScheduler).pipe(toArray()));
+}
+
+function last(events: readonly ExchangeEvent[]): string {
+  const event = events.at(-1);
+  return event?.kind === 'failed' ? `failed ${event.ran}` : String(event?.kind);
+}
+
+const ENDS: readonly { name: string; answer: (socket: Socket) => void; end: string }[] = [
+  { name: 'with a length', answer: (socket) => socket.write(WHOLE), end: 'end' },
+  { name: 'without a length, closed in order', answer: (socket) => socket.end(UNFRAMED), end: 'end' },
+  {
+    name: 'without a length, reset behind its last bytes',
+    answer: (socket) => {
+      socket.write(UNFRAMED);
+      socket.resetAndDestroy();
+    },
+    end: 'failed unknown',
+  },
+  {
+    name: 'shorter than its length',
+    answer: (socket) => socket.end(WHOLE.slice(0, -2)),
+    end: 'failed unknown',
+  },
+  {
+    name: 'cut between chunks',
+    answer: (socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n'),
+    end: 'failed unknown',
+  },
+  { name: 'no answer', answer: (socket) => socket.end('nonsense\r\n\r\n'), end: 'failed unknown' },
+];
+
+ENDS.forEach(({ name, answer, end }) => {
+  test(`an answer ${name} ends as ${end}`, async (t) => {
+    const { address } = await peer(t, answer);
+    const connections = Connections.of();
+    t.is(last(await send(address, connections)), end);
+    connections.close();
+  });
+});
+
+test('a clean connection is used again', async (t) => {
+  const server = await peer(t, (socket) => socket.write(WHOLE));
+  const connections = Connections.of();
+  await send(server.address, connections);
+  const events = await send(server.address, connections);
+  t.is(last(events), 'end');
+  t.deepEqual(events[0], { kind: 'sent', reused: true });
+  t.is(server.connections(), 1);
+  connections.close();
+});
+
+test('a connection with bytes that nobody asked for is not used again', async (t) => {
+  const server = await peer(t, (socket, request) => {
+    socket.write(WHOLE);
+    if (request === 1) setTimeout(() => socket.write(WHOLE), 20);
+  });
+  const connections = Connections.of();
+  await send(server.address, connections);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 60);
+  });
+  const events = await send(server.address, connections);
+  t.deepEqual(events[0], { kind: 'sent', reused: false });
+  t.is(server.connections(), 2);
+  connections.close();
+});
+
+test('a refused connection says that the request did not run', async (t) => {
+  const connections = Connections.of();
+  t.is(last(await send('127.0.0.1:1', connections)), 'failed no');
+});
