--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -150,7 +150,11 @@
       ended: (route, status, ms) => this.#metrics?.ended(route.delivery, status, ms),
     });
     this.drain.states.subscribe((state) => {
-      if (state === 'finishing') this.#front?.closeIdleConnections();
+      if (state !== 'finishing') return;
+      // A connection that is refused goes to another instance; a request that is taken now may not
+      // be answered in time.
+      this.#front?.close();
+      this.#front?.closeIdleConnections();
     });
     return this.#front;
   }
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -84,7 +84,11 @@
     res.on('error', () => undefined);
     const { drain, log } = this.#context;
     const leave = drain.enter();
-    res.on('close', leave);
+    res.on('close', () => {
+      leave();
+      // An answer that began before the stop has told the caller that the connection stays.
+      if (drain.state !== 'serving') req.socket.destroySoon();
+    });
     if (drain.state !== 'serving') res.setHeader('Connection', 'close');
     this.#handle(req, res, receivedAt).catch((error: unknown) => {
       log.event('error', 'request_failed', { target: req.url, reason: String(error) });
