--- a/src/limits/retrywindow.ts
+++ b/src/limits/retrywindow.ts
@@ -48,9 +48,8 @@
 
 /** Notes how many instances are alive. */
 export function counted(window: RetryWindow, count: number, now: number): RetryWindow {
-  return {
-    ...window, members: [...window.members.filter((other) => other.count > count), { count, at: now }],
-  };
+  const larger = window.members.filter((other) => other.count > count);
+  return { ...window, members: [...larger, { count, at: now }] };
 }
 
 /** Retries that this instance may still send in the window. */
--- a/src/relay/attemptanswer.ts
+++ b/src/relay/attemptanswer.ts
@@ -28,7 +28,10 @@
   const answer = dialect.readAnswer(status, headers);
   if (answer.notRun) {
     return {
-      kind: 'not_run', message: `the server refused with ${status}`, elsewhere: status === MISDIRECTED, answer,
+      kind: 'not_run',
+      message: `the server refused with ${status}`,
+      elsewhere: status === MISDIRECTED,
+      answer,
     };
   }
   if (answer.id !== undefined && answer.id !== id) {
--- a/src/relay/choice.ts
+++ b/src/relay/choice.ts
@@ -96,7 +96,8 @@
     && candidate.server.listed.id !== primary.listed.id && fits(candidate, demand, capacity));
   const elsewhere = others.filter(({ server }) => server.listed.zone !== primary.listed.zone);
   return least(elsewhere.length > 0 ? elsewhere : others, ({ load, doubted }) => (
-    load.memory + STANDBY_COST * load.standby + load.reading + (doubted ? capacity.memoryTokens : 0)));
+    load.memory + STANDBY_COST * load.standby + load.reading
+    + (doubted ? capacity.memoryTokens : 0)));
 }
 
 /** The server for a call to a plain service. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -106,7 +106,8 @@
 
   /** Whether the balancer may send connections. */
   get ready(): boolean {
-    return this.#knowledge.routes !== undefined && this.#fleet.known && this.drain.state === 'serving';
+    const known = this.#knowledge.routes !== undefined && this.#fleet.known;
+    return known && this.drain.state === 'serving';
   }
 
   /** Begins a graceful stop. */
--- a/src/relay/eventattempt.ts
+++ b/src/relay/eventattempt.ts
@@ -150,7 +150,8 @@
         break;
       case 'piece':
         fleet.heard(server.id);
-        if (!this.#failure) this.#splitter.take(event.bytes).forEach((part) => this.#readEvent(part));
+        if (this.#failure) break;
+        this.#splitter.take(event.bytes).forEach((part) => this.#readEvent(part));
         break;
       case 'end':
         this.#end();
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -75,7 +75,8 @@
   }
 
   #begin(): void {
-    this.#timers.add(timer(Math.max(0, timeLeft(this.#call, this.#context)), this.#context.scheduler)
+    const left = Math.max(0, timeLeft(this.#call, this.#context));
+    this.#timers.add(timer(left, this.#context.scheduler)
       .subscribe(() => this.#take({ kind: 'expired', message: 'the time was up' })));
     this.#take({ kind: 'begin' });
   }
@@ -113,7 +114,9 @@
       case 'settle':
         // These engines don't tell what became of a run whose connection is gone.
         this.#attempts.get(effect.attempt.number)?.close();
-        this.#take({ kind: 'settled', attempt: effect.attempt.number, outcome: { kind: 'unknown' } });
+        this.#take({
+          kind: 'settled', attempt: effect.attempt.number, outcome: { kind: 'unknown' },
+        });
         break;
       case 'withdraw':
         break;
@@ -129,7 +132,7 @@
     const {
       fleet, retries, scheduler, log,
     } = this.#context;
-    const { id, service } = this.#call;
+    const { service } = this.#call;
     const { engine } = service;
     const now = scheduler.now();
     if (!engine) {
@@ -227,7 +230,8 @@
       // A copy can be used once, and one that was refused is not there.
       else if (this.#copyAt === attempt.server) this.#copyAt = undefined;
     }
-    if (event.kind === 'failed' && event.failure.ran !== 'no' && this.#call.route.repeat === 'never') {
+    const final = this.#call.route.repeat === 'never';
+    if (final && event.kind === 'failed' && event.failure.ran !== 'no') {
       this.#take({ kind: 'expired', message: event.failure.message });
       return;
     }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -7,7 +7,7 @@
 import { Observable, Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { isFramed, watchUnframed } from '../entry/unframed.js';
-import type { CleanAgent } from './connections.js';
+import type { CleanAgent } from './cleanagent.js';
 import type { RawHeaders } from './dialect.js';
 
 /** A lost opening packet is sent again only after a second; another server answers sooner. */
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -103,7 +103,8 @@
       this.#refuse(res, checked.error, req);
       return;
     }
-    const body = await readBody(req, this.#context.scheduler, this.#context.routes()?.configuration.maxBodyBytes);
+    const maxBytes = this.#context.routes()?.configuration.maxBodyBytes;
+    const body = await readBody(req, this.#context.scheduler, maxBytes);
     if (body.isErr()) {
       this.#refuse(res, body.error, req);
       return;
@@ -118,7 +119,10 @@
     const table = this.#context.routes();
     if (!table) {
       return err({
-        code: 'not_ready', message: 'no configuration is known yet', ran: 'no', retryAfterMs: STARTING_MS,
+        code: 'not_ready',
+        message: 'no configuration is known yet',
+        ran: 'no',
+        retryAfterMs: STARTING_MS,
       });
     }
     const { configuration } = table;
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -36,7 +36,9 @@
 
 export async function identify(
   server: ListedServer,
-  { scheduler, connections, dialect, healthPath }: IdentityContext,
+  {
+    scheduler, connections, dialect, healthPath,
+  }: IdentityContext,
 ): Promise<Identity> {
   if (!await reaches(server)) return { kind: 'unreached' };
   const path = healthPath(server.service);
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -93,7 +93,8 @@
   /** Instances that were heard of lately, by address. */
   get alive(): readonly string[] {
     const now = this.#context.scheduler.now();
-    return [...this.#peers].filter(([, { heardAt, message }]) => message && now - heardAt < FORGET_MS)
+    return [...this.#peers]
+      .filter(([, { heardAt, message }]) => message && now - heardAt < FORGET_MS)
       .map(([ip]) => ip);
   }
 
@@ -164,7 +165,9 @@
   }
 
   #receive(bytes: Buffer, address: string): void {
-    const { ip, scheduler, log, news } = this.#context;
+    const {
+      ip, scheduler, log, news,
+    } = this.#context;
     const decoded = decodeMessage(bytes);
     if (decoded.isErr()) {
       log.event('warn', 'peer_message_unreadable', { from: address, reason: decoded.error });
@@ -181,9 +184,8 @@
         this.#peers.set(other, { heardAt: scheduler.now(), message: undefined });
       });
     message.gone.forEach(([id, startedAt]) => news.leaving(id, startedAt, address));
-    message.successors.forEach(([before, id]) => news.successor(before, id, address));
+    message.successors.forEach(([name, id]) => news.successor(name, id, address));
     message.suspect.forEach(([id, startedAt]) => news.suspect(id, startedAt, address));
     news.configuration(message.configuration, address);
   }
 }
-
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -23,16 +23,21 @@
   return trpc.router({ snapshot: trpc.procedure.query(snapshot) });
 }
 
+type SnapshotRouter = ReturnType<typeof routerOf>;
+
 export function snapshotServer(snapshot: () => Snapshot): Server {
-  return createHTTPServer({ router: routerOf(snapshot) }) as Server;
+  const server: Server = createHTTPServer({ router: routerOf(snapshot) });
+  return server;
 }
 
 /** @param address `host:port` of the other daemon */
 export function fetchSnapshot(address: string): Promise<Snapshot> {
-  const client = createTRPCClient<ReturnType<typeof routerOf>>({
+  const client = createTRPCClient<SnapshotRouter>({
     links: [httpLink({ url: `http://${address}` })],
   });
-  const asked = client.snapshot.query(undefined, { signal: AbortSignal.timeout(DEADLINE_MS) });
+  const asked: unknown = client.snapshot.query(undefined, {
+    signal: AbortSignal.timeout(DEADLINE_MS),
+  });
   // JSON leaves out the fields that are undefined, which the inferred type calls optional.
-  return asked as Promise<unknown> as Promise<Snapshot>;
+  return asked as Promise<Snapshot>;
 }
--- a/src/relay/serverstate.ts
+++ b/src/relay/serverstate.ts
@@ -63,9 +63,9 @@
   readonly durationMs: number;
 }
 
-export function serverState(listed: ListedServer): ServerState {
+export function serverState(entry: ListedServer): ServerState {
   return {
-    listed,
+    listed: entry,
     health: { kind: 'up' },
     missingUntil: undefined,
     own: NO_LOAD,
@@ -85,8 +85,8 @@
   if (entry.startedAt < state.listed.startedAt) return state;
   if (!sameLife(state.listed, entry)) return serverState(entry);
   // A server that leaves doesn't come back in the same life.
-  const leaving = state.listed.state === 'leaving' ? { ...entry, state: 'leaving' as const } : entry;
-  return { ...state, listed: leaving, missingUntil: undefined };
+  const kept = state.listed.state === 'leaving' ? 'leaving' : entry.state;
+  return { ...state, listed: { ...entry, state: kept }, missingUntil: undefined };
 }
 
 export function failureRate(state: ServerState, now: number): number {
--- a/src/relay/silencewatch.ts
+++ b/src/relay/silencewatch.ts
@@ -85,7 +85,8 @@
     const known = this.#servers.get(server)
       ?? { checkedAt: 0, failedChecks: 0, checking: false };
     const heard = 'heardAt' in known && known.heardAt !== heardAt;
-    const state: ServerSilence = { ...known, heardAt, failedChecks: heard ? 0 : known.failedChecks };
+    const failedChecks = heard ? 0 : known.failedChecks;
+    const state: ServerSilence = { ...known, heardAt, failedChecks };
     this.#servers.set(server, state);
     switch (verdict(state, now)) {
       case 'wait': break;
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -63,11 +63,14 @@
   }
 
   #health(kind: string, event: FollowEvent): void {
-    const { log, scheduler, heartbeatMs, fleet, platform } = this.#context;
+    const {
+      log, scheduler, heartbeatMs, fleet, platform,
+    } = this.#context;
     const now = scheduler.now();
     if (event.kind === 'lost' && !this.#lostAt.has(kind)) {
       this.#lostAt.set(kind, now);
-      log.event('warn', 'store_lost', { kind, code: event.error.code, reason: event.error.message });
+      const { code, message } = event.error;
+      log.event('warn', 'store_lost', { kind, code, reason: message });
     }
     if (event.kind !== 'heard') return;
     if (kind === platform.servers) fleet.complete();
--- a/src/relay/wholecall.ts
+++ b/src/relay/wholecall.ts
@@ -100,8 +100,12 @@
   const { failure, given, message } = state;
   if (failure) return end(state, [{ kind: 'answer', answer: failure }]);
   return refuse(state, given
-    ? { code: 'backend_failed', message: `the backend server failed: ${message}`, ran: 'unknown' }
-    : { code: 'unavailable', message, ran: 'no', retryAfterMs });
+    ? {
+      code: 'backend_failed', message: `the backend server failed: ${message}`, ran: 'unknown',
+    }
+    : {
+      code: 'unavailable', message, ran: 'no', retryAfterMs,
+    });
 }
 
 function assigned(state: WholeState, server: string): WholeTransaction {
@@ -127,7 +131,8 @@
 
 /** The next attempt, if one is allowed beside what has happened. */
 function again(state: WholeState): WholeTransaction {
-  return { state, effects: [{ kind: 'assign', again: state.attempts > state.unsent, exclude: state.tried }] };
+  const { attempts, unsent, tried } = state;
+  return { state, effects: [{ kind: 'assign', again: attempts > unsent, exclude: tried }] };
 }
 
 /** How soon a caller whose call has not run may come back: about the time that a server is busy. */
--- a/src/relay/wholerelay.ts
+++ b/src/relay/wholerelay.ts
@@ -32,6 +32,15 @@
   pieces: Buffer[];
 }
 
+interface AttemptLoss {
+  readonly ran: 'no' | 'unknown';
+  readonly message: string;
+  /** The server's own answer, if it gave one. */
+  readonly answer?: WholeAnswer;
+  /** Whether a server had the call, where that isn't told by what was sent. */
+  readonly sent?: boolean;
+}
+
 export class WholeRelay {
   readonly #call: Call;
 
@@ -96,7 +105,9 @@
   }
 
   #assign(again: boolean, exclude: readonly string[]): void {
-    const { fleet, retries, zone, scheduler, log } = this.#context;
+    const {
+      fleet, retries, zone, scheduler, log,
+    } = this.#context;
     const { id, service } = this.#call;
     const now = scheduler.now();
     if (again && retries.left(service.name, now) < 1) {
@@ -147,7 +158,8 @@
       headers: [],
       pieces: [],
     });
-    const outgoing = serverRequest(this.#call, { server: server.listed, reuse: true }, this.#context);
+    const attempted = { server: server.listed, reuse: true };
+    const outgoing = serverRequest(this.#call, attempted, this.#context);
     reading.add(exchange(outgoing, scheduler)
       .subscribe((event) => this.#read(number, event)));
   }
@@ -166,7 +178,9 @@
         live.status = event.status;
         live.headers = event.headers;
         const meaning = meaningOf(event.status, event.headers, this.#call.id, dialect);
-        if (meaning.kind === 'foreign') this.#failed(number, 'unknown', meaning.message);
+        if (meaning.kind === 'foreign') {
+          this.#failed(number, { ran: 'unknown', message: meaning.message });
+        }
         break;
       }
       case 'piece':
@@ -177,7 +191,7 @@
         break;
       case 'failed':
         if (event.ran === 'no') fleet.suspect(server, event.message);
-        this.#failed(number, event.ran, event.message);
+        this.#failed(number, { ran: event.ran, message: event.message });
         break;
     }
   }
@@ -193,17 +207,17 @@
     const meaning = meaningOf(live.status, live.headers, this.#call.id, dialect);
     switch (meaning.kind) {
       case 'not_run':
-        if (meaning.elsewhere) {
-          fleet.misdirected(server);
-          live.sent = false;
-        }
-        this.#failed(number, 'no', meaning.message);
+        if (meaning.elsewhere) fleet.misdirected(server);
+        this.#failed(number, {
+          // A server that has taken another's address is not one that had the call.
+          ran: 'no', message: meaning.message, sent: !meaning.elsewhere,
+        });
         break;
       case 'failed':
-        this.#failed(number, 'unknown', meaning.message, answer);
+        this.#failed(number, { ran: 'unknown', message: meaning.message, answer });
         break;
       case 'foreign':
-        this.#failed(number, 'unknown', meaning.message);
+        this.#failed(number, { ran: 'unknown', message: meaning.message });
         break;
       case 'answer':
         this.#close(number);
@@ -213,7 +227,8 @@
     }
   }
 
-  #failed(number: number, ran: 'no' | 'unknown', message: string, answer?: WholeAnswer): void {
+  #failed(number: number, failure: AttemptLoss): void {
+    const { ran, message, answer } = failure;
     const live = this.#live.get(number);
     if (!live) return;
     this.#close(number);
@@ -228,7 +243,7 @@
       reason: message,
     });
     this.#take({
-      kind: 'failed', attempt: number, ran, sent: live.sent, message, answer,
+      kind: 'failed', attempt: number, ran, sent: failure.sent ?? live.sent, message, answer,
     });
   }
 
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -5,13 +5,13 @@
 import type { ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
 import type { Subscription } from 'rxjs';
-import type { Log, LogFields } from '../../src/common/log.js';
 import { Random } from '../../src/common/random.js';
 import { monotonicScheduler } from '../../src/common/time.js';
 import { RelayDaemon } from '../../src/relay/daemon.js';
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/routes.js';
 import type { ListedServer } from '../../src/relay/server.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
+import { RecordedLog } from './recordedlog.js';
 import { testDialect } from './relaydialect.js';
 import { RelayEngine } from './relayengine.js';
 import type { RelayEngineOptions } from './relayengine.js';
@@ -43,7 +43,11 @@
     open: false,
   };
   const whole = {
-    ...route, delivery: 'whole' as const, targets: [{ service: 'plain', weight: 1 }], timeoutMs: 1_000, objectiveMs: 400,
+    ...route,
+    delivery: 'whole' as const,
+    targets: [{ service: 'plain', weight: 1 }],
+    timeoutMs: 1_000,
+    objectiveMs: 400,
   };
   return {
     stream: route,
@@ -84,18 +88,6 @@
   return port;
 }
 
-export class Recorded implements Log {
-  readonly events: { readonly event: string; readonly fields: LogFields }[] = [];
-
-  event(_: unknown, event: string, fields: LogFields = {}): void {
-    this.events.push({ event, fields });
-  }
-
-  of(event: string): readonly LogFields[] {
-    return this.events.filter((entry) => entry.event === event).map(({ fields }) => fields);
-  }
-}
-
 export interface RelayFixture {
   readonly engines?: readonly RelayEngineOptions[];
   readonly plain?: readonly RelayEngineOptions[];
@@ -116,7 +108,7 @@
 
   readonly plain: readonly RelayEngine[];
 
-  readonly log = new Recorded();
+  readonly log = new RecordedLog();
 
   readonly daemon: RelayDaemon;
 
@@ -162,9 +154,11 @@
         configuration: 'configuration',
         servers: 'server/',
         readConfiguration: (value) => ok(value as RelayConfiguration),
-        readServer: (name, value) => (value as { address?: string } | null)?.address === undefined
-          ? undefined
-          : { ...value as ListedServer, id: name.slice('server/'.length) },
+        readServer: (name, value) => {
+          const entry = value as Partial<ListedServer> | null;
+          if (entry?.address === undefined) return undefined;
+          return { ...entry as ListedServer, id: name.slice('server/'.length) };
+        },
       },
       scheduler: monotonicScheduler,
       wallClock: Date.now,
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -35,10 +35,23 @@
   t.deepEqual(relay.plain[0]!.bodies, ['body']);
 });
 
-const REFUSED: readonly { name: string; path: string; headers: Record<string, string>; status: number }[] = [
-  { name: 'no route', path: '/nothing/', headers: {}, status: 404 },
-  { name: 'another host', path: '/safe/', headers: { host: 'other.example' }, status: 404 },
-  { name: 'an unknown key', path: '/safe/', headers: { 'x-key': 'k2' }, status: 401 },
+interface Refused {
+  readonly name: string;
+  readonly path: string;
+  readonly headers: Record<string, string>;
+  readonly status: number;
+}
+
+const REFUSED: readonly Refused[] = [
+  {
+    name: 'no route', path: '/nothing/', headers: {}, status: 404,
+  },
+  {
+    name: 'another host', path: '/safe/', headers: { host: 'other.example' }, status: 404,
+  },
+  {
+    name: 'an unknown key', path: '/safe/', headers: { 'x-key': 'k2' }, status: 401,
+  },
 ];
 REFUSED.forEach(({
   name, path, headers, status,
@@ -244,5 +257,5 @@
   t.false(relay.daemon.ready);
   const late = await relay.call('/safe/', { 'x-id': 'r2' });
   t.like(late, { status: 200 });
-  t.is(late.headers['connection'], 'close');
+  t.is(late.headers.connection, 'close');
 });
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -8,6 +8,7 @@
 import { exchange } from '../src/relay/exchange.js';
 import type { ExchangeEvent } from '../src/relay/exchange.js';
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n';
 const WHOLE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=10\r\n\r\nbody';
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
 
@@ -53,7 +54,11 @@
 
 const ENDS: readonly { name: string; answer: (socket: Socket) => void; end: string }[] = [
   { name: 'with a length', answer: (socket) => socket.write(WHOLE), end: 'end' },
-  { name: 'without a length, closed in order', answer: (socket) => socket.end(UNFRAMED), end: 'end' },
+  {
+    name: 'without a length, closed in order',
+    answer: (socket) => socket.end(UNFRAMED),
+    end: 'end',
+  },
   {
     name: 'without a length, reset behind its last bytes',
     answer: (socket) => {
@@ -69,7 +74,7 @@
   },
   {
     name: 'cut between chunks',
-    answer: (socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n'),
+    answer: (socket) => socket.end(CHUNKED),
     end: 'failed unknown',
   },
   { name: 'no answer', answer: (socket) => socket.end('nonsense\r\n\r\n'), end: 'failed unknown' },
