Send callers that return to the engine that still holds their prompt

Change: for a caller that returns, the engines are asked once a second at most which parts of prompts they hold; held parts count as read.

--- a/src/relay/choice.ts
+++ b/src/relay/choice.ts
@@ -40,6 +40,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly zone: string;
+  /** Tokens of the prompt that an engine, by its id, holds already. */
+  readonly held?: (server: string) => number;
 }
 
 export function memoryOf({ promptTokens, outputTokens }: RunDemand): number {
@@ -52,9 +54,14 @@
     && load.memory + load.standby + memoryOf(demand) <= capacity.memoryTokens * MEMORY_SHARE;
 }
 
+/** Tokens of the prompt that the engine would have to read. */
+export function toRead({ listed }: ServerState, { promptTokens, held }: RunDemand): number {
+  return Math.max(0, promptTokens - (held?.(listed.id) ?? 0));
+}
+
 /** Expected time until the engine's first event, with what one more run costs the others. */
 export function firstEventMs({ server, load }: Candidate, demand: RunDemand): number {
-  const reading = (load.reading + demand.promptTokens) / PROMPT_TOKENS_PER_MS;
+  const reading = (load.reading + toRead(server, demand)) / PROMPT_TOKENS_PER_MS;
   const zone = server.listed.zone === demand.zone ? 0 : OTHER_ZONE_MS;
   return reading + load.running * RUN_COST_MS + zone;
 }
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -7,6 +7,7 @@
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import type { Fleet } from './fleet.js';
+import type { HeldPrompts } from './heldprompts.js';
 import type { SilenceWatch } from './silencewatch.js';
 
 export interface RelayContext {
@@ -18,6 +19,7 @@
   readonly connections: Connections;
   readonly retries: RetryWindows;
   readonly silence: SilenceWatch;
+  readonly heldPrompts: HeldPrompts;
 }
 
 /** The caller's side of a call. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -13,6 +13,7 @@
 import type { RelayContext } from './context.js';
 import { Fleet } from './fleet.js';
 import { Front } from './front.js';
+import { HeldPrompts } from './heldprompts.js';
 import { Knowledge } from './knowledge.js';
 import type { RelayMetrics } from './metrics.js';
 import { Peers } from './peers.js';
@@ -95,6 +96,9 @@
       fleet: this.#fleet,
       connections: this.#connections,
       retries: this.#retries,
+      heldPrompts: HeldPrompts.of({
+        scheduler, connections: this.#connections, held: context.platform.held,
+      }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
     };
     this.run = this.#tree().run;
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -5,6 +5,9 @@
 
 export type RawHeaders = readonly string[];
 
+/** A part of a prompt; requests share parts, but for the last, which is the request's own. */
+export interface PromptPart { readonly id: string; readonly tokens: number }
+
 /** What a caller's headers say. */
 export interface CallerRequest {
   readonly id: string | undefined;
@@ -16,6 +19,8 @@
   /** Tokens of the prompt, and the most that may be generated. */
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** In the order of the prompt. */
+  readonly parts: readonly PromptPart[];
 }
 
 /** Where a server finds the memory of the run that it goes on with. */
--- a/src/relay/eventattempt.ts
+++ b/src/relay/eventattempt.ts
@@ -21,6 +21,8 @@
   readonly standby: ListedServer | undefined;
   /** Whether the engine has a copy of the run's memory to go on from. */
   readonly copied: boolean;
+  /** Prompt tokens that the engine has to read. */
+  readonly reading: number;
   readonly expectedFirstMs: number;
 }
 
@@ -102,12 +104,14 @@
 
   start(): void {
     const { fleet, scheduler, silence } = this.#context;
-    const { server, standby, copied } = this.#plan;
+    const {
+      server, standby, copied, reading,
+    } = this.#plan;
     const { firstEvent, from, demand } = this.#start;
     const memory = memoryOf(demand);
     this.#startedAt = scheduler.now();
     this.#given.push(fleet.give(server.id, {
-      ...NO_LOAD, running: 1, memory, reading: copied ? 0 : demand.promptTokens,
+      ...NO_LOAD, running: 1, memory, reading,
     }));
     if (standby) this.#given.push(fleet.give(standby.id, { ...NO_LOAD, standby: memory }));
     const outgoing = serverRequest(this.#call, {
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -10,12 +10,16 @@
 import type { Attempt, GenerationState } from '../generation/state.js';
 import { transaction } from '../generation/transaction.js';
 import type { Call } from './call.js';
-import { engineFor, firstEventMs, standbyFor } from './choice.js';
+import {
+  engineFor, firstEventMs, standbyFor, toRead,
+} from './choice.js';
 import type { Candidate, RunDemand } from './choice.js';
 import type { Caller, RelayContext } from './context.js';
 import { timeLeft } from './context.js';
 import { EventAttempt } from './eventattempt.js';
 import type { AttemptPlan } from './eventattempt.js';
+import { heldTokens } from './heldprompts.js';
+import type { HeldParts } from './heldprompts.js';
 
 /** Id of a stream's first event. */
 const FIRST_EVENT = 1;
@@ -38,6 +42,9 @@
   /** What the assigned engine was chosen with, until it is dispatched. */
   #plan: AttemptPlan | undefined;
 
+  /** What engines hold of prompts, asked for a caller that returns. */
+  #held: ReadonlyMap<string, HeldParts> = new Map();
+
   /** The engine that keeps a copy of the run's memory. */
   #copyAt: string | undefined;
 
@@ -71,14 +78,35 @@
 
   get #demand(): RunDemand {
     const { promptTokens, outputTokens } = this.#call.caller;
-    return { promptTokens, outputTokens, zone: this.#context.zone };
+    return {
+      promptTokens, outputTokens, zone: this.#context.zone, held: (server) => this.#heldAt(server),
+    };
   }
 
   #begin(): void {
     const left = Math.max(0, timeLeft(this.#call, this.#context));
     this.#timers.add(timer(left, this.#context.scheduler)
       .subscribe(() => this.#take({ kind: 'expired', message: 'the time was up' })));
-    this.#take({ kind: 'begin' });
+    if (this.#call.caller.lastEvent === undefined) this.#take({ kind: 'begin' });
+    else this.#lookUp();
+  }
+
+  /** Finds out which engines hold the prompt of a caller that returns, and then begins. */
+  #lookUp(): void {
+    const { fleet, heldPrompts, log } = this.#context;
+    const { name } = this.#call.service;
+    const engines = fleet.candidates(name, []).map(({ server }) => server.listed);
+    heldPrompts.ask(name, engines).then((held) => {
+      this.#held = held;
+    }, (error: unknown) => {
+      log.event('warn', 'held_prompts_unknown', { request: this.#call.id, reason: String(error) });
+    }).finally(() => this.#take({ kind: 'begin' }));
+  }
+
+  /** Tokens of the prompt that an engine holds, as far as it was asked. */
+  #heldAt(server: string): number {
+    const held = this.#held.get(server);
+    return held ? heldTokens(this.#call.caller.parts, held) : 0;
   }
 
   #take(event: GenerationEvent): void {
@@ -165,6 +193,7 @@
       server: chosen.server.listed,
       standby: standby?.server.listed,
       copied: copy !== undefined,
+      reading: copy ? 0 : toRead(chosen.server, this.#demand),
       expectedFirstMs: firstEventMs(chosen, this.#demand),
     };
     this.#logRoute(chosen, standby, candidates.length, log);
@@ -191,6 +220,7 @@
       standby: standby?.server.listed.id,
       running: chosen.load.running,
       reading_tokens: chosen.load.reading,
+      held_tokens: this.#heldAt(chosen.server.listed.id),
       memory_tokens: chosen.load.memory + chosen.load.standby,
       expected_ms: Math.round(this.#plan?.expectedFirstMs ?? 0),
       candidates,
--- /dev/null
+++ b/src/relay/heldprompts.ts
@@ -0,0 +1,96 @@
+/**
+ * Which engines still hold the prompt of a caller that returns. Engines keep what they have read
+ * until other prompts take its place, so a stream whose daemon was lost can go on where it ran
+ * without its prompt being read anew. Engines are asked only when a caller returns: callers come
+ * back together after a loss, and one round of questions serves all that come within its lifetime.
+ */
+import {
+  catchError, firstValueFrom, of, reduce, timeout,
+} from 'rxjs';
+import type { SchedulerLike } from 'rxjs';
+import type { Connections } from './connections.js';
+import type { PromptPart } from './dialect.js';
+import { exchange } from './exchange.js';
+import type { ListedServer } from './server.js';
+
+/** A returning caller waits no longer for this; half of what a short prompt takes to read. */
+const DEADLINE_MS = 150;
+/** How long an answer is good for: less than a prompt takes to be read over another. */
+const LIFETIME_MS = 1_000;
+
+/** Tokens held of each part of a prompt, by the part's id. */
+export type HeldParts = ReadonlyMap<string, number>;
+
+/** How an engine is asked for the parts that it holds. */
+export interface HeldQuery {
+  readonly target: string;
+  /** Nothing for an answer that can't be read. */
+  read(body: string): HeldParts;
+}
+
+export interface HeldPromptsContext {
+  readonly scheduler: SchedulerLike;
+  readonly connections: Connections;
+  readonly held: HeldQuery;
+}
+
+/** Tokens of a prompt that need not be read: its parts up to the first that is not held whole. */
+export function heldTokens(parts: readonly PromptPart[], held: HeldParts): number {
+  let tokens = 0;
+  parts.every((part) => {
+    const kept = Math.min(part.tokens, held.get(part.id) ?? 0);
+    tokens += kept;
+    return kept === part.tokens;
+  });
+  return tokens;
+}
+
+interface Round { readonly at: number; readonly answers: Promise<ReadonlyMap<string, HeldParts>> }
+
+export class HeldPrompts {
+  readonly #context: HeldPromptsContext;
+
+  readonly #rounds = new Map<string, Round>();
+
+  private constructor(context: HeldPromptsContext) {
+    this.#context = context;
+  }
+
+  static of(context: HeldPromptsContext): HeldPrompts {
+    return new HeldPrompts(context);
+  }
+
+  /** What each of a service's engines holds; those that don't answer in time are left out. */
+  ask(
+    service: string,
+    engines: readonly ListedServer[],
+  ): Promise<ReadonlyMap<string, HeldParts>> {
+    const now = this.#context.scheduler.now();
+    const round = this.#rounds.get(service);
+    if (round && now - round.at < LIFETIME_MS) return round.answers;
+    const answers = Promise.all(engines.map(async (engine) => (
+      [engine.id, await this.#askOne(engine)] as const)))
+      .then((pairs) => new Map(pairs));
+    this.#rounds.set(service, { at: now, answers });
+    return answers;
+  }
+
+  #askOne(engine: ListedServer): Promise<HeldParts> {
+    const { scheduler, connections, held } = this.#context;
+    return firstValueFrom(exchange({
+      agent: connections.agent(engine.id),
+      address: engine.address,
+      method: 'GET',
+      target: held.target,
+      headers: ['Host', engine.address],
+      body: Buffer.alloc(0),
+      reuse: true,
+    }, scheduler).pipe(
+      reduce((body, event) => (
+        event.kind === 'piece' ? body + event.bytes.toString('utf8') : body), ''),
+      timeout({ first: DEADLINE_MS, scheduler }),
+      // An engine that doesn't tell is taken to hold nothing, which costs reading the prompt anew.
+      catchError(() => of('')),
+    )).then((body) => held.read(body));
+  }
+}
--- a/src/relay/platform.ts
+++ b/src/relay/platform.ts
@@ -2,12 +2,14 @@
 import type { Result } from 'neverthrow';
 import type { ObjectReader } from '../store/objects.js';
 import type { Dialect } from './dialect.js';
+import type { HeldQuery } from './heldprompts.js';
 import type { RelayConfiguration } from './routes.js';
 import type { ListedServer } from './server.js';
 
 export interface Platform {
   readonly objects: ObjectReader;
   readonly dialect: Dialect;
+  readonly held: HeldQuery;
   /** Names of kinds in the store, and of the object that holds the configuration. */
   readonly configurations: string;
   readonly configuration: string;
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -150,6 +150,10 @@
       platform: {
         objects,
         dialect: testDialect,
+        held: {
+          target: '/held',
+          read: (body) => new Map(body.split(',').map((id) => [id, 10])),
+        },
         configurations: 'configuration',
         configuration: 'configuration',
         servers: 'server/',
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -21,6 +21,8 @@
     lastEvent: numberOf(raw, 'x-last'),
     promptTokens: numberOf(raw, 'x-prompt') ?? 0,
     outputTokens: numberOf(raw, 'x-output') ?? 0,
+    parts: (headerOf(raw, 'x-parts') ?? '').split(',').filter((id) => id !== '')
+      .map((id) => ({ id, tokens: 10 })),
   }),
   serverHeaders: (raw, {
     server, deadlineMs, workspace, priority, lastEvent, standby, goOnFrom,
