--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -27,6 +27,9 @@
 
   readonly bodies: string[] = [];
 
+  /** Parts of prompts that it says it holds. */
+  readonly held = new Set<string>();
+
   /** Requests whose connection closed while they ran. */
   readonly cancelled: string[] = [];
 
@@ -94,6 +97,10 @@
       res.writeHead(200, { 'x-server': id }).end();
       return;
     }
+    if (req.url === '/held') {
+      res.writeHead(200).end([...this.held].join(','));
+      return;
+    }
     const body = await buffer(req);
     if (req.headers['x-server'] !== id) {
       res.writeHead(421, { 'x-server': id }).end();
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,221 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { fc, testProp } from '@fast-check/ava';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import type { Result } from 'neverthrow';
+import { firstValueFrom, take, toArray } from 'rxjs';
+import { readConfiguration } from '../platform/configuration.js';
+import { heldQuery } from '../platform/heldparts.js';
+import { platformDialect } from '../platform/headers.js';
+import { readServer } from '../platform/servers.js';
+import { readPlatformSettings } from '../platform/settings.js';
+import { PlatformStore } from '../platform/store.js';
+import { formatFinding } from '../src/common/finding.js';
+import { monotonicScheduler } from '../src/common/time.js';
+
+const SETTINGS = `NodeName=front-a-1
+Ip=10.1.0.19
+Zone=a
+Listen.Front=10.1.0.19:8740
+Listen.Ready=10.1.0.19:8749
+PortRange=7200,7215
+Seeds=10.1.0.19:8748,10.2.0.13:8748
+Bounds.GraceS=8
+Bounds.RetryBudgetRatio=0.8
+Platform.Address=10.200.1.7:8742
+Something.New=1
+`;
+
+test('settings: known fields are taken, others ignored', (t) => {
+  const { settings, findings } = readPlatformSettings('s', SETTINGS);
+  t.deepEqual(findings, []);
+  t.like(settings, {
+    name: 'front-a-1', peerPort: 7200, metricsPort: 7215, stopMs: 8_000, retryRatio: 0.8,
+  });
+  t.deepEqual(settings?.seeds, ['10.1.0.19', '10.2.0.13']);
+});
+
+test('settings: everything that is wrong is told with its line', (t) => {
+  const wrong = SETTINGS.replace('Ip=10.1.0.19', 'Ip=ten').replace('Zone=a\n', '')
+    .replace('GraceS=8', 'GraceS=x');
+  const { settings, findings } = readPlatformSettings('s', `${wrong}nonsense\n`);
+  t.is(settings, undefined);
+  t.deepEqual(findings.map(formatFinding), [
+    's:11:1 nonsense: not of the form name=value',
+    's:1:1 Zone: missing; a name expected',
+    's:2:1 Ip: an IP address expected',
+    's:7:1 Bounds.GraceS: a number of at least 0 expected',
+  ]);
+});
+
+function valueOf<Value>(result: Result<Value, unknown>): Value {
+  if (result.isErr()) throw new Error(JSON.stringify(result.error));
+  return result.value;
+}
+
+const SPEC = {
+  Version: 7,
+  Routes: [
+    {
+      Name: 'r1',
+      Hostname: 'h',
+      PathPrefix: '/a/',
+      Kind: 'streaming',
+      Resumable: true,
+      Service: 's',
+    },
+    {
+      Name: 'r2',
+      Hostname: 'h',
+      PathPrefix: '/b/',
+      Kind: 'unsafe',
+      TrafficSplit: [{ Service: 's', Weight: 9 }],
+    },
+    {
+      Name: 'r3', Hostname: 'h', PathPrefix: '/c/', Kind: 'streaming', Service: 's',
+    },
+  ],
+  Services: [{
+    Name: 's', HealthPath: '/health', Engine: { Slots: 4, KvCapacity: 100, Backups: true },
+  }],
+  Tenants: [{ Name: 'w', ApiKeys: ['k'] }],
+};
+
+test('configuration: the platform\'s words become ours', (t) => {
+  const configuration = valueOf(readConfiguration(SPEC));
+  t.is(configuration.version, 7);
+  t.deepEqual(configuration.routes.map(({ delivery, repeat }) => [delivery, repeat]), [
+    ['events', 'safe'], ['whole', 'never'], ['events', 'never'],
+  ]);
+  t.deepEqual(configuration.routes[1]?.targets, [{ service: 's', weight: 9 }]);
+  t.like(configuration.services.s?.engine, { slots: 4, memoryTokens: 100, standby: true });
+  t.like(configuration.workspaces?.[0], { name: 'w', keys: ['k'] });
+});
+
+testProp('configuration and entries: no value but theirs is read', [fc.jsonValue()], (t, value) => {
+  t.true(readConfiguration(value).isErr());
+  t.is(readServer('i-1', value), undefined);
+}, { numRuns: 300, seed: 51 });
+
+const ENTRY = {
+  Service: 's',
+  Address: '10.0.0.1:80',
+  Zone: 'a',
+  Slots: 4,
+  State: 'ready',
+  born: 12,
+  Models: [{ Version: 3 }],
+};
+const ENTRIES: readonly { name: string; change: object; read: object | undefined }[] = [
+  { name: 'ready', change: {}, read: { state: 'ready', startedAt: 12, weights: 3 } },
+  { name: 'draining', change: { State: 'draining' }, read: { state: 'leaving' } },
+  { name: 'of a state not known', change: { State: 'asleep' }, read: undefined },
+  { name: 'without an address', change: { Address: undefined }, read: undefined },
+  { name: 'with an address of another type', change: { Address: 7 }, read: undefined },
+  { name: 'born at a fraction', change: { born: 1.5 }, read: undefined },
+];
+ENTRIES.forEach(({ name, change, read }) => {
+  test(`entry: one ${name}`, (t) => {
+    const server = readServer('i-1', { ...ENTRY, ...change });
+    if (read) t.like(server, { id: 'i-1', ...read });
+    else t.is(server, undefined);
+  });
+});
+
+test('headers: what callers may not set is replaced, the rest goes on', (t) => {
+  const raw = ['Request-Id', 'r', 'Credential', 'k', 'Tenant', 'x', 'Kv-From', 'y', 'Hold', 'z',
+    'Model', 'm', 'Deadline-Ms', '900', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7'];
+  t.deepEqual(platformDialect.readCaller(raw), {
+    id: 'r',
+    key: 'k',
+    deadlineMs: 900,
+    lastEvent: undefined,
+    promptTokens: 15,
+    outputTokens: 7,
+    parts: [{ id: 'a', tokens: 10 }, { id: 'b', tokens: 5 }],
+  });
+  t.deepEqual(platformDialect.serverHeaders(raw, {
+    server: 'i-1',
+    deadlineMs: 812.7,
+    workspace: 'w',
+    priority: 1,
+    lastEvent: 4,
+    standby: '10.0.0.2:80',
+    goOnFrom: { address: '10.0.0.3:80', run: 'r' },
+  }), ['Request-Id', 'r', 'Model', 'm', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7',
+    'Deadline-Ms', '812', 'Target-Instance', 'i-1', 'Tenant', 'w', 'Request-Priority', '1',
+    'Last-Event-Id', '4', 'Kv-Backup', '10.0.0.2:80', 'Kv-From', '10.0.0.3:80/r']);
+});
+
+test('headers: 421 and the engine\'s own mark say that a request has not run', (t) => {
+  t.true(platformDialect.readAnswer(421, []).notRun);
+  t.true(platformDialect.readAnswer(503, ['Not-Executed', '1']).notRun);
+  t.false(platformDialect.readAnswer(503, []).notRun);
+  t.is(platformDialect.retryAfter(250), '0.25');
+});
+
+test('held parts: a list that can\'t be read holds nothing', (t) => {
+  t.deepEqual([...heldQuery.read('{"held":[["","a",10,"m"]]}')], [['a', 10]]);
+  t.is(heldQuery.read('{"held":[[').size, 0);
+});
+
+async function store(t: ExecutionContext, answers: readonly (readonly [number, unknown])[]) {
+  const asked: string[] = [];
+  const server = createServer((req, res) => {
+    const [status, body] = answers[asked.length] ?? [500, {}];
+    asked.push(req.url ?? '');
+    res.writeHead(status).end(JSON.stringify(body));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { asked, reader: PlatformStore.of(`127.0.0.1:${port}`, monotonicScheduler) };
+}
+
+function item(name: string, revision: number) {
+  return { Metadata: { Name: name, Revision: revision }, Spec: { n: name } };
+}
+
+test('store: pages are read to the end, as of the first page\'s revision', async (t) => {
+  const { asked, reader } = await store(t, [
+    [200, { Items: [item('a', 3), 'nonsense'], MorePages: true, CurrentRev: 9 }],
+    [200, { Items: [item('b', 4)], MorePages: false, CurrentRev: 11 }],
+  ]);
+  const listing = valueOf(await reader.list('servers'));
+  t.deepEqual(listing, {
+    version: 9,
+    objects: [
+      { name: 'a', version: 3, value: '{"n":"a"}' }, { name: 'b', version: 4, value: '{"n":"b"}' },
+    ],
+  });
+  t.deepEqual(asked, ['/objects/servers', '/objects/servers?After=a']);
+});
+
+test('store: a watch goes on from where the last call ended', async (t) => {
+  const { asked, reader } = await store(t, [
+    [200, { events: [{ Object: item('a', 10) }], CurrentRev: 12 }],
+    [200, { events: [{ Object: item('a', 13), Removed: true }], CurrentRev: 13 }],
+  ]);
+  const events = await firstValueFrom(reader.watch('servers', 9).pipe(take(4), toArray()));
+  t.deepEqual(events.map((event) => event.kind), ['opened', 'put', 'opened', 'delete']);
+  t.regex(asked[0]!, /Watch=9&/);
+  t.regex(asked[1]!, /Watch=12&/);
+});
+
+const ERRORS: readonly (readonly [number, string])[] = [
+  [410, 'version_too_old'], [429, 'rate_limited'], [503, 'unavailable'], [200, 'unavailable'],
+];
+ERRORS.forEach(([status, code]) => {
+  test(`store: ${status} with nothing to read is ${code}`, async (t) => {
+    const { reader } = await store(t, [[status, {}]]);
+    const first = firstValueFrom(reader.watch('servers', 9));
+    const error = await first.catch((reason: unknown) => reason);
+    t.like(error, { code });
+  });
+});
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -210,6 +210,16 @@
   t.is(reply.text, eventsText(20, 13));
 });
 
+test('a caller that returns is sent to the engine that holds its prompt', async (t) => {
+  const relay = await started(t, { engines: ENGINES });
+  await Promise.all(ENGINES.map(async ({ id }, index) => {
+    relay.engines[index]!.held.add(`part-${id}`);
+    const headers = { ...STREAM, 'x-prompt': '10', 'x-last': '12' };
+    await relay.call('/stream/', { ...headers, 'x-id': id, 'x-parts': `part-${id}` }, 'prompt');
+  }));
+  t.deepEqual(relay.engines.map(({ runs }) => runs), [['e1@13'], ['e2@13'], ['e3@13']]);
+});
+
 test('a caller that leaves ends the engine\'s work', async (t) => {
   const relay = await started(t, { engines: ENGINES.slice(0, 1) });
   await relay.call('/stream/', STREAM, 'prompt', (text, leave) => {
--- /dev/null
+++ b/test/relay-decisions.test.ts
@@ -0,0 +1,295 @@
+import { fc, testProp } from '@fast-check/ava';
+import test from 'ava';
+import {
+  counted, EMPTY_WINDOW, requested, retried, retriesLeft,
+} from '../src/limits/retrywindow.js';
+import {
+  engineFor, fits, serviceFor, standbyFor,
+} from '../src/relay/choice.js';
+import type { Candidate, RunDemand } from '../src/relay/choice.js';
+import { EventSplitter } from '../src/relay/eventsplitter.js';
+import { heldTokens } from '../src/relay/heldprompts.js';
+import { decodeMessage, encodeMessage, MAX_MESSAGE_BYTES } from '../src/relay/peermessage.js';
+import { pickTarget } from '../src/relay/front.js';
+import { RouteTable } from '../src/relay/routes.js';
+import {
+  listed, NO_LOAD, outcome, reached, serverState, suspected, usable,
+} from '../src/relay/serverstate.js';
+import type { Load, ServerState } from '../src/relay/serverstate.js';
+import { overdue, verdict } from '../src/relay/silence.js';
+import { relayConfiguration, ROUTES } from './fakes/relay.js';
+
+const CAPACITY = {
+  slots: 4, memoryTokens: 1_000, standby: true, tokensPerEvent: 1,
+};
+const DEMAND: RunDemand = { promptTokens: 80, outputTokens: 20, zone: 'a' };
+
+function server(id: string, zone = 'a', change: Partial<ServerState> = {}): ServerState {
+  return {
+    ...serverState({
+      id,
+      service: 's',
+      address: '1.2.3.4:5',
+      zone,
+      state: 'ready',
+      slots: 4,
+      startedAt: 1,
+      weights: 1,
+    }),
+    ...change,
+  };
+}
+
+function candidate(
+  id: string,
+  load: Partial<Load> = {},
+  change: Partial<Candidate> & { zone?: string } = {},
+): Candidate {
+  return {
+    server: server(id, change.zone), load: { ...NO_LOAD, ...load }, doubted: false, ...change,
+  };
+}
+
+const ENGINES: readonly {
+  name: string;
+  candidates: readonly Candidate[];
+  demand?: Partial<RunDemand>;
+  chosen: string | undefined;
+}[] = [
+  {
+    name: 'the one with least to read goes first',
+    candidates: [candidate('e1', { reading: 4_000 }), candidate('e2', { running: 2 })],
+    chosen: 'e2',
+  },
+  {
+    name: 'free slots are no room where memory is taken',
+    candidates: [candidate('e1', { memory: 900 }), candidate('e2', { running: 3, reading: 500 })],
+    chosen: 'e2',
+  },
+  {
+    name: 'standby copies take room too',
+    candidates: [candidate('e1', { standby: 900 }), candidate('e2', { reading: 500 })],
+    chosen: 'e2',
+  },
+  {
+    name: 'a server of a zone that has just failed goes last',
+    candidates: [candidate('e1', {}, { doubted: true }), candidate('e2', { reading: 4_000 })],
+    chosen: 'e2',
+  },
+  {
+    name: 'a prompt that is held need not be read',
+    candidates: [candidate('e1'), candidate('e2', { running: 1 })],
+    demand: { promptTokens: 800, held: (id) => (id === 'e2' ? 800 : 0) },
+    chosen: 'e2',
+  },
+  { name: 'none has room', candidates: [candidate('e1', { running: 4 })], chosen: undefined },
+];
+ENGINES.forEach(({
+  name, candidates, demand, chosen,
+}) => {
+  test(`engine: ${name}`, (t) => {
+    const choice = engineFor(candidates, { ...DEMAND, ...demand }, CAPACITY, 0);
+    t.is(choice?.server.listed.id, chosen);
+  });
+});
+
+testProp('engine: whoever is chosen has room', [
+  fc.array(fc.record({ running: fc.nat(6), memory: fc.nat(1_200), standby: fc.nat(600) })),
+], (t, loads) => {
+  const candidates = loads.map((load, index) => candidate(`e${index}`, load));
+  const chosen = engineFor(candidates, DEMAND, CAPACITY, 0);
+  const roomy = candidates.some((one) => fits(one, DEMAND, CAPACITY));
+  t.is(chosen !== undefined, roomy);
+  if (chosen) t.true(fits(chosen, DEMAND, CAPACITY));
+}, { numRuns: 200, seed: 41 });
+
+test('standby: another zone first, and never the engine itself', (t) => {
+  const [own, near] = [candidate('e1'), candidate('e2')];
+  const far = candidate('e3', { memory: 500 }, { zone: 'b' });
+  const chosen = (candidates: readonly Candidate[]) => (
+    standbyFor(candidates, DEMAND, CAPACITY, own.server)?.server.listed.id);
+  t.is(chosen([own, near, far]), 'e3');
+  t.is(chosen([own, near]), 'e2');
+  t.is(chosen([own]), undefined);
+});
+
+test('service: a server that fails is passed over, and tried again after a while', (t) => {
+  const failing = { ...candidate('s1'), server: outcome(server('s1'), true, undefined, 0) };
+  const busy = candidate('s2', { running: 3 });
+  t.is(serviceFor([failing, busy], 'a', 0)?.server.listed.id, 's2');
+  t.is(serviceFor([failing, busy], 'a', 60_000)?.server.listed.id, 's1');
+});
+
+test('server: suspect, leaving and gone servers get nothing new', (t) => {
+  const up = server('e1');
+  t.true(usable(up, 0));
+  t.false(usable(suspected(up, 'reset', 0), 0));
+  t.true(usable(reached(suspected(up, 'reset', 0)), 0));
+  t.false(usable({ ...up, missingUntil: 10 }, 10));
+  t.true(usable({ ...up, missingUntil: 10 }, 9));
+});
+
+test('server: one that left stays gone in the same life, and a new life knows nothing', (t) => {
+  const before = server('e1', 'a', { own: { ...NO_LOAD, running: 3 } });
+  const leaving = listed(before, { ...before.listed, state: 'leaving' });
+  t.is(listed(leaving, before.listed).listed.state, 'leaving');
+  const again = listed(leaving, { ...before.listed, startedAt: 2 });
+  t.is(again.listed.state, 'ready');
+  t.is(again.own.running, 0);
+  t.is(listed(again, before.listed), again);
+});
+
+const STREAM = {
+  startedAt: 0, eventAt: undefined, expectedFirstMs: 1_000, pauseObjectiveMs: 700, copied: true,
+};
+const SILENCES: readonly { name: string; change: object; at: number; moves: boolean }[] = [
+  {
+    name: 'a prompt being read is waited for', change: {}, at: 2_500, moves: false,
+  },
+  {
+    name: 'a first event that is long overdue is not', change: {}, at: 2_700, moves: true,
+  },
+  {
+    name: 'a pause within the objective is waited for',
+    change: { eventAt: 100 },
+    at: 500,
+    moves: false,
+  },
+  {
+    name: 'a long pause moves the stream to its copy',
+    change: { eventAt: 100 },
+    at: 650,
+    moves: true,
+  },
+  {
+    name: 'without a copy the stream stays',
+    change: { eventAt: 100, copied: false },
+    at: 2_000,
+    moves: false,
+  },
+];
+SILENCES.forEach(({
+  name, change, at, moves,
+}) => {
+  test(`silence: ${name}`, (t) => {
+    t.is(overdue({ ...STREAM, ...change }, at), moves);
+  });
+});
+
+test('silence: a server is checked before it is taken for lost, and twice', (t) => {
+  const quiet = {
+    heardAt: 0, checkedAt: 0, failedChecks: 0, checking: false,
+  };
+  t.is(verdict(quiet, 100), 'wait');
+  t.is(verdict(quiet, 260), 'check');
+  t.is(verdict({ ...quiet, checking: true }, 260), 'wait');
+  t.is(verdict({ ...quiet, checkedAt: 260, failedChecks: 1 }, 300), 'check');
+  t.is(verdict({ ...quiet, failedChecks: 2 }, 300), 'lost');
+});
+
+testProp('events: bytes stay the same however they are cut', [
+  fc.array(fc.nat(9_999), { minLength: 1, maxLength: 8 }),
+  fc.array(fc.integer({ min: 1, max: 40 })),
+], (t, ids, cuts) => {
+  const text = ids.map((id) => `id: ${id}\ndata: é${id}\n\n`).join('');
+  const bytes = Buffer.from(text);
+  const splitter = EventSplitter.of();
+  const events: { text: string; id: number | undefined }[] = [];
+  let from = 0;
+  [...cuts, bytes.length].forEach((cut) => {
+    events.push(...splitter.take(bytes.subarray(from, from + cut)));
+    from += cut;
+  });
+  t.is(Buffer.from(events.map((event) => event.text).join(''), 'latin1').toString(), text);
+  t.deepEqual(events.map(({ id }) => id), ids);
+  t.false(splitter.torn);
+}, { numRuns: 200, seed: 42 });
+
+test('events: what has not ended is held, and said to be', (t) => {
+  const splitter = EventSplitter.of();
+  t.deepEqual(splitter.take(Buffer.from('id: 1\ndata')), []);
+  t.true(splitter.torn);
+});
+
+const LIMIT = { ratio: 0.5, slack: 20, windowMs: 1_000 };
+
+testProp('retries of all instances stay within ratio and slack in every window', [
+  fc.integer({ min: 1, max: 5 }),
+  fc.array(fc.record({
+    instance: fc.nat(4), after: fc.nat(40), retries: fc.nat(6),
+  }), { minLength: 1, maxLength: 200 }),
+], (t, instances, steps) => {
+  let windows = Array.from({ length: instances }, () => counted(EMPTY_WINDOW, instances, 0));
+  const requests: number[] = [];
+  const retries: number[] = [];
+  let now = 0;
+  steps.forEach(({ instance, after, retries: wanted }) => {
+    now += after;
+    const index = instance % instances;
+    let window = counted(requested(windows[index]!, LIMIT, now), instances, now);
+    requests.push(now);
+    for (let tries = 0; tries < wanted && retriesLeft(window, LIMIT, now) > 0; tries += 1) {
+      window = retried(window, LIMIT, now);
+      retries.push(now);
+    }
+    windows = windows.map((other, at) => (at === index ? window : other));
+    const within = (times: readonly number[]) => (
+      times.filter((time) => time > now - LIMIT.windowMs).length);
+    t.true(within(retries) <= LIMIT.ratio * within(requests) + LIMIT.slack);
+  });
+}, { numRuns: 200, seed: 43 });
+
+test('an instance keeps to its part by the most instances it knew in the window', (t) => {
+  const alone = counted(counted(EMPTY_WINDOW, 10, 0), 1, 500);
+  t.is(retriesLeft(alone, LIMIT, 500), 1);
+  t.is(retriesLeft(counted(alone, 1, 1_500), LIMIT, 1_500), 16);
+});
+
+test('routes: the longest prefix of the host decides', (t) => {
+  const deep = { ...ROUTES.safe, name: 'deep', prefix: '/safe/deep/' };
+  const table = RouteTable.of(relayConfiguration({ routes: [ROUTES.safe, deep] }));
+  t.is(table.route('relay.example', '/safe/deep/x')?.name, 'deep');
+  t.is(table.route('RELAY.example', '/safe/deepx')?.name, 'safe');
+  t.is(table.route('relay.example', '/safe'), undefined);
+  t.is(table.route('other', '/safe/x'), undefined);
+});
+
+testProp('targets: one with weight 0 gets nothing', [
+  fc.double({
+    min: 0, max: 1, maxExcluded: true, noNaN: true,
+  }),
+], (t, fraction) => {
+  const targets = Object.entries({ a: 0, b: 3, c: 1 })
+    .map(([service, weight]) => ({ service, weight }));
+  const chosen = pickTarget(targets, fraction)?.service;
+  t.is(chosen, fraction < 0.75 ? 'b' : 'c');
+}, { numRuns: 200, seed: 44 });
+
+test('held prompts: parts count up to the first that is not held whole', (t) => {
+  const parts = [{ id: 'a', tokens: 10 }, { id: 'b', tokens: 20 }, { id: 'c', tokens: 5 }];
+  t.is(heldTokens(parts, new Map([['a', 10], ['b', 7], ['c', 5]])), 17);
+  t.is(heldTokens(parts, new Map([['b', 20]])), 0);
+  t.is(heldTokens(parts, new Map([['a', 90], ['b', 20], ['c', 5]])), 35);
+});
+
+testProp('peer messages: any bytes are a message or a reason', [fc.uint8Array()], (t, bytes) => {
+  const decoded = decodeMessage(Buffer.from(bytes));
+  t.true(decoded.isErr() || typeof decoded.value.ip === 'string');
+}, { numRuns: 200, seed: 45 });
+
+test('peer messages: lists are cut so that a message stays one packet', (t) => {
+  const ids = Array.from({ length: 100 }, (_, index) => `server-${index}`);
+  const bytes = encodeMessage({
+    ip: '10.0.0.1',
+    at: 1,
+    configuration: 3,
+    leaving: false,
+    loads: {},
+    gone: ids.map((id) => [id, 1]),
+    suspect: ids.map((id) => [id, 1]),
+    successors: ids.map((id) => [id, id]),
+    peers: ids,
+  });
+  t.true(bytes.length <= MAX_MESSAGE_BYTES);
+  t.is(decodeMessage(bytes).map(({ configuration }) => configuration).unwrapOr(0), 3);
+});
