--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -13,7 +13,7 @@
 import {
   engineFor, firstEventMs, standbyFor, toRead,
 } from './choice.js';
-import type { Candidate, RunDemand } from './choice.js';
+import type { RunDemand } from './choice.js';
 import type { Caller, RelayContext } from './context.js';
 import { timeLeft } from './context.js';
 import { EventAttempt } from './eventattempt.js';
