--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -4,6 +4,7 @@
  * keeps a standby copy of its memory, from which the stream goes on when the run's engine is lost.
  */
 import { Subscription, timer } from 'rxjs';
+import type { LogFields } from '../common/log.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { GenerationEffect, GenerationEvent } from '../generation/change.js';
 import { generationState } from '../generation/state.js';
@@ -11,7 +12,7 @@
 import { transaction } from '../generation/transaction.js';
 import type { Call } from './call.js';
 import {
-  engineFor, firstEventMs, standbyFor, toRead,
+  engineFor, firstEventMs, memoryOf, standbyFor, toRead,
 } from './choice.js';
 import type { RunDemand } from './choice.js';
 import type { Caller, RelayContext } from './context.js';
@@ -183,7 +184,13 @@
     const copy = allowed.find(({ server }) => server.listed.id === this.#copyAt);
     const chosen = copy ?? engineFor(allowed, this.#demand, engine, now);
     if (!chosen) {
-      this.#unassignable(candidates.length > 0 ? 'no engine has room' : 'no engine is up');
+      this.#unassignable(candidates.length > 0 ? 'no engine has room' : 'no engine is up', {
+        candidates: candidates.length,
+        allowed: allowed.length,
+        least_memory_tokens: Math.min(...allowed.map(({ load }) => load.memory + load.standby)),
+        demand_tokens: memoryOf(this.#demand),
+        memory_tokens: engine.memoryTokens,
+      });
       return;
     }
     if (again) retries.retry(service.name, now);
@@ -212,7 +219,17 @@
     });
   }
 
-  #unassignable(message: string): void {
+  #unassignable(message: string, inputs: LogFields = {}): void {
+    const { log, retries, scheduler } = this.#context;
+    const { id, service, version } = this.#call;
+    log.event('info', 'unplaced', {
+      request: id,
+      service: service.name,
+      reason: message,
+      ...inputs,
+      retries_left: retries.left(service.name, scheduler.now()),
+      configuration: version,
+    });
     this.#take({
       kind: 'unassignable',
       refusal: {
--- a/src/relay/wholerelay.ts
+++ b/src/relay/wholerelay.ts
@@ -134,6 +134,16 @@
   }
 
   #unassignable(message: string): void {
+    const { log, retries, scheduler } = this.#context;
+    const { id, service, version } = this.#call;
+    log.event('info', 'unplaced', {
+      request: id,
+      service: service.name,
+      reason: message,
+      tried: this.#state.tried,
+      retries_left: retries.left(service.name, scheduler.now()),
+      configuration: version,
+    });
     this.#take({ kind: 'unassignable', message, retryAfterMs: NO_SERVER_MS });
   }
 
