--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -21,7 +21,7 @@
 import type { AttemptPlan } from './eventattempt.js';
 import { heldTokens } from './heldprompts.js';
 import type { HeldParts } from './heldprompts.js';
-import { routeFields } from './routefields.js';
+import { roomFields, routeFields } from './routefields.js';
 
 /** Id of a stream's first event. */
 const FIRST_EVENT = 1;
@@ -184,13 +184,8 @@
     const copy = allowed.find(({ server }) => server.listed.id === this.#copyAt);
     const chosen = copy ?? engineFor(allowed, this.#demand, engine, now);
     if (!chosen) {
-      this.#unassignable(candidates.length > 0 ? 'no engine has room' : 'no engine is up', {
-        candidates: candidates.length,
-        allowed: allowed.length,
-        least_memory_tokens: Math.min(...allowed.map(({ load }) => load.memory + load.standby)),
-        demand_tokens: memoryOf(this.#demand),
-        memory_tokens: engine.memoryTokens,
-      });
+      const reason = candidates.length > 0 ? 'no engine has room' : 'no engine is up';
+      this.#unassignable(reason, roomFields(allowed, memoryOf(this.#demand), engine));
       return;
     }
     if (again) retries.retry(service.name, now);
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -3,6 +3,7 @@
 import type { Call } from './call.js';
 import type { Candidate } from './choice.js';
 import type { AttemptPlan } from './eventattempt.js';
+import type { EngineCapacity } from './routes.js';
 
 /** What an engine was chosen by. */
 export function routeFields(call: Call, plan: AttemptPlan, { server, load }: Candidate): LogFields {
@@ -20,3 +21,17 @@
     configuration: call.version,
   };
 }
+
+/** What an engine for `demandTokens` was looked for among. */
+export function roomFields(
+  candidates: readonly Candidate[],
+  demandTokens: number,
+  { memoryTokens }: EngineCapacity,
+): LogFields {
+  return {
+    candidates: candidates.length,
+    least_memory_tokens: Math.min(...candidates.map(({ load }) => load.memory + load.standby)),
+    demand_tokens: demandTokens,
+    memory_tokens: memoryTokens,
+  };
+}
