--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,6 @@
-// Bundles the programs, so that a daemon loads only what it uses. What is imported when it is needed,
-// such as the demonstration, is a file of its own. With `--platform` the relaying daemon is built for
-// the users' platform, under `target/`.
+// Bundles the programs, so that a daemon loads only what it uses. What is imported when it is
+// needed, such as the demonstration, is a file of its own. With `--platform` the relaying daemon is
+// built for the users' platform, under `target/`.
 import { build } from 'esbuild';
 
 const REQUIRE = `import { createRequire } from 'node:module';
