--- a/src/relay/choice.ts
+++ b/src/relay/choice.ts
@@ -11,7 +11,7 @@
 import type { Load, ServerState } from './serverstate.js';
 
 /** Prompt tokens that an engine reads in a millisecond, from the deployments' sheets. */
-export const PROMPT_TOKENS_PER_MS = 8;
+const PROMPT_TOKENS_PER_MS = 8;
 /**
  * What one more run beside it costs a run, in milliseconds to the first event: a share of an
  * engine's step, some hundred of which make an answer.
--- a/src/relay/routes.ts
+++ b/src/relay/routes.ts
@@ -41,7 +41,6 @@
   readonly memoryTokens: number;
   /** Whether engines keep standby copies of each other's runs. */
   readonly standby: boolean;
-  readonly tokensPerEvent: number;
 }
 
 export interface RelayService {
@@ -64,8 +63,6 @@
   /** Undefined where requests carry no keys. */
   readonly workspaces: readonly RelayWorkspace[] | undefined;
   readonly maxBodyBytes: number;
-  /** How long callers' connections may stay idle. */
-  readonly idleMs: number;
 }
 
 /** Looks up routes and workspaces of one version. */
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -16,8 +16,6 @@
   readonly store: string;
   /** How often a backend server renews its entry in the store. */
   readonly heartbeatMs: number;
-  /** After so long, no request may reach a server whose leaving the store has accepted. */
-  readonly drainMs: number;
   /** How long an address is kept from other services after its server has ended. */
   readonly reuseAfterMs: number;
   /** How long a stop may take before the process is killed. */
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -60,7 +60,7 @@
 
 export function relayConfiguration(change: Partial<RelayConfiguration> = {}): RelayConfiguration {
   const engine = {
-    slots: 8, memoryTokens: 1_000, standby: true, tokensPerEvent: 1,
+    slots: 8, memoryTokens: 1_000, standby: true,
   };
   return {
     version: 1,
@@ -71,7 +71,6 @@
     },
     workspaces: [{ name: 'w', keys: [KEY], priority: undefined }],
     maxBodyBytes: 10_000,
-    idleMs: 1_000,
     ...change,
   };
 }
@@ -140,7 +139,6 @@
         metricsPort: ports[3]!,
         store: '127.0.0.1:1',
         heartbeatMs: 1_000,
-        drainMs: 2_000,
         reuseAfterMs: 2_000,
         stopMs: 5_000,
         retryRatio: 1,
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -26,7 +26,7 @@
 import { relayConfiguration, ROUTES } from './fakes/relay.js';
 
 const CAPACITY = {
-  slots: 4, memoryTokens: 1_000, standby: true, tokensPerEvent: 1,
+  slots: 4, memoryTokens: 1_000, standby: true,
 };
 const DEMAND: RunDemand = { promptTokens: 80, outputTokens: 20, zone: 'a' };
 
