Leave a silent stream where it is unless another engine can take it

Cause: found on reading: silence past the bound ended an answer also where it may not be repeated, or where no other engine, attempt or budget was left, though its engine may have gone on. Change: a stream is moved for silence only if it may be repeated and another engine can take it now. Tests: two, which fail without the change (502 after 0.6 s).

--- a/src/relay/eventattempt.ts
+++ b/src/relay/eventattempt.ts
@@ -35,6 +35,8 @@
   readonly demand: RunDemand;
   /** Whether the caller itself came with a last event. */
   readonly returning: boolean;
+  /** Whether another engine could take the stream now. */
+  readonly movable: () => boolean;
 }
 
 export class EventAttempt {
@@ -130,7 +132,9 @@
         pauseObjectiveMs: this.#call.route.pauseObjectiveMs,
         copied: standby !== undefined,
       }),
-      move: (reason) => this.#fail('unknown', reason),
+      move: (reason) => {
+        if (this.#start.movable()) this.#fail('unknown', reason);
+      },
     }));
     this.#work.add(exchange(outgoing, scheduler).subscribe((event) => this.#read(event)));
   }
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -19,8 +19,7 @@
 import { timeLeft } from './context.js';
 import { EventAttempt } from './eventattempt.js';
 import type { AttemptPlan } from './eventattempt.js';
-import { heldTokens } from './heldprompts.js';
-import type { HeldParts } from './heldprompts.js';
+import { mayMove } from './moving.js';
 import { roomFields, routeFields } from './routefields.js';
 
 /** Id of a stream's first event. */
@@ -44,8 +43,8 @@
   /** What the assigned engine was chosen with, until it is dispatched. */
   #plan: AttemptPlan | undefined;
 
-  /** What engines hold of prompts, asked for a caller that returns. */
-  #held: ReadonlyMap<string, HeldParts> = new Map();
+  /** Tokens of the prompt that an engine holds; asked only for a caller that returns. */
+  #heldAt: (engine: string) => number = () => 0;
 
   /** The engine that keeps a copy of the run's memory. */
   #copyAt: string | undefined;
@@ -78,10 +77,15 @@
     return () => relay.#take({ kind: 'caller_gone' });
   }
 
+  /** Engines that have had the request. */
+  get #sent(): number {
+    return [...this.#attempts.values()].filter(({ sent }) => sent).length;
+  }
+
   get #demand(): RunDemand {
     const { promptTokens, outputTokens } = this.#call.caller;
     return {
-      promptTokens, outputTokens, zone: this.#context.zone, held: (server) => this.#heldAt(server),
+      promptTokens, outputTokens, zone: this.#context.zone, held: this.#heldAt,
     };
   }
 
@@ -98,19 +102,13 @@
     const { fleet, heldPrompts, log } = this.#context;
     const { name } = this.#call.service;
     const engines = fleet.candidates(name, []).map(({ server }) => server.listed);
-    heldPrompts.ask(name, engines).then((held) => {
-      this.#held = held;
+    heldPrompts.tokensAt(name, engines, this.#call.caller.parts).then((heldAt) => {
+      this.#heldAt = heldAt;
     }, (error: unknown) => {
       log.event('warn', 'held_prompts_unknown', { request: this.#call.id, reason: String(error) });
     }).finally(() => this.#take({ kind: 'begin' }));
   }
 
-  /** Tokens of the prompt that an engine holds, as far as it was asked. */
-  #heldAt(server: string): number {
-    const held = this.#held.get(server);
-    return held ? heldTokens(this.#call.caller.parts, held) : 0;
-  }
-
   #take(event: GenerationEvent): void {
     const { state, effects } = transaction(this.#state, event);
     this.#state = state;
@@ -169,13 +167,12 @@
       this.#unassignable('the service has no engines');
       return;
     }
-    const again = [...this.#attempts.values()].some((attempt) => attempt.sent);
+    const again = this.#sent > 0;
     if (again && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
     }
-    const sent = [...this.#attempts.values()].filter((attempt) => attempt.sent).length;
-    if (sent >= this.#call.route.maxAttempts) {
+    if (this.#sent >= this.#call.route.maxAttempts) {
       this.#unassignable('no attempt is left');
       return;
     }
@@ -241,6 +238,8 @@
       from: attempt.from,
       demand: this.#demand,
       returning: this.#call.caller.lastEvent !== undefined,
+      movable: () => mayMove(this.#call, this.#sent, [
+        ...this.#state.excluded, attempt.server], this.#demand, this.#context),
     }, this.#context, (event) => this.#receive(attempt, event));
     this.#attempts.set(attempt.number, reader);
     reader.start();
--- a/src/relay/heldprompts.ts
+++ b/src/relay/heldprompts.ts
@@ -75,6 +75,16 @@
     return answers;
   }
 
+  /** Tokens of a prompt that each engine, by its id, holds already. */
+  async tokensAt(
+    service: string,
+    engines: readonly ListedServer[],
+    parts: readonly PromptPart[],
+  ): Promise<(engine: string) => number> {
+    const held = await this.ask(service, engines);
+    return (engine) => heldTokens(parts, held.get(engine) ?? new Map());
+  }
+
   #askOne(engine: ListedServer): Promise<HeldParts> {
     const { scheduler, connections, held } = this.#context;
     return firstValueFrom(exchange({
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -237,6 +237,24 @@
   t.like(JSON.parse(reply.text), { error: { ran: 'no' } });
 });
 
+const SLOW: readonly { name: string; repeat: 'safe' | 'never'; engines: number }[] = [
+  { name: 'that may not be repeated', repeat: 'never', engines: 3 },
+  { name: 'that no other engine can take', repeat: 'safe', engines: 1 },
+];
+SLOW.forEach(({ name, repeat, engines }) => {
+  test(`a stream ${name} is left with an engine that is silent for long`, async (t) => {
+    const relay = await started(t, {
+      engines: ENGINES.slice(0, engines)
+        .map((options) => ({ ...options, stepMs: 1_000, events: 2 })),
+      configuration: relayConfiguration({ routes: [{ ...ROUTES.stream, repeat }] }),
+    });
+    const reply = await relay.call('/stream/', STREAM, 'prompt');
+    t.is(reply.text, eventsText(2));
+    t.true(reply.whole);
+    t.is(relay.engines.flatMap(({ runs }) => runs).length, 1);
+  });
+});
+
 test('a caller that leaves ends the engine\'s work', async (t) => {
   const relay = await started(t, { engines: ENGINES.slice(0, 1) });
   await relay.call('/stream/', STREAM, 'prompt', (text, leave) => {
