--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -29,6 +29,8 @@
 /** How soon a caller may come back when no engine has room: about the time that a prompt takes. */
 const NO_ROOM_MS = 1_000;
 
+const nothingHeld = () => 0;
+
 export class EventRelay {
   readonly #call: Call;
 
@@ -44,7 +46,7 @@
   #plan: AttemptPlan | undefined;
 
   /** Tokens of the prompt that an engine holds; asked only for a caller that returns. */
-  #heldAt: (engine: string) => number = () => 0;
+  #heldAt: (engine: string) => number = nothingHeld;
 
   /** The engine that keeps a copy of the run's memory. */
   #copyAt: string | undefined;
