Read through the relay: one piece of code where two stood, and nothing that nobody reads

What was found on reading the change: the bounds on one more attempt and the log fields of a request without a server stood twice; an answer's meaning was worked out at its head and again at its end; peers' messages carried two fields that nothing reads, and the daemon a clock only for one of them; the relay split host:port by hand beside hostPort, which is in common/ now; a listener that started again subscribed to the stop once more. Behaviour is meant to stay as it is.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,7 @@
 import type { Observable } from 'rxjs';
 import { adminRouter } from '../admin/router.js';
 import { adminServer } from '../admin/server.js';
+import { hostPort } from '../common/address.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import { monotonicScheduler } from '../common/time.js';
@@ -12,7 +13,7 @@
 import { HttpObjects } from '../store/client.js';
 import { administrationOf } from './administration.js';
 import { Instance } from './instance.js';
-import { hostPort, listenerOf } from './listeners.js';
+import { listenerOf } from './listeners.js';
 import { PeerServer } from './peerserver.js';
 import type { Settings } from './settings.js';
 import { Supervisor } from './supervisor.js';
--- a/src/daemon/listeners.ts
+++ b/src/daemon/listeners.ts
@@ -1,20 +1,11 @@
-/** Sockets of a daemon: servers as supervised children, and addresses. */
+/** Sockets of a daemon: servers as supervised children. */
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Observable } from 'rxjs';
+import { hostPort } from '../common/address.js';
+import type { HostPort } from '../common/address.js';
 import type { Child } from './supervisor.js';
 
-export interface HostPort { readonly host: string; readonly port: number }
-
-/** Splits `host:port`; an IPv6 host stands in brackets. */
-export function hostPort(address: string): HostPort {
-  const separator = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, separator).replace(/^\[|\]$/g, ''),
-    port: Number(address.slice(separator + 1)),
-  };
-}
-
 /** Listens and resolves with the address, whose port is the one taken for port 0. */
 export function listen(server: Server, { host, port }: HostPort): Promise<string> {
   return new Promise((resolve, reject) => {
--- a/src/relay/attemptanswer.ts
+++ b/src/relay/attemptanswer.ts
@@ -5,7 +5,7 @@
  * `whole`: the server's own answer. `failed`: a failure of the server, which may have run the
  * request. `not_run`: the server says that it has not. `foreign`: not an answer to this request.
  */
-type AnswerMeaning =
+export type AnswerMeaning =
   | { readonly kind: 'answer' }
   | { readonly kind: 'failed'; readonly message: string }
   | { readonly kind: 'not_run'; readonly message: string; readonly elsewhere: boolean }
--- a/src/relay/choice.ts
+++ b/src/relay/choice.ts
@@ -99,8 +99,8 @@
   capacity: EngineCapacity,
   primary: ServerState,
 ): Candidate | undefined {
-  const others = candidates.filter((candidate) => candidate.server !== primary
-    && candidate.server.listed.id !== primary.listed.id && fits(candidate, demand, capacity));
+  const others = candidates.filter((candidate) => candidate.server.listed.id !== primary.listed.id
+    && fits(candidate, demand, capacity));
   const elsewhere = others.filter(({ server }) => server.listed.zone !== primary.listed.zone);
   return least(elsewhere.length > 0 ? elsewhere : others, ({ load, doubted }) => (
     load.memory + STANDBY_COST * load.standby + load.reading
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -3,6 +3,7 @@
  * asked for, an answer that came before its request was out, or an answer that broke off close it.
  */
 import { connect } from 'node:net';
+import { hostPort } from '../common/address.js';
 import { CleanAgent } from './cleanagent.js';
 
 /** Keeps a burst from holding more connections than a server accepts from all callers together. */
@@ -44,9 +45,8 @@
 
 /** Whether a server's address accepts a connection within `timeoutMs`. */
 export function accepts(address: string, timeoutMs: number): Promise<boolean> {
-  const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const socket = connect({ host: host!, port: Number(port) });
+    const socket = connect(hostPort(address));
     const settle = (accepted: boolean) => {
       clearTimeout(deadline); // eslint-disable-line @typescript-eslint/no-use-before-define
       socket.destroy();
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -34,7 +34,7 @@
   breakOff(): void;
 }
 
-/** Time left until the call's deadline. */
+/** Time left until the call's deadline; negative once it is past. */
 export function timeLeft(call: Call, context: RelayContext): number {
   return call.deadlineAt - context.scheduler.now();
 }
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -34,7 +34,6 @@
   readonly settings: RelaySettings;
   readonly platform: Platform;
   readonly scheduler: SchedulerLike;
-  readonly wallClock: () => number;
   readonly random: Random;
   readonly log: Log;
 }
@@ -101,6 +100,13 @@
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
     };
+    this.drain.states.subscribe((state) => {
+      if (state !== 'finishing') return;
+      // A connection that is refused goes to another instance; a request that is taken now may not
+      // be answered in time.
+      this.#front?.close();
+      this.#front?.closeIdleConnections();
+    });
     this.run = this.#tree().run;
   }
 
@@ -154,25 +160,15 @@
       routes: () => this.#knowledge.routes,
       ended: (route, status, ms) => this.#metrics?.ended(route.delivery, status, ms),
     });
-    this.drain.states.subscribe((state) => {
-      if (state !== 'finishing') return;
-      // A connection that is refused goes to another instance; a request that is taken now may not
-      // be answered in time.
-      this.#front?.close();
-      this.#front?.closeIdleConnections();
-    });
     return this.#front;
   }
 
   #peersOf(): Peers {
-    const {
-      settings, scheduler, wallClock, log,
-    } = this.#context;
+    const { settings, scheduler, log } = this.#context;
     return Peers.of({
       ip: settings.ip,
       port: settings.peerPort,
       seeds: settings.seeds,
-      startedAt: wallClock(),
       scheduler,
       log,
       news: {
@@ -186,7 +182,6 @@
       },
       own: () => ({
         configuration: this.#knowledge.version,
-        leaving: this.drain.state !== 'serving',
         servers: this.#fleet.servers,
         successors: this.#fleet.successors,
       }),
--- a/src/relay/eventattempt.ts
+++ b/src/relay/eventattempt.ts
@@ -15,6 +15,9 @@
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 
+/** Id of a stream's first event. */
+export const FIRST_EVENT = 1;
+
 /** What an attempt's engines were chosen with. */
 export interface AttemptPlan {
   readonly server: ListedServer;
@@ -28,8 +31,6 @@
 
 export interface AttemptStart {
   readonly number: number;
-  /** Id of a stream's first event. */
-  readonly firstEvent: number;
   /** Position of the first event that is asked for. */
   readonly from: number;
   readonly demand: RunDemand;
@@ -109,7 +110,7 @@
     const {
       server, standby, copied, reading,
     } = this.#plan;
-    const { firstEvent, from, demand } = this.#start;
+    const { from, demand } = this.#start;
     const memory = memoryOf(demand);
     this.#startedAt = scheduler.now();
     this.#given.push(fleet.give(server.id, {
@@ -118,8 +119,7 @@
     if (standby) this.#given.push(fleet.give(standby.id, { ...NO_LOAD, standby: memory }));
     const outgoing = serverRequest(this.#call, {
       server,
-      reuse: true,
-      lastEvent: from > 0 || this.#start.returning ? from - 1 + firstEvent : undefined,
+      lastEvent: from > 0 || this.#start.returning ? from - 1 + FIRST_EVENT : undefined,
       standby: standby?.address,
       goOnFrom: copied ? { address: server.address, run: this.#call.id } : undefined,
     }, this.#context);
@@ -197,13 +197,13 @@
   }
 
   #readEvent(event: RelayedEvent): void {
-    const { firstEvent, demand, number } = this.#start;
+    const { demand, number } = this.#start;
     const { server } = this.#plan;
     if (this.#eventAt === undefined) {
       this.#given[0]?.change({ ...NO_LOAD, running: 1, memory: memoryOf(demand) });
     }
     this.#eventAt = this.#context.scheduler.now();
-    const position = event.id === undefined ? this.#next : event.id - firstEvent;
+    const position = event.id === undefined ? this.#next : event.id - FIRST_EVENT;
     this.#next = position + 1;
     if (event.id === undefined) {
       this.#context.log.event('warn', 'event_without_id', {
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -17,13 +17,11 @@
 import type { RunDemand } from './choice.js';
 import type { Caller, RelayContext } from './context.js';
 import { timeLeft } from './context.js';
-import { EventAttempt } from './eventattempt.js';
+import { EventAttempt, FIRST_EVENT } from './eventattempt.js';
 import type { AttemptPlan } from './eventattempt.js';
-import { mayMove } from './moving.js';
-import { roomFields, routeFields } from './routefields.js';
+import { attemptBound, mayMove } from './moving.js';
+import { roomFields, routeFields, unplacedFields } from './routefields.js';
 
-/** Id of a stream's first event. */
-const FIRST_EVENT = 1;
 /** Attempts without an event between them, most of which then reached no engine. */
 const MAX_TRIES = 12;
 /** How soon a caller may come back when no engine has room: about the time that a prompt takes. */
@@ -92,8 +90,7 @@
   }
 
   #begin(): void {
-    const left = Math.max(0, timeLeft(this.#call, this.#context));
-    this.#timers.add(timer(left, this.#context.scheduler)
+    this.#timers.add(timer(timeLeft(this.#call, this.#context), this.#context.scheduler)
       .subscribe(() => this.#take({ kind: 'expired', message: 'the time was up' })));
     if (this.#call.caller.lastEvent === undefined) this.#take({ kind: 'begin' });
     else this.#lookUp();
@@ -169,13 +166,10 @@
       this.#unassignable('the service has no engines');
       return;
     }
-    const again = this.#sent > 0;
-    if (again && retries.left(service.name, now) < 1) {
-      this.#unassignable('the retry budget is used up');
-      return;
-    }
-    if (this.#sent >= this.#call.route.maxAttempts) {
-      this.#unassignable('no attempt is left');
+    const sent = this.#sent;
+    const bound = attemptBound(this.#call, sent, this.#context);
+    if (bound !== undefined) {
+      this.#unassignable(bound);
       return;
     }
     const candidates = fleet.candidates(service.name, []);
@@ -187,7 +181,7 @@
       this.#unassignable(reason, roomFields(allowed, memoryOf(this.#demand), engine));
       return;
     }
-    if (again) retries.retry(service.name, now);
+    if (sent > 0) retries.retry(service.name, now);
     const standby = engine.standby
       ? standbyFor(allowed, this.#demand, engine, chosen.server)
       : undefined;
@@ -214,16 +208,8 @@
   }
 
   #unassignable(message: string, inputs: LogFields = {}): void {
-    const { log, retries, scheduler } = this.#context;
-    const { id, service, version } = this.#call;
-    log.event('info', 'unplaced', {
-      request: id,
-      service: service.name,
-      reason: message,
-      ...inputs,
-      retries_left: retries.left(service.name, scheduler.now()),
-      configuration: version,
-    });
+    const fields = unplacedFields(this.#call, message, this.#context);
+    this.#context.log.event('info', 'unplaced', { ...fields, ...inputs });
     this.#take({
       kind: 'unassignable',
       refusal: {
@@ -236,7 +222,6 @@
     const plan = this.#plan!;
     const reader = EventAttempt.of(this.#call, plan, {
       number: attempt.number,
-      firstEvent: FIRST_EVENT,
       from: attempt.from,
       demand: this.#demand,
       returning: this.#call.caller.lastEvent !== undefined,
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Observable, Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { hostPort } from '../common/address.js';
 import { isFramed, watchUnframed } from '../entry/unframed.js';
 import type { CleanAgent } from './cleanagent.js';
 import type { RawHeaders } from './dialect.js';
@@ -59,13 +60,11 @@
 /** Sends on subscription; unsubscribing closes the connection unless the answer has ended. */
 export function exchange(outgoing: Outgoing, scheduler: SchedulerLike): Observable<ExchangeEvent> {
   return new Observable((subscriber) => {
-    const [host, port] = outgoing.address.split(':');
     const timers = new Subscription();
     let sent = false;
     let ended = false;
     const options = {
-      host,
-      port,
+      ...hostPort(outgoing.address),
       method: outgoing.method,
       path: outgoing.target,
       headers: outgoing.headers as unknown as Record<string, string>,
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -268,9 +268,7 @@
   }
 
   #adopt(before: ListedServer, id: string, from: string): void {
-    this.list({
-      ...before, id, state: 'ready', startedAt: before.startedAt,
-    }, from);
+    this.list({ ...before, id, state: 'ready' }, from);
     this.#successors.set(before.id, id);
     this.#context.given();
   }
--- a/src/relay/moving.ts
+++ b/src/relay/moving.ts
@@ -1,9 +1,24 @@
-/** Whether a stream may be taken from an engine that is silent. */
+/** Whether a stream may be given to one more engine, and be taken from one that is silent. */
 import type { Call } from './call.js';
 import { engineFor } from './choice.js';
 import type { RunDemand } from './choice.js';
 import type { RelayContext } from './context.js';
 
+/**
+ * Why a stream may not be given to one more engine; undefined where it may.
+ * @param sent engines that have had the request
+ */
+export function attemptBound(
+  { route, service }: Call,
+  sent: number,
+  { retries, scheduler }: RelayContext,
+): string | undefined {
+  if (sent > 0 && retries.left(service.name, scheduler.now()) < 1) {
+    return 'the retry budget is used up';
+  }
+  return sent >= route.maxAttempts ? 'no attempt is left' : undefined;
+}
+
 /**
  * Silence alone is no reason to end an answer: it is left where it is unless it may be repeated and
  * another engine can take it.
@@ -11,15 +26,15 @@
  * @param exclude engines that it can't go to
  */
 export function mayMove(
-  { route, service }: Call,
+  call: Call,
   sent: number,
   exclude: readonly string[],
   demand: RunDemand,
-  { fleet, retries, scheduler }: RelayContext,
+  context: RelayContext,
 ): boolean {
-  const now = scheduler.now();
-  const { engine } = service;
-  if (!engine || route.repeat === 'never' || sent >= route.maxAttempts) return false;
-  if (retries.left(service.name, now) < 1) return false;
-  return engineFor(fleet.candidates(service.name, exclude), demand, engine, now) !== undefined;
+  const { engine, name } = call.service;
+  if (!engine || call.route.repeat === 'never') return false;
+  if (attemptBound(call, sent, context) !== undefined) return false;
+  const { fleet, scheduler } = context;
+  return engineFor(fleet.candidates(name, exclude), demand, engine, scheduler.now()) !== undefined;
 }
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -14,13 +14,10 @@
 
 const COUNT = z.number().min(0);
 const MESSAGE = z.object({
-  /** The sender's address and the start of its process, in milliseconds since 1970. */
+  /** The sender's address. */
   ip: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}$/),
-  at: z.number(),
   /** Version of the configuration in force; 0 before one is known. */
   configuration: z.number(),
-  /** Whether the sender is about to stop. */
-  leaving: z.boolean(),
   /** By server: runs, prompt tokens to read, tokens of memory, tokens of standby copies. */
   loads: z.record(z.string(), z.tuple([COUNT, COUNT, COUNT, COUNT])),
   /** Servers that leave, each with the start of its process. */
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -10,7 +10,6 @@
   decodeLoad, decodeMessage, encodeLoad, encodeMessage,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
-
 import type { Load, ServerState } from './serverstate.js';
 
 /** A tenth of a prompt's reading time: choices made on older loads would pick the same engine. */
@@ -48,14 +47,12 @@
   readonly ip: string;
   readonly port: number;
   readonly seeds: readonly string[];
-  readonly startedAt: number;
   readonly scheduler: SchedulerLike;
   readonly log: Log;
   readonly news: PeerNews;
   /** This instance's own part of a message. */
   readonly own: () => {
     readonly configuration: number;
-    readonly leaving: boolean;
     readonly servers: readonly ServerState[];
     readonly successors: readonly (readonly [string, string])[];
   };
@@ -81,21 +78,24 @@
     return new Peers(context);
   }
 
+  /** The last messages of the instances that were heard of lately, by address. */
+  get #lately(): readonly (readonly [string, PeerMessage])[] {
+    const now = this.#context.scheduler.now();
+    return [...this.#peers].flatMap(([ip, { heardAt, message }]) => (
+      message && now - heardAt < FORGET_MS ? [[ip, message] as const] : []));
+  }
+
   /** What the other instances have given to a server. */
   loads(server: string): readonly Load[] {
-    const now = this.#context.scheduler.now();
-    return [...this.#peers.values()].flatMap(({ heardAt, message }) => {
-      const load = message && now - heardAt < FORGET_MS ? message.loads[server] : undefined;
+    return this.#lately.flatMap(([, { loads }]) => {
+      const load = loads[server];
       return load ? [decodeLoad(load)] : [];
     });
   }
 
   /** Instances that were heard of lately, by address. */
   get alive(): readonly string[] {
-    const now = this.#context.scheduler.now();
-    return [...this.#peers]
-      .filter(([, { heardAt, message }]) => message && now - heardAt < FORGET_MS)
-      .map(([ip]) => ip);
+    return this.#lately.map(([ip]) => ip);
   }
 
   /** Tells the others of new work soon, before they choose the same server. */
@@ -125,19 +125,15 @@
   });
 
   #message(): PeerMessage {
-    const { ip, startedAt, own } = this.#context;
-    const {
-      configuration, leaving, servers, successors,
-    } = own();
+    const { ip, own } = this.#context;
+    const { configuration, servers, successors } = own();
     const busy = servers.filter((server) => server.own.running > 0 || server.own.standby > 0);
     const left = servers.filter((server) => server.listed.state === 'leaving');
     const suspect = servers.filter((server) => (
       server.health.kind === 'suspect' && server.missingUntil === undefined));
     return {
       ip,
-      at: startedAt,
       configuration,
-      leaving,
       loads: Object.fromEntries(busy.map(({ listed, own: load }) => [listed.id, encodeLoad(load)])),
       gone: left.slice(-MAX_LISTED).map(({ listed }) => [listed.id, listed.startedAt]),
       suspect: suspect.slice(-MAX_LISTED).map(({ listed }) => [listed.id, listed.startedAt]),
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -1,7 +1,8 @@
-/** The log fields of the choice of an engine. */
+/** The log fields of the choice of a server. */
 import type { LogFields } from '../common/log.js';
 import type { Call } from './call.js';
 import type { Candidate } from './choice.js';
+import type { RelayContext } from './context.js';
 import type { AttemptPlan } from './eventattempt.js';
 import type { EngineCapacity } from './routes.js';
 
@@ -35,3 +36,18 @@
     memory_tokens: memoryTokens,
   };
 }
+
+/** Why no server was chosen. */
+export function unplacedFields(
+  { id, service, version }: Call,
+  reason: string,
+  { retries, scheduler }: RelayContext,
+): LogFields {
+  return {
+    request: id,
+    service: service.name,
+    reason,
+    retries_left: retries.left(service.name, scheduler.now()),
+    configuration: version,
+  };
+}
--- a/src/relay/serverrequest.ts
+++ b/src/relay/serverrequest.ts
@@ -11,7 +11,6 @@
 
 export interface Attempted {
   readonly server: ListedServer;
-  readonly reuse: boolean;
   readonly lastEvent?: number | undefined;
   readonly standby?: string | undefined;
   readonly goOnFrom?: ServerDirections['goOnFrom'];
@@ -36,6 +35,6 @@
     target: call.target,
     headers: empty ? headers : [...headers, 'Content-Length', String(call.body.length)],
     body: call.body,
-    reuse: attempted.reuse,
+    reuse: true,
   };
 }
--- a/src/relay/silencewatch.ts
+++ b/src/relay/silencewatch.ts
@@ -82,10 +82,10 @@
 
   #lookAt(server: string, givenAt: number, now: number): void {
     const heardAt = Math.max(this.#fleet.heardAt(server), givenAt, this.#awakeAt);
-    const known = this.#servers.get(server)
-      ?? { checkedAt: 0, failedChecks: 0, checking: false };
-    const heard = 'heardAt' in known && known.heardAt !== heardAt;
-    const failedChecks = heard ? 0 : known.failedChecks;
+    const known = this.#servers.get(server) ?? {
+      heardAt, checkedAt: 0, failedChecks: 0, checking: false,
+    };
+    const failedChecks = known.heardAt === heardAt ? known.failedChecks : 0;
     const state: ServerSilence = { ...known, heardAt, failedChecks };
     this.#servers.set(server, state);
     switch (verdict(state, now)) {
--- a/src/relay/wholerelay.ts
+++ b/src/relay/wholerelay.ts
@@ -2,14 +2,15 @@
 import { Subscription, timer } from 'rxjs';
 import { endToEnd } from '../entry/upstream.js';
 import { meaningOf } from './attemptanswer.js';
-import type { Call, WholeAnswer } from './call.js';
+import type { AnswerMeaning } from './attemptanswer.js';
+import type { AnswerHead, Call, WholeAnswer } from './call.js';
 import { serviceFor } from './choice.js';
 import type { Caller, RelayContext } from './context.js';
 import { timeLeft } from './context.js';
-import type { RawHeaders } from './dialect.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import type { Given } from './given.js';
+import { unplacedFields } from './routefields.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 import { wholeState, wholeTransaction } from './wholecall.js';
@@ -27,8 +28,7 @@
   readonly reading: Subscription;
   readonly startedAt: number;
   sent: boolean;
-  status: number;
-  headers: RawHeaders;
+  head: { readonly answer: AnswerHead; readonly meaning: AnswerMeaning } | undefined;
   pieces: Buffer[];
 }
 
@@ -70,7 +70,7 @@
 
   #begin(): void {
     const { scheduler } = this.#context;
-    this.#timers.add(timer(Math.max(0, timeLeft(this.#call, this.#context)), scheduler)
+    this.#timers.add(timer(timeLeft(this.#call, this.#context), scheduler)
       .subscribe(() => this.#take({ kind: 'expired' })));
     this.#timers.add(timer(this.#call.route.objectiveMs * SLOW_SHARE, scheduler)
       .subscribe(() => this.#take({ kind: 'slow' })));
@@ -134,16 +134,8 @@
   }
 
   #unassignable(message: string): void {
-    const { log, retries, scheduler } = this.#context;
-    const { id, service, version } = this.#call;
-    log.event('info', 'unplaced', {
-      request: id,
-      service: service.name,
-      reason: message,
-      tried: this.#state.tried,
-      retries_left: retries.left(service.name, scheduler.now()),
-      configuration: version,
-    });
+    const fields = unplacedFields(this.#call, message, this.#context);
+    this.#context.log.event('info', 'unplaced', { ...fields, tried: this.#state.tried });
     this.#take({ kind: 'unassignable', message, retryAfterMs: NO_SERVER_MS });
   }
 
@@ -164,12 +156,10 @@
       reading,
       startedAt: scheduler.now(),
       sent: false,
-      status: 0,
-      headers: [],
+      head: undefined,
       pieces: [],
     });
-    const attempted = { server: server.listed, reuse: true };
-    const outgoing = serverRequest(this.#call, attempted, this.#context);
+    const outgoing = serverRequest(this.#call, { server: server.listed }, this.#context);
     reading.add(exchange(outgoing, scheduler)
       .subscribe((event) => this.#read(number, event)));
   }
@@ -185,9 +175,9 @@
         break;
       case 'head': {
         fleet.heard(server);
-        live.status = event.status;
-        live.headers = event.headers;
-        const meaning = meaningOf(event.status, event.headers, this.#call.id, dialect);
+        const { status, headers } = event;
+        const meaning = meaningOf(status, headers, this.#call.id, dialect);
+        live.head = { answer: { status, headers }, meaning };
         if (meaning.kind === 'foreign') {
           this.#failed(number, { ran: 'unknown', message: meaning.message });
         }
@@ -197,7 +187,7 @@
         live.pieces.push(event.bytes);
         break;
       case 'end':
-        this.#ended(live);
+        if (live.head) this.#ended(live, live.head);
         break;
       case 'failed':
         if (event.ran === 'no') fleet.suspect(server, event.message);
@@ -206,15 +196,14 @@
     }
   }
 
-  #ended(live: Live): void {
-    const { fleet, dialect, scheduler } = this.#context;
+  #ended(live: Live, { answer: head, meaning }: NonNullable<Live['head']>): void {
+    const { fleet, scheduler } = this.#context;
     const { number, server } = live.attempt;
     const body = Buffer.concat(live.pieces);
-    const headers = endToEnd(live.headers, ['content-length']);
+    const headers = endToEnd(head.headers, ['content-length']);
     const answer: WholeAnswer = {
-      status: live.status, headers: [...headers, 'Content-Length', String(body.length)], body,
+      status: head.status, headers: [...headers, 'Content-Length', String(body.length)], body,
     };
-    const meaning = meaningOf(live.status, live.headers, this.#call.id, dialect);
     switch (meaning.kind) {
       case 'not_run':
         if (meaning.elsewhere) fleet.misdirected(server);
--- a/src/store/calls.ts
+++ b/src/store/calls.ts
@@ -8,6 +8,8 @@
 import type { Result } from 'neverthrow';
 import { timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { hostPort } from '../common/address.js';
+import type { HostPort } from '../common/address.js';
 
 export const MAX_ANSWER_CHARS = 16_777_216;
 const MAX_SOCKETS = 16;
@@ -59,9 +61,7 @@
 }
 
 export class StoreCalls {
-  readonly #host: string;
-
-  readonly #port: string;
+  readonly #address: HostPort;
 
   readonly #scheduler: SchedulerLike;
 
@@ -70,9 +70,7 @@
   readonly #watchAgent = new Agent({ keepAlive: false });
 
   private constructor(address: string, scheduler: SchedulerLike) {
-    const separator = address.lastIndexOf(':');
-    this.#host = address.slice(0, separator);
-    this.#port = address.slice(separator + 1);
+    this.#address = hostPort(address);
     this.#scheduler = scheduler;
   }
 
@@ -125,7 +123,7 @@
   }: Call, agent: Agent): ClientRequest {
     const length = body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) };
     return httpRequest({
-      host: this.#host, port: this.#port, method, path, headers: { ...headers, ...length }, agent,
+      ...this.#address, method, path, headers: { ...headers, ...length }, agent,
     });
   }
 }
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -163,7 +163,6 @@
         },
       },
       scheduler: monotonicScheduler,
-      wallClock: Date.now,
       random: Random.of(7),
       log: this.log,
     });
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -307,9 +307,7 @@
   const ids = Array.from({ length: 100 }, (_, index) => `server-${index}`);
   const bytes = encodeMessage({
     ip: '10.0.0.1',
-    at: 1,
     configuration: 3,
-    leaving: false,
     loads: {},
     gone: ids.map((id) => [id, 1]),
     suspect: ids.map((id) => [id, 1]),
