Keep the layers of src/ in order, and let the linter hold them there

Cause: five imports ran from a lower folder up to a higher one (limits and membership into routing and daemon, configuration into engines, the relay into the daemon's supervisor and listeners), and daemon/instance.ts and controlview.ts imported each other's names. Three places split addresses by hand.

Change: the supervisor, the listeners and Priority are in common/, the peers' server in membership/, Admission beside what implements it; controlview.ts names what it reads. common/address.ts splits all addresses. import-x/no-restricted- paths refuses an upward import; it was seen to fail on a planted one.

--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -7,9 +7,8 @@
 import type { Refusal } from '../src/common/refusal.js';
 import type { Configuration } from '../src/configuration/configuration.js';
 import type { Directory, EngineView } from '../src/engines/directory.js';
-import type {
-  Admission, Assignment, Demand, Dispatcher,
-} from '../src/routing/dispatcher.js';
+import type { Admission } from '../src/limits/admission.js';
+import type { Assignment, Demand, Dispatcher } from '../src/routing/dispatcher.js';
 
 export type Rule = 'random' | 'round_robin' | 'least_in_flight';
 
--- a/bench/controlfleet.ts
+++ b/bench/controlfleet.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { monotonicScheduler } from '../src/common/time.js';
-import { listen } from '../src/daemon/listeners.js';
+import { listen } from '../src/common/listeners.js';
 import type { CallCounts, ObjectFaults } from '../src/standin/objects.js';
 import { LaggingList, listServer } from '../src/standin/listserver.js';
 import { sleep } from './deployed.js';
--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -12,7 +12,7 @@
 import { silentLog } from '../src/common/log.js';
 import { Random } from '../src/common/random.js';
 import { monotonicScheduler } from '../src/common/time.js';
-import { PeerServer } from '../src/daemon/peerserver.js';
+import { PeerServer } from '../src/membership/peerserver.js';
 import { PERIOD_MS } from '../src/membership/membership.js';
 import { answerSchema, PROTOCOL, requestSchema } from '../src/membership/message.js';
 import type { PeerAnswer, PeerRequest } from '../src/membership/message.js';
--- a/bench/routingworld.ts
+++ b/bench/routingworld.ts
@@ -8,7 +8,7 @@
 import { Random } from '../src/common/random.js';
 import type { Configuration } from '../src/configuration/configuration.js';
 import type { Directory } from '../src/engines/directory.js';
-import type { Priority } from '../src/engines/engine.js';
+import type { Priority } from '../src/common/priority.js';
 import { BLOCK_CHARACTERS } from '../src/engines/prefix.js';
 import { EngineMonitor } from '../src/engines/monitor.js';
 import type { Chooser } from '../src/routing/choice.js';
--- a/bench/site.ts
+++ b/bench/site.ts
@@ -2,7 +2,7 @@
 import { sha256 } from '../src/common/hash.js';
 import type { Configuration, Favour, Model } from '../src/configuration/configuration.js';
 import { EMPTY_CONFIGURATION } from '../src/configuration/defaults.js';
-import type { Priority } from '../src/engines/engine.js';
+import type { Priority } from '../src/common/priority.js';
 
 export const KEY = 'bench-key';
 export const WORKSPACES = 10;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,17 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
+/** The folders of `src/` from the lowest up; none imports from one that stands after it. */
+const LAYERS = [
+  'common', 'store', 'configuration', 'membership', 'engines', 'limits', 'routing', 'generation',
+  'placement', 'claims', 'entry', 'relay', 'admin', 'standin', 'cli', 'daemon',
+];
+
+const UPWARD_IMPORTS = LAYERS.slice(0, -1).map((layer, index) => ({
+  target: `./src/${layer}`,
+  from: [...LAYERS.slice(index + 1).map((above) => `./src/${above}`), './platform'],
+  message: 'A lower layer imports from a higher one.',
+}));
+
 export default [
   { ignores: ['dist/**', 'target/**', 'coverage/**', 'bench/out/**'] },
   plugins.stylistic,
@@ -15,6 +27,7 @@
       'import-x/no-rename-default': 'off',
       'import-x/prefer-default-export': 'off',
       'import-x/no-cycle': 'error',
+      'import-x/no-restricted-paths': ['error', { zones: UPWARD_IMPORTS }],
     },
   },
   {
--- a/src/daemon/listeners.ts
+++ b/src/common/listeners.ts
@@ -2,8 +2,8 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Observable } from 'rxjs';
-import { hostPort } from '../common/address.js';
-import type { HostPort } from '../common/address.js';
+import { hostPort } from './address.js';
+import type { HostPort } from './address.js';
 import type { Child } from './supervisor.js';
 
 /** Listens and resolves with the address, whose port is the one taken for port 0. */
--- a/src/daemon/supervisor.ts
+++ b/src/common/supervisor.ts
@@ -7,8 +7,8 @@
   defer, merge, Observable, retry, tap, timer,
 } from 'rxjs';
 import type { SchedulerLike, Subscription } from 'rxjs';
-import type { Log } from '../common/log.js';
-import type { Random } from '../common/random.js';
+import type { Log } from './log.js';
+import type { Random } from './random.js';
 
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 5_000;
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -3,7 +3,7 @@
  * checked. Every revision is one immutable value; modules read the parts that they need and keep
  * none of them.
  */
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 /** What failover is tuned for: short pauses, or little engine work spent twice. */
 export type Favour = 'latency' | 'resources';
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,6 +1,6 @@
 /** The settings that a folder of configuration files may hold, with their units and bounds. */
 import { z } from 'zod';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 import {
   address, choice, decimal, descriptions, duration, flag, integer, matching, NAME_PATTERN,
   optionalChoice, size, text, texts,
--- a/src/daemon/claimpeers.ts
+++ b/src/daemon/claimpeers.ts
@@ -4,7 +4,7 @@
 import type { ClaimLedger, LedgerPeers } from '../claims/ledger.js';
 import type { Answer, Operation } from '../claims/shard.js';
 import type { MembershipView, PeerNetwork } from '../membership/instances.js';
-import type { CallHandler } from './peerserver.js';
+import type { CallHandler } from '../membership/peerserver.js';
 
 const operation = z.discriminatedUnion('kind', [
   z.object({
--- a/src/daemon/controlview.ts
+++ b/src/daemon/controlview.ts
@@ -1,15 +1,32 @@
 /** What the metrics of the control path show of an instance. */
 import type { ControlView } from '../admin/metrics.js';
-import type { Instance } from './instance.js';
+import type { Drain } from '../entry/drain.js';
+import type { EngineMonitor } from '../engines/monitor.js';
+import type { Heartbeats } from '../membership/heartbeats.js';
+import type { LeaseKeeper } from '../placement/leasekeeper.js';
+import type { ConfigurationFeed } from './configurationfeed.js';
+import type { LoopLag } from './looplag.js';
 
-export function controlView(instance: Instance): ControlView {
+/** The parts of an instance that its control metrics are read from. */
+export interface ControlSources {
+  readonly ready: boolean;
+  readonly isolated: boolean;
+  readonly feed: ConfigurationFeed;
+  readonly heartbeats: Heartbeats;
+  readonly monitor: EngineMonitor;
+  readonly lease: LeaseKeeper;
+  readonly drain: Drain;
+  readonly loopLag: LoopLag;
+}
+
+export function controlView(sources: ControlSources): ControlView {
   const {
     feed, heartbeats, monitor, lease, drain, loopLag,
-  } = instance;
+  } = sources;
   const { revision, rejected, storeSilentMs } = feed.status;
   return {
-    ready: instance.ready,
-    isolated: instance.isolated,
+    ready: sources.ready,
+    isolated: sources.isolated,
     revision,
     rejectedRevision: rejected?.revision ?? 0,
     storeSilentMs,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -13,10 +13,10 @@
 import { HttpObjects } from '../store/client.js';
 import { administrationOf } from './administration.js';
 import { Instance } from './instance.js';
-import { listenerOf } from './listeners.js';
-import { PeerServer } from './peerserver.js';
+import { listenerOf } from '../common/listeners.js';
+import { PeerServer } from '../membership/peerserver.js';
 import type { Settings } from './settings.js';
-import { Supervisor } from './supervisor.js';
+import { Supervisor } from '../common/supervisor.js';
 
 const scheduler = monotonicScheduler;
 
--- a/src/daemon/demandreport.ts
+++ b/src/daemon/demandreport.ts
@@ -9,14 +9,13 @@
 import type { SchedulerLike } from 'rxjs';
 import type { Refusal } from '../common/refusal.js';
 import type { Configuration } from '../configuration/configuration.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 import type { SoftState } from '../membership/softstate.js';
 import { MODEL_DEMAND_KEY, OLD_STREAMS_KEY } from '../placement/demand.js';
 import type { ModelDemand, OldStreams } from '../placement/demand.js';
 import { copyName } from '../placement/inventory.js';
-import type {
-  Admission, Assignment, Demand, Dispatcher,
-} from '../routing/dispatcher.js';
+import type { Admission } from '../limits/admission.js';
+import type { Assignment, Demand, Dispatcher } from '../routing/dispatcher.js';
 
 const REPORT_PERIOD_MS = 1_000;
 
--- a/src/daemon/demo.ts
+++ b/src/daemon/demo.ts
@@ -15,7 +15,7 @@
 import { MemoryObjects } from '../standin/objects.js';
 import { ObjectServer } from '../standin/objectserver.js';
 import { Daemon } from './daemon.js';
-import { listen } from './listeners.js';
+import { listen } from '../common/listeners.js';
 import { readSettings } from './settings.js';
 import type { Settings } from './settings.js';
 
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -31,10 +31,10 @@
 import { LeavingServers } from './leavingservers.js';
 import { LoopLag } from './looplag.js';
 import { MeteredObjects } from './meteredobjects.js';
-import type { PeerHandlers } from './peerserver.js';
+import type { PeerHandlers } from '../membership/peerserver.js';
 import { RequestHistory } from './requesthistory.js';
 import { shareExchange } from './shareexchange.js';
-import { childOfSubscription, Supervisor } from './supervisor.js';
+import { childOfSubscription, Supervisor } from '../common/supervisor.js';
 
 /** Members beside the lease's holder, by name, that look first whether it has lapsed. */
 const LEASE_STANDBYS = 1;
--- a/src/daemon/requesthistory.ts
+++ b/src/daemon/requesthistory.ts
@@ -6,7 +6,7 @@
 import type { Decision, DecisionLog } from '../admin/decisions.js';
 import type { InstanceDecisions } from '../admin/administration.js';
 import type { MembershipView, PeerNetwork } from '../membership/instances.js';
-import type { CallHandler } from './peerserver.js';
+import type { CallHandler } from '../membership/peerserver.js';
 
 const CALL_DEADLINE_MS = 1_000;
 
--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage, RequestOptions } from 'node:http';
 import { createParser } from 'eventsource-parser';
 import { Observable, Subscription } from 'rxjs';
+import { hostPort } from '../common/address.js';
+import type { HostPort } from '../common/address.js';
 import type {
   AttemptFailure, AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder,
   LoadReport, OrderOutcome,
@@ -94,16 +96,12 @@
 }
 
 export class HttpEngineClient implements EngineClient {
-  readonly #host: string;
-
-  readonly #port: string;
+  readonly #address: HostPort;
 
   readonly #agent = new Agent({ keepAlive: true });
 
   private constructor(address: string) {
-    const [host = '', port = ''] = address.split(':');
-    this.#host = host;
-    this.#port = port;
+    this.#address = hostPort(address);
   }
 
   /** @param address `host:port`, by IP */
@@ -172,9 +170,7 @@
   }
 
   #options(method: Method, path: string): RequestOptions {
-    return {
-      host: this.#host, port: this.#port, method, path,
-    };
+    return { ...this.#address, method, path };
   }
 
   #stream(
--- a/src/engines/engine.ts
+++ b/src/engines/engine.ts
@@ -3,8 +3,7 @@
  * this interface; an adapter to another engine's protocol would be one more implementation.
  */
 import type { Observable } from 'rxjs';
-
-export type Priority = 'interactive' | 'standard' | 'batch';
+import type { Priority } from '../common/priority.js';
 
 export interface Message { readonly role: string; readonly content: string }
 
--- a/src/entry/gateway.ts
+++ b/src/entry/gateway.ts
@@ -18,7 +18,8 @@
 import type { GenerationContext } from '../generation/run.js';
 import type { AnswerEvent, GenerationRequest } from '../generation/request.js';
 import type { Attempt } from '../generation/state.js';
-import type { Admission, Dispatcher } from '../routing/dispatcher.js';
+import type { Admission } from '../limits/admission.js';
+import type { Dispatcher } from '../routing/dispatcher.js';
 import { refusalOf } from './claim.js';
 
 /** Attempts after a loss that may be under way at once for each engine that is up. */
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -4,6 +4,7 @@
 import { pipeline } from 'node:stream/promises';
 import { Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { hostPort } from '../common/address.js';
 import { isFramed, watchUnframed } from './unframed.js';
 
 const HOP_BY_HOP: readonly string[] = [
@@ -72,14 +73,12 @@
   const {
     req, res, address, target, timeoutMs,
   } = forwarding;
-  const [host, port] = address.split(':');
   return new Promise((resolve) => {
     let connected = false;
     let answering = false;
     let timeout = Subscription.EMPTY;
     const upstream = httpRequest({
-      host,
-      port,
+      ...hostPort(address),
       method: req.method,
       path: target,
       headers: requestHeaders(forwarding) as unknown as Record<string, string>,
--- a/src/generation/pacing.ts
+++ b/src/generation/pacing.ts
@@ -4,7 +4,7 @@
  * in the order of their priority.
  */
 import { Observable } from 'rxjs';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 const RANK: Readonly<Record<Priority, number>> = { interactive: 0, standard: 1, batch: 2 };
 
--- a/src/generation/request.ts
+++ b/src/generation/request.ts
@@ -1,11 +1,10 @@
 /**
  * A caller's request for a generation, checked and with its workspace known, and the answer to it.
  */
-import type {
-  FinishReason, Input, Priority, Sampling,
-} from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 import type { Refusal } from '../common/refusal.js';
 import type { Repeat } from '../configuration/configuration.js';
+import type { FinishReason, Input, Sampling } from '../engines/engine.js';
 
 export interface GenerationRequest {
   /** Names the generation across attempts and instances. */
--- a/src/limits/admission.ts
+++ b/src/limits/admission.ts
@@ -11,7 +11,6 @@
 import type { Random } from '../common/random.js';
 import type { Refusal } from '../common/refusal.js';
 import type { Configuration, Workspace } from '../configuration/configuration.js';
-import type { Admission } from '../routing/dispatcher.js';
 import {
   shareInEffect, shareState, shareTransaction,
 } from './shares.js';
@@ -26,6 +25,11 @@
 const MIN_RETRY_AFTER_MS = 200;
 const MAX_RETRY_AFTER_MS = 60_000;
 
+/** A request that was let in; `release` gives its share of the workspace's limits back, once. */
+export interface Admission {
+  release(): void;
+}
+
 /** What the daemons tell each other of shares, over the membership's shared state. */
 export interface ShareExchange {
   /** Rows of other instances as they come; repeated and old ones do no harm. */
--- a/src/limits/queue.ts
+++ b/src/limits/queue.ts
@@ -5,7 +5,7 @@
  * length and each entry in time.
  */
 import type { Limits } from '../configuration/configuration.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 import {
   append, CLASSES, entriesOf, expectedWaitMs, paceKey, remove, withClass,
 } from './queuestate.js';
--- a/src/limits/queuestate.ts
+++ b/src/limits/queuestate.ts
@@ -5,7 +5,7 @@
  * virtual time at which its next entry may start: the flow with the lowest tag goes first.
  */
 import type { Limits } from '../configuration/configuration.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 /** From the class that goes first to the one that is shed first. */
 export const CLASSES: readonly Priority[] = ['interactive', 'standard', 'batch'];
--- a/src/membership/heartbeats.ts
+++ b/src/membership/heartbeats.ts
@@ -9,7 +9,7 @@
 import type { Observable, SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
-import type { Child } from '../daemon/supervisor.js';
+import type { Child } from '../common/supervisor.js';
 import type {
   InstanceList, Member, MembershipView, PeerNetwork,
 } from './instances.js';
--- a/src/membership/peernetwork.ts
+++ b/src/membership/peernetwork.ts
@@ -9,7 +9,7 @@
 import { LRUCache } from 'lru-cache';
 import type { SchedulerLike } from 'rxjs';
 import type { Random } from '../common/random.js';
-import type { PeerRouter } from '../daemon/peerserver.js';
+import type { PeerRouter } from './peerserver.js';
 import type { PeerMethod, PeerNetwork } from './instances.js';
 import { PROTOCOL } from './message.js';
 import {
--- a/src/daemon/peerserver.ts
+++ b/src/membership/peerserver.ts
@@ -12,14 +12,14 @@
 import { Observable } from 'rxjs';
 import { z } from 'zod';
 import type { Log } from '../common/log.js';
-import { PROTOCOL, protocolOf, requestSchema } from '../membership/message.js';
-import type { PeerAnswer, PeerRequest } from '../membership/message.js';
+import { PROTOCOL, protocolOf, requestSchema } from './message.js';
+import type { PeerAnswer, PeerRequest } from './message.js';
 import {
   ENCODING_HEADER, encodingOf, MAX_SKEW_MS, NONCE_HEADER, pack, PEER_PATH, readBody,
   SIGNATURE_HEADER, signatureOf, TIME_HEADER, unpack, verifies,
-} from '../membership/peerwire.js';
-import type { Packed, Signed } from '../membership/peerwire.js';
-import type { Child } from './supervisor.js';
+} from './peerwire.js';
+import type { Packed, Signed } from './peerwire.js';
+import type { Child } from '../common/supervisor.js';
 
 const MAX_NONCES = 65_536;
 const MAX_HEADER_BYTES = 8_192;
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -7,7 +7,7 @@
 import type { Observable, SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Configuration } from '../configuration/configuration.js';
-import type { Child } from '../daemon/supervisor.js';
+import type { Child } from '../common/supervisor.js';
 import type { Directory } from '../engines/directory.js';
 import type { FencedOrder, Order, OrderOutcome } from '../engines/engine.js';
 import type { MembershipView } from '../membership/instances.js';
--- a/src/placement/leasekeeper.ts
+++ b/src/placement/leasekeeper.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { Placement } from '../configuration/configuration.js';
-import type { Child } from '../daemon/supervisor.js';
+import type { Child } from '../common/supervisor.js';
 import type { ObjectApi, StoreError } from '../store/objects.js';
 import { holdingAt, leaseTransaction } from './lease.js';
 import type { Holding } from './lease.js';
--- a/src/placement/targets.ts
+++ b/src/placement/targets.ts
@@ -4,7 +4,7 @@
  * a starved model of the same or a more urgent class.
  */
 import type { Configuration, Model } from '../configuration/configuration.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 /** Fraction of an engine's slots that demand is meant to fill. */
 const TARGET_USE = 0.7;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -5,7 +5,9 @@
 import type { Observable } from 'rxjs';
 import type { Result } from 'neverthrow';
 import type { Refusal } from '../common/refusal.js';
-import type { Input, Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
+import type { Input } from '../engines/engine.js';
+import type { Admission } from '../limits/admission.js';
 
 /** What an attempt needs of a backend server. */
 export interface Demand {
@@ -45,11 +47,6 @@
   release(outcome: AttemptOutcome): void;
 }
 
-/** A request that was let in; `release` gives its share of the workspace's limits back, once. */
-export interface Admission {
-  release(): void;
-}
-
 export interface Dispatcher {
   /** Checks the workspace's limits. */
   admit(workspace: string, priority: Priority): Result<Admission, Refusal>;
--- a/src/routing/holdtimes.ts
+++ b/src/routing/holdtimes.ts
@@ -3,7 +3,7 @@
  * answered. The queue charges a workspace by it, so that a few long generations weigh as much as
  * many short ones.
  */
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 const FIRST_GUESS_MS = 1_000;
 const NEWEST_WEIGHT = 0.1;
--- a/src/routing/reserve.ts
+++ b/src/routing/reserve.ts
@@ -4,7 +4,7 @@
  * three times its deviation, since arrivals are random and reports lag.
  */
 import type { BackendServer } from '../configuration/configuration.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 /** How fast the mean follows. */
 const AVERAGING_MS = 5_000;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -13,6 +13,7 @@
 import type { Configuration } from '../configuration/configuration.js';
 import { EMPTY_CONFIGURATION } from '../configuration/defaults.js';
 import type { Directory } from '../engines/directory.js';
+import type { Admission } from '../limits/admission.js';
 import type { QueueRefusal } from '../limits/queue.js';
 import { deadlineOf } from '../limits/queuestate.js';
 import type { Entry } from '../limits/queuestate.js';
@@ -21,7 +22,7 @@
 import { choose } from './choice.js';
 import type { Choice, Chooser } from './choice.js';
 import type {
-  Admission, Assignment, AttemptOutcome, Demand, Dispatcher,
+  Assignment, AttemptOutcome, Demand, Dispatcher,
 } from './dispatcher.js';
 import { DEFAULT_POOL, needKey, needOf } from './eligibility.js';
 import type { Need } from './eligibility.js';
--- a/src/routing/servers.ts
+++ b/src/routing/servers.ts
@@ -20,7 +20,7 @@
   IDLE_SERVER, loadDispatched, loadReleased, loadReported, occupancy, placesLeft,
 } from './serverload.js';
 import type { ServerLoad } from './serverload.js';
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 
 const CHARACTERS_PER_TOKEN = 4;
 const PREFILL_TOKENS_PER_STEP = 2_048;
--- a/src/routing/snapshot.ts
+++ b/src/routing/snapshot.ts
@@ -1,5 +1,5 @@
 /** What the administration API and the metrics show of routing. */
-import type { Priority } from '../engines/engine.js';
+import type { Priority } from '../common/priority.js';
 import type { ServerSnapshot } from './servers.js';
 import type { AttemptKind } from './waiting.js';
 
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -5,9 +5,10 @@
  */
 import { Observable, concat, from as fromList } from 'rxjs';
 import type { SchedulerLike, Subscription } from 'rxjs';
+import type { Priority } from '../common/priority.js';
 import type {
   AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder, LoadReport,
-  LoadedModel, OrderOutcome, Priority,
+  LoadedModel, OrderOutcome,
 } from '../engines/engine.js';
 import { inputText, prefixBlocks } from '../engines/prefix.js';
 import { EngineCache } from './enginecache.js';
--- a/src/standin/enginemain.ts
+++ b/src/standin/enginemain.ts
@@ -8,6 +8,7 @@
  */
 import type { AddressInfo } from 'node:net';
 import { parseArgs } from 'node:util';
+import { hostPort } from '../common/address.js';
 import { ConsoleLog } from '../common/log.js';
 import { Random } from '../common/random.js';
 import { monotonicScheduler } from '../common/time.js';
@@ -36,10 +37,9 @@
   variant: Number(values.variant),
   models,
 }, monotonicScheduler, Random.of(process.pid).identifier());
-const separator = values.listen.lastIndexOf(':');
-const host = values.listen.slice(0, separator);
+const { host, port: wanted } = hostPort(values.listen);
 const server = engineServer(engine);
-server.listen(Number(values.listen.slice(separator + 1)), host, () => {
+server.listen(wanted, host, () => {
   const { port } = server.address() as AddressInfo;
   ConsoleLog.of('info').event('info', 'engine_listening', { address: `${host}:${port}` });
 });
--- a/src/standin/objectmain.ts
+++ b/src/standin/objectmain.ts
@@ -4,6 +4,7 @@
  *     tsx src/standin/objectmain.ts --listen 127.0.0.1:7700
  */
 import { parseArgs } from 'node:util';
+import { hostPort } from '../common/address.js';
 import { ConsoleLog } from '../common/log.js';
 import { Random } from '../common/random.js';
 import { monotonicScheduler } from '../common/time.js';
@@ -16,12 +17,12 @@
     seed: { type: 'string', default: '1' },
   },
 });
-const separator = values.listen.lastIndexOf(':');
+const { host, port } = hostPort(values.listen);
 const objects = MemoryObjects.of(monotonicScheduler, Random.of(Number(values.seed)));
 const server = await ObjectServer.listen(
   objects,
   monotonicScheduler,
-  values.listen.slice(0, separator),
-  Number(values.listen.slice(separator + 1)),
+  host,
+  port,
 );
 ConsoleLog.of('info').event('info', 'objects_listening', { address: server.address });
--- a/test/admin.test.ts
+++ b/test/admin.test.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '../src/common/log.js';
 import { Random } from '../src/common/random.js';
 import { monotonicScheduler } from '../src/common/time.js';
-import { PeerServer } from '../src/daemon/peerserver.js';
+import { PeerServer } from '../src/membership/peerserver.js';
 import { PeerClient } from '../src/membership/peernetwork.js';
 import { ADMINISTRATOR_KEY, administered, runAgainst } from './fakes/adminserver.js';
 import { ask, endOf } from './fakes/questions.js';
--- a/test/fakes/adminserver.ts
+++ b/test/fakes/adminserver.ts
@@ -9,7 +9,7 @@
 import { monotonicScheduler } from '../../src/common/time.js';
 import { administrationOf } from '../../src/daemon/administration.js';
 import { Instance } from '../../src/daemon/instance.js';
-import { listen } from '../../src/daemon/listeners.js';
+import { listen } from '../../src/common/listeners.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
 
 export const ADMINISTRATOR_KEY = 'administrator-secret-key';
--- a/test/fakes/callers.ts
+++ b/test/fakes/callers.ts
@@ -1,7 +1,7 @@
 /** Callers of the daemons in a world under test. */
 import type { Subscription } from 'rxjs';
 import type { Instance } from '../../src/daemon/instance.js';
-import type { Priority } from '../../src/engines/engine.js';
+import type { Priority } from '../../src/common/priority.js';
 import type { ReturningCaller } from '../../src/entry/gateway.js';
 import type { GenerationRequest } from '../../src/generation/request.js';
 import { cut } from '../fuzz/oracle.js';
--- a/test/fakes/dispatcher.ts
+++ b/test/fakes/dispatcher.ts
@@ -5,9 +5,8 @@
 import type { Observable } from 'rxjs';
 import type { Refusal } from '../../src/common/refusal.js';
 import type { Configuration } from '../../src/configuration/configuration.js';
-import type {
-  Admission, Assignment, Demand, Dispatcher,
-} from '../../src/routing/dispatcher.js';
+import type { Admission } from '../../src/limits/admission.js';
+import type { Assignment, Demand, Dispatcher } from '../../src/routing/dispatcher.js';
 
 export class ServiceDispatcher implements Dispatcher {
   readonly #models: Dispatcher;
--- a/test/fakes/leastloaded.ts
+++ b/test/fakes/leastloaded.ts
@@ -7,9 +7,8 @@
 import type { Refusal } from '../../src/common/refusal.js';
 import type { Configuration } from '../../src/configuration/configuration.js';
 import type { Directory, EngineView } from '../../src/engines/directory.js';
-import type {
-  Admission, Assignment, Demand, Dispatcher,
-} from '../../src/routing/dispatcher.js';
+import type { Admission } from '../../src/limits/admission.js';
+import type { Assignment, Demand, Dispatcher } from '../../src/routing/dispatcher.js';
 
 const RETRY_AFTER_MS = 1_000;
 
--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -9,7 +9,7 @@
 import type {
   CacheEvent, EngineClient, EngineEvent, LoadReport,
 } from '../../src/engines/engine.js';
-import type { PeerHandlers } from '../../src/daemon/peerserver.js';
+import type { PeerHandlers } from '../../src/membership/peerserver.js';
 import type { InstanceList, ListedInstance, PeerNetwork } from '../../src/membership/instances.js';
 import type { PeerRequest } from '../../src/membership/message.js';
 import type { StandInEngine } from '../../src/standin/engine.js';
--- a/test/queue.test.ts
+++ b/test/queue.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { DEFAULT_LIMITS } from '../src/configuration/defaults.js';
-import type { Priority } from '../src/engines/engine.js';
+import type { Priority } from '../src/common/priority.js';
 import { nextEntry, queueTransaction } from '../src/limits/queue.js';
 import type { QueueEvent, QueueRefusal } from '../src/limits/queue.js';
 import { deadlineOf, EMPTY_QUEUE } from '../src/limits/queuestate.js';
--- a/test/supervisor.test.ts
+++ b/test/supervisor.test.ts
@@ -2,7 +2,7 @@
 import { NEVER, Observable, VirtualTimeScheduler } from 'rxjs';
 import { Random } from '../src/common/random.js';
 import { silentLog } from '../src/common/log.js';
-import { Supervisor } from '../src/daemon/supervisor.js';
+import { Supervisor } from '../src/common/supervisor.js';
 
 test('a failed child starts again and its sibling is left alone', (t) => {
   const scheduler = new VirtualTimeScheduler(undefined, 10_000);
