Add `shallotshunt explain`, which tells a request's story from log files

Cause: after a failure an engineer had an id and a folder of logs, and put the lines together by hand with grep; the end of an answer was logged by the relay only, and refusals carried no id.

The line `answered` is now one piece of code for both entries, and every answer of the product's own interface carries X-Request-Id.

--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -1,5 +1,6 @@
 /** What a command of the tool is, and how its arguments are read. */
 import { parseArgs } from 'node:util';
+import type { Readable } from 'node:stream';
 import type { ParseArgsConfig } from 'node:util';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -14,6 +15,8 @@
 export interface Option {
   readonly type: 'string' | 'boolean';
   readonly short?: string;
+  /** Whether it may be given more than once; its values are in `lists`. */
+  readonly multiple?: boolean;
   readonly help: string;
 }
 
@@ -22,9 +25,13 @@
 export interface Invocation {
   readonly positionals: readonly string[];
   readonly values: Readonly<Record<string, string | boolean | undefined>>;
+  /** The values of options that may be given more than once. */
+  readonly lists: Readonly<Record<string, readonly string[] | undefined>>;
   readonly terminal: Terminal;
   /** Environment variables. */
   readonly environment: Readonly<Record<string, string | undefined>>;
+  /** Standard input. */
+  readonly input: Readable;
 }
 
 export interface Command {
@@ -76,10 +83,11 @@
 export function readArguments(
   command: Command,
   args: readonly string[],
-): Result<Pick<Invocation, 'positionals' | 'values'>, string> {
+): Result<Pick<Invocation, 'positionals' | 'values' | 'lists'>, string> {
   const options: ParseArgsConfig['options'] = Object.fromEntries(
     Object.entries({ ...command.options, ...COMMON_OPTIONS })
-      .map(([name, { type, short }]) => [name, short ? { type, short } : { type }]),
+      .map(([name, { type, short, multiple = false }]) => (
+        [name, short ? { type, short, multiple } : { type, multiple }])),
   );
   try {
     const { values, positionals } = parseArgs({ args: [...args], options, allowPositionals: true });
@@ -87,7 +95,12 @@
     if (!values.help && (positionals.length < fewest || positionals.length > most)) {
       return err(`${command.name} takes ${command.operands || 'no operands'}`);
     }
-    return ok({ positionals, values: values as Invocation['values'] });
+    const given = Object.entries(values);
+    return ok({
+      positionals,
+      values: Object.fromEntries(given.filter(([, value]) => !Array.isArray(value))),
+      lists: Object.fromEntries(given.filter(([, value]) => Array.isArray(value))),
+    } as Pick<Invocation, 'positionals' | 'values' | 'lists'>);
   } catch (error) {
     return err(error instanceof Error ? error.message : String(error));
   }
--- /dev/null
+++ b/src/cli/logfiles.ts
@@ -0,0 +1,51 @@
+/** Reads log files of any size line by line, and counts what can't be read. */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { readLogLine } from './logline.js';
+import type { LogLine } from './logline.js';
+
+export interface ReadFigures {
+  readonly lines: number;
+  /** Lines in another format, or cut off. */
+  readonly unreadable: number;
+}
+
+/** Stands for standard input in place of a file's name. */
+export const STANDARD_INPUT = '-';
+
+async function readLines(input: Readable, take: (line: LogLine) => void): Promise<ReadFigures> {
+  let lines = 0;
+  let unreadable = 0;
+  // eslint-disable-next-line no-restricted-syntax -- lines come as they are read
+  for await (const text of createInterface({ input, crlfDelay: Infinity })) {
+    lines += 1;
+    const line = readLogLine(text);
+    if (line) take(line);
+    else unreadable += 1;
+  }
+  return { lines, unreadable };
+}
+
+/** Reads the files one after the other; the error names the one that can't be read. */
+export async function readLogs(
+  files: readonly string[],
+  standardInput: Readable,
+  take: (line: LogLine) => void,
+): Promise<Result<ReadFigures, string>> {
+  let sum: ReadFigures = { lines: 0, unreadable: 0 };
+  /* eslint-disable no-await-in-loop, no-restricted-syntax -- one file after the other */
+  for (const file of files) {
+    const input = file === STANDARD_INPUT ? standardInput : createReadStream(file);
+    try {
+      const { lines, unreadable } = await readLines(input, take);
+      sum = { lines: sum.lines + lines, unreadable: sum.unreadable + unreadable };
+    } catch (error) {
+      return err(`${file} can't be read: ${String(error)}`);
+    }
+  }
+  /* eslint-enable no-await-in-loop, no-restricted-syntax */
+  return ok(sum);
+}
--- /dev/null
+++ b/src/cli/logline.ts
@@ -0,0 +1,51 @@
+/** Reads back the lines that `common/log` writes. */
+
+export interface LogLine {
+  /** Milliseconds since 1970, by the clock of the instance that wrote the line. */
+  readonly atMs: number;
+  readonly level: string;
+  readonly event: string;
+  /** Empty where the line names none. */
+  readonly instance: string;
+  readonly fields: Readonly<Record<string, string>>;
+}
+
+/** Where the line itself begins; log collectors put their own words before it. */
+const START = /(?:^|\s)time=\S+ level=\S+ event=\S/;
+const PAIR = /([A-Za-z_]\w*)=("(?:[^"\\]|\\.)*"|[^\s"=]+)(?: |$)/y;
+
+function unquoted(value: string): string | undefined {
+  if (!value.startsWith('"')) return value;
+  try {
+    return String(JSON.parse(value));
+  } catch {
+    return undefined;
+  }
+}
+
+/** The fields of `key=value` pairs; undefined where the text is anything else. */
+function readPairs(text: string): Record<string, string> | undefined {
+  const fields: Record<string, string> = {};
+  PAIR.lastIndex = 0;
+  while (PAIR.lastIndex < text.length) {
+    const [, key, quoted] = PAIR.exec(text) ?? [];
+    const value = quoted === undefined ? undefined : unquoted(quoted);
+    if (key === undefined || value === undefined) return undefined;
+    fields[key] = value;
+  }
+  return fields;
+}
+
+/** Undefined for a line that `common/log` has not written, or not all of it. */
+export function readLogLine(text: string): LogLine | undefined {
+  const start = START.exec(text);
+  const fields = start && readPairs(text.slice(start.index).trim());
+  if (!fields) return undefined;
+  const {
+    time = '', level = '', event = '', instance = '', ...rest
+  } = fields;
+  const atMs = Date.parse(time);
+  return Number.isNaN(atMs) ? undefined : {
+    atMs, level, event, instance, fields: rest,
+  };
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,5 +2,5 @@
 import { runTool } from './run.js';
 
 process.exitCode = await runTool(process.argv.slice(2), {
-  out: process.stdout, errors: process.stderr, environment: process.env,
+  out: process.stdout, errors: process.stderr, environment: process.env, input: process.stdin,
 });
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,12 +1,14 @@
 /** The command-line tool `shallotshunt` as a function: arguments in, output and exit code out. */
+import type { Readable } from 'node:stream';
 import { CHANGE_COMMANDS } from './changes.js';
 import { commandHelp, readArguments } from './command.js';
 import type { Command, ExitCode } from './command.js';
+import { LOG_COMMANDS } from './explain.js';
 import { Terminal } from './terminal.js';
 import type { Output } from './terminal.js';
 import { VIEW_COMMANDS } from './views.js';
 
-const COMMANDS: readonly Command[] = [...CHANGE_COMMANDS, ...VIEW_COMMANDS];
+const COMMANDS: readonly Command[] = [...CHANGE_COMMANDS, ...VIEW_COMMANDS, ...LOG_COMMANDS];
 const NAME_WIDTH = 12;
 
 function usage(): string {
@@ -20,16 +22,19 @@
   ].join('\n');
 }
 
-/** Where the tool prints, and the variables it reads. */
+/** Where the tool prints, and what it reads. */
 export interface Surroundings {
   readonly out: Output;
   readonly errors: Output;
   readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly input: Readable;
 }
 
 export async function runTool(
   args: readonly string[],
-  { out, errors, environment }: Surroundings,
+  {
+    out, errors, environment, input,
+  }: Surroundings,
 ): Promise<ExitCode> {
   const terminal = Terminal.of(out, errors, args.includes('--json'));
   const [name, ...rest] = args;
@@ -51,7 +56,9 @@
     return 0;
   }
   try {
-    return await command.run({ ...read.value, terminal, environment });
+    return await command.run({
+      ...read.value, terminal, environment, input,
+    });
   } catch (error) {
     terminal.error(error instanceof Error ? error.message : String(error));
     return 1;
--- /dev/null
+++ b/src/cli/story.ts
@@ -0,0 +1,218 @@
+/**
+ * The story of one request, put together from the log lines of any number of instances: the lines
+ * that name it, and beside them what else is logged of the servers that it was given to and of the
+ * instances that served it.
+ *
+ * Clocks of instances may differ and may step, so the lines of one instance stay in the order in
+ * which they were written, and are timed by the first of them.
+ */
+import type { LogLine } from './logline.js';
+
+/** Lines before the request that may tell what it met, and lines after its end. */
+const LEAD_MS = 5_000;
+const TRAIL_MS = 5_000;
+/** Lines of no request that are kept; servers, the store and peers change rarely. */
+const MAX_KEPT = 50_000;
+/** A line that is this much earlier than the one before it shows a clock that was set back. */
+const STEP_MS = 100;
+
+/** Lines that tell what an instance works by, of which the last one before a request counts. */
+const STANDING: readonly string[] = [
+  'configuration_in_force', 'configuration', 'store_lost', 'store_regained', 'started',
+];
+
+export interface StoryLine {
+  readonly instance: string;
+  /** Since the instance's first line of the request; negative before it. */
+  readonly offsetMs: number;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, string>>;
+  /** Whether the line names the request itself. */
+  readonly own: boolean;
+}
+
+/** `open`: no line tells the end. */
+export type Ending =
+  | { readonly kind: 'answered'; readonly status: number; readonly ms: number }
+  | { readonly kind: 'broken_off'; readonly status: number; readonly ms: number }
+  | {
+    readonly kind: 'refused';
+    readonly code: string;
+    readonly ran: string;
+    readonly reason: string;
+    readonly retryAfterMs: number | undefined;
+  }
+  | { readonly kind: 'open' };
+
+export interface InstanceStory {
+  readonly instance: string;
+  /** By the instance's own clock. */
+  readonly startedAt: string;
+  readonly lines: readonly StoryLine[];
+  readonly ending: Ending;
+}
+
+/** A server that the request was given to, and the instances that lost it about then. */
+export interface LostServer {
+  readonly server: string;
+  readonly by: readonly string[];
+  /** Other instances that were heard of in the logs and did not lose it. */
+  readonly notBy: readonly string[];
+}
+
+export interface Story {
+  readonly request: string;
+  /** The instances that served the request; empty when no line names it. */
+  readonly instances: readonly InstanceStory[];
+  readonly lost: readonly LostServer[];
+  /** What has to be known to trust the rest. */
+  readonly notes: readonly string[];
+}
+
+interface Kept extends LogLine { readonly order: number }
+
+function endingOf(lines: readonly LogLine[]): Ending {
+  const refused = lines.findLast(({ event }) => event === 'refuse');
+  const answered = lines.findLast(({ event }) => event === 'answered');
+  if (refused) {
+    const {
+      code = '', ran = '', reason = '', retry_after_ms: retryAfter,
+    } = refused.fields;
+    return {
+      kind: 'refused',
+      code,
+      ran,
+      reason,
+      retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter),
+    };
+  }
+  if (!answered) return { kind: 'open' };
+  const { status, ms, whole } = answered.fields;
+  return {
+    kind: whole === 'true' ? 'answered' : 'broken_off', status: Number(status), ms: Number(ms),
+  };
+}
+
+function groups<Item>(items: readonly Item[], key: (item: Item) => string): Map<string, Item[]> {
+  const grouped = new Map<string, Item[]>();
+  items.forEach((item) => {
+    const group = grouped.get(key(item));
+    if (group) group.push(item);
+    else grouped.set(key(item), [item]);
+  });
+  return grouped;
+}
+
+function steps(lines: readonly LogLine[]): number {
+  return lines.filter(({ atMs }, index) => (
+    index > 0 && atMs < lines[index - 1]!.atMs - STEP_MS)).length;
+}
+
+export class StoryReader {
+  readonly #request: string;
+
+  #own: Kept[] = [];
+
+  #others: Kept[] = [];
+
+  #order = 0;
+
+  #dropped = 0;
+
+  readonly #instances = new Set<string>();
+
+  private constructor(request: string) {
+    this.#request = request;
+  }
+
+  static of(request: string): StoryReader {
+    return new StoryReader(request);
+  }
+
+  /** Takes the next line; the lines of one instance come in the order of their writing. */
+  take(line: LogLine): void {
+    this.#instances.add(line.instance);
+    this.#order += 1;
+    const kept = { ...line, order: this.#order };
+    if (line.fields.request === this.#request) this.#own.push(kept);
+    else if (line.fields.request === undefined) this.#keep(kept);
+  }
+
+  #keep(line: Kept): void {
+    this.#others.push(line);
+    if (this.#others.length < MAX_KEPT * 2) return;
+    this.#dropped += this.#others.length - MAX_KEPT;
+    this.#others = this.#others.slice(-MAX_KEPT);
+  }
+
+  story(): Story {
+    const servers = new Set(this.#own.flatMap(({ fields: { server, standby } }) => (
+      [server, standby].filter((name) => name !== undefined))));
+    const byInstance = groups(this.#own, ({ instance }) => instance);
+    const instances = [...byInstance].map(([instance, lines]) => (
+      this.#instance(instance, lines, servers)));
+    return {
+      request: this.#request,
+      instances,
+      lost: [...servers].flatMap((server) => this.#lost(server)),
+      notes: this.#notes(byInstance),
+    };
+  }
+
+  #instance(
+    instance: string,
+    lines: readonly Kept[],
+    servers: ReadonlySet<string>,
+  ): InstanceStory {
+    const first = lines[0]!;
+    const from = first.atMs - LEAD_MS;
+    const until = lines.at(-1)!.atMs + TRAIL_MS;
+    const near = this.#others.filter((other) => other.instance === instance);
+    const standing = STANDING.flatMap((event) => {
+      const last = near.findLast((line) => line.event === event && line.order < first.order);
+      return last ? [last] : [];
+    });
+    const about = near.filter(({ atMs, fields: { server } }) => (
+      atMs >= from && atMs <= until && (server === undefined || servers.has(server))));
+    const all = [...new Set([...standing, ...about, ...lines])]
+      .sort((left, right) => left.order - right.order);
+    return {
+      instance,
+      startedAt: new Date(first.atMs).toISOString(),
+      lines: all.map((line) => ({
+        instance,
+        offsetMs: line.atMs - first.atMs,
+        event: line.event,
+        fields: line.fields,
+        own: line.fields.request !== undefined,
+      })),
+      ending: endingOf(lines),
+    };
+  }
+
+  #lost(server: string): LostServer[] {
+    const from = Math.min(...this.#own.map(({ atMs }) => atMs)) - LEAD_MS;
+    const until = Math.max(...this.#own.map(({ atMs }) => atMs)) + TRAIL_MS;
+    const by = new Set(this.#others
+      .filter(({ event, atMs, fields }) => event === 'server_suspected'
+        && fields.server === server && atMs >= from && atMs <= until)
+      .map(({ instance }) => instance));
+    if (by.size === 0) return [];
+    const notBy = [...this.#instances].filter((name) => name !== '' && !by.has(name));
+    return [{ server, by: [...by].sort(), notBy: notBy.sort() }];
+  }
+
+  #notes(byInstance: ReadonlyMap<string, readonly LogLine[]>): string[] {
+    const stepped = [...byInstance].filter(([, lines]) => steps(lines) > 0).map(([name]) => name);
+    return [
+      ...(byInstance.size > 1
+        ? ['more than one instance served it; their clocks may differ by seconds']
+        : []),
+      ...stepped.map((name) => (
+        `the times of ${name} go back: its clock was set, or its files are not in order`)),
+      ...(this.#dropped > 0
+        ? [`${this.#dropped} lines of servers and dependencies were too many to keep`]
+        : []),
+    ];
+  }
+}
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -30,11 +30,15 @@
   return PLAIN.test(text) ? text : JSON.stringify(text);
 }
 
-/** The event and its fields as key=value pairs; fields that are undefined are left out. */
+/** Fields as key=value pairs; those that are undefined are left out. */
+export function formatFields(fields: LogFields): string {
+  return Object.entries(fields)
+    .flatMap(([key, value]) => (value === undefined ? [] : [`${key}=${format(value)}`]))
+    .join(' ');
+}
+
 export function formatEvent(event: string, fields: LogFields): string {
-  const pairs = Object.entries(fields)
-    .flatMap(([key, value]) => (value === undefined ? [] : [`${key}=${format(value)}`]));
-  return [`event=${event}`, ...pairs].join(' ');
+  return formatFields({ event, ...fields });
 }
 
 /** One log line without its line end. */
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -11,6 +11,7 @@
 import { MILLISECONDS_PER_SECOND, monotonicScheduler } from '../common/time.js';
 import type { Workspace } from '../configuration/configuration.js';
 import { AnswerStream, CURSOR_HEADER, sendWhole } from './answer.js';
+import { watchAnswer } from './answered.js';
 import { readBody, sendRefusal } from './body.js';
 import { callersServer } from './callersserver.js';
 import { modelOf, parseBody, requestOf } from './completion.js';
@@ -20,6 +21,8 @@
 import type { RequestMetrics } from './metrics.js';
 import { ServiceRelay } from './service.js';
 
+/** Tells callers the id that the logs know their request by. */
+const REQUEST_HEADER = 'x-request-id';
 /** How soon a caller may come back to an instance that has just started. */
 const STARTING_MS = 1_000;
 const MAX_KEY_CHARACTERS = 255;
@@ -107,6 +110,7 @@
   }
 
   #receive(req: IncomingMessage, res: ServerResponse): void {
+    const receivedAt = this.#scheduler.now();
     // A broken connection is told by `close`; an unheard error would end the process.
     req.on('error', () => undefined);
     res.on('error', () => undefined);
@@ -126,7 +130,7 @@
     });
     // Keep-alive connections of the balancer end with their answers while the instance stops.
     if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
-    this.#handle(req, res, pathname).catch((error: unknown) => {
+    this.#handle(req, res, pathname, receivedAt).catch((error: unknown) => {
       this.#gateway.log.event('error', 'request_failed', { path: pathname, reason: String(error) });
       sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran: 'unknown' });
     });
@@ -163,11 +167,18 @@
     return known.includes(pathname) ? pathname : 'other';
   }
 
-  async #handle(req: IncomingMessage, res: ServerResponse, pathname: string): Promise<void> {
+  async #handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    pathname: string,
+    receivedAt: number,
+  ): Promise<void> {
     const workspace = this.#workspace(req);
     if (pathname.startsWith('/services/')) {
       if (workspace.isErr()) return sendRefusal(res, workspace.error);
-      return this.#services.relay(req, res, workspace.value, this.#random.identifier());
+      const id = this.#random.identifier();
+      this.#watch(res, id, pathname, receivedAt);
+      return this.#services.relay(req, res, workspace.value, id);
     }
     const forms: Readonly<Record<string, Form>> = {
       '/v1/completions': 'completion', '/v1/chat/completions': 'chat',
@@ -182,8 +193,18 @@
       return sendRefusal(res, refusal('method_not_allowed', `${pathname} takes ${method}`));
     }
     if (workspace.isErr()) return sendRefusal(res, workspace.error);
-    return form ? this.#generate(form, req, res, workspace.value)
-      : this.#models(res, workspace.value);
+    if (!form) return this.#models(res, workspace.value);
+    const id = this.#random.identifier();
+    this.#watch(res, id, pathname, receivedAt);
+    return this.#generate(form, req, res, workspace.value, id);
+  }
+
+  /** Tells the caller its request's id, and logs how the answer ends. */
+  #watch(res: ServerResponse, request: string, route: string, receivedAt: number): void {
+    res.setHeader(REQUEST_HEADER, request);
+    watchAnswer(res, { request, route, receivedAt }, {
+      log: this.#gateway.log, scheduler: this.#scheduler,
+    });
   }
 
   #workspace(req: IncomingMessage): Result<Workspace, Refusal> {
@@ -215,6 +236,7 @@
     req: IncomingMessage,
     res: ServerResponse,
     workspace: Workspace,
+    id: string,
   ): Promise<void> {
     const read = await readBody(req, this.#scheduler);
     const text = read.map((bytes) => bytes.toString('utf8'));
@@ -228,7 +250,6 @@
     if (model.isErr()) return sendRefusal(res, model.error);
     if (key.isErr()) return sendRefusal(res, key.error);
     if (returning.isErr()) return sendRefusal(res, returning.error);
-    const id = this.#random.identifier();
     const request = requestOf(body, {
       id,
       seed: this.#random.integer(0, MAX_SEED),
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -3,7 +3,8 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Drain } from '../entry/drain.js';
-import { readBody, whenClosed } from '../entry/body.js';
+import { watchAnswer } from '../entry/answered.js';
+import { readBody } from '../entry/body.js';
 import { callersServer } from '../entry/callersserver.js';
 import { bodyOf, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
@@ -164,18 +165,10 @@
     const leave = call.route.delivery === 'events'
       ? EventRelay.start(call, caller, this.#context)
       : WholeRelay.start(call, caller, this.#context);
-    whenClosed(res, () => {
-      const ms = scheduler.now() - call.receivedAt;
-      const whole = res.writableFinished;
+    const answered = { request: call.id, route: call.route.name, receivedAt: call.receivedAt };
+    watchAnswer(res, answered, this.#context, ({ status, whole, ms }) => {
       if (!whole) leave();
-      this.#context.log.event('info', 'answered', {
-        request: call.id,
-        route: call.route.name,
-        status: res.headersSent ? res.statusCode : 0,
-        whole,
-        ms: Math.round(ms),
-      });
-      ended(call.route, whole ? res.statusCode : 0, ms);
+      ended(call.route, whole ? status : 0, ms);
     });
   }
 
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -10,6 +10,7 @@
 const COMMANDS = [
   'check', 'apply', 'put', 'remove', 'pull', 'diff', 'history', 'outcome', 'status', 'instances',
   'revisions', 'engines', 'lease', 'queues', 'workspaces', 'why', 'drain', 'undrain',
+  'explain',
 ];
 
 async function folder(
@@ -40,7 +41,8 @@
 });
 
 const WRONG: readonly (readonly string[])[] = [
-  ['frobnicate'], ['check'], ['put', 'a', 'b'], ['status', '--frob'], ['apply', '.', '--base'],
+  ['frobnicate'], ['check'], ['put', 'a', 'b'], ['status', '--frob'], ['explain'],
+  ['apply', '.', '--base'],
   ['remove', 'a.toml', '--base', 'x'], ['remove', 'a.toml', '--base=-1'],
   ['put', 'a.toml', '--wait', '--wait-limit', 'soon'],
 ];
--- /dev/null
+++ b/test/explain.test.ts
@@ -0,0 +1,206 @@
+/** The story that `shallotshunt explain` tells of a request, from lines as instances write them. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { readLogLine } from '../src/cli/logline.js';
+import type { Ending, Story } from '../src/cli/story.js';
+import { formatFields } from '../src/common/log.js';
+import type { LogFields } from '../src/common/log.js';
+import { runAgainst } from './fakes/adminserver.js';
+import { call, entry, post } from './fakes/entry.js';
+import { eventually } from './fakes/eventually.js';
+import { RecordedLog } from './fakes/recordedlog.js';
+
+const NOBODY = '127.0.0.1:1';
+const START = Date.UTC(2026, 0, 1);
+
+function line(instance: string, atMs: number, event: string, fields: LogFields = {}): string {
+  const time = new Date(START + atMs).toISOString();
+  return formatFields({
+    time, level: 'info', event, instance, ...fields,
+  });
+}
+
+async function logFile(t: ExecutionContext, text: string): Promise<string> {
+  const directory = await mkdtemp(join(tmpdir(), 'shallotshunt-explain-'));
+  t.teardown(() => rm(directory, { recursive: true }));
+  const file = join(directory, 'a.log');
+  await writeFile(file, text);
+  return file;
+}
+
+const STREAM = [
+  line('a-1', -60_000, 'configuration_in_force', { version: 3, before: 2 }),
+  line('a-1', -50_000, 'server_reached', { server: 'e-1' }),
+  line('a-1', -900, 'store_lost', { kind: 'servers' }),
+  line('a-1', 0, 'route', { request: 'r1', server: 'e-1', standby: 'e-2' }),
+  line('a-1', 5, 'route', { request: 'r2', server: 'e-3' }),
+  line('a-1', 700, 'server_suspected', { server: 'e-1', reason: 'read ECONNRESET' }),
+  line('a-1', 701, 'attempt_failed', { request: 'r1', server: 'e-1', reason: 'a b="c"' }),
+  line('a-1', 702, 'server_suspected', { server: 'e-9' }),
+  line('a-1', 710, 'route', { request: 'r1', server: 'e-2' }),
+  line('a-1', 730, 'resumed', { request: 'r1', pause_ms: 30 }),
+  line('a-1', 4_000, 'answered', {
+    request: 'r1', status: 200, whole: true, ms: 4_001,
+  }),
+  line('a-1', 90_000, 'server_suspected', { server: 'e-2' }),
+];
+
+const OTHERS = [
+  line('b-1', 650, 'server_suspected', { server: 'e-1', reason: 'not reached' }),
+  line('c-1', 650, 'started'),
+];
+
+async function explained(
+  request: string,
+  files: readonly string[],
+  input = '',
+): Promise<{ readonly story: Story; readonly read: unknown; readonly code: number }> {
+  const { code, out } = await runAgainst(NOBODY, [
+    'explain', request, '--json', ...files.flatMap((file) => ['--log', file])], {}, input);
+  const story = JSON.parse(out) as Story & { readonly read: unknown };
+  return { story, read: story.read, code };
+}
+
+test('a line is read back as it was written', (t) => {
+  const fields = {
+    plain: 'x', spaced: 'a b', quoted: 'say "no"', empty: '', number: '7', equals: 'a=b',
+  };
+  const read = readLogLine(`collector[7]: ${line('a-1', 12, 'route', fields)}`);
+  t.deepEqual(read, {
+    atMs: START + 12, level: 'info', event: 'route', instance: 'a-1', fields,
+  });
+});
+
+const UNREADABLE: readonly (readonly [string, string])[] = [
+  ['nothing', ''],
+  ['other words', 'GET / 200'],
+  ['a line cut in a quoted value', line('a', 0, 'refuse', { reason: 'no engine' }).slice(0, -3)],
+  ['a line cut after a name', `${line('a', 0, 'route')} server=`],
+  ['no time', 'time=soon level=info event=route instance=a'],
+  ['bytes', '\u0000\ufffd\ufffd'],
+];
+
+UNREADABLE.forEach(([name, text]) => {
+  test(`a line that can't be read: ${name}`, (t) => {
+    t.is(readLogLine(text), undefined);
+  });
+});
+
+test('the story holds the request, its servers, and what the instance worked by', async (t) => {
+  const file = await logFile(t, `${STREAM.join('\n')}\n${OTHERS.join('\n')}\n`);
+  const { story, code } = await explained('r1', [file]);
+  t.is(code, 0);
+  t.deepEqual(story.instances.map(({ instance }) => instance), ['a-1']);
+  const [{ lines, ending } = { lines: [], ending: undefined }] = story.instances;
+  t.deepEqual(lines.map(({ offsetMs, event, own }) => [offsetMs, event, own]), [
+    [-60_000, 'configuration_in_force', false],
+    [-900, 'store_lost', false],
+    [0, 'route', true],
+    [700, 'server_suspected', false],
+    [701, 'attempt_failed', true],
+    [710, 'route', true],
+    [730, 'resumed', true],
+    [4_000, 'answered', true],
+  ]);
+  t.deepEqual(ending, { kind: 'answered', status: 200, ms: 4_001 });
+  t.deepEqual(story.lost, [{ server: 'e-1', by: ['a-1', 'b-1'], notBy: ['c-1'] }]);
+  t.deepEqual(story.notes, []);
+});
+
+test('the text names the attempts, their reasons and the end', async (t) => {
+  const input = [...STREAM, 'not a log line', ...OTHERS].join('\n');
+  const { code, out, errors } = await runAgainst(NOBODY, ['explain', 'r1'], {}, input);
+  t.is(code, 0);
+  t.regex(out, /\+701 ms {2}the attempt was lost: server=e-1 reason="a b=\\"c\\""/);
+  t.regex(out, /end: answered whole with 200 after 4001 ms/);
+  t.regex(out, /server e-1 was lost by a-1, b-1; 1 other instances did not: c-1/);
+  t.is(errors, '15 lines read, 1 of them not log lines\n');
+});
+
+const ENDINGS: readonly (readonly [string, readonly string[], Ending])[] = [
+  ['refused', [
+    line('a-1', 0, 'refuse', {
+      request: 'r1', code: 'unavailable', ran: 'no', reason: 'no room', retry_after_ms: 900,
+    }),
+    line('a-1', 0, 'answered', {
+      request: 'r1', status: 503, whole: true, ms: 1,
+    }),
+  ], {
+    kind: 'refused', code: 'unavailable', ran: 'no', reason: 'no room', retryAfterMs: 900,
+  }],
+  ['broken off', [
+    line('a-1', 0, 'answered', {
+      request: 'r1', status: 200, whole: false, ms: 80,
+    }),
+  ], { kind: 'broken_off', status: 200, ms: 80 }],
+  ['open', [line('a-1', 0, 'route', { request: 'r1', server: 'e-1' })], { kind: 'open' }],
+];
+
+ENDINGS.forEach(([name, lines, ending]) => {
+  test(`how a request ended: ${name}`, async (t) => {
+    const { story, code } = await explained('r1', ['-'], lines.join('\n'));
+    t.is(code, 0);
+    t.deepEqual(story.instances[0]?.ending, ending);
+  });
+});
+
+test('instances are told apart, and clocks that differ or step are noted', async (t) => {
+  const mixed = [
+    line('a-1', 0, 'route', { request: 'r1', server: 'e-1' }),
+    line('b-1', -3_000, 'route', { request: 'r1', server: 'e-2' }),
+    line('a-1', -2_000, 'attempt_failed', { request: 'r1', server: 'e-1' }),
+    line('b-1', -2_500, 'answered', {
+      request: 'r1', status: 200, whole: true, ms: 500,
+    }),
+  ].join('\n');
+  const { story } = await explained('r1', ['-'], mixed);
+  t.deepEqual(story.instances.map(({ instance, lines }) => (
+    [instance, lines.map(({ offsetMs, event }) => `${offsetMs} ${event}`)])), [
+    ['a-1', ['0 route', '-2000 attempt_failed']],
+    ['b-1', ['0 route', '500 answered']],
+  ]);
+  t.is(story.notes.length, 2);
+  t.regex(story.notes[0]!, /more than one instance/);
+  t.regex(story.notes[1]!, /the times of a-1 go back/);
+});
+
+test('an unknown request exits with 1 and says how much was read', async (t) => {
+  const file = await logFile(t, `${STREAM.join('\n')}\ntime=2026-01-01T00:00:00.000Z level=in`);
+  const { code, out, errors } = await runAgainst(NOBODY, ['explain', 'r9', '--log', file]);
+  t.is(code, 1);
+  t.is(out, '');
+  t.is(errors, 'no line names the request r9; 13 lines read, 1 of them not log lines\n');
+  const { story, code: jsonCode } = await explained('r9', [file]);
+  t.is(jsonCode, 1);
+  t.deepEqual(story.instances, []);
+});
+
+test('a file that is not there exits with 1 and is named', async (t) => {
+  const { code, errors } = await runAgainst(NOBODY, ['explain', 'r1', '/nowhere/a.log']);
+  t.is(code, 1);
+  t.regex(errors, /^\/nowhere\/a\.log can't be read: /);
+});
+
+test('every answer carries the id by which the log tells its end', async (t) => {
+  const log = new RecordedLog();
+  const { address, stop } = await entry({
+    context: { log }, services: [(_, res) => res.end('stocked')],
+  });
+  t.teardown(stop);
+  const replies = await Promise.all([
+    post(address, '/v1/completions', { model: 'm', prompt: 'List', max_tokens: 2 }),
+    post(address, '/v1/completions', { model: 'm' }),
+    call(address, '/services/stock/pans'),
+  ]);
+  t.deepEqual(replies.map(({ status }) => status), [200, 400, 200]);
+  const ids = replies.map(({ headers }) => String(headers['x-request-id']));
+  t.is(new Set(ids).size, 3);
+  await eventually(async () => log.of('answered').length === 3);
+  replies.forEach(({ status }, index) => {
+    const end = log.of('answered').find(({ request }) => request === ids[index]);
+    t.like(end, { status, whole: true });
+  });
+});
--- a/test/fakes/adminserver.ts
+++ b/test/fakes/adminserver.ts
@@ -1,4 +1,5 @@
 /** A daemon's administration over loopback, in front of one instance of a world's own. */
+import { Readable } from 'node:stream';
 import type { ExecutionContext } from 'ava';
 import { adminRouter } from '../../src/admin/router.js';
 import { adminServer } from '../../src/admin/server.js';
@@ -31,6 +32,7 @@
   daemon: string,
   args: readonly string[],
   environment: Readonly<Record<string, string>> = {},
+  standardInput = '',
 ): Promise<Ran> {
   const texts = { out: '', errors: '' };
   const collect = (to: 'out' | 'errors') => ({
@@ -47,6 +49,7 @@
       SHALLOTSHUNT_OPERATOR: 'ana',
       ...environment,
     },
+    input: Readable.from([standardInput]),
   });
   return { code, ...texts };
 }
