Measure what the relay does: refusals, first events, gaps, resumes, copies

Cause: of what an engineer on call asks of a relay's metrics, only answers, servers and the version of the configuration were shown; counting began with the metrics' listener, 1.5 s after the start, so that what a restarted instance met first was missing. Another instance that fell silent left no line, nor did an engine that did not tell which prompts it holds.

Change: the relay hands measurements to a meter that keeps what comes before the metrics are loaded. New: refusals by code and whether they ran, time to the first event, gaps, resume latency, standby copies used and lost, prompt tokens read in vain, retries and those left, connections opened by purpose, store calls, how long the store has been silent, servers that leave, peers. Store metrics and the metered object API are one copy in store/.

--- a/src/admin/metrics.ts
+++ b/src/admin/metrics.ts
@@ -1,25 +1,15 @@
 /** The control path's metrics, read from the instance's state when they are asked for. */
-import { Counter, Gauge, Histogram } from 'prom-client';
+import { Gauge } from 'prom-client';
 import type { Registry } from 'prom-client';
 import { MILLISECONDS_PER_SECOND } from '../common/time.js';
 import type { Health } from '../engines/directory.js';
 import type { MemberState } from '../membership/instances.js';
-import type { CallClass, StoreErrorCode } from '../store/objects.js';
+import type { StoreCall } from '../store/metered.js';
+import { StoreMetrics } from '../store/metrics.js';
 
-const STORE_CALL_BUCKETS = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 const MEMBER_STATES: readonly MemberState[] = ['alive', 'suspect', 'leaving', 'dead'];
 const HEALTHS: readonly Health[] = ['up', 'suspect', 'down'];
 
-export type StoreCallKind = 'read' | 'write' | 'watch';
-
-/** A call to the object API that has ended. */
-export interface StoreCall {
-  readonly kind: StoreCallKind;
-  readonly use: CallClass;
-  readonly outcome: 'ok' | StoreErrorCode;
-  readonly durationMs: number;
-}
-
 /** What the metrics show of an instance at the moment when they are asked for. */
 export interface ControlView {
   readonly ready: boolean;
@@ -85,9 +75,7 @@
 }
 
 export class ControlMetrics {
-  readonly #calls: Counter<'class' | 'kind' | 'outcome'>;
-
-  readonly #durations: Histogram<'kind'>;
+  readonly #store: StoreMetrics;
 
   private constructor(registry: Registry, view: () => ControlView) {
     const registers = [registry];
@@ -103,19 +91,7 @@
     countGauge(members, MEMBER_STATES, () => view().members, registry);
     const engines = { name: 'engines', help: 'Engines by health', label: 'health' };
     countGauge(engines, HEALTHS, () => view().engines, registry);
-    this.#calls = new Counter({
-      name: 'store_calls_total',
-      help: 'Calls to the object API that have ended, and watches that were opened',
-      labelNames: ['class', 'kind', 'outcome'],
-      registers,
-    });
-    this.#durations = new Histogram({
-      name: 'store_call_seconds',
-      help: 'Time from a read or write to its answer',
-      labelNames: ['kind'],
-      buckets: STORE_CALL_BUCKETS,
-      registers,
-    });
+    this.#store = StoreMetrics.of(registry);
   }
 
   /** Adds the control path's metrics to `registry`. */
@@ -123,12 +99,7 @@
     return new ControlMetrics(registry, view);
   }
 
-  storeCall({
-    kind, use, outcome, durationMs,
-  }: StoreCall): void {
-    this.#calls.inc({ class: use, kind, outcome });
-    if (kind !== 'watch') {
-      this.#durations.observe({ kind }, durationMs / MILLISECONDS_PER_SECOND);
-    }
+  storeCall(call: StoreCall): void {
+    this.#store.call(call);
   }
 }
--- a/src/limits/retrywindow.ts
+++ b/src/limits/retrywindow.ts
@@ -97,6 +97,12 @@
     return retriesLeft(this.#window(service, now), this.#limit, now);
   }
 
+  /** What is left for the service that has the least. */
+  least(now: number): number {
+    const unused = retriesLeft(counted(EMPTY_WINDOW, this.#members, now), this.#limit, now);
+    return Math.min(unused, ...[...this.#windows.keys()].map((service) => this.left(service, now)));
+  }
+
   retry(service: string, now: number): void {
     this.#windows.set(service, retried(this.#window(service, now), this.#limit, now));
   }
--- a/src/relay/cleanagent.ts
+++ b/src/relay/cleanagent.ts
@@ -3,7 +3,7 @@
  * said that it keeps them.
  */
 import { Agent } from 'node:http';
-import type { ClientRequest } from 'node:http';
+import type { AgentOptions, ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import { MILLISECONDS_PER_SECOND } from '../common/time.js';
 
@@ -22,10 +22,23 @@
 
 /** Closes a connection on which something arrives while it is idle: it belongs to no request. */
 export class CleanAgent extends Agent {
+  readonly #opened: () => void;
+
   readonly #unasked = new WeakMap<Socket, () => void>();
 
   readonly #idleMs = new WeakMap<Socket, number>();
 
+  /** @param opened called for each connection that is opened for a request */
+  constructor(options: AgentOptions, opened: () => void) {
+    super(options);
+    this.#opened = opened;
+  }
+
+  /** Notes that a request has opened a connection. */
+  opened(): void {
+    this.#opened();
+  }
+
   /** Notes what an answer on the connection said about idle time. */
   hint(socket: Socket, keepAlive: unknown): void {
     this.#idleMs.set(socket, idleMs(typeof keepAlive === 'string' ? keepAlive : undefined));
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -5,15 +5,37 @@
 import { connect } from 'node:net';
 import { hostPort } from '../common/address.js';
 import { CleanAgent } from './cleanagent.js';
+import type { Meter } from './meter.js';
 
 /** Keeps a burst from holding more connections than a server accepts from all callers together. */
 const MAX_IDLE = 16;
 
+/** Whether an address accepts a connection within `timeoutMs`. */
+function accepts(address: string, timeoutMs: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(hostPort(address));
+    const settle = (accepted: boolean) => {
+      clearTimeout(deadline); // eslint-disable-line @typescript-eslint/no-use-before-define
+      socket.destroy();
+      resolve(accepted);
+    };
+    const deadline = setTimeout(() => settle(false), timeoutMs);
+    socket.once('connect', () => settle(true));
+    socket.once('error', () => settle(false));
+  });
+}
+
 export class Connections {
   readonly #agents = new Map<string, CleanAgent>();
 
-  static of(): Connections {
-    return new Connections();
+  readonly #meter: Meter;
+
+  private constructor(meter: Meter) {
+    this.#meter = meter;
+  }
+
+  static of(meter: Meter): Connections {
+    return new Connections(meter);
   }
 
   /** The connections to one server, which are kept apart from those to others at its address. */
@@ -22,7 +44,7 @@
     if (known) return known;
     const agent = new CleanAgent({
       keepAlive: true, maxFreeSockets: MAX_IDLE, scheduling: 'lifo', noDelay: true,
-    });
+    }, () => this.#meter.note({ kind: 'connection', purpose: 'request' }));
     this.#agents.set(server, agent);
     return agent;
   }
@@ -37,23 +59,14 @@
     });
   }
 
+  /** Whether a server's address accepts a connection within `timeoutMs`. */
+  accepts(address: string, timeoutMs: number): Promise<boolean> {
+    this.#meter.note({ kind: 'connection', purpose: 'check' });
+    return accepts(address, timeoutMs);
+  }
+
   /** Closes all idle connections. */
   close(): void {
     [...this.#agents.keys()].forEach((server) => this.drop(server));
   }
 }
-
-/** Whether a server's address accepts a connection within `timeoutMs`. */
-export function accepts(address: string, timeoutMs: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect(hostPort(address));
-    const settle = (accepted: boolean) => {
-      clearTimeout(deadline); // eslint-disable-line @typescript-eslint/no-use-before-define
-      socket.destroy();
-      resolve(accepted);
-    };
-    const deadline = setTimeout(() => settle(false), timeoutMs);
-    socket.once('connect', () => settle(true));
-    socket.once('error', () => settle(false));
-  });
-}
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -8,12 +8,14 @@
 import type { Dialect } from './dialect.js';
 import type { Fleet } from './fleet.js';
 import type { HeldPrompts } from './heldprompts.js';
+import type { Meter } from './meter.js';
 import type { SilenceWatch } from './silencewatch.js';
 
 export interface RelayContext {
   readonly zone: string;
   readonly scheduler: SchedulerLike;
   readonly log: Log;
+  readonly meter: Meter;
   readonly dialect: Dialect;
   readonly fleet: Fleet;
   readonly connections: Connections;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -1,6 +1,7 @@
 /** The relaying daemon: its supervisor tree, from its settings and the platform's adapter. */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { mergeMap, timer } from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
@@ -9,13 +10,15 @@
 import type { Child } from '../common/supervisor.js';
 import { Drain } from '../entry/drain.js';
 import { RetryWindows } from '../limits/retrywindow.js';
+import { MeteredReader } from '../store/metered.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
 import { Fleet } from './fleet.js';
 import { Front } from './front.js';
 import { HeldPrompts } from './heldprompts.js';
 import { Knowledge } from './knowledge.js';
-import type { RelayMetrics } from './metrics.js';
+import { Meter } from './meter.js';
+import type { RelayFigures } from './metrics.js';
 import { Peers } from './peers.js';
 import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
@@ -29,6 +32,8 @@
 const STOP_MARGIN_MS = 150;
 /** Another daemon is asked again after so long. */
 const SNAPSHOT_INTERVAL_MS = 500;
+/** What is not needed to serve is loaded when the first requests are likely over. */
+const OTHERS_AFTER_MS = 1_500;
 
 export interface RelayDaemonContext {
   readonly settings: RelaySettings;
@@ -36,6 +41,8 @@
   readonly scheduler: SchedulerLike;
   readonly random: Random;
   readonly log: Log;
+  /** Log lines left out since the start. */
+  readonly leftOut: () => number;
 }
 
 export class RelayDaemon {
@@ -54,7 +61,9 @@
 
   readonly #retries: RetryWindows;
 
-  readonly #connections = Connections.of();
+  readonly #meter = Meter.of();
+
+  readonly #connections = Connections.of(this.#meter);
 
   readonly #relay: RelayContext;
 
@@ -62,7 +71,7 @@
 
   #snapshotAt = -Infinity;
 
-  #metrics: RelayMetrics | undefined;
+  readonly #feed: StoreFeed;
 
   private constructor(context: RelayDaemonContext) {
     const { settings, scheduler, log } = context;
@@ -95,8 +104,9 @@
       fleet: this.#fleet,
       connections: this.#connections,
       retries: this.#retries,
+      meter: this.#meter,
       heldPrompts: HeldPrompts.of({
-        scheduler, connections: this.#connections, held: context.platform.held,
+        scheduler, connections: this.#connections, log, held: context.platform.held,
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
     };
@@ -107,6 +117,7 @@
       this.#front?.close();
       this.#front?.closeIdleConnections();
     });
+    this.#feed = this.#feedOf();
     this.run = this.#tree().run;
   }
 
@@ -127,19 +138,10 @@
 
   #tree(): Supervisor {
     const {
-      settings, scheduler, random, log, platform,
+      settings, scheduler, random, log,
     } = this.#context;
-    const feed = StoreFeed.of({
-      platform,
-      fleet: this.#fleet,
-      scheduler,
-      random,
-      log,
-      heartbeatMs: settings.heartbeatMs,
-      adopt: (configuration, from) => this.#knowledge.adopt(configuration, from),
-    });
     const children: Child[] = [
-      childOfSubscription('store', () => feed.run.subscribe()),
+      childOfSubscription('store', () => this.#feed.run.subscribe()),
       { name: 'peers', run: this.#peers.run },
       childOfSubscription('silence', () => this.#relay.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
@@ -147,10 +149,28 @@
       listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
         res.writeHead(this.ready ? 200 : 503).end();
       })),
+      this.#others(),
     ];
     return Supervisor.of('relay', children, { scheduler, random, log });
   }
 
+  #feedOf(): StoreFeed {
+    const {
+      settings, scheduler, random, log, platform,
+    } = this.#context;
+    const objects = MeteredReader.of(platform.objects, scheduler, (call) => (
+      this.#meter.note({ kind: 'store_call', call })));
+    return StoreFeed.of({
+      platform: { ...platform, objects },
+      fleet: this.#fleet,
+      scheduler,
+      random,
+      log,
+      heartbeatMs: settings.heartbeatMs,
+      adopt: (configuration, from) => this.#knowledge.adopt(configuration, from),
+    });
+  }
+
   #callers(): Server {
     const { random } = this.#context;
     this.#front = Front.of({
@@ -158,7 +178,6 @@
       drain: this.drain,
       random: () => random.fraction(),
       routes: () => this.#knowledge.routes,
-      ended: (route, status, ms) => this.#metrics?.ended(route.delivery, status, ms),
     });
     return this.#front;
   }
@@ -216,24 +235,37 @@
     };
   }
 
-  /** Starts what no request waits for, once the instance serves. */
-  async serveOthers(leftOut: () => number): Promise<void> {
-    const { settings, log } = this.#context;
-    const [{ snapshotServer }, { RelayMetrics: Metrics }] = await Promise.all([
-      import('./peersnapshot.js'), import('./metrics.js'),
-    ]);
-    this.#metrics = Metrics.of({
-      leftOut,
+  /** Listeners that no request waits for. */
+  #others(): Child {
+    const { scheduler } = this.#context;
+    const modules = () => Promise.all([import('./peersnapshot.js'), import('./metrics.js')]);
+    return {
+      name: 'others',
+      run: timer(OTHERS_AFTER_MS, scheduler).pipe(
+        mergeMap(modules),
+        mergeMap(([{ snapshotServer }, { RelayMetrics }]) => {
+          const metrics = RelayMetrics.of(this.#figures());
+          this.#meter.attach((measurement) => metrics.note(measurement));
+          const { settings: { ip, peerPort, metricsPort } } = this.#context;
+          return Supervisor.of('others', [
+            listenerOf('snapshots', `${ip}:${peerPort}`, () => (
+              snapshotServer(() => this.#snapshot()))),
+            listenerOf('metrics', `${ip}:${metricsPort}`, () => metrics.server()),
+          ], this.#context).run;
+        }),
+      ),
+    };
+  }
+
+  #figures(): RelayFigures {
+    return {
+      leftOut: this.#context.leftOut,
       servers: () => this.#fleet.servers,
       configuration: () => this.#knowledge.version,
       open: () => this.drain.open,
-    });
-    const metrics = this.#metrics;
-    const failed = (listener: string) => (error: Error) => {
-      log.event('error', 'listener_failed', { listener, reason: error.message });
+      peers: () => this.#peers.alive.length,
+      storeSilentMs: () => this.#feed.silentMs,
+      retriesLeft: () => this.#retries.least(this.#context.scheduler.now()),
     };
-    snapshotServer(() => this.#snapshot()).on('error', failed('snapshots'))
-      .listen(settings.peerPort, settings.ip);
-    metrics.server().on('error', failed('metrics')).listen(settings.metricsPort, settings.ip);
   }
 }
--- a/src/relay/eventattempt.ts
+++ b/src/relay/eventattempt.ts
@@ -101,6 +101,11 @@
     return this.#eventAt === undefined ? undefined : this.#plan.standby?.id;
   }
 
+  /** Prompt tokens that the engine was given and has not read to the end. */
+  get unread(): number {
+    return this.sent && this.#eventAt === undefined ? this.#plan.reading : 0;
+  }
+
   get head(): AnswerHead | undefined {
     return this.#head;
   }
@@ -201,6 +206,7 @@
     const { server } = this.#plan;
     if (this.#eventAt === undefined) {
       this.#given[0]?.change({ ...NO_LOAD, running: 1, memory: memoryOf(demand) });
+      if (this.#plan.copied) this.#context.meter.note({ kind: 'copy', outcome: 'used' });
     }
     this.#eventAt = this.#context.scheduler.now();
     const position = event.id === undefined ? this.#next : event.id - FIRST_EVENT;
@@ -231,7 +237,11 @@
   }
 
   #fail(ran: 'no' | 'unknown', message: string): void {
-    if (ran === 'unknown') this.#context.fleet.outcome(this.#plan.server.id, true);
+    const { fleet, meter } = this.#context;
+    if (ran === 'unknown') fleet.outcome(this.#plan.server.id, true);
+    if (this.#plan.copied && this.#eventAt === undefined) {
+      meter.note({ kind: 'copy', outcome: 'lost' });
+    }
     this.#emit({
       kind: 'failed',
       attempt: this.#start.number,
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -19,8 +19,11 @@
 import { timeLeft } from './context.js';
 import { EventAttempt, FIRST_EVENT } from './eventattempt.js';
 import type { AttemptPlan } from './eventattempt.js';
+import { EventRecorder } from './eventrecorder.js';
 import { attemptBound, mayMove } from './moving.js';
-import { roomFields, routeFields, unplacedFields } from './routefields.js';
+import {
+  heardMsAgo, roomFields, routeFields, unplacedFields,
+} from './routefields.js';
 
 /** Attempts without an event between them, most of which then reached no engine. */
 const MAX_TRIES = 12;
@@ -36,6 +39,8 @@
 
   readonly #context: RelayContext;
 
+  readonly #recorder: EventRecorder;
+
   readonly #timers = new Subscription();
 
   readonly #attempts = new Map<number, EventAttempt>();
@@ -51,14 +56,13 @@
 
   #headSent = false;
 
-  #lostAt: number | undefined;
-
   #state: GenerationState;
 
   private constructor(call: Call, caller: Caller, context: RelayContext) {
     this.#call = call;
     this.#caller = caller;
     this.#context = context;
+    this.#recorder = EventRecorder.of(call, context);
     const { lastEvent } = call.caller;
     this.#state = generationState({
       repeatable: call.route.repeat === 'safe',
@@ -157,7 +161,7 @@
 
   #assign(exclude: readonly string[]): void {
     const {
-      fleet, retries, scheduler, log,
+      fleet, retries, scheduler, log, meter,
     } = this.#context;
     const { service } = this.#call;
     const { engine } = service;
@@ -181,7 +185,10 @@
       this.#unassignable(reason, roomFields(allowed, memoryOf(this.#demand), engine));
       return;
     }
-    if (sent > 0) retries.retry(service.name, now);
+    if (sent > 0) {
+      retries.retry(service.name, now);
+      meter.note({ kind: 'retry' });
+    }
     const standby = engine.standby
       ? standbyFor(allowed, this.#demand, engine, chosen.server)
       : undefined;
@@ -196,6 +203,7 @@
       ...routeFields(this.#call, this.#plan, chosen),
       attempt: this.#state.attempts + 1,
       held_tokens: this.#heldAt(chosen.server.listed.id),
+      heard_ms_ago: heardMsAgo(chosen.server.listed.id, this.#context),
       candidates: candidates.length,
       from: this.#state.accepted.tokens,
       left_ms: Math.round(timeLeft(this.#call, this.#context)),
@@ -234,8 +242,15 @@
 
   #receive(attempt: Attempt, event: GenerationEvent): void {
     if (event.kind === 'failed') {
-      this.#lost(attempt, event.failure.ran, event.failure.message);
-      const copy = this.#attempts.get(attempt.number)?.copy;
+      const reader = this.#attempts.get(attempt.number);
+      this.#recorder.lost({
+        number: attempt.number,
+        server: attempt.server,
+        ran: event.failure.ran,
+        reason: event.failure.message,
+        unread: reader?.unread ?? 0,
+      }, this.#state.accepted.tokens);
+      const copy = reader?.copy;
       if (copy !== undefined) this.#copyAt = copy;
       // A copy can be used once, and one that was refused is not there.
       else if (this.#copyAt === attempt.server) this.#copyAt = undefined;
@@ -248,30 +263,9 @@
     this.#take(event);
   }
 
-  #lost(attempt: Attempt, ran: string, reason: string): void {
-    const { log, scheduler } = this.#context;
-    this.#lostAt ??= scheduler.now();
-    log.event('info', 'attempt_failed', {
-      request: this.#call.id,
-      server: attempt.server,
-      attempt: attempt.number,
-      ran,
-      reason,
-      from: this.#state.accepted.tokens,
-      age_ms: Math.round(scheduler.now() - this.#call.receivedAt),
-    });
-  }
-
   #write(text: string): void {
     this.#writeHead();
-    if (this.#lostAt !== undefined) {
-      this.#context.log.event('info', 'resumed', {
-        request: this.#call.id,
-        from: this.#state.accepted.tokens,
-        pause_ms: Math.round(this.#context.scheduler.now() - this.#lostAt),
-      });
-      this.#lostAt = undefined;
-    }
+    this.#recorder.written(this.#state.accepted.tokens);
     this.#caller.write(Buffer.from(text, 'latin1'));
   }
 
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -86,6 +86,7 @@
     const opened = () => {
       sent = true;
       timers.unsubscribe();
+      if (!request.reusedSocket) outgoing.agent.opened();
       emit({ kind: 'sent', reused: request.reusedSocket });
     };
     timers.add(timer(CONNECT_MS, scheduler).subscribe(() => fail('the server was not reached')));
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -215,6 +215,7 @@
     if (state?.health.kind === 'suspect') this.#reached(id, 'answer');
   }
 
+  /** When bytes of a server last came; 0 where none did. */
   heardAt(id: string): number {
     return this.#heard.get(id) ?? 0;
   }
@@ -254,7 +255,7 @@
   /** Whether the server accepts a connection now. */
   async check(id: string): Promise<boolean> {
     const state = this.#servers.get(id);
-    return state ? reaches(state.listed) : false;
+    return state ? reaches(state.listed, this.#context.connections) : false;
   }
 
   /**
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -12,7 +12,7 @@
 import type { Caller, RelayContext } from './context.js';
 import { EventRelay } from './eventrelay.js';
 import { RouteTable } from './routes.js';
-import type { RelayRoute, Target } from './routes.js';
+import type { Target } from './routes.js';
 import { WholeRelay } from './wholerelay.js';
 
 /** How soon a caller may come back to an instance that has just started. */
@@ -24,7 +24,6 @@
   readonly random: () => number;
   /** Undefined until a configuration is known. */
   readonly routes: () => RouteTable | undefined;
-  readonly ended: (route: RelayRoute, status: number, ms: number) => void;
 }
 
 const BAD_GATEWAY = 502;
@@ -145,7 +144,7 @@
   }
 
   #start(call: Call, res: ServerResponse): void {
-    const { retries, scheduler, ended } = this.#context;
+    const { retries, scheduler, meter } = this.#context;
     retries.request(call.service.name, scheduler.now());
     const caller: Caller = {
       answer: ({ status, headers, body }) => {
@@ -168,12 +167,18 @@
     const answered = { request: call.id, route: call.route.name, receivedAt: call.receivedAt };
     watchAnswer(res, answered, this.#context, ({ status, whole, ms }) => {
       if (!whole) leave();
-      ended(call.route, whole ? status : 0, ms);
+      const { delivery } = call.route;
+      meter.note({
+        kind: 'answer', delivery, status: whole ? status : 0, ms,
+      });
     });
   }
 
   #refuse(res: ServerResponse, refused: Refusal, req?: IncomingMessage, call?: Call): void {
-    const { log, dialect, scheduler } = this.#context;
+    const {
+      log, meter, dialect, scheduler,
+    } = this.#context;
+    meter.note({ kind: 'refusal', code: refused.code, ran: refused.ran });
     log.event('info', 'refuse', {
       request: call?.id ?? (req && dialect.readCaller(req.rawHeaders).id),
       code: refused.code,
--- a/src/relay/heldprompts.ts
+++ b/src/relay/heldprompts.ts
@@ -8,6 +8,7 @@
   catchError, firstValueFrom, of, reduce, timeout,
 } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
 import type { Connections } from './connections.js';
 import type { PromptPart } from './dialect.js';
 import { exchange } from './exchange.js';
@@ -31,6 +32,7 @@
 export interface HeldPromptsContext {
   readonly scheduler: SchedulerLike;
   readonly connections: Connections;
+  readonly log: Log;
   readonly held: HeldQuery;
 }
 
@@ -86,7 +88,9 @@
   }
 
   #askOne(engine: ListedServer): Promise<HeldParts> {
-    const { scheduler, connections, held } = this.#context;
+    const {
+      scheduler, connections, held, log,
+    } = this.#context;
     return firstValueFrom(exchange({
       agent: connections.agent(engine.id),
       address: engine.address,
@@ -100,7 +104,10 @@
         event.kind === 'piece' ? body + event.bytes.toString('utf8') : body), ''),
       timeout({ first: DEADLINE_MS, scheduler }),
       // An engine that doesn't tell is taken to hold nothing, which costs reading the prompt anew.
-      catchError(() => of('')),
+      catchError((error: unknown) => {
+        log.event('info', 'held_prompts_unread', { server: engine.id, reason: String(error) });
+        return of('');
+      }),
     )).then((body) => held.read(body));
   }
 }
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -4,7 +4,6 @@
  */
 import { firstValueFrom, filter, timeout } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
-import { accepts } from './connections.js';
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import { exchange } from './exchange.js';
@@ -30,8 +29,8 @@
 }
 
 /** Whether the server accepts a connection now. */
-export function reaches(server: ListedServer): Promise<boolean> {
-  return accepts(server.address, CONNECT_MS);
+export function reaches(server: ListedServer, connections: Connections): Promise<boolean> {
+  return connections.accepts(server.address, CONNECT_MS);
 }
 
 export async function identify(
@@ -40,7 +39,7 @@
     scheduler, connections, dialect, healthPath,
   }: IdentityContext,
 ): Promise<Identity> {
-  if (!await reaches(server)) return { kind: 'unreached' };
+  if (!await reaches(server, connections)) return { kind: 'unreached' };
   const path = healthPath(server.service);
   if (path === undefined) return { kind: 'reached' };
   const answer = exchange({
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -5,11 +5,15 @@
   Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import { MILLISECONDS_PER_SECOND } from '../common/time.js';
-import type { Delivery } from './routes.js';
+import { StoreMetrics } from '../store/metrics.js';
+import type { Measurement } from './meter.js';
 import type { ServerState } from './serverstate.js';
 
-/** From a plain answer to the longest generations. */
-const SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25];
+const PREFIX = 'shallotshunt_relay_';
+/** In seconds, from a plain answer to the longest generations. */
+const ANSWER_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25];
+/** In seconds, from an engine's step to the pause at which callers give up. */
+const PAUSE_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.7, 1, 2, 5, 20];
 
 export interface RelayFigures {
   /** Log lines left out since the start. */
@@ -18,51 +22,163 @@
   readonly configuration: () => number;
   /** Answers that have not ended. */
   readonly open: () => number;
+  /** Other instances that were heard of lately. */
+  readonly peers: () => number;
+  /** Since the store last answered, in milliseconds. */
+  readonly storeSilentMs: () => number;
+  /** Retries that this instance may still send now, for the service that has the fewest. */
+  readonly retriesLeft: () => number;
 }
 
 export class RelayMetrics {
   readonly #registry = new Registry();
 
-  readonly #answers = new Counter({
-    name: 'shallotshunt_relay_answers_total',
-    help: 'Answers to callers by delivery and status; 0 for those that broke off',
-    labelNames: ['delivery', 'status'],
-    registers: [this.#registry],
-  });
-
-  readonly #duration = new Histogram({
-    name: 'shallotshunt_relay_answer_seconds',
-    help: 'Time from a request\'s head to the end of its answer',
-    labelNames: ['delivery'],
-    buckets: SECONDS,
-    registers: [this.#registry],
-  });
+  readonly #answers = this.#counter(
+    'answers_total',
+    'Answers to callers; status 0: broken off',
+    ['delivery', 'status'],
+  );
+
+  readonly #refusals = this.#counter(
+    'refusals_total',
+    'Refused requests, and whether they ran',
+    ['code', 'ran'],
+  );
+
+  readonly #copies = this.#counter(
+    'standby_copies_total',
+    'Standby copies that a stream went on from, or that were not there',
+    ['outcome'],
+  );
+
+  readonly #readInVain = this.#counter(
+    'prompt_tokens_in_vain_total',
+    'Prompt tokens given to engines that were lost before their first event',
+  );
+
+  readonly #retries = this.#counter('retries_total', 'Requests sent to one more server');
+
+  readonly #connections = this.#counter(
+    'connections_opened_total',
+    'New connections to servers',
+    ['purpose'],
+  );
+
+  readonly #duration = this.#histogram(
+    'answer_seconds',
+    'From a request\'s head to the end of its answer',
+    ANSWER_BUCKETS,
+    ['delivery'],
+  );
+
+  readonly #firstEvent = this.#histogram(
+    'first_event_seconds',
+    'From a stream\'s request to its first event',
+    ANSWER_BUCKETS,
+  );
+
+  readonly #gap = this.#histogram(
+    'event_gap_seconds',
+    'Between two events of a stream',
+    PAUSE_BUCKETS,
+  );
+
+  readonly #resume = this.#histogram(
+    'resume_seconds',
+    'From the loss of an attempt to the next event',
+    PAUSE_BUCKETS,
+  );
+
+  readonly #store = StoreMetrics.of(this.#registry, PREFIX);
 
   private constructor(figures: RelayFigures) {
-    const gauge = (name: string, help: string, value: () => number) => new Gauge({
-      name: `shallotshunt_relay_${name}`,
-      help,
-      registers: [this.#registry],
-      collect() {
-        this.set(value());
-      },
-    });
     const health = (kind: ServerState['health']['kind']) => () => (
       figures.servers().filter((server) => server.health.kind === kind).length);
-    gauge('open_answers', 'Answers that have not ended', figures.open);
-    gauge('configuration_version', 'Version of the configuration in force', figures.configuration);
-    gauge('servers_up', 'Backend servers that may be given requests', health('up'));
-    gauge('servers_suspect', 'Backend servers that were not reached', health('suspect'));
-    gauge('log_lines_left_out', 'Log lines left out for a slow reader', figures.leftOut);
+    this.#gauge('open_answers', 'Answers that have not ended', figures.open);
+    this.#gauge('configuration_version', 'Version in force', figures.configuration);
+    this.#gauge('servers_up', 'Backend servers that may be given requests', health('up'));
+    this.#gauge('servers_suspect', 'Backend servers that were not reached', health('suspect'));
+    this.#gauge('servers_leaving', 'Backend servers that take nothing new', () => (
+      figures.servers().filter(({ listed }) => listed.state === 'leaving').length));
+    this.#gauge('peers', 'Other instances heard of lately', figures.peers);
+    this.#gauge('store_silent_seconds', 'Since the store last answered', () => (
+      figures.storeSilentMs() / MILLISECONDS_PER_SECOND));
+    this.#gauge('retries_left', 'Retries that may still be sent now', figures.retriesLeft);
+    this.#gauge('log_lines_left_out', 'Lines left out for a slow reader', figures.leftOut);
   }
 
   static of(figures: RelayFigures): RelayMetrics {
     return new RelayMetrics(figures);
   }
 
-  ended(delivery: Delivery, status: number, ms: number): void {
-    this.#answers.inc({ delivery, status: String(status) });
-    this.#duration.observe({ delivery }, ms / MILLISECONDS_PER_SECOND);
+  #counter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[] = [],
+  ): Counter<Label> {
+    return new Counter({
+      name: `${PREFIX}${name}`, help, labelNames, registers: [this.#registry],
+    });
+  }
+
+  #histogram<Label extends string>(
+    name: string,
+    help: string,
+    buckets: number[],
+    labelNames: Label[] = [],
+  ): Histogram<Label> {
+    return new Histogram({
+      name: `${PREFIX}${name}`, help, buckets, labelNames, registers: [this.#registry],
+    });
+  }
+
+  #gauge(name: string, help: string, value: () => number): Gauge {
+    return new Gauge({
+      name: `${PREFIX}${name}`,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(value());
+      },
+    });
+  }
+
+  note(measurement: Measurement): void {
+    switch (measurement.kind) {
+      case 'answer': {
+        const { delivery, status, ms } = measurement;
+        this.#answers.inc({ delivery, status: String(status) });
+        this.#duration.observe({ delivery }, ms / MILLISECONDS_PER_SECOND);
+        break;
+      }
+      case 'refusal':
+        this.#refusals.inc({ code: measurement.code, ran: measurement.ran });
+        break;
+      case 'first_event':
+        this.#firstEvent.observe(measurement.ms / MILLISECONDS_PER_SECOND);
+        break;
+      case 'gap':
+        this.#gap.observe(measurement.ms / MILLISECONDS_PER_SECOND);
+        break;
+      case 'resume':
+        this.#resume.observe(measurement.ms / MILLISECONDS_PER_SECOND);
+        break;
+      case 'copy':
+        this.#copies.inc({ outcome: measurement.outcome });
+        break;
+      case 'read_in_vain':
+        this.#readInVain.inc(measurement.tokens);
+        break;
+      case 'retry':
+        this.#retries.inc();
+        break;
+      case 'connection':
+        this.#connections.inc({ purpose: measurement.purpose });
+        break;
+      case 'store_call':
+        this.#store.call(measurement.call);
+        break;
+    }
   }
 
   /** Serves the metrics as text. */
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -142,19 +142,31 @@
     };
   }
 
-  #send(socket: Socket): void {
-    const now = this.#context.scheduler.now();
-    this.#peers.forEach(({ heardAt }, ip) => {
-      const seed = this.#context.seeds.includes(ip);
-      if (!seed && now - heardAt > LOST_MS) this.#peers.delete(ip);
+  /** Drops what was not heard of for long; seeds are written to for good. */
+  #forget(now: number): void {
+    const { seeds, log } = this.#context;
+    this.#peers.forEach(({ heardAt, message }, ip) => {
+      const silentMs = now - heardAt;
+      if (message && silentMs > FORGET_MS) {
+        this.#peers.set(ip, { heardAt, message: undefined });
+        log.event('info', 'peer_lost', { peer: ip, silent_ms: Math.round(silentMs) });
+      }
+      if (silentMs > LOST_MS && !seeds.includes(ip)) this.#peers.delete(ip);
     });
+  }
+
+  #send(socket: Socket): void {
+    const { scheduler, port, log } = this.#context;
+    this.#forget(scheduler.now());
     const bytes = encodeMessage(this.#message());
     const all = [...this.#peers.keys()];
     const count = Math.min(all.length, PEERS_PER_INTERVAL);
     for (let index = 0; index < count; index += 1) {
       const ip = all[(this.#turn + index) % all.length]!;
       // A datagram that can't be sent is as good as a lost one; the next follows shortly.
-      socket.send(bytes, this.#context.port, ip, () => undefined);
+      socket.send(bytes, port, ip, (error) => {
+        if (error) log.event('debug', 'peer_send_failed', { peer: ip, reason: error.message });
+      });
     }
     this.#turn += count;
     this.#context.news.members(this.alive.length + 1);
--- a/src/relay/probes.ts
+++ b/src/relay/probes.ts
@@ -71,7 +71,8 @@
       if (now - at > DOUBT_INTERVAL_MS) this.#doubts.delete(id);
     });
     this.#doubts.set(server.id, now);
-    reaches(server).then(settled, (error: unknown) => this.#failed(server.id, error));
+    reaches(server, this.#context.connections)
+      .then(settled, (error: unknown) => this.#failed(server.id, error));
   }
 
   #later(id: string, ask: () => Promise<void>): void {
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -6,6 +6,12 @@
 import type { AttemptPlan } from './eventattempt.js';
 import type { EngineCapacity } from './routes.js';
 
+/** How old the last word of a server is; undefined where none came. */
+export function heardMsAgo(id: string, { fleet, scheduler }: RelayContext): number | undefined {
+  const at = fleet.heardAt(id);
+  return at === 0 ? undefined : Math.round(scheduler.now() - at);
+}
+
 /** What an engine was chosen by. */
 export function routeFields(call: Call, plan: AttemptPlan, { server, load }: Candidate): LogFields {
   return {
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -30,11 +30,17 @@
 export class StoreFeed {
   readonly #context: StoreFeedContext;
 
-  /** When each kind was last heard of before it was lost; absent while it is heard of. */
+  /** When each kind was last heard of. */
+  readonly #heardAt = new Map<string, number>();
+
+  /** When each kind was lost; absent while it is heard of. */
   readonly #lostAt = new Map<string, number>();
 
+  readonly #startedAt: number;
+
   private constructor(context: StoreFeedContext) {
     this.#context = context;
+    this.#startedAt = context.scheduler.now();
   }
 
   static of(context: StoreFeedContext): StoreFeed {
@@ -50,6 +56,14 @@
     );
   }
 
+  /** Since the store last told of the kind that it has been silent about for longest. */
+  get silentMs(): number {
+    const { platform, scheduler } = this.#context;
+    const oldest = Math.min(...[platform.configurations, platform.servers]
+      .map((kind) => this.#heardAt.get(kind) ?? this.#startedAt));
+    return scheduler.now() - oldest;
+  }
+
   #follow(kind: string): Observable<FollowEvent> {
     const { platform, scheduler, random } = this.#context;
     return follow(kind, {
@@ -73,6 +87,7 @@
       log.event('warn', 'store_lost', { kind, code, reason: message });
     }
     if (event.kind !== 'heard') return;
+    this.#heardAt.set(kind, now);
     if (kind === platform.servers) fleet.complete();
     const lostAt = this.#lostAt.get(kind);
     if (lostAt === undefined) return;
--- a/src/relay/wholerelay.ts
+++ b/src/relay/wholerelay.ts
@@ -10,7 +10,7 @@
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import type { Given } from './given.js';
-import { unplacedFields } from './routefields.js';
+import { heardMsAgo, unplacedFields } from './routefields.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 import { wholeState, wholeTransaction } from './wholecall.js';
@@ -106,7 +106,7 @@
 
   #assign(again: boolean, exclude: readonly string[]): void {
     const {
-      fleet, retries, zone, scheduler, log,
+      fleet, retries, zone, scheduler, log, meter,
     } = this.#context;
     const { id, service } = this.#call;
     const now = scheduler.now();
@@ -119,7 +119,10 @@
       this.#unassignable('no backend server is up');
       return;
     }
-    if (again) retries.retry(service.name, now);
+    if (again) {
+      retries.retry(service.name, now);
+      meter.note({ kind: 'retry' });
+    }
     log.event('info', 'route', {
       request: id,
       service: service.name,
@@ -127,6 +130,7 @@
       zone: chosen.server.listed.zone,
       running: chosen.load.running,
       mean_ms: Math.round(chosen.server.durationMs),
+      heard_ms_ago: heardMsAgo(chosen.server.listed.id, this.#context),
       configuration: this.#call.version,
       left_ms: Math.round(timeLeft(this.#call, this.#context)),
     });
--- /dev/null
+++ b/src/store/meteredobjects.ts
@@ -0,0 +1,48 @@
+/** The object API with every call that is sent to it counted and timed. */
+import type { Result } from 'neverthrow';
+import type { Observable, SchedulerLike } from 'rxjs';
+import { MeteredReader } from './metered.js';
+import type { CountCall } from './metered.js';
+import type {
+  CallClass, Expectation, Listing, ObjectApi, StoredObject, StoreError, WatchEvent,
+} from './objects.js';
+
+export class MeteredObjects implements ObjectApi {
+  readonly #api: ObjectApi;
+
+  readonly #reader: MeteredReader;
+
+  private constructor(api: ObjectApi, scheduler: SchedulerLike, count: CountCall) {
+    this.#api = api;
+    this.#reader = MeteredReader.of(api, scheduler, count);
+  }
+
+  static of(api: ObjectApi, scheduler: SchedulerLike, count: CountCall): MeteredObjects {
+    return new MeteredObjects(api, scheduler, count);
+  }
+
+  get(name: string, use: CallClass): Promise<Result<StoredObject, StoreError>> {
+    return this.#reader.counted('read', use, () => this.#api.get(name, use));
+  }
+
+  list(prefix: string, use: CallClass): Promise<Result<Listing, StoreError>> {
+    return this.#reader.list(prefix, use);
+  }
+
+  watch(prefix: string, from: number, use: CallClass): Observable<WatchEvent> {
+    return this.#reader.watch(prefix, from, use);
+  }
+
+  put(
+    name: string,
+    value: string,
+    expected: Expectation,
+    use: CallClass,
+  ): Promise<Result<StoredObject, StoreError>> {
+    return this.#reader.counted('write', use, () => this.#api.put(name, value, expected, use));
+  }
+
+  remove(name: string, version: number, use: CallClass): Promise<Result<void, StoreError>> {
+    return this.#reader.counted('write', use, () => this.#api.remove(name, version, use));
+  }
+}
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -1,7 +1,5 @@
 /** Relaying daemons on loopback over stand-in engines and an object store in this process. */
 import { request as httpRequest } from 'node:http';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import type { ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
 import type { Subscription } from 'rxjs';
@@ -11,6 +9,7 @@
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/routes.js';
 import type { ListedServer } from '../../src/relay/server.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
+import { freePort } from './freeport.js';
 import { RecordedLog } from './recordedlog.js';
 import { testDialect } from './relaydialect.js';
 import { RelayEngine } from './relayengine.js';
@@ -75,18 +74,6 @@
   };
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 export interface RelayFixture {
   readonly engines?: readonly RelayEngineOptions[];
   readonly plain?: readonly RelayEngineOptions[];
@@ -115,6 +102,8 @@
 
   readonly #port: number;
 
+  readonly #metricsPort: number;
+
   readonly #running: Subscription;
 
   private constructor(
@@ -127,6 +116,7 @@
     this.engines = engines;
     this.plain = plain;
     this.#port = ports[0]!;
+    this.#metricsPort = ports[3]!;
     this.daemon = RelayDaemon.of({
       settings: {
         name: 'd1',
@@ -165,6 +155,7 @@
       scheduler: monotonicScheduler,
       random: Random.of(7),
       log: this.log,
+      leftOut: () => 3,
     });
     this.#running = this.daemon.run.subscribe();
   }
@@ -209,6 +200,15 @@
     await put(this.#objects, 'configuration', configuration);
   }
 
+  /** The metrics as they are served; empty while they are not. */
+  async metrics(): Promise<string> {
+    try {
+      return await (await fetch(`http://127.0.0.1:${this.#metricsPort}/metrics`)).text();
+    } catch {
+      return '';
+    }
+  }
+
   stop(): void {
     this.#running.unsubscribe();
     [...this.engines, ...this.plain].forEach((engine) => engine.crash());
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -181,6 +181,45 @@
   t.regex(runs.find((run) => run !== 'r1@1')!, /^r1@\d+ copy$/);
 });
 
+test('the metrics show what a stream went through, from before they are served', async (t) => {
+  const relay = await started(t, { engines: ENGINES });
+  let crashed = false;
+  await relay.call('/stream/', STREAM, 'prompt', (text) => {
+    if (crashed || !text.includes('id: 8\n')) return;
+    crashed = true;
+    relay.engines.find(({ runs }) => runs.length > 0)!.crash();
+  });
+  await relay.call('/nowhere/', {}, 'prompt');
+  let text = '';
+  t.true(await eventually(async () => {
+    text = await relay.metrics();
+    return text !== '';
+  }));
+  const values = new Map(text.split('\n').filter((line) => !line.startsWith('#'))
+    .map((line) => line.replace('shallotshunt_relay_', '').split(' ') as [string, string]));
+  const expected = {
+    'answers_total{delivery="events",status="200"}': 1,
+    'refusals_total{code="not_found",ran="no"}': 1,
+    'standby_copies_total{outcome="used"}': 1,
+    prompt_tokens_in_vain_total: 0,
+    retries_total: 1,
+    'connections_opened_total{purpose="request"}': 2,
+    first_event_seconds_count: 1,
+    event_gap_seconds_count: 19,
+    resume_seconds_count: 1,
+    servers_suspect: 1,
+    servers_up: 2,
+    servers_leaving: 0,
+    peers: 0,
+    log_lines_left_out: 3,
+  };
+  Object.entries(expected).forEach(([name, value]) => t.is(Number(values.get(name)), value, name));
+  const reads = 'store_calls_total{class="configuration",kind="read",outcome="ok"}';
+  t.true(Number(values.get(reads)) > 1);
+  t.true(Number(values.get('store_silent_seconds')) < 60);
+  t.true(Number(values.get('retries_left')) > 0);
+});
+
 test('a stream whose engine is lost before its first event begins again elsewhere', async (t) => {
   const relay = await started(t, {
     engines: ENGINES.map((options) => ({ ...options, stepMs: 40 })),
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -10,6 +10,7 @@
 import { silentLog } from '../src/common/log.js';
 import { Random } from '../src/common/random.js';
 import { Connections } from '../src/relay/connections.js';
+import { Meter } from '../src/relay/meter.js';
 import { Fleet } from '../src/relay/fleet.js';
 import { VirtualClock } from './fakes/clock.js';
 import { testDialect } from './fakes/relaydialect.js';
@@ -140,7 +141,7 @@
     scheduler: new VirtualClock(),
     random: Random.of(1),
     log: silentLog,
-    connections: Connections.of(),
+    connections: Connections.of(Meter.of()),
     dialect: testDialect,
     healthPath: () => undefined,
     reuseAfterMs: 0,
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -5,6 +5,7 @@
 import { lastValueFrom, toArray } from 'rxjs';
 import { monotonicScheduler } from '../src/common/time.js';
 import { Connections } from '../src/relay/connections.js';
+import { Meter } from '../src/relay/meter.js';
 import { exchange } from '../src/relay/exchange.js';
 import type { ExchangeEvent } from '../src/relay/exchange.js';
 
@@ -83,7 +84,7 @@
 ENDS.forEach(({ name, answer, end }) => {
   test(`an answer ${name} ends as ${end}`, async (t) => {
     const { address } = await peer(t, answer);
-    const connections = Connections.of();
+    const connections = Connections.of(Meter.of());
     t.is(last(await send(address, connections)), end);
     connections.close();
   });
@@ -91,7 +92,7 @@
 
 test('a clean connection is used again', async (t) => {
   const server = await peer(t, (socket) => socket.write(WHOLE));
-  const connections = Connections.of();
+  const connections = Connections.of(Meter.of());
   await send(server.address, connections);
   const events = await send(server.address, connections);
   t.is(last(events), 'end');
@@ -105,7 +106,7 @@
     socket.write(WHOLE);
     if (request === 1) setTimeout(() => socket.write(WHOLE), 20);
   });
-  const connections = Connections.of();
+  const connections = Connections.of(Meter.of());
   await send(server.address, connections);
   await new Promise((resolve) => {
     setTimeout(resolve, 60);
@@ -117,6 +118,6 @@
 });
 
 test('a refused connection says that the request did not run', async (t) => {
-  const connections = Connections.of();
+  const connections = Connections.of(Meter.of());
   t.is(last(await send('127.0.0.1:1', connections)), 'failed no');
 });
--- /dev/null
+++ b/test/relay-peers.test.ts
@@ -0,0 +1,56 @@
+/** Two instances that exchange messages over loopback. */
+import test from 'ava';
+import { monotonicScheduler } from '../src/common/time.js';
+import { Peers } from '../src/relay/peers.js';
+import type { PeersContext } from '../src/relay/peers.js';
+import { eventually } from './fakes/eventually.js';
+import { freePort } from './fakes/freeport.js';
+import { RecordedLog } from './fakes/recordedlog.js';
+
+const FIRST = '127.0.0.1';
+const SECOND = '127.0.0.2';
+
+function contextOf(
+  ip: string,
+  port: number,
+  log: RecordedLog,
+  members: (count: number) => void,
+): PeersContext {
+  return {
+    ip,
+    port,
+    seeds: [FIRST],
+    scheduler: monotonicScheduler,
+    log,
+    news: {
+      leaving: () => undefined,
+      successor: () => undefined,
+      suspect: () => undefined,
+      configuration: () => undefined,
+      members,
+    },
+    own: () => ({ configuration: 3, servers: [], successors: [] }),
+  };
+}
+
+test('an instance that falls silent is told as lost, and no longer counted', async (t) => {
+  const port = await freePort();
+  const log = new RecordedLog();
+  let members = 0;
+  const first = Peers.of(contextOf(FIRST, port, log, (count) => {
+    members = count;
+  }));
+  const second = Peers.of(contextOf(SECOND, port, new RecordedLog(), () => undefined));
+  const running = first.run.subscribe();
+  t.teardown(() => running.unsubscribe());
+  const other = second.run.subscribe();
+  t.true(await eventually(() => members === 2));
+  t.deepEqual(log.of('peer_reached'), [{ peer: SECOND, configuration: 3 }]);
+  other.unsubscribe();
+  t.true(await eventually(() => members === 1));
+  t.like(log.of('peer_lost'), [{ peer: SECOND }]);
+  const again = second.run.subscribe();
+  t.teardown(() => again.unsubscribe());
+  t.true(await eventually(() => members === 2));
+  t.is(log.of('peer_reached').length, 2);
+});
