Tell callers that find no room to come back in turn, as room comes free

Cause: streams refused for want of room were all told to come back after a second.

The end of a stream is logged with its time to the first event, its longest gap and the objectives (`stream_ended`), which tells late streams from others. An object of the store that can't be read at all leaves a line.

A test that failed once (the metrics test, beside the whole suite) was traced: another process had been given the port that the test had found free; shown by running it beside one that takes ports, with the reason now in the assertion. Tests that name ports take them from below those that systems hand out.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -32,6 +32,7 @@
   stop: 'the instance began to stop',
   store_lost: 'the store was lost',
   store_regained: 'the store answered again',
+  stream_ended: 'the stream ended',
   unplaced: 'no server could be chosen',
 };
 const OFFSET_WIDTH = 9;
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -9,6 +9,7 @@
 import type { Fleet } from './fleet.js';
 import type { HeldPrompts } from './heldprompts.js';
 import type { Meter } from './meter.js';
+import type { ReturnTimes } from './returns.js';
 import type { SilenceWatch } from './silencewatch.js';
 
 export interface RelayContext {
@@ -20,6 +21,7 @@
   readonly fleet: Fleet;
   readonly connections: Connections;
   readonly retries: RetryWindows;
+  readonly returns: ReturnTimes;
   readonly silence: SilenceWatch;
   readonly heldPrompts: HeldPrompts;
 }
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -22,6 +22,7 @@
 import { Peers } from './peers.js';
 import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
+import { ReturnTimes } from './returns.js';
 import type { RelaySettings } from './settings.js';
 import { SilenceWatch } from './silencewatch.js';
 import { StoreFeed } from './storefeed.js';
@@ -104,6 +105,7 @@
       fleet: this.#fleet,
       connections: this.#connections,
       retries: this.#retries,
+      returns: ReturnTimes.of(),
       meter: this.#meter,
       heldPrompts: HeldPrompts.of({
         scheduler, connections: this.#connections, log, held: context.platform.held,
--- a/src/relay/eventrecorder.ts
+++ b/src/relay/eventrecorder.ts
@@ -18,6 +18,10 @@
 
   #lostAt: number | undefined;
 
+  #firstMs: number | undefined;
+
+  #longestGapMs = 0;
+
   #writtenAt: number | undefined;
 
   private constructor(call: Call, context: RelayContext) {
@@ -53,9 +57,12 @@
     const { log, scheduler, meter } = this.#context;
     const now = scheduler.now();
     if (this.#writtenAt === undefined) {
-      meter.note({ kind: 'first_event', ms: now - this.#call.receivedAt });
+      this.#firstMs = now - this.#call.receivedAt;
+      meter.note({ kind: 'first_event', ms: this.#firstMs });
     } else {
-      meter.note({ kind: 'gap', ms: now - this.#writtenAt });
+      const gapMs = now - this.#writtenAt;
+      this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+      meter.note({ kind: 'gap', ms: gapMs });
     }
     this.#writtenAt = now;
     if (this.#lostAt === undefined) return;
@@ -66,4 +73,18 @@
       request: this.#call.id, from, pause_ms: Math.round(pauseMs),
     });
   }
+
+  /** Nothing more is written; tells whether the answer was in time, by the route's objectives. */
+  ended(from: number): void {
+    if (this.#firstMs === undefined) return;
+    const { objectiveMs, pauseObjectiveMs } = this.#call.route;
+    this.#context.log.event('info', 'stream_ended', {
+      request: this.#call.id,
+      events: from,
+      first_ms: Math.round(this.#firstMs),
+      longest_gap_ms: Math.round(this.#longestGapMs),
+      objective_ms: objectiveMs,
+      pause_objective_ms: pauseObjectiveMs,
+    });
+  }
 }
--- a/src/relay/eventrelay.ts
+++ b/src/relay/eventrelay.ts
@@ -27,8 +27,8 @@
 
 /** Attempts without an event between them, most of which then reached no engine. */
 const MAX_TRIES = 12;
-/** How soon a caller may come back when no engine has room: about the time that a prompt takes. */
-const NO_ROOM_MS = 1_000;
+/** How soon a caller may come back that isn't kept out by room: about an engine's restart. */
+const LATER_MS = 1_000;
 
 const nothingHeld = () => 0;
 
@@ -116,7 +116,11 @@
     const { state, effects } = transaction(this.#state, event);
     this.#state = state;
     effects.forEach((effect) => this.#perform(effect));
-    if (state.phase.kind === 'ended') this.#timers.unsubscribe();
+    if (state.phase.kind !== 'ended' || this.#timers.closed) return;
+    this.#timers.unsubscribe();
+    this.#recorder.ended(state.accepted.tokens);
+    const { returns, scheduler } = this.#context;
+    if (this.#sent > 0) returns.ended(this.#call.service.name, scheduler.now());
   }
 
   #perform(effect: GenerationEffect): void {
@@ -161,7 +165,7 @@
 
   #assign(exclude: readonly string[]): void {
     const {
-      fleet, retries, scheduler, log, meter,
+      fleet, retries, returns, scheduler, log, meter,
     } = this.#context;
     const { service } = this.#call;
     const { engine } = service;
@@ -181,8 +185,9 @@
     const copy = allowed.find(({ server }) => server.listed.id === this.#copyAt);
     const chosen = copy ?? engineFor(allowed, this.#demand, engine, now);
     if (!chosen) {
-      const reason = candidates.length > 0 ? 'no engine has room' : 'no engine is up';
-      this.#unassignable(reason, roomFields(allowed, memoryOf(this.#demand), engine));
+      const inputs = roomFields(allowed, memoryOf(this.#demand), engine);
+      if (candidates.length === 0) this.#unassignable('no engine is up', inputs);
+      else this.#unassignable('no engine has room', inputs, returns.next(service.name, now));
       return;
     }
     if (sent > 0) {
@@ -215,13 +220,13 @@
     });
   }
 
-  #unassignable(message: string, inputs: LogFields = {}): void {
+  #unassignable(message: string, inputs: LogFields = {}, retryAfterMs = LATER_MS): void {
     const fields = unplacedFields(this.#call, message, this.#context);
     this.#context.log.event('info', 'unplaced', { ...fields, ...inputs });
     this.#take({
       kind: 'unassignable',
       refusal: {
-        code: 'unavailable', message, ran: 'no', retryAfterMs: NO_ROOM_MS,
+        code: 'unavailable', message, ran: 'no', retryAfterMs,
       },
     });
   }
--- a/test/fakes/freeport.ts
+++ b/test/fakes/freeport.ts
@@ -1,15 +1,33 @@
-/** A port of loopback that nothing listened on a moment ago. */
+/**
+ * Ports of loopback for a test that has to name them before it listens. They lie below those that
+ * systems hand out by themselves, which another test may be given in the meantime, and each test
+ * file tries ports of its own, each once.
+ */
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { threadId } from 'node:worker_threads';
 
-export async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
+const FIRST_PORT = 12_000;
+const PORTS_PER_FILE = 400;
+const FILES = 48;
+
+let tried = 0;
+
+/** Whether nothing listens on the port now. */
+function free(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
-  return port;
+}
+
+export async function freePort(): Promise<number> {
+  const block = FIRST_PORT + ((process.pid + threadId) % FILES) * PORTS_PER_FILE;
+  while (tried < PORTS_PER_FILE) {
+    const port = block + tried;
+    tried += 1;
+    // eslint-disable-next-line no-await-in-loop -- the next port only if this one is taken
+    if (await free(port)) return port;
+  }
+  throw new Error(`no port is free from ${block} on`);
 }
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -13,6 +13,7 @@
 import { PlatformStore } from '../platform/store.js';
 import { formatFinding } from '../src/common/finding.js';
 import { monotonicScheduler } from '../src/common/time.js';
+import { RecordedLog } from './fakes/recordedlog.js';
 
 const SETTINGS = `NodeName=front-a-1
 Ip=10.1.0.19
@@ -175,7 +176,8 @@
     server.closeAllConnections();
   });
   const { port } = server.address() as AddressInfo;
-  return { asked, reader: PlatformStore.of(`127.0.0.1:${port}`, monotonicScheduler) };
+  const log = new RecordedLog();
+  return { asked, log, reader: PlatformStore.of(`127.0.0.1:${port}`, monotonicScheduler, log) };
 }
 
 function item(name: string, revision: number) {
@@ -183,7 +185,7 @@
 }
 
 test('store: pages are read to the end, as of the first page\'s revision', async (t) => {
-  const { asked, reader } = await store(t, [
+  const { asked, log, reader } = await store(t, [
     [200, { Items: [item('a', 3), 'nonsense'], MorePages: true, CurrentRev: 9 }],
     [200, { Items: [item('b', 4)], MorePages: false, CurrentRev: 11 }],
   ]);
@@ -195,6 +197,7 @@
     ],
   });
   t.deepEqual(asked, ['/objects/servers', '/objects/servers?After=a']);
+  t.like(log.of('store_object_unreadable'), [{ kind: 'servers' }]);
 });
 
 test('store: a watch goes on from where the last call ended', async (t) => {
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -194,7 +194,7 @@
   t.true(await eventually(async () => {
     text = await relay.metrics();
     return text !== '';
-  }));
+  }), JSON.stringify(relay.log.of('child_failed')));
   const values = new Map(text.split('\n').filter((line) => !line.startsWith('#'))
     .map((line) => line.replace('shallotshunt_relay_', '').split(' ') as [string, string]));
   const expected = {
