--- a/src/relay/returns.ts
+++ b/src/relay/returns.ts
@@ -42,7 +42,7 @@
 ): { readonly returns: Returns; readonly retryAfterMs: number } {
   const inTurn = Math.max(now + LEAST_MS, returns.promisedAt + intervalMs(returns, now));
   const promisedAt = Math.min(inTurn, now + MOST_MS);
-  return { returns: { ...returns, promisedAt }, retryAfterMs: promisedAt - now };
+  return { returns: { ...returns, promisedAt }, retryAfterMs: Math.ceil(promisedAt - now) };
 }
 
 /** The times of all services, of which an instance tells its own callers. */
