Put the operator's limits on heads and idle connections in force

Cause: the relay took only the largest body from the configuration; the size of heads, the time for them and the time for which callers may keep an idle connection were fixed at 16 KB, 10 s and 65 s, so an operator who allows longer pauses had connections closed under callers that kept within them.

Change: the limits are decoded with the rest of the configuration and put in force on the running server whenever a version is adopted; what is left out keeps the values from before. The test failed first (a head past the limit got 200).

--- a/src/entry/callersserver.ts
+++ b/src/entry/callersserver.ts
@@ -5,12 +5,32 @@
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
 
-const MAX_HEADER_BYTES = 16 * 1024;
+/** What a caller may send before its request is read, and how long it may take. */
+export interface HeadLimits {
+  readonly maxHeaderBytes: number;
+  readonly headerTimeoutMs: number;
+  /** How long a connection may stay open without a request. */
+  readonly idleTimeoutMs: number;
+}
+
+export const DEFAULT_HEAD_LIMITS: HeadLimits = {
+  maxHeaderBytes: 16 * 1024, headerTimeoutMs: 10_000, idleTimeoutMs: 65_000,
+};
+
+/** Room for the request line, which Node counts among the headers. */
+const REQUEST_LINE_BYTES = 2_048;
+/** Longest time for a whole request; bodies have limits of their own. */
 const REQUEST_TIMEOUT_MS = 300_000;
-const HEADERS_TIMEOUT_MS = 10_000;
-const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const CONNECTIONS_CHECK_MS = 1_000;
 
+/** Puts limits in force for connections that open from now on, and for pauses between requests. */
+export function limitCallers(server: Server, limits: HeadLimits): void {
+  const { maxHeaderBytes, headerTimeoutMs, idleTimeoutMs } = limits;
+  // Node reads it for each connection; its types leave it out.
+  Object.assign(server, { maxHeaderSize: maxHeaderBytes + REQUEST_LINE_BYTES });
+  Object.assign(server, { headersTimeout: headerTimeoutMs, keepAliveTimeout: idleTimeoutMs });
+}
+
 /** What Node's parser refuses, in the form of every other refusal. */
 function refuseBytes(error: NodeJS.ErrnoException, socket: Socket): void {
   if (!socket.writable || socket.bytesWritten > 0) {
@@ -37,13 +57,11 @@
 /** An HTTP server towards callers, with limits on heads, times and what isn't HTTP. */
 export function callersServer(listener: RequestListener): Server {
   const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
     requestTimeout: REQUEST_TIMEOUT_MS,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
     noDelay: true,
   }, listener);
+  limitCallers(server, DEFAULT_HEAD_LIMITS);
   server.on('clientError', refuseBytes);
   return server;
 }
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -8,6 +8,7 @@
 import { listenerOf } from '../common/listeners.js';
 import { childOfSubscription, Supervisor } from '../common/supervisor.js';
 import type { Child } from '../common/supervisor.js';
+import { limitCallers } from '../entry/callersserver.js';
 import { Drain } from '../entry/drain.js';
 import { RetryWindows } from '../limits/retrywindow.js';
 import { MeteredReader } from '../store/metered.js';
@@ -23,6 +24,7 @@
 import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
 import { ReturnTimes } from './returns.js';
+import type { RelayConfiguration } from './routes.js';
 import type { RelaySettings } from './settings.js';
 import { SilenceWatch } from './silencewatch.js';
 import { StoreFeed } from './storefeed.js';
@@ -169,7 +171,7 @@
       random,
       log,
       heartbeatMs: settings.heartbeatMs,
-      adopt: (configuration, from) => this.#knowledge.adopt(configuration, from),
+      adopt: (configuration, from) => this.#adopt(configuration, from),
     });
   }
 
@@ -181,6 +183,7 @@
       random: () => random.fraction(),
       routes: () => this.#knowledge.routes,
     });
+    this.#limitCallers();
     return this.#front;
   }
 
@@ -224,12 +227,22 @@
   }
 
   #take({ configuration, servers }: Snapshot, ip: string): void {
-    if (configuration) this.#knowledge.adopt(configuration, ip);
+    if (configuration) this.#adopt(configuration, ip);
     // What the store has told stands; a peer only fills in what this instance knows nothing of.
     servers.filter(({ id }) => !this.#fleet.server(id))
       .forEach((server) => this.#fleet.list(server, ip));
   }
 
+  #adopt(configuration: RelayConfiguration, from: string): void {
+    this.#knowledge.adopt(configuration, from);
+    this.#limitCallers();
+  }
+
+  #limitCallers(): void {
+    const heads = this.#knowledge.routes?.configuration.heads;
+    if (this.#front && heads) limitCallers(this.#front, heads);
+  }
+
   #snapshot(): Snapshot {
     return {
       configuration: this.#knowledge.routes?.configuration,
--- a/src/relay/routes.ts
+++ b/src/relay/routes.ts
@@ -3,6 +3,7 @@
  * the services behind them, and the workspaces' keys. A version is one immutable value.
  */
 import type { Repeat } from '../configuration/configuration.js';
+import type { HeadLimits } from '../entry/callersserver.js';
 
 /** `whole` answers are passed on once they are complete, `events` as they come. */
 export type Delivery = 'whole' | 'events';
@@ -63,6 +64,7 @@
   /** Undefined where requests carry no keys. */
   readonly workspaces: readonly RelayWorkspace[] | undefined;
   readonly maxBodyBytes: number;
+  readonly heads: HeadLimits;
 }
 
 /** Looks up routes and workspaces of one version. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -13,6 +13,7 @@
 import { PlatformStore } from '../platform/store.js';
 import { formatFinding } from '../src/common/finding.js';
 import { monotonicScheduler } from '../src/common/time.js';
+import { DEFAULT_HEAD_LIMITS } from '../src/entry/callersserver.js';
 import { RecordedLog } from './fakes/recordedlog.js';
 
 const SETTINGS = `NodeName=front-a-1
@@ -92,6 +93,16 @@
   t.deepEqual(configuration.routes[1]?.targets, [{ service: 's', weight: 9 }]);
   t.like(configuration.services.s?.engine, { slots: 4, memoryTokens: 100, standby: true });
   t.like(configuration.workspaces?.[0], { name: 'w', keys: ['k'] });
+  t.deepEqual(configuration.heads, DEFAULT_HEAD_LIMITS);
+});
+
+test('configuration: what callers may send is read', (t) => {
+  const Limits = {
+    MaxBodyBytes: 9, MaxHeaderBytes: 8, HeaderTimeoutMs: 7, IdleTimeoutMs: 6,
+  };
+  const { maxBodyBytes, heads } = valueOf(readConfiguration({ ...SPEC, Limits }));
+  t.is(maxBodyBytes, 9);
+  t.deepEqual(heads, { maxHeaderBytes: 8, headerTimeoutMs: 7, idleTimeoutMs: 6 });
 });
 
 testProp('configuration and entries: no value but theirs is read', [fc.jsonValue()], (t, value) => {
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -73,6 +73,21 @@
   t.is(await status(), 401);
 });
 
+test('the operator\'s limits on heads and idle connections are in force, and change', async (t) => {
+  const heads = { maxHeaderBytes: 2_000, headerTimeoutMs: 5_000, idleTimeoutMs: 7_000 };
+  const relay = await started(t, { plain: PLAIN, configuration: relayConfiguration({ heads }) });
+  const large = { 'x-large': 'a'.repeat(6_000) };
+  t.is((await relay.call('/safe/', large)).status, 431);
+  const kept = await relay.call('/safe/', { connection: 'keep-alive' });
+  t.is(kept.status, 200);
+  t.is(kept.headers['keep-alive'], 'timeout=7');
+  await relay.configure(relayConfiguration({
+    version: 2, heads: { ...heads, maxHeaderBytes: 9_000 },
+  }));
+  t.true(await eventually(() => relay.log.of('configuration_in_force').length === 2));
+  t.is((await relay.call('/safe/', large)).status, 200);
+});
+
 test('a body past the limit is refused with 413', async (t) => {
   const relay = await started(t, { plain: PLAIN });
   t.is((await relay.call('/unsafe/', {}, 'x'.repeat(10_001))).status, 413);
