Don't take a server for lost because this process was held up

When the loop is held up for longer than the time to connect, the timer fires before the event of a connection that has long been open, so a healthy server was suspected and its call went elsewhere.

Change: the time-outs of connects and of checks act only after the loop has read what came meanwhile (afterReading in common/time.ts).

--- a/src/common/time.ts
+++ b/src/common/time.ts
@@ -3,7 +3,7 @@
  * virtual time; this is the one the daemon uses. Its clock is monotonic and counts in
  * milliseconds.
  */
-import { asyncScheduler } from 'rxjs';
+import { asyncScheduler, Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 
 export const MILLISECONDS_PER_SECOND = 1_000;
@@ -13,3 +13,16 @@
   now: () => performance.now(),
   schedule: (asyncScheduler as SchedulerLike).schedule.bind(asyncScheduler),
 };
+
+/**
+ * Calls `act` after a time, but not before what has come meanwhile is read: when the loop itself
+ * was held up, timers fire before the events that they wait for.
+ */
+export function afterReading(ms: number, scheduler: SchedulerLike, act: () => void): Subscription {
+  const waiting = new Subscription();
+  waiting.add(timer(ms, scheduler).subscribe(() => {
+    const immediate = setImmediate(act);
+    waiting.add(() => clearImmediate(immediate));
+  }));
+  return waiting;
+}
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -4,6 +4,7 @@
  */
 import { connect } from 'node:net';
 import { hostPort } from '../common/address.js';
+import { afterReading, monotonicScheduler } from '../common/time.js';
 import { CleanAgent } from './cleanagent.js';
 import type { Meter } from './meter.js';
 
@@ -15,11 +16,11 @@
   return new Promise((resolve) => {
     const socket = connect(hostPort(address));
     const settle = (accepted: boolean) => {
-      clearTimeout(deadline); // eslint-disable-line @typescript-eslint/no-use-before-define
+      deadline.unsubscribe(); // eslint-disable-line @typescript-eslint/no-use-before-define
       socket.destroy();
       resolve(accepted);
     };
-    const deadline = setTimeout(() => settle(false), timeoutMs);
+    const deadline = afterReading(timeoutMs, monotonicScheduler, () => settle(false));
     socket.once('connect', () => settle(true));
     socket.once('error', () => settle(false));
   });
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -4,9 +4,10 @@
  */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import { Observable, Subscription, timer } from 'rxjs';
+import { Observable, Subscription } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { hostPort } from '../common/address.js';
+import { afterReading } from '../common/time.js';
 import { isFramed, watchUnframed } from '../entry/unframed.js';
 import type { CleanAgent } from './cleanagent.js';
 import type { RawHeaders } from './dialect.js';
@@ -89,7 +90,7 @@
       if (!request.reusedSocket) outgoing.agent.opened();
       emit({ kind: 'sent', reused: request.reusedSocket });
     };
-    timers.add(timer(CONNECT_MS, scheduler).subscribe(() => fail('the server was not reached')));
+    timers.add(afterReading(CONNECT_MS, scheduler, () => fail('the server was not reached')));
     request.on('error', (error) => fail(error.message));
     request.once('socket', (socket) => {
       socket.setNoDelay(true);
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -121,3 +121,21 @@
   const connections = Connections.of(Meter.of());
   t.is(last(await send('127.0.0.1:1', connections)), 'failed no');
 });
+
+/** Keeps the loop from doing anything else, as a busy instance does. */
+function holdUp(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
+test('a server that was reached while the loop was held up is not taken for lost', async (t) => {
+  const { address } = await peer(t, (socket) => socket.write(WHOLE));
+  const connections = Connections.of(Meter.of());
+  const sent = send(address, connections);
+  holdUp(300);
+  t.is(last(await sent), 'end');
+  const accepted = connections.accepts(address, 50);
+  holdUp(150);
+  t.true(await accepted);
+  connections.close();
+});
