--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -2,6 +2,7 @@
 import { request as httpRequest } from 'node:http';
 import type { ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
+import { map } from 'rxjs';
 import type { Subscription } from 'rxjs';
 import { Random } from '../../src/common/random.js';
 import { monotonicScheduler } from '../../src/common/time.js';
@@ -10,7 +11,9 @@
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/routes.js';
 import type { ServerEntry } from '../../src/relay/serverentry.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
+import type { ObjectReader, StoredObject, WatchEvent } from '../../src/store/objects.js';
 import { freePort } from './freeport.js';
+import { expectOk } from './objects.js';
 import { RecordedLog } from './recordedlog.js';
 import { testDialect } from './relaydialect.js';
 import { RelayEngine } from './relayengine.js';
@@ -81,6 +84,32 @@
   readonly plain?: readonly RelayEngineOptions[];
   /** Undefined leaves the store without a configuration. */
   readonly configuration?: RelayConfiguration | undefined;
+  /** A relay whose peer this one becomes; each has a store of its own. */
+  readonly peer?: Relay;
+}
+
+/** Where a relay's daemon listens, and which peer it starts with. */
+interface Endpoint {
+  readonly ip: string;
+  readonly callersPort: number;
+  readonly readinessPort: number;
+  readonly peerPort: number;
+  readonly metricsPort: number;
+  readonly seeds: readonly string[];
+}
+
+async function endpointOf(peer: Relay | undefined): Promise<Endpoint> {
+  const [callersPort, readinessPort, peerPort, metricsPort] = await Promise.all(
+    [freePort(), freePort(), freePort(), freePort()],
+  );
+  const ports = { callersPort, readinessPort, metricsPort };
+  return peer
+    ? {
+      ...ports, ip: '127.0.0.2', peerPort: peer.endpoint.peerPort, seeds: [peer.endpoint.ip],
+    }
+    : {
+      ...ports, ip: '127.0.0.1', peerPort, seeds: [],
+    };
 }
 
 async function put(objects: MemoryObjects, name: string, value: unknown): Promise<void> {
@@ -91,6 +120,28 @@
   await objects.put(name, JSON.stringify(value), expected, 'status');
 }
 
+function withoutPrefix(name: string): string {
+  return name.slice(name.indexOf('/') + 1);
+}
+
+/** Reads objects by the names that they have within their kind, as platforms with kinds do. */
+function readerOf(objects: MemoryObjects): ObjectReader {
+  const shorten = (object: StoredObject) => ({ ...object, name: withoutPrefix(object.name) });
+  return {
+    list: async (kind, callClass) => (await objects.list(kind, callClass))
+      .map((listing) => ({ ...listing, objects: listing.objects.map(shorten) })),
+    watch: (kind, from, callClass) => objects.watch(kind, from, callClass).pipe(
+      map((event): WatchEvent => {
+        switch (event.kind) {
+          case 'opened': return event;
+          case 'put': return { ...event, object: shorten(event.object) };
+          case 'delete': return { ...event, name: withoutPrefix(event.name) };
+        }
+      }),
+    ),
+  };
+}
+
 export class Relay {
   readonly engines: readonly RelayEngine[];
 
@@ -100,11 +151,9 @@
 
   readonly daemon: RelayDaemon;
 
-  readonly #objects: MemoryObjects;
+  readonly objects: MemoryObjects;
 
-  readonly #port: number;
-
-  readonly #metricsPort: number;
+  readonly endpoint: Endpoint;
 
   readonly #running: Subscription;
 
@@ -112,23 +161,23 @@
     objects: MemoryObjects,
     engines: readonly RelayEngine[],
     plain: readonly RelayEngine[],
-    ports: readonly number[],
+    endpoint: Endpoint,
   ) {
-    this.#objects = objects;
+    this.objects = objects;
     this.engines = engines;
     this.plain = plain;
-    this.#port = ports[0]!;
-    this.#metricsPort = ports[3]!;
+    this.endpoint = endpoint;
+    const { ip } = endpoint;
     this.daemon = RelayDaemon.of({
       settings: {
         name: 'd1',
         zone: 'a',
-        ip: '127.0.0.1',
-        callers: `127.0.0.1:${ports[0]}`,
-        readiness: `127.0.0.1:${ports[1]}`,
-        seeds: [],
-        peerPort: ports[2]!,
-        metricsPort: ports[3]!,
+        ip,
+        callers: `${ip}:${endpoint.callersPort}`,
+        readiness: `${ip}:${endpoint.readinessPort}`,
+        seeds: endpoint.seeds,
+        peerPort: endpoint.peerPort,
+        metricsPort: endpoint.metricsPort,
         store: '127.0.0.1:1',
         heartbeatMs: 1_000,
         reuseAfterMs: 2_000,
@@ -138,7 +187,7 @@
         retrySlack: 100,
       },
       platform: {
-        objects,
+        objects: readerOf(objects),
         dialect: testDialect,
         cacheQuery: {
           target: '/held',
@@ -151,7 +200,7 @@
         readServer: (name, value) => {
           const entry = value as Partial<ServerEntry> | null;
           if (entry?.address === undefined) return undefined;
-          return { ...entry as ServerEntry, id: name.slice('server/'.length) };
+          return { ...entry as ServerEntry, id: name };
         },
       },
       scheduler: monotonicScheduler,
@@ -166,8 +215,7 @@
     const objects = MemoryObjects.of(monotonicScheduler, Random.of(3));
     const engines = await RelayEngine.fleet(fixture.engines ?? []);
     const plain = await RelayEngine.fleet(fixture.plain ?? []);
-    const ports = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
-    const relay = new Relay(objects, engines, plain, ports);
+    const relay = new Relay(objects, engines, plain, await endpointOf(fixture.peer));
     t.teardown(() => relay.stop());
     await Promise.all([
       ...engines.map((engine) => relay.putEntry(engine, 'engines')),
@@ -195,17 +243,23 @@
       weights: 1,
       ...change,
     };
-    await put(this.#objects, `server/${entry.id}`, entry);
+    await put(this.objects, `server/${entry.id}`, entry);
+  }
+
+  async removeEntry(id: string): Promise<void> {
+    const name = `server/${id}`;
+    const { version } = expectOk(await this.objects.get(name, 'status'));
+    expectOk(await this.objects.remove(name, version, 'status'));
   }
 
   async configure(configuration: RelayConfiguration): Promise<void> {
-    await put(this.#objects, 'configuration', configuration);
+    await put(this.objects, 'configuration', configuration);
   }
 
   /** The text of the metrics; empty until they are served. */
   async metrics(): Promise<string> {
     try {
-      return await (await fetch(`http://127.0.0.1:${this.#metricsPort}/metrics`)).text();
+      return await (await fetch(`http://${this.endpoint.ip}:${this.endpoint.metricsPort}/metrics`)).text();
     } catch {
       return '';
     }
@@ -225,8 +279,8 @@
   ): Promise<Reply> {
     return new Promise((resolve) => {
       const request = httpRequest({
-        host: '127.0.0.1',
-        port: this.#port,
+        host: this.endpoint.ip,
+        port: this.endpoint.callersPort,
         path,
         method: body === undefined ? 'GET' : 'POST',
         headers: {
