--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -259,7 +259,8 @@
   /** The text of the metrics; empty until they are served. */
   async metrics(): Promise<string> {
     try {
-      return await (await fetch(`http://${this.endpoint.ip}:${this.endpoint.metricsPort}/metrics`)).text();
+      const { ip, metricsPort } = this.endpoint;
+      return await (await fetch(`http://${ip}:${metricsPort}/metrics`)).text();
     } catch {
       return '';
     }
