Log where the chosen server's entry came from, and how long ago

Callers saw a request run on an engine that had left.

route lines now carry listed_from (store, health, or another instance's address) and listed_ms_ago. Tested on an engine listed by the store and on one found by its health check.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -11,7 +11,7 @@
 import type { ExchangeEvent } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
 import type { ResponseClass } from './responseclass.js';
-import { heardMsAgo, unplacedFields } from './routefields.js';
+import { heardMsAgo, listingFields, unplacedFields } from './routefields.js';
 import { selectServer } from './selection.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
@@ -125,6 +125,7 @@
       service: service.name,
       server: chosen.server.entry.id,
       zone: chosen.server.entry.zone,
+      ...listingFields(chosen.server, now),
       running: chosen.load.running,
       mean_ms: Math.round(chosen.server.meanDurationMs),
       heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -92,7 +92,8 @@
   upsert(entry: ServerEntry, from: string): void {
     this.#loaded = true;
     const prior = this.#servers.get(entry.id);
-    const state = prior ? withEntry(prior, entry) : serverState(entry);
+    const listed = { from, at: this.#now() };
+    const state = prior ? withEntry(prior, entry, listed) : serverState(entry, listed);
     if (state === prior) return;
     this.#servers.set(entry.id, state);
     if (!prior) this.#supersede(entry);
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -4,6 +4,7 @@
 import type { RelayContext } from './context.js';
 import type { EngineCapacity } from './routes.js';
 import type { Candidate } from './selection.js';
+import type { ServerState } from './serverstate.js';
 import type { AttemptPlan } from './streamattempt.js';
 
 /** Time since the last bytes from a server; undefined if none ever came. */
@@ -12,6 +13,11 @@
   return at === 0 ? undefined : Math.round(scheduler.now() - at);
 }
 
+/** Where a server's entry came from, and how old it is. */
+export function listingFields({ listed }: ServerState, now: number): LogFields {
+  return { listed_from: listed.from, listed_ms_ago: Math.round(now - listed.at) };
+}
+
 /** The inputs to the choice of an engine. */
 export function routeFields(call: Call, plan: AttemptPlan, { server, load }: Candidate): LogFields {
   return {
--- a/src/relay/serverstate.ts
+++ b/src/relay/serverstate.ts
@@ -51,6 +51,8 @@
 
 export interface ServerState {
   readonly entry: ServerEntry;
+  /** Where the entry came from (the store, a health check or another instance), and when. */
+  readonly listed: { readonly from: string; readonly at: number };
   /** Tells restarts apart: load assigned to an earlier incarnation doesn't count for a later. */
   readonly incarnation: symbol;
   readonly health: Health;
@@ -65,9 +67,10 @@
   readonly meanDurationMs: number;
 }
 
-export function serverState(entry: ServerEntry): ServerState {
+export function serverState(entry: ServerEntry, listed = { from: 'store', at: 0 }): ServerState {
   return {
     entry,
+    listed,
     incarnation: Symbol(entry.id),
     health: { kind: 'up' },
     expiresAt: undefined,
@@ -84,12 +87,18 @@
 }
 
 /** Applies a newer entry; a restarted server begins with a fresh state. */
-export function withEntry(state: ServerState, entry: ServerEntry): ServerState {
+export function withEntry(
+  state: ServerState,
+  entry: ServerEntry,
+  listed = state.listed,
+): ServerState {
   if (entry.startedAt < state.entry.startedAt) return state;
-  if (!sameProcess(state.entry, entry)) return serverState(entry);
+  if (!sameProcess(state.entry, entry)) return serverState(entry, listed);
   // A leaving server never becomes ready again without a restart.
   const entryState = state.entry.state === 'leaving' ? 'leaving' : entry.state;
-  return { ...state, entry: { ...entry, state: entryState }, expiresAt: undefined };
+  return {
+    ...state, entry: { ...entry, state: entryState }, listed, expiresAt: undefined,
+  };
 }
 
 export function failureRate(state: ServerState, now: number): number {
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -16,7 +16,7 @@
 import { countRetry, remainingMs } from './context.js';
 import { attemptDenialReason, mayMigrate } from './migration.js';
 import {
-  capacityFields, heardMsAgo, routeFields, unplacedFields,
+  capacityFields, heardMsAgo, listingFields, routeFields, unplacedFields,
 } from './routefields.js';
 import {
   firstEventMs, requiredMemory, selectEngine, selectStandby, uncachedTokens,
@@ -204,6 +204,7 @@
     };
     log.event('info', 'route', {
       ...routeFields(this.#call, this.#plan, chosen),
+      ...listingFields(chosen.server, this.#context.scheduler.now()),
       attempt: this.#state.attempts + 1,
       held_tokens: this.#cachedTokens(chosen.server.entry.id),
       heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -347,6 +347,9 @@
     await relay.call('/stream/', { ...STREAM, 'x-id': 'r3' }, 'prompt')).status === 200));
   t.true(relay.log.of('server_listed')
     .some(({ server, from }) => server === 'e1-again' && from === 'health'));
+  const routes = relay.log.of('route');
+  t.like(routes[0], { server: 'e1', listed_from: 'store' });
+  t.like(routes.at(-1), { server: 'e1-again', listed_from: 'health' });
 });
 
 test('a drain lets open responses end and tells callers to close', async (t) => {
