Admit another instance's entries by their versions

Entries had neither a version nor a time. A server whose entry the store had removed, and which the receiver had already forgotten, came back as ready and for good, since the store had nothing more to say about it.

The class: a fact that passes between instances without its version, so that an older copy overrides a newer one.

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -21,7 +21,6 @@
 import { Meter } from './meter.js';
 import type { RelayGauges } from './metrics.js';
 import { Peers } from './peers.js';
-import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
 import { RetrySchedules } from './retryafter.js';
 import type { RelayConfiguration } from './routes.js';
@@ -200,13 +199,14 @@
         onLeaving: (id, startedAt, from) => this.#fleet.markLeaving(id, startedAt, from),
         onSuccessor: (previousId, id, from) => this.#fleet.addSuccessor(previousId, id, from),
         onSuspect: (id, startedAt, from) => this.#fleet.verifySuspect(id, startedAt, from),
-        onConfiguration: (version, ip) => {
-          if (version > this.#activeConfiguration.version) this.#fetchSnapshot(ip);
+        onCopies: (copies, from) => {
+          if (this.#storeFeed.compare(copies)) this.#fetchSnapshot(from);
         },
         onInstanceCount: (count) => this.#retries.count(count, scheduler.now()),
       },
       localState: () => ({
         configuration: this.#activeConfiguration.version,
+        copies: this.#storeFeed.reports,
         servers: this.#fleet.servers,
         successors: this.#fleet.successors,
       }),
@@ -221,19 +221,12 @@
     this.#lastSnapshotAt = now;
     import('./peersnapshot.js')
       .then(({ fetchSnapshot }) => fetchSnapshot(`${ip}:${settings.peerPort}`))
-      .then((snapshot) => this.#applySnapshot(snapshot, ip))
+      .then((snapshot) => this.#storeFeed.adopt(snapshot, ip))
       .catch((error: unknown) => {
         log.event('warn', 'peer_snapshot_failed', { peer: ip, reason: String(error) });
       });
   }
 
-  #applySnapshot({ configuration, servers }: Snapshot, ip: string): void {
-    if (configuration) this.#applyConfiguration(configuration, ip);
-    // Entries from the store take precedence; a peer only adds servers that are unknown here.
-    servers.filter(({ id }) => !this.#fleet.server(id))
-      .forEach((server) => this.#fleet.upsert(server, ip));
-  }
-
   #applyConfiguration(configuration: RelayConfiguration, from: string): void {
     this.#activeConfiguration.adopt(configuration, from);
     this.#applyHeadLimits();
@@ -244,13 +237,6 @@
     if (this.#frontend && heads) applyHeadLimits(this.#frontend, heads);
   }
 
-  #snapshot(): Snapshot {
-    return {
-      configuration: this.#activeConfiguration.routes?.configuration,
-      servers: this.#fleet.servers.map(({ entry }) => entry),
-    };
-  }
-
   /** Listeners that serving requests doesn't depend on, loaded after the start. */
   #deferredListeners(): Child {
     const { scheduler } = this.#context;
@@ -265,7 +251,7 @@
           const { settings: { ip, peerPort, metricsPort } } = this.#context;
           return Supervisor.of('others', [
             listenerOf('snapshots', `${ip}:${peerPort}`, () => (
-              snapshotServer(() => this.#snapshot()))),
+              snapshotServer(() => this.#storeFeed.snapshot))),
             listenerOf('metrics', `${ip}:${metricsPort}`, () => metrics.server()),
           ], this.#context).run;
         }),
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -164,9 +164,14 @@
     });
   }
 
-  /** Called when the store answers again after an outage. */
-  storeRecovered(): void {
-    this.#graceUntil = this.#now() + REREGISTRATION_MS;
+  /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
+  awaitRenewals(ms = REREGISTRATION_MS): void {
+    this.#graceUntil = Math.max(this.#graceUntil, this.#now() + ms);
+  }
+
+  /** How much longer servers whose entries disappear stay usable. */
+  get renewalMs(): number {
+    return Math.max(0, this.#graceUntil - this.#now());
   }
 
   /** Runs the cleanup and the probes until the subscription ends. */
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -1,8 +1,8 @@
 /**
  * The message that relay daemons send each other several times a second, as one small datagram: the
  * load that the sender has assigned to backend servers, the servers it knows to be leaving or can't
- * reach, its configuration's version, and the other daemons it knows. A lost or late message only
- * delays the receiver's view of the load.
+ * reach, how current its copies of the store's objects are, and the other daemons it knows. A lost
+ * or late message only delays the receiver's view of the load.
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -14,11 +14,14 @@
 export const MAX_MESSAGE_BYTES = 1_400;
 
 const COUNT = z.number().min(0);
+const REPORT = z.object({ newestChange: COUNT, ageMs: COUNT }).optional();
 const MESSAGE = z.object({
   /** The sender's IP address. */
   ip: z.string().regex(IPV4),
   /** Version of the active configuration; 0 before one is known. */
   configuration: z.number(),
+  /** The sender's copies of the store's objects; empty from daemons that don't report them. */
+  copies: z.object({ configuration: REPORT, servers: REPORT }).default({}),
   /** By server: runs, prompt tokens to prefill, memory tokens, standby tokens. */
   loads: z.record(z.string(), z.tuple([COUNT, COUNT, COUNT, COUNT])),
   /** Leaving servers, each with the start time of its process. */
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -37,8 +37,8 @@
   onSuspect(id: string, startedAt: number, from: string): void;
   /** Another instance reports that a server restarted under a new id. */
   onSuccessor(previousId: string, id: string, from: string): void;
-  /** Another instance reports the version of its configuration. */
-  onConfiguration(version: number, ip: string): void;
+  /** Another instance reports its copies of the store's objects. */
+  onCopies(copies: PeerMessage['copies'], from: string): void;
   /** The number of live instances, this one included. */
   onInstanceCount(count: number): void;
 }
@@ -53,6 +53,7 @@
   /** The state of this instance that its messages carry. */
   readonly localState: () => {
     readonly configuration: number;
+    readonly copies: PeerMessage['copies'];
     readonly servers: readonly ServerState[];
     readonly successors: readonly (readonly [string, string])[];
   };
@@ -126,7 +127,9 @@
 
   #message(): PeerMessage {
     const { ip, localState } = this.#context;
-    const { configuration, servers, successors } = localState();
+    const {
+      configuration, copies, servers, successors,
+    } = localState();
     const busy = servers.filter((server) => (
       server.ownLoad.running > 0 || server.ownLoad.standby > 0));
     const leaving = servers.filter((server) => server.entry.state === 'leaving');
@@ -135,6 +138,7 @@
     return {
       ip,
       configuration,
+      copies,
       loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
       gone: leaving.slice(-MAX_LISTED).map(({ entry }) => [entry.id, entry.startedAt]),
       suspect: suspect.slice(-MAX_LISTED).map(({ entry }) => [entry.id, entry.startedAt]),
@@ -195,6 +199,6 @@
     message.gone.forEach(([id, startedAt]) => listener.onLeaving(id, startedAt, address));
     message.successors.forEach(([previousId, id]) => listener.onSuccessor(previousId, id, address));
     message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, address));
-    listener.onConfiguration(message.configuration, address);
+    listener.onCopies(message.copies, address);
   }
 }
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -6,15 +6,16 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
 import { createHTTPServer } from '@trpc/server/adapters/standalone';
-import type { RelayConfiguration } from './routes.js';
-import type { ServerEntry } from './serverentry.js';
+import type { Listing } from '../store/objects.js';
 
 /** Twice the time to transfer a large configuration between two zones. */
 const TIMEOUT_MS = 500;
 
 export interface Snapshot {
-  readonly configuration: RelayConfiguration | undefined;
-  readonly servers: readonly ServerEntry[];
+  /** The objects as the store holds them, with their versions. */
+  readonly copies: { readonly configuration: Listing; readonly servers: Listing };
+  /** How much longer a server whose entry is missing may still renew it. */
+  readonly renewalMs: number;
 }
 
 const trpc = initTRPC.create();
@@ -38,6 +39,5 @@
   const response: unknown = client.snapshot.query(undefined, {
     signal: AbortSignal.timeout(TIMEOUT_MS),
   });
-  // JSON omits undefined fields, so the inferred type declares them optional.
   return response as Promise<Snapshot>;
 }
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -1,4 +1,8 @@
-/** Follows the configuration and the servers' entries in the platform's store. */
+/**
+ * Follows the configuration and the servers' entries in the platform's store. Both may also come
+ * from another instance's copy; its objects are admitted by their versions like those from the
+ * store, so that an older copy can't bring back what was changed or removed.
+ */
 import { merge, tap } from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import { parseJson } from '../store/calls.js';
@@ -6,9 +10,13 @@
 import type { Random } from '../common/random.js';
 import { follow } from '../store/follow.js';
 import type { FollowEvent } from '../store/follow.js';
+import type { StoreChange } from '../store/versions.js';
 import type { Fleet } from './fleet.js';
+import type { CopyReport } from './freshness.js';
+import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
 import type { RelayConfiguration } from './routes.js';
+import { StoreCopy } from './storecopy.js';
 
 /** Interval of full reads beside the watches, in case a watch answers but misses changes. */
 const POLL_MS = 10_000;
@@ -17,6 +25,11 @@
 /** Entries expire after three heartbeats, so an outage of two may already have lost one. */
 const LAPSE_HEARTBEATS = 2;
 
+export type CopyKind = keyof Snapshot['copies'];
+
+/** Reports of the copies that have been confirmed. */
+export type CopyReports = Readonly<Partial<Record<CopyKind, CopyReport | undefined>>>;
+
 export interface StoreFeedContext {
   readonly platform: Platform;
   readonly fleet: Fleet;
@@ -30,17 +43,15 @@
 export class StoreFeed {
   readonly #context: StoreFeedContext;
 
-  /** When the store last answered for each kind. */
-  readonly #heardAt = new Map<string, number>();
-
-  /** When the outage began for each kind; absent while the store answers. */
-  readonly #lostAt = new Map<string, number>();
+  readonly #configuration: StoreCopy;
 
-  readonly #startedAt: number;
+  readonly #servers: StoreCopy;
 
   private constructor(context: StoreFeedContext) {
+    const { platform } = context;
     this.#context = context;
-    this.#startedAt = context.scheduler.now();
+    this.#configuration = StoreCopy.of({ ...context, kind: platform.configurationKind });
+    this.#servers = StoreCopy.of({ ...context, kind: platform.serverKind });
   }
 
   static of(context: StoreFeedContext): StoreFeed {
@@ -48,23 +59,66 @@
   }
 
   /** Follows both kinds while subscribed. */
-  get run(): Observable<FollowEvent> {
-    const { configurationKind, serverKind } = this.#context.platform;
-    return merge(
-      this.#follow(configurationKind).pipe(tap((event) => this.#onConfigurationEvent(event))),
-      this.#follow(serverKind).pipe(tap((event) => this.#onServerEvent(event))),
+  get run(): Observable<unknown> {
+    const { platform } = this.#context;
+    const configuration = this.#follow(platform.configurationKind, this.#configuration).pipe(
+      tap((event) => {
+        this.#configuration.recordEvent(event);
+        if (event.kind === 'put') this.#onConfigurationChange(event, 'store');
+      }),
+    );
+    const servers = this.#follow(platform.serverKind, this.#servers).pipe(
+      tap((event) => this.#onServerEvent(event)),
     );
+    return merge(configuration, servers);
   }
 
   /** Time since the store last answered, for the kind for which that is longest ago. */
   get silentMs(): number {
-    const { platform, scheduler } = this.#context;
-    const oldest = Math.min(...[platform.configurationKind, platform.serverKind]
-      .map((kind) => this.#heardAt.get(kind) ?? this.#startedAt));
-    return scheduler.now() - oldest;
+    return Math.max(this.#configuration.silentMs, this.#servers.silentMs);
+  }
+
+  /** Version and age of the copy of the servers' entries. */
+  get servers(): { readonly version: number; readonly ageMs: number } {
+    const { versions: { position }, ageMs } = this.#servers;
+    return { version: position, ageMs };
+  }
+
+  /** What other instances are told of the copies. */
+  get reports(): CopyReports {
+    return { configuration: this.#configuration.report, servers: this.#servers.report };
   }
 
-  #follow(kind: string): Observable<FollowEvent> {
+  /** Compares the copies with another instance's; returns whether one is behind that instance's. */
+  compare({ configuration, servers }: CopyReports): boolean {
+    const behind = [
+      configuration && this.#configuration.compare(configuration),
+      servers && this.#servers.compare(servers),
+    ];
+    return behind.includes(true);
+  }
+
+  get snapshot(): Snapshot {
+    return {
+      copies: {
+        configuration: this.#configuration.versions.listing,
+        servers: this.#servers.versions.listing,
+      },
+      renewalMs: this.#context.fleet.renewalMs,
+    };
+  }
+
+  /** Applies what is newer in another instance's snapshot. */
+  adopt({ copies, renewalMs }: Snapshot, from: string): void {
+    const { fleet } = this.#context;
+    fleet.awaitRenewals(renewalMs);
+    this.#configuration.adopt(copies.configuration)
+      .forEach((change) => this.#onConfigurationChange(change, from));
+    this.#servers.adopt(copies.servers).forEach((change) => this.#onServerChange(change, from));
+    if (copies.servers.version > 0) fleet.markLoaded();
+  }
+
+  #follow(kind: string, copy: StoreCopy): Observable<FollowEvent> {
     const { platform, scheduler, random } = this.#context;
     return follow(kind, {
       api: platform.objects,
@@ -73,49 +127,49 @@
       callClass: 'configuration',
       pollMs: POLL_MS,
       maxBackoffMs: MAX_BACKOFF_MS,
-    }).pipe(tap((event) => this.#trackAvailability(kind, event)));
+      seen: copy.versions,
+    });
   }
 
-  #trackAvailability(kind: string, event: FollowEvent): void {
-    const {
-      log, scheduler, heartbeatMs, fleet, platform,
-    } = this.#context;
-    const now = scheduler.now();
-    if (event.kind === 'lost' && !this.#lostAt.has(kind)) {
-      this.#lostAt.set(kind, now);
-      const { code, message } = event.error;
-      log.event('warn', 'store_lost', { kind, code, reason: message });
-    }
-    if (event.kind !== 'heard') return;
-    this.#heardAt.set(kind, now);
-    if (kind === platform.serverKind) fleet.markLoaded();
-    const lostAt = this.#lostAt.get(kind);
-    if (lostAt === undefined) return;
-    this.#lostAt.delete(kind);
-    log.event('info', 'store_regained', { kind, after_ms: Math.round(now - lostAt) });
-    if (kind === platform.serverKind && now - lostAt > heartbeatMs * LAPSE_HEARTBEATS) {
-      fleet.storeRecovered();
-    }
-  }
-
-  #onConfigurationEvent(event: FollowEvent): void {
+  #onConfigurationChange(change: StoreChange, from: string): void {
     const { platform, log, adopt } = this.#context;
-    if (event.kind !== 'put' || event.object.name !== platform.configurationName) return;
-    platform.readConfiguration(parseJson(event.object.value)).match(
-      (configuration) => adopt(configuration, 'store'),
+    if (change.kind !== 'put' || change.object.name !== platform.configurationName) return;
+    platform.readConfiguration(parseJson(change.object.value)).match(
+      (configuration) => adopt(configuration, from),
       (reason) => log.event('error', 'configuration_unreadable', {
-        store_version: event.object.version, reason,
+        store_version: change.object.version, reason,
       }),
     );
   }
 
   #onServerEvent(event: FollowEvent): void {
+    const { fleet, heartbeatMs } = this.#context;
+    const outageMs = this.#servers.recordEvent(event);
+    switch (event.kind) {
+      case 'lost': break;
+      case 'heard':
+        fleet.markLoaded();
+        // While other instances confirmed the copy, the store was up and entries were renewed.
+        if (outageMs !== undefined && outageMs > heartbeatMs * LAPSE_HEARTBEATS) {
+          fleet.awaitRenewals();
+        }
+        break;
+      case 'put':
+      case 'delete':
+        this.#onServerChange(event, 'store');
+        break;
+    }
+  }
+
+  #onServerChange(change: StoreChange, from: string): void {
     const { platform, log, fleet } = this.#context;
-    if (event.kind === 'delete') fleet.remove(event.name);
-    if (event.kind !== 'put') return;
-    const { name, value, version } = event.object;
+    if (change.kind === 'delete') {
+      fleet.remove(change.name);
+      return;
+    }
+    const { name, value, version } = change.object;
     const entry = platform.readServer(name, parseJson(value));
-    if (entry) fleet.upsert(entry, 'store');
+    if (entry) fleet.upsert(entry, from);
     else {
       log.event('warn', 'server_entry_unreadable', { server: name, store_version: version });
       fleet.remove(name);
--- a/src/store/follow.ts
+++ b/src/store/follow.ts
@@ -21,9 +21,12 @@
 const REOPEN_DELAY_MS = 50;
 const JITTER = 0.2;
 
-/** `heard`: the store has answered. `lost`: a call failed and will be retried. */
+/**
+ * `heard`: the store has answered, and with the changes that follow none from before `at` is
+ * missing. `lost`: a call failed and will be retried.
+ */
 export type FollowEvent = | StoreChange
-  | { readonly kind: 'heard' }
+  | { readonly kind: 'heard'; readonly at: number }
   | { readonly kind: 'lost'; readonly error: StoreError };
 
 export interface FollowContext {
@@ -35,6 +38,8 @@
   readonly pollMs?: number;
   /** Upper bound of the retry backoff. */
   readonly maxBackoffMs?: number;
+  /** Changes known already; the caller may admit changes from other sources to it as well. */
+  readonly seen?: SeenVersions;
 }
 
 function isStoreError(error: unknown): error is StoreError {
@@ -50,11 +55,14 @@
   context: FollowContext,
   seen: SeenVersions,
 ): Observable<FollowEvent> {
-  return defer(() => from(context.api.list(prefix, context.callClass))).pipe(
-    mergeMap((listing) => (listing.isErr()
-      ? throwError(() => listing.error)
-      : [{ kind: 'heard' } as const, ...seen.admitListing(listing.value)])),
-  );
+  return defer(() => {
+    const at = context.scheduler.now();
+    return from(context.api.list(prefix, context.callClass)).pipe(
+      mergeMap((listing) => (listing.isErr()
+        ? throwError(() => listing.error)
+        : [{ kind: 'heard', at } as const, ...seen.admitListing(listing.value)])),
+    );
+  });
 }
 
 /** Consecutive watches, each of which resumes at the version that the previous one reached. */
@@ -69,7 +77,7 @@
   return defer(() => api.watch(prefix, seen.position, callClass)).pipe(
     takeUntil(defer(() => timer(random.jitter(MAX_WATCH_MS, JITTER), scheduler))),
     mergeMap((event): FollowEvent[] => (event.kind === 'opened'
-      ? [{ kind: 'heard' }]
+      ? [{ kind: 'heard', at: scheduler.now() }]
       : seen.admit(event))),
     catchError((error: unknown) => (asStoreError(error).code === 'version_too_old'
       ? read(prefix, context, seen)
@@ -118,7 +126,7 @@
  */
 export function follow(prefix: string, context: FollowContext): Observable<FollowEvent> {
   return defer(() => {
-    const seen = SeenVersions.of();
+    const { seen = SeenVersions.of() } = context;
     return concat(
       withRetries(read(prefix, context, seen), context),
       merge(
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -86,6 +86,8 @@
   readonly configuration?: RelayConfiguration | undefined;
   /** A relay whose peer this one becomes; each has a store of its own. */
   readonly peer?: Relay;
+  /** Whether the store is down at first. */
+  readonly outage?: boolean;
 }
 
 /** Where a relay's daemon listens, and which peer it starts with. */
@@ -213,6 +215,7 @@
 
   static async of(t: ExecutionContext, fixture: RelayFixture = {}): Promise<Relay> {
     const objects = MemoryObjects.of(monotonicScheduler, Random.of(3));
+    objects.setFaults({ outage: fixture.outage ?? false });
     const engines = await RelayEngine.fleet(fixture.engines ?? []);
     const plain = await RelayEngine.fleet(fixture.plain ?? []);
     const relay = new Relay(objects, engines, plain, await endpointOf(fixture.peer));
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -315,6 +315,7 @@
   const bytes = encodeMessage({
     ip: '10.0.0.1',
     configuration: 3,
+    copies: {},
     loads: {},
     gone: ids.map((id) => [id, 1]),
     suspect: ids.map((id) => [id, 1]),
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -26,10 +26,12 @@
       onLeaving: () => undefined,
       onSuccessor: () => undefined,
       onSuspect: () => undefined,
-      onConfiguration: () => undefined,
+      onCopies: () => undefined,
       onInstanceCount,
     },
-    localState: () => ({ configuration: 3, servers: [], successors: [] }),
+    localState: () => ({
+      configuration: 3, copies: {}, servers: [], successors: [],
+    }),
   };
 }
 
--- a/test/relay-snapshot.test.ts
+++ b/test/relay-snapshot.test.ts
@@ -49,9 +49,10 @@
 test('a server taken from a snapshot is dropped once the store is read without it', async (t) => {
   const { first, second } = await twoInstances(t);
   second.stop();
-  const third = await Relay.of(t, { peer: first, configuration: undefined });
+  const third = await Relay.of(t, { peer: first, configuration: undefined, outage: true });
   t.true(await eventually(async () => await serversUp(third) === '1'));
-  await third.configure(VERSION_2);
-  await third.objects.put('server/e9', '{}', { kind: 'absent' }, 'status');
+  third.objects.setFaults({ outage: false });
+  await third.configure(relayConfiguration());
+  await third.objects.put('other', '', { kind: 'absent' }, 'status');
   t.true(await eventually(async () => await serversUp(third) === '0'));
 });
