Read the store when nothing has confirmed a copy of it for too long

A watch that goes silent without an error (a connection that hangs, a machine cut off for a while) was noticed after 3.5 s and renewed up to 0.4 s later, against 2 s in which a leaving server or a new configuration has to be known; a watch that answers but misses changes after 8 to 12 s.

Each copy of the store's objects now has an age: time since the store answered, or since another instance without newer changes was confirmed, as it reports. At a quarter of the bound that the settings name, plus up to half as much, so that instances don't read at once, the store is listed over a connection of its own; a kept one may be the one that hangs. With fresh copies around nothing is read. While none is fresh, servers and configuration last known stay in use, as before. Entries that lapsed are awaited after an outage only if no other instance heard the store in the meantime.

The age and version of the servers' copy stand in every route line and as a gauge, each such read is logged.

The two tests of a silent watch failed before (a leaving server and a new configuration unknown after 2 s) and pass now, under virtual time; the one of the connections is seen by the number of ports. Not measured on a deployment yet.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -125,7 +125,7 @@
       service: service.name,
       server: chosen.server.entry.id,
       zone: chosen.server.entry.zone,
-      ...listingFields(chosen.server, now),
+      ...listingFields(chosen.server, this.#context),
       running: chosen.load.running,
       mean_ms: Math.round(chosen.server.meanDurationMs),
       heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -19,6 +19,8 @@
   readonly meter: Meter;
   readonly dialect: Dialect;
   readonly fleet: Fleet;
+  /** Version and age of this instance's copy of the servers' entries. */
+  readonly serverCopy: () => { readonly version: number; readonly ageMs: number };
   readonly connections: Connections;
   readonly retries: RetryWindows;
   readonly retrySchedules: RetrySchedules;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -105,6 +105,7 @@
       log,
       dialect: context.platform.dialect,
       fleet: this.#fleet,
+      serverCopy: () => this.#storeFeed.serverCopy,
       connections: this.#connections,
       retries: this.#retries,
       retrySchedules: RetrySchedules.of(),
@@ -171,6 +172,8 @@
       random,
       log,
       heartbeatMs: settings.heartbeatMs,
+      configurationDelayMs: settings.configurationDelayMs,
+      leavingDelayMs: settings.leavingDelayMs,
       adopt: (configuration, from) => this.#applyConfiguration(configuration, from),
     });
   }
@@ -267,6 +270,7 @@
       openAnswers: () => this.drain.open,
       peers: () => this.#peers.alive.length,
       storeSilentMs: () => this.#storeFeed.silentMs,
+      serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
     };
   }
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -27,6 +27,8 @@
   readonly peers: () => number;
   /** Milliseconds since the store last answered. */
   readonly storeSilentMs: () => number;
+  /** Milliseconds since the copy of the servers' entries was last confirmed. */
+  readonly serverCopyAgeMs: () => number;
   /** Retries that this instance may still send, for the service with the fewest left. */
   readonly retriesLeft: () => number;
 }
@@ -104,6 +106,8 @@
     this.#gauge('peers', 'Other instances heard of lately', gauges.peers);
     this.#gauge('store_silent_seconds', 'Since the store last answered', () => (
       gauges.storeSilentMs() / MILLISECONDS_PER_SECOND));
+    this.#gauge('server_copy_age_seconds', 'Since the servers\' entries were confirmed', () => (
+      gauges.serverCopyAgeMs() / MILLISECONDS_PER_SECOND));
     this.#gauge('retries_left', 'Retries that may still be sent now', gauges.retriesLeft);
     this.#gauge('log_lines_left_out', 'Lines left out for a slow reader', gauges.droppedLogLines);
   }
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -13,9 +13,18 @@
   return at === 0 ? undefined : Math.round(scheduler.now() - at);
 }
 
-/** Where a server's entry came from, and how old it is. */
-export function listingFields({ listed }: ServerState, now: number): LogFields {
-  return { listed_from: listed.from, listed_ms_ago: Math.round(now - listed.at) };
+/** Where a server's entry came from and when, and how old the copy of all entries is. */
+export function listingFields(
+  { listed }: ServerState,
+  { scheduler, serverCopy }: RelayContext,
+): LogFields {
+  const { version, ageMs } = serverCopy();
+  return {
+    listed_from: listed.from,
+    listed_ms_ago: Math.round(scheduler.now() - listed.at),
+    servers_version: version,
+    servers_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+  };
 }
 
 /** The inputs to the choice of an engine. */
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -18,6 +18,10 @@
   readonly heartbeatMs: number;
   /** How long after a server has ended no other service can be given its address. */
   readonly reuseAfterMs: number;
+  /** A server that leaves has to get no new requests after this time. */
+  readonly leavingDelayMs: number;
+  /** A change of the configuration has to be in force after this time. */
+  readonly configurationDelayMs: number;
   /** How long a graceful shutdown may take before the process is killed. */
   readonly stopMs: number;
   /** The fleet's retry budget per window: `retryRatio` times the requests, plus `retrySlack`. */
--- a/src/relay/storecopy.ts
+++ b/src/relay/storecopy.ts
@@ -1,9 +1,12 @@
 /**
  * This instance's copy of one kind of objects in the store: the objects with their versions,
- * whether the store answers, and how current the copy is.
+ * whether the store answers, and how current the copy is. A watch can stay silent without an error,
+ * so the copy asks for a read of the store when nothing has confirmed it for too long.
  */
+import { Subject } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
 import type { FollowEvent } from '../store/follow.js';
 import type { Listing } from '../store/objects.js';
 import { SeenVersions } from '../store/versions.js';
@@ -13,15 +16,25 @@
 } from './freshness.js';
 import type { CopyReport } from './freshness.js';
 
+/** Age at which the store is read, as a share of the bound; the rest is for a read that fails. */
+const READ_AGE_SHARE = 0.25;
+/** Spreads the reads, since the first one confirms the copies of all instances. */
+const READ_AGE_SPREAD = 0.5;
+
 export interface StoreCopyContext {
   readonly kind: string;
+  /** Changes have to be in the copy within this time. */
+  readonly maxAgeMs: number;
   readonly scheduler: SchedulerLike;
+  readonly random: Random;
   readonly log: Log;
 }
 
 export class StoreCopy {
   readonly #context: StoreCopyContext;
 
+  readonly #reads = new Subject<void>();
+
   readonly versions = SeenVersions.of();
 
   #freshness = NEVER_CONFIRMED;
@@ -32,15 +45,27 @@
   /** When the store's outage began; undefined while it answers. */
   #lostAt: number | undefined;
 
+  /** When a call to the store last ended or was requested. */
+  #triedAt: number;
+
+  #readAgeMs: number;
+
   private constructor(context: StoreCopyContext) {
     this.#context = context;
     this.#heardAt = this.#now();
+    this.#triedAt = this.#heardAt;
+    this.#readAgeMs = this.#nextReadAgeMs();
   }
 
   static of(context: StoreCopyContext): StoreCopy {
     return new StoreCopy(context);
   }
 
+  /** Emits when the store has to be read. */
+  get reads(): Subject<void> {
+    return this.#reads;
+  }
+
   /** Time since the store last answered. */
   get silentMs(): number {
     return this.#now() - this.#heardAt;
@@ -79,6 +104,7 @@
     const { kind, log } = this.#context;
     const now = this.#now();
     if (event.kind === 'lost') {
+      this.#triedAt = now;
       if (this.#lostAt !== undefined) return undefined;
       this.#lostAt = now;
       const { code, message } = event.error;
@@ -87,6 +113,7 @@
     if (event.kind !== 'heard') return undefined;
     const { ageMs } = this;
     const lostAt = this.#lostAt;
+    this.#triedAt = now;
     this.#heardAt = now;
     this.#lostAt = undefined;
     this.#freshness = withConfirmation(this.#freshness, event.at);
@@ -95,6 +122,28 @@
     return Math.min(ageMs, now - lostAt);
   }
 
+  /** Requests a read of the store if nothing has confirmed the copy for too long. */
+  checkAge(): void {
+    const { kind, log } = this.#context;
+    const now = this.#now();
+    const since = Math.max(this.#freshness.confirmedAt, this.#triedAt);
+    if (now - since < this.#readAgeMs) return;
+    this.#triedAt = now;
+    this.#readAgeMs = this.#nextReadAgeMs();
+    const { ageMs } = this;
+    log.event('info', 'store_read', {
+      kind,
+      version: this.versions.position,
+      age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    });
+    this.#reads.next();
+  }
+
+  #nextReadAgeMs(): number {
+    const { maxAgeMs, random } = this.#context;
+    return maxAgeMs * READ_AGE_SHARE * (1 + READ_AGE_SPREAD * random.fraction());
+  }
+
   #now(): number {
     return this.#context.scheduler.now();
   }
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -3,7 +3,7 @@
  * from another instance's copy; its objects are admitted by their versions like those from the
  * store, so that an older copy can't bring back what was changed or removed.
  */
-import { merge, tap } from 'rxjs';
+import { interval, merge, tap } from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import { parseJson } from '../store/calls.js';
 import type { Log } from '../common/log.js';
@@ -24,6 +24,8 @@
 const MAX_BACKOFF_MS = 400;
 /** Entries expire after three heartbeats, so an outage of two may already have lost one. */
 const LAPSE_HEARTBEATS = 2;
+/** How often the copies' ages are checked. */
+const AGE_CHECK_MS = 100;
 
 export type CopyKind = keyof Snapshot['copies'];
 
@@ -37,6 +39,10 @@
   readonly random: Random;
   readonly log: Log;
   readonly heartbeatMs: number;
+  /** Changes of the configuration have to apply within this time. */
+  readonly configurationDelayMs: number;
+  /** A server that leaves has to be known within this time. */
+  readonly leavingDelayMs: number;
   readonly adopt: (configuration: RelayConfiguration, from: string) => void;
 }
 
@@ -48,10 +54,14 @@
   readonly #servers: StoreCopy;
 
   private constructor(context: StoreFeedContext) {
-    const { platform } = context;
+    const { platform, configurationDelayMs, leavingDelayMs } = context;
     this.#context = context;
-    this.#configuration = StoreCopy.of({ ...context, kind: platform.configurationKind });
-    this.#servers = StoreCopy.of({ ...context, kind: platform.serverKind });
+    this.#configuration = StoreCopy.of({
+      ...context, kind: platform.configurationKind, maxAgeMs: configurationDelayMs,
+    });
+    this.#servers = StoreCopy.of({
+      ...context, kind: platform.serverKind, maxAgeMs: leavingDelayMs,
+    });
   }
 
   static of(context: StoreFeedContext): StoreFeed {
@@ -60,7 +70,7 @@
 
   /** Follows both kinds while subscribed. */
   get run(): Observable<unknown> {
-    const { platform } = this.#context;
+    const { platform, scheduler } = this.#context;
     const configuration = this.#follow(platform.configurationKind, this.#configuration).pipe(
       tap((event) => {
         this.#configuration.recordEvent(event);
@@ -70,7 +80,11 @@
     const servers = this.#follow(platform.serverKind, this.#servers).pipe(
       tap((event) => this.#onServerEvent(event)),
     );
-    return merge(configuration, servers);
+    const ages = interval(AGE_CHECK_MS, scheduler).pipe(tap(() => {
+      this.#configuration.checkAge();
+      this.#servers.checkAge();
+    }));
+    return merge(configuration, servers, ages);
   }
 
   /** Time since the store last answered, for the kind for which that is longest ago. */
@@ -79,7 +93,7 @@
   }
 
   /** Version and age of the copy of the servers' entries. */
-  get servers(): { readonly version: number; readonly ageMs: number } {
+  get serverCopy(): { readonly version: number; readonly ageMs: number } {
     const { versions: { position }, ageMs } = this.#servers;
     return { version: position, ageMs };
   }
@@ -128,6 +142,7 @@
       pollMs: POLL_MS,
       maxBackoffMs: MAX_BACKOFF_MS,
       seen: copy.versions,
+      reads: copy.reads,
     });
   }
 
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -204,7 +204,7 @@
     };
     log.event('info', 'route', {
       ...routeFields(this.#call, this.#plan, chosen),
-      ...listingFields(chosen.server, this.#context.scheduler.now()),
+      ...listingFields(chosen.server, this.#context),
       attempt: this.#state.attempts + 1,
       held_tokens: this.#cachedTokens(chosen.server.entry.id),
       heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
--- a/src/store/calls.ts
+++ b/src/store/calls.ts
@@ -67,7 +67,7 @@
 
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
 
-  readonly #watchAgent = new Agent({ keepAlive: false });
+  readonly #ownAgent = new Agent({ keepAlive: false });
 
   private constructor(address: string, scheduler: SchedulerLike) {
     this.#address = parseHostPort(address);
@@ -82,19 +82,26 @@
   /** Closes the connections. */
   close(): void {
     this.#agent.destroy();
-    this.#watchAgent.destroy();
+    this.#ownAgent.destroy();
   }
 
   /** Opens a request on its own connection, for streamed answers; the caller must end it. */
   open(call: Call): ClientRequest {
-    return this.#request(call, this.#watchAgent);
+    return this.#request(call, this.#ownAgent);
   }
 
-  /** @param deadlineMs limit on the time from sending the call to the end of its answer */
-  send(call: Call, deadlineMs: number): Promise<Result<Answer, Failure>> {
+  /**
+   * @param deadlineMs limit on the time from sending the call to the end of its answer
+   * @param connection `own` avoids kept connections, which may have gone silent
+   */
+  send(
+    call: Call,
+    deadlineMs: number,
+    connection: 'kept' | 'own' = 'kept',
+  ): Promise<Result<Answer, Failure>> {
     return new Promise((resolve) => {
       let sent = false;
-      const request = this.#request(call, this.#agent);
+      const request = this.#request(call, connection === 'kept' ? this.#agent : this.#ownAgent);
       const fail = (message: string) => resolve(err({ sent, message }));
       const deadline = timer(deadlineMs, this.#scheduler).subscribe(() => {
         fail(`no answer within ${deadlineMs} ms`);
--- a/src/store/follow.ts
+++ b/src/store/follow.ts
@@ -5,8 +5,8 @@
  * periodically, and a slow poll lists the objects as well.
  */
 import {
-  catchError, concat, defer, from, merge, mergeMap, Observable, repeat, retry, takeUntil, tap,
-  throwError, timer,
+  catchError, concat, defer, EMPTY, exhaustMap, from, merge, mergeMap, Observable, of, repeat,
+  retry, takeUntil, tap, throwError, timer,
 } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Random } from '../common/random.js';
@@ -40,6 +40,8 @@
   readonly maxBackoffMs?: number;
   /** Changes known already; the caller may admit changes from other sources to it as well. */
   readonly seen?: SeenVersions;
+  /** Emits when the objects have to be read at once. */
+  readonly reads?: Observable<unknown>;
 }
 
 function isStoreError(error: unknown): error is StoreError {
@@ -100,6 +102,18 @@
   );
 }
 
+/** Reads the objects on request; requests during a read are dropped. */
+function requestedReads(
+  prefix: string,
+  context: FollowContext,
+  seen: SeenVersions,
+): Observable<FollowEvent> {
+  const { reads = EMPTY } = context;
+  return reads.pipe(exhaustMap(() => read(prefix, context, seen).pipe(
+    catchError((error: unknown) => of({ kind: 'lost', error: asStoreError(error) } as const)),
+  )));
+}
+
 /** Resubscribes to `source` with backoff whenever it errors, and emits each error as `lost`. */
 function withRetries(
   source: Observable<FollowEvent>,
@@ -127,11 +141,14 @@
 export function follow(prefix: string, context: FollowContext): Observable<FollowEvent> {
   return defer(() => {
     const { seen = SeenVersions.of() } = context;
-    return concat(
-      withRetries(read(prefix, context, seen), context),
-      merge(
-        withRetries(watches(prefix, context, seen), context),
-        withRetries(polls(prefix, context, seen), context),
+    return merge(
+      requestedReads(prefix, context, seen),
+      concat(
+        withRetries(read(prefix, context, seen), context),
+        merge(
+          withRetries(watches(prefix, context, seen), context),
+          withRetries(polls(prefix, context, seen), context),
+        ),
       ),
     );
   });
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -127,7 +127,7 @@
 }
 
 /** Reads objects by the names that they have within their kind, as platforms with kinds do. */
-function readerOf(objects: MemoryObjects): ObjectReader {
+export function readerOf(objects: MemoryObjects): ObjectReader {
   const shorten = (object: StoredObject) => ({ ...object, name: withoutPrefix(object.name) });
   return {
     list: async (kind, callClass) => (await objects.list(kind, callClass))
@@ -183,6 +183,8 @@
         store: '127.0.0.1:1',
         heartbeatMs: 1_000,
         reuseAfterMs: 2_000,
+        leavingDelayMs: 2_000,
+        configurationDelayMs: 2_000,
         stopMs: 5_000,
         retryRatio: 1,
         retryWindowMs: 10_000,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -174,7 +174,9 @@
 
 async function store(t: ExecutionContext, answers: readonly (readonly [number, unknown])[]) {
   const requests: string[] = [];
+  const ports = new Set<number | undefined>();
   const server = createServer((req, res) => {
+    ports.add(req.socket.remotePort);
     const [status, body] = answers[requests.length] ?? [500, {}];
     requests.push(req.url ?? '');
     res.writeHead(status).end(JSON.stringify(body));
@@ -190,6 +192,7 @@
   const log = new RecordedLog();
   return {
     requests,
+    ports,
     log,
     reader: PlatformStore.of(`127.0.0.1:${port}`, monotonicScheduler, log),
   };
@@ -215,6 +218,17 @@
   t.like(log.of('store_object_unreadable'), [{ kind: 'servers' }]);
 });
 
+test('store: a listing does not use a kept connection, which may be silent', async (t) => {
+  const page: [number, unknown] = [200, { Items: [], CurrentRev: 9 }];
+  const { ports, reader } = await store(t, [[200, { CurrentRev: 9 }], [404, {}], page, page]);
+  const watch = firstValueFrom(reader.watch('servers', 9).pipe(toArray()));
+  t.like(await watch.catch((error: unknown) => error), { code: 'not_found' });
+  t.is(ports.size, 1);
+  await reader.list('servers');
+  await reader.list('servers');
+  t.is(ports.size, 3);
+});
+
 test('store: a watch continues at the revision of the last call', async (t) => {
   const { requests, reader } = await store(t, [
     [200, { events: [{ Object: item('a', 10) }], CurrentRev: 12 }],
--- /dev/null
+++ b/test/relay-storefeed.test.ts
@@ -0,0 +1,137 @@
+/** How long the relay goes by what it last heard of the store. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { ok } from 'neverthrow';
+import { silentLog } from '../src/common/log.js';
+import { Random } from '../src/common/random.js';
+import { Connections } from '../src/relay/connections.js';
+import { Fleet } from '../src/relay/fleet.js';
+import { Meter } from '../src/relay/meter.js';
+import type { RelayConfiguration } from '../src/relay/routes.js';
+import type { ServerEntry } from '../src/relay/serverentry.js';
+import { StoreFeed } from '../src/relay/storefeed.js';
+import { expectOk, memoryObjects } from './fakes/objects.js';
+import { readerOf, relayConfiguration } from './fakes/relay.js';
+import { testDialect } from './fakes/relaydialect.js';
+
+const BOUND_MS = 2_000;
+const ENTRY: ServerEntry = {
+  id: 'e1',
+  service: 's',
+  address: '1.2.3.4:5',
+  zone: 'a',
+  state: 'ready',
+  slots: 4,
+  startedAt: 1,
+  weights: 1,
+};
+
+async function startFeed(t: ExecutionContext) {
+  const { clock, objects } = memoryObjects();
+  const common = { scheduler: clock, random: Random.of(1), log: silentLog };
+  const fleet = Fleet.of({
+    ...common,
+    connections: Connections.of(Meter.of()),
+    dialect: testDialect,
+    healthPath: () => undefined,
+    reuseAfterMs: 0,
+    peerLoads: () => [],
+    onUrgentChange: () => undefined,
+  });
+  const versions: number[] = [];
+  const feed = StoreFeed.of({
+    ...common,
+    fleet,
+    platform: {
+      objects: readerOf(objects),
+      dialect: testDialect,
+      cacheQuery: { target: '/', read: () => new Map() },
+      configurationKind: 'configuration',
+      configurationName: 'configuration',
+      serverKind: 'server/',
+      readConfiguration: (value) => ok(value as RelayConfiguration),
+      readServer: (id, value) => ({ ...value as ServerEntry, id }),
+    },
+    heartbeatMs: 1_000,
+    configurationDelayMs: BOUND_MS,
+    leavingDelayMs: BOUND_MS,
+    adopt: ({ version }) => versions.push(version),
+  });
+  const put = async (name: string, value: unknown) => {
+    const before = await objects.get(name, 'status');
+    const expected = before.isOk()
+      ? { kind: 'version', version: before.value.version } as const
+      : { kind: 'absent' } as const;
+    expectOk(await objects.put(name, JSON.stringify(value), expected, 'status'));
+  };
+  await put('server/e1', ENTRY);
+  await put('configuration', relayConfiguration());
+  const running = feed.run.subscribe();
+  t.teardown(() => running.unsubscribe());
+  await clock.advance(1_000);
+  t.is(fleet.server('e1')?.entry.state, 'ready');
+  return {
+    clock, objects, fleet, feed, put, versions,
+  };
+}
+
+test('a server that leaves is known within the bound while the watch is silent', async (t) => {
+  const {
+    clock, objects, fleet, put,
+  } = await startFeed(t);
+  objects.setFaults({ silentWatches: true });
+  await put('server/e1', { ...ENTRY, state: 'leaving' });
+  await clock.advance(BOUND_MS);
+  t.is(fleet.server('e1')?.entry.state, 'leaving');
+});
+
+test('a configuration is in force within the bound while the watch is silent', async (t) => {
+  const {
+    clock, objects, put, versions,
+  } = await startFeed(t);
+  objects.setFaults({ silentWatches: true });
+  await put('configuration', relayConfiguration({ version: 2 }));
+  await clock.advance(BOUND_MS);
+  t.deepEqual(versions, [1, 2]);
+});
+
+test('the store is not read again while other instances confirm the copies', async (t) => {
+  const { clock, objects, feed } = await startFeed(t);
+  const before = objects.counts().reads;
+  for (let round = 0; round < 20; round += 1) {
+    feed.compare({
+      configuration: { newestChange: 2, ageMs: 50 }, servers: { newestChange: 1, ageMs: 50 },
+    });
+    await clock.advance(300); // eslint-disable-line no-await-in-loop -- one report after another
+  }
+  t.is(objects.counts().reads, before);
+});
+
+test('servers unknown to the store stay usable while it is down, and no longer', async (t) => {
+  const { clock, objects, fleet } = await startFeed(t);
+  const { version } = expectOk(await objects.get('server/e1', 'status'));
+  objects.setFaults({ outage: true });
+  await clock.advance(60_000);
+  t.is(fleet.server('e1')?.expiresAt, undefined);
+  objects.setFaults({ outage: false });
+  expectOk(await objects.remove('server/e1', version, 'status'));
+  await clock.advance(1_000);
+  const expiresAt = fleet.server('e1')?.expiresAt ?? 0;
+  t.true(expiresAt > clock.now() && expiresAt <= clock.now() + 2_000);
+});
+
+test('a removal is applied at once if other instances heard the store all the time', async (t) => {
+  const {
+    clock, objects, fleet, feed,
+  } = await startFeed(t);
+  const { version } = expectOk(await objects.get('server/e1', 'status'));
+  objects.setFaults({ outage: true });
+  for (let round = 0; round < 20; round += 1) {
+    feed.compare({ servers: { newestChange: 1, ageMs: 50 } });
+    await clock.advance(300); // eslint-disable-line no-await-in-loop -- one report after another
+  }
+  objects.setFaults({ outage: false });
+  expectOk(await objects.remove('server/e1', version, 'status'));
+  await clock.advance(1_000);
+  t.true((fleet.server('e1')?.expiresAt ?? 0) <= clock.now());
+});
