Tell other instances of every leaving or suspect server, not always the same ones

Callers have not been seen to suffer from this; it was found on the way of the leaving engine. A message between instances lists at most 16 servers that leave, always the last of the sender's table, and where it grows over 1,400 bytes the first halves of all lists are left out.

Each list now starts at a random place, so that all of it is told in some messages, and a message names 12 other instances at most, which spread as well from many senders.

Not measured on a deployment yet.

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -197,6 +197,7 @@
       port: settings.peerPort,
       seeds: settings.seeds,
       scheduler,
+      random: this.#context.random,
       log,
       listener: {
         onLeaving: (id, startedAt, from) => this.#fleet.markLeaving(id, startedAt, from),
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -57,7 +57,7 @@
   };
 }
 
-/** Encodes a message; the oldest entries of its lists are dropped until it fits. */
+/** Encodes a message; the first halves of its lists are dropped until it fits. */
 export function encodeMessage(message: PeerMessage): Buffer {
   let bytes = Buffer.from(JSON.stringify(message));
   let {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -6,6 +6,7 @@
 } from 'rxjs';
 import type { SchedulerLike, Subscription } from 'rxjs';
 import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
 import {
   decodeLoad, decodeMessage, encodeLoad, encodeMessage,
 } from './peermessage.js';
@@ -24,6 +25,8 @@
 const PEER_EVICTION_MS = 30_000;
 /** Maximum number of entries in each list of servers in a message. */
 const MAX_LISTED = 16;
+/** Maximum number of peers in a message. */
+const MAX_PEERS_LISTED = 12;
 
 interface Peer {
   readonly heardAt: number;
@@ -48,6 +51,7 @@
   readonly port: number;
   readonly seeds: readonly string[];
   readonly scheduler: SchedulerLike;
+  readonly random: Random;
   readonly log: Log;
   readonly listener: PeerListener;
   /** The state of this instance that its messages carry. */
@@ -59,6 +63,20 @@
   };
 }
 
+/**
+ * Up to `count` consecutive items from a random start, so that a list that is too long for one
+ * message is told whole in some of them.
+ */
+function randomWindow<Item>(
+  items: readonly Item[],
+  count: number,
+  random: Random,
+): readonly Item[] {
+  if (items.length <= count) return items;
+  const start = random.integer(0, items.length - 1);
+  return [...items.slice(start), ...items.slice(0, start)].slice(0, count);
+}
+
 export class Peers {
   readonly #context: PeersContext;
 
@@ -126,7 +144,7 @@
   });
 
   #message(): PeerMessage {
-    const { ip, localState } = this.#context;
+    const { ip, localState, random } = this.#context;
     const {
       configuration, copies, servers, successors,
     } = localState();
@@ -140,10 +158,13 @@
       configuration,
       copies,
       loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
-      gone: leaving.slice(-MAX_LISTED).map(({ entry }) => [entry.id, entry.startedAt]),
-      suspect: suspect.slice(-MAX_LISTED).map(({ entry }) => [entry.id, entry.startedAt]),
-      successors: successors.slice(-MAX_LISTED).map(([previousId, id]) => [previousId, id]),
-      peers: [ip, ...this.alive],
+      gone: randomWindow(leaving, MAX_LISTED, random)
+        .map(({ entry }) => [entry.id, entry.startedAt]),
+      suspect: randomWindow(suspect, MAX_LISTED, random)
+        .map(({ entry }) => [entry.id, entry.startedAt]),
+      successors: randomWindow(successors, MAX_LISTED, random)
+        .map(([previousId, id]) => [previousId, id]),
+      peers: [ip, ...randomWindow(this.alive, MAX_PEERS_LISTED, random)],
     };
   }
 
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -1,8 +1,10 @@
 /** Two instances exchange messages over loopback. */
 import test from 'ava';
+import { Random } from '../src/common/random.js';
 import { monotonicScheduler } from '../src/common/time.js';
 import { Peers } from '../src/relay/peers.js';
 import type { PeersContext } from '../src/relay/peers.js';
+import { serverState } from '../src/relay/serverstate.js';
 import { eventually } from './fakes/eventually.js';
 import { freePort } from './fakes/freeport.js';
 import { RecordedLog } from './fakes/recordedlog.js';
@@ -15,12 +17,14 @@
   port: number,
   log: RecordedLog,
   onInstanceCount: (count: number) => void,
+  change: Partial<PeersContext> = {},
 ): PeersContext {
   return {
     ip,
     port,
     seeds: [FIRST],
     scheduler: monotonicScheduler,
+    random: Random.of(1),
     log,
     listener: {
       onLeaving: () => undefined,
@@ -32,6 +36,7 @@
     localState: () => ({
       configuration: 3, copies: {}, servers: [], successors: [],
     }),
+    ...change,
   };
 }
 
@@ -56,3 +61,31 @@
   t.true(await eventually(() => instanceCount === 2));
   t.is(log.of('peer_reached').length, 2);
 });
+
+test('more leaving servers than fit in a message are all told', async (t) => {
+  const port = await freePort();
+  const servers = Array.from({ length: 60 }, (_, index) => serverState({
+    id: `server-${index}`,
+    service: 's',
+    address: '1.2.3.4:5',
+    zone: 'a',
+    state: 'leaving',
+    slots: 4,
+    startedAt: 1,
+    weights: 1,
+  }));
+  const told = new Set<string>();
+  const first = contextOf(FIRST, port, new RecordedLog(), () => undefined);
+  const second = contextOf(SECOND, port, new RecordedLog(), () => undefined, {
+    localState: () => ({
+      configuration: 3, copies: {}, servers, successors: [],
+    }),
+  });
+  const running = Peers.of({
+    ...first, listener: { ...first.listener, onLeaving: (id) => told.add(id) },
+  }).run.subscribe();
+  t.teardown(() => running.unsubscribe());
+  const other = Peers.of(second).run.subscribe();
+  t.teardown(() => other.unsubscribe());
+  t.true(await eventually(() => told.size === servers.length));
+});
