Remove servers that were found by a health check and never register

Callers have not been seen to suffer from this; it was found while looking through what an instance learns from servers and peers. A server that restarts under a new name while the store is away is found by its health check and told to the other instances. Nothing bounded that knowledge: if its entry came and went unseen, or never came, the server stayed in use for as long as it accepted connections.

Such a server is removed 2 s after it was found if the copy of the store's entries is current, the store has answered for 2 s, and it isn't listed there. While the store is away it stays in use, as before. Not measured on a deployment yet.

--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -20,8 +20,8 @@
 import { ZoneFailures } from './zonefailures.js';
 
 const SWEEP_MS = 500;
-/** Entries that expired during an outage of the store are renewed within this time after it. */
-const REREGISTRATION_MS = 2_000;
+/** Servers that live register within this time, also after an outage of the store. */
+export const REGISTRATION_MS = 2_000;
 
 export class Fleet {
   readonly #context: FleetContext;
@@ -165,7 +165,7 @@
   }
 
   /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
-  awaitRenewals(ms = REREGISTRATION_MS): void {
+  awaitRenewals(ms = REGISTRATION_MS): void {
     this.#graceUntil = Math.max(this.#graceUntil, this.#now() + ms);
   }
 
--- a/src/relay/storecopy.ts
+++ b/src/relay/storecopy.ts
@@ -45,6 +45,9 @@
   /** When the store's outage began; undefined while it answers. */
   #lostAt: number | undefined;
 
+  /** When the last outage ended. */
+  #regainedAt = -Infinity;
+
   /** When a call to the store last ended or was requested. */
   #triedAt: number;
 
@@ -76,6 +79,11 @@
     return this.#now() - this.#freshness.confirmedAt;
   }
 
+  /** Time since the end of the last outage; 0 during one. */
+  get steadyMs(): number {
+    return this.#lostAt === undefined ? this.#now() - this.#regainedAt : 0;
+  }
+
   /** What other instances are told; undefined until the copy has been confirmed. */
   get report(): CopyReport | undefined {
     const { ageMs, versions: { newestChange } } = this;
@@ -118,6 +126,7 @@
     this.#lostAt = undefined;
     this.#freshness = withConfirmation(this.#freshness, event.at);
     if (lostAt === undefined) return undefined;
+    this.#regainedAt = now;
     log.event('info', 'store_regained', { kind, after_ms: Math.round(now - lostAt) });
     return Math.min(ageMs, now - lostAt);
   }
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -11,6 +11,7 @@
 import { follow } from '../store/follow.js';
 import type { FollowEvent } from '../store/follow.js';
 import type { StoreChange } from '../store/versions.js';
+import { REGISTRATION_MS } from './fleet.js';
 import type { Fleet } from './fleet.js';
 import type { CopyReport } from './freshness.js';
 import type { Snapshot } from './peersnapshot.js';
@@ -83,6 +84,7 @@
     const ages = interval(AGE_CHECK_MS, scheduler).pipe(tap(() => {
       this.#configuration.checkAge();
       this.#servers.checkAge();
+      this.#removeUnlisted();
     }));
     return merge(configuration, servers, ages);
   }
@@ -176,6 +178,16 @@
     }
   }
 
+  /** Removes servers that were found without the store and have not registered there since. */
+  #removeUnlisted(): void {
+    const { fleet, scheduler, leavingDelayMs } = this.#context;
+    const { versions, ageMs, steadyMs } = this.#servers;
+    if (ageMs > leavingDelayMs || steadyMs < REGISTRATION_MS) return;
+    const before = scheduler.now() - REGISTRATION_MS - ageMs;
+    fleet.servers.filter(({ entry, listed }) => !versions.has(entry.id) && listed.at < before)
+      .forEach(({ entry }) => fleet.remove(entry.id));
+  }
+
   #onServerChange(change: StoreChange, from: string): void {
     const { platform, log, fleet } = this.#context;
     if (change.kind === 'delete') {
--- a/src/store/versions.ts
+++ b/src/store/versions.ts
@@ -41,6 +41,11 @@
     return { version: this.#position, objects };
   }
 
+  /** Whether the object exists, as far as the changes admitted tell. */
+  has(name: string): boolean {
+    return this.#seen.get(name)?.object !== undefined;
+  }
+
   /** Returns the change if it is newer than the last one of its object, otherwise nothing. */
   admit(change: StoreChange): StoreChange[] {
     const admitted = this.#admit(change);
--- a/test/relay-storefeed.test.ts
+++ b/test/relay-storefeed.test.ts
@@ -135,3 +135,21 @@
   await clock.advance(1_000);
   t.true((fleet.server('e1')?.expiresAt ?? 0) <= clock.now());
 });
+
+test('a server found without the store is removed unless it registers there', async (t) => {
+  const {
+    clock, objects, fleet, put,
+  } = await startFeed(t);
+  objects.setFaults({ outage: true });
+  fleet.upsert({ ...ENTRY, id: 'e2', address: '1.2.3.4:6' }, 'health');
+  fleet.upsert({ ...ENTRY, id: 'e3', address: '1.2.3.4:7' }, 'health');
+  await clock.advance(10_000);
+  t.is(fleet.server('e2')?.expiresAt, undefined);
+  objects.setFaults({ outage: false });
+  await clock.advance(1_500);
+  await put('server/e2', { ...ENTRY, id: 'e2', address: '1.2.3.4:6' });
+  t.deepEqual(['e2', 'e3'].map((id) => fleet.server(id)?.expiresAt), [undefined, undefined]);
+  await clock.advance(3_000);
+  t.is(fleet.server('e2')?.expiresAt, undefined);
+  t.true((fleet.server('e3')?.expiresAt ?? Infinity) <= clock.now());
+});
