Read the store at half of the bound, not at a quarter

Cause: with 9 instances whose watches answer after 2.5 s each, the longest time without any answer is often over the 500 to 750 ms at which an instance read the store itself.

An instance now reads at half of the bound (1 s of 2 s) plus up to 0.3 of that. Other instances tell of a missing change within 0.4 s as before; the read is for when none can.

--- a/src/relay/storecopy.ts
+++ b/src/relay/storecopy.ts
@@ -16,10 +16,10 @@
 } from './freshness.js';
 import type { CopyReport } from './freshness.js';
 
-/** Age at which the store is read, as a share of the bound; the rest is for a read that fails. */
-const READ_AGE_SHARE = 0.25;
+/** Age at which the store is read, as a share of the bound; the rest is for the read. */
+const READ_AGE_SHARE = 0.5;
 /** Spreads the reads, since the first one confirms the copies of all instances. */
-const READ_AGE_SPREAD = 0.5;
+const READ_AGE_SPREAD = 0.3;
 
 export interface StoreCopyContext {
   readonly kind: string;
