--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -1,7 +1,4 @@
-/**
- * The backend servers as this instance sees them: their entries in the store, health as observed on
- * requests and connections, and the load that all instances have assigned to them.
- */
+/** The backend servers as this instance sees them: entries, observed health and assigned load. */
 import { interval } from 'rxjs';
 import type { Subscription } from 'rxjs';
 import { trackAssignment } from './assignment.js';
@@ -69,10 +66,7 @@
     return this.#context.scheduler.now();
   }
 
-  /**
-   * The usable servers of a service, shuffled, so that instances with the same information don't
-   * all pick the same one among equals.
-   */
+  /** The usable servers of a service, shuffled so that instances don't all pick the same one. */
   candidates(service: string, exclude: readonly string[]): readonly Candidate[] {
     const now = this.#now();
     return this.servers
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -64,8 +64,8 @@
 }
 
 /**
- * Up to `count` consecutive items from a random start, so that a list that is too long for one
- * message is told whole in some of them.
+ * Up to `count` consecutive items from a random start, so that several messages together carry a
+ * list that is too long for one.
  */
 function randomWindow<Item>(
   items: readonly Item[],
--- a/src/relay/storecopy.ts
+++ b/src/relay/storecopy.ts
@@ -4,7 +4,7 @@
  * so the copy asks for a read of the store when nothing has confirmed it for too long.
  */
 import { Subject } from 'rxjs';
-import type { SchedulerLike } from 'rxjs';
+import type { Observable, SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { FollowEvent } from '../store/follow.js';
@@ -65,7 +65,7 @@
   }
 
   /** Emits when the store has to be read. */
-  get reads(): Subject<void> {
+  get reads(): Observable<void> {
     return this.#reads;
   }
 
@@ -90,7 +90,7 @@
     return Number.isFinite(ageMs) ? { newestChange, ageMs: Math.ceil(ageMs) } : undefined;
   }
 
-  /** Compares the copy with another instance's; returns whether it is behind that one. */
+  /** Records another instance's report; returns whether this copy is behind that instance's. */
   compare(report: CopyReport): boolean {
     const { position } = this.versions;
     const now = this.#now();
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -105,7 +105,7 @@
     return { configuration: this.#configuration.report, servers: this.#servers.report };
   }
 
-  /** Compares the copies with another instance's; returns whether one is behind that instance's. */
+  /** Records another instance's reports; returns whether a copy is behind that instance's. */
   compare({ configuration, servers }: CopyReports): boolean {
     const behind = [
       configuration && this.#configuration.compare(configuration),
