Judge a peer's silence once for its log line and for the number of instances

Cause: a message interval read the clock three times. The peer was still within the 1.5 s when silent peers were removed and logged, and past them when the live ones were counted a fraction of a millisecond later; the line followed with the next interval. Two instances started together send in phase, so the last message is often 15 intervals old to within a millisecond. Operators saw the lower count, and the retry limit was divided by it, 100 ms before the line that explains it. At exactly 1.5 s a peer was neither live nor lost.

Change: one reading of the clock per interval and one predicate for a silent peer. The new test's clock passes the time limit between three readings.

--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -77,6 +77,11 @@
   return [...items.slice(start), ...items.slice(0, start)].slice(0, count);
 }
 
+/** Whether a peer counts as lost, as judged by every use of its last message. */
+function isSilent({ heardAt }: Peer, now: number): boolean {
+  return now - heardAt > PEER_TIMEOUT_MS;
+}
+
 export class Peers {
   readonly #context: PeersContext;
 
@@ -98,15 +103,18 @@
   }
 
   /** The last message of each live peer, with the peer's IP address. */
-  get #recentMessages(): readonly (readonly [string, PeerMessage])[] {
-    const now = this.#context.scheduler.now();
-    return [...this.#peers].flatMap(([ip, { heardAt, message }]) => (
-      message && now - heardAt < PEER_TIMEOUT_MS ? [[ip, message] as const] : []));
+  #recentMessages(now: number): readonly (readonly [string, PeerMessage])[] {
+    return [...this.#peers].flatMap(([ip, peer]) => (
+      peer.message && !isSilent(peer, now) ? [[ip, peer.message] as const] : []));
+  }
+
+  #aliveAt(now: number): readonly string[] {
+    return this.#recentMessages(now).map(([ip]) => ip);
   }
 
   /** Loads that the other instances have assigned to a server. */
   loads(server: string): readonly Load[] {
-    return this.#recentMessages.flatMap(([, { loads }]) => {
+    return this.#recentMessages(this.#context.scheduler.now()).flatMap(([, { loads }]) => {
       const load = loads[server];
       return load ? [decodeLoad(load)] : [];
     });
@@ -114,7 +122,7 @@
 
   /** IP addresses of the live peers. */
   get alive(): readonly string[] {
-    return this.#recentMessages.map(([ip]) => ip);
+    return this.#aliveAt(this.#context.scheduler.now());
   }
 
   /** Sends new assignments before the next interval, so that peers don't pick the same server. */
@@ -143,7 +151,7 @@
     };
   });
 
-  #message(): PeerMessage {
+  #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
     const {
       configuration, copies, servers, successors,
@@ -164,17 +172,17 @@
         .map(({ entry }) => [entry.id, entry.startedAt]),
       successors: randomWindow(successors, MAX_LISTED, random)
         .map(([previousId, id]) => [previousId, id]),
-      peers: [ip, ...randomWindow(this.alive, MAX_PEERS_LISTED, random)],
+      peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
     };
   }
 
   /** Drops the messages of silent peers and, unless they are seeds, the peers themselves. */
   #expirePeers(now: number): void {
     const { seeds, log } = this.#context;
-    this.#peers.forEach(({ heardAt, message }, ip) => {
-      const silentMs = now - heardAt;
-      if (message && silentMs > PEER_TIMEOUT_MS) {
-        this.#peers.set(ip, { heardAt, message: undefined });
+    this.#peers.forEach((peer, ip) => {
+      const silentMs = now - peer.heardAt;
+      if (peer.message && isSilent(peer, now)) {
+        this.#peers.set(ip, { ...peer, message: undefined });
         log.event('info', 'peer_lost', { peer: ip, silent_ms: Math.round(silentMs) });
       }
       if (silentMs > PEER_EVICTION_MS && !seeds.includes(ip)) this.#peers.delete(ip);
@@ -183,8 +191,10 @@
 
   #send(socket: Socket): void {
     const { scheduler, port, log } = this.#context;
-    this.#expirePeers(scheduler.now());
-    const bytes = encodeMessage(this.#message());
+    const now = scheduler.now();
+    this.#expirePeers(now);
+    const alive = this.#aliveAt(now);
+    const bytes = encodeMessage(this.#message(alive));
     const all = [...this.#peers.keys()];
     const count = Math.min(all.length, PEERS_PER_INTERVAL);
     for (let index = 0; index < count; index += 1) {
@@ -195,7 +205,7 @@
       });
     }
     this.#nextPeer += count;
-    this.#context.listener.onInstanceCount(this.alive.length + 1);
+    this.#context.listener.onInstanceCount(alive.length + 1);
   }
 
   #receive(bytes: Buffer, address: string): void {
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -62,6 +62,35 @@
   t.is(log.of('peer_reached').length, 2);
 });
 
+test('an instance is not left out of the count before it is logged as lost', async (t) => {
+  const port = await freePort();
+  const log = new RecordedLog();
+  const unexplained: number[] = [];
+  const onInstanceCount = (count: number) => {
+    const logged = 1 + log.of('peer_reached').length - log.of('peer_lost').length;
+    if (count !== logged) unexplained.push(count);
+  };
+  // Three readings pass the time after which a peer counts as lost.
+  let now = 0;
+  const scheduler = {
+    now: () => {
+      now += 600;
+      return now;
+    },
+    schedule: monotonicScheduler.schedule,
+  };
+  const first = Peers.of(contextOf(FIRST, port, log, onInstanceCount, { scheduler }));
+  const second = Peers.of(contextOf(SECOND, port, new RecordedLog(), () => undefined));
+  const running = first.run.subscribe();
+  t.teardown(() => running.unsubscribe());
+  const other = second.run.subscribe();
+  t.true(await eventually(() => log.of('peer_reached').length > 0));
+  other.unsubscribe();
+  t.true(await eventually(() => (
+    log.of('peer_lost').length === log.of('peer_reached').length)));
+  t.deepEqual(unexplained, []);
+});
+
 test('more leaving servers than fit in a message are all told', async (t) => {
   const port = await freePort();
   const servers = Array.from({ length: 60 }, (_, index) => serverState({
