Log how far an engine had got with a failed attempt, and the prompt's shared parts

Cause: route and attempt_failed lines name neither the parts of a prompt nor whether the engine had begun to answer, so logs can't tell a request that crashes engines from one that was lost beside it.

Change: attempt_failed carries the stage (waiting, starting, streaming) and the parts that other requests can share, stream_ended the parts; the metric stream_attempts_failed_total counts by stage. No decision changes.

--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -5,6 +5,7 @@
 import type { RefusalCode, Refusal } from '../common/refusal.js';
 import type { StoreCall } from '../store/meteredreader.js';
 import type { Delivery } from './routes.js';
+import type { AttemptStage } from './streamattempt.js';
 
 export type Measurement =
   /** A response to a caller that ended; status 0 if it was aborted. */
@@ -25,6 +26,8 @@
   | { readonly kind: 'copy'; readonly outcome: 'used' | 'lost' }
   /** Prompt tokens sent to an engine in an attempt that was lost before its first event. */
   | { readonly kind: 'read_in_vain'; readonly tokens: number }
+  /** An attempt of a stream that failed, by how far its engine had got. */
+  | { readonly kind: 'attempt_failed'; readonly stage: AttemptStage }
   /** A request that was sent to another server. */
   | { readonly kind: 'retry' }
   /** A new connection to a server, for a request or for a check that it accepts connections. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -59,6 +59,12 @@
     'Prompt tokens given to engines that were lost before their first event',
   );
 
+  readonly #failedAttempts = this.#counter(
+    'stream_attempts_failed_total',
+    'Attempts of streams that failed before the head, before the first event, or after it',
+    ['stage'],
+  );
+
   readonly #retries = this.#counter('retries_total', 'Requests sent to one more server');
 
   readonly #connections = this.#counter(
@@ -174,6 +180,9 @@
       case 'read_in_vain':
         this.#wastedPromptTokens.inc(measurement.tokens);
         break;
+      case 'attempt_failed':
+        this.#failedAttempts.inc({ stage: measurement.stage });
+        break;
       case 'retry':
         this.#retries.inc();
         break;
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -18,6 +18,12 @@
 /** Id of a stream's first event. */
 export const FIRST_EVENT_ID = 1;
 
+/**
+ * How far an engine has got with an attempt: `waiting` before the response's head, `starting`
+ * between the head and the first event, `streaming` after it.
+ */
+export type AttemptStage = 'waiting' | 'starting' | 'streaming';
+
 /** The engines chosen for an attempt, and what the choice was based on. */
 export interface AttemptPlan {
   readonly server: ServerEntry;
@@ -106,6 +112,11 @@
     return this.sent && this.#lastEventAt === undefined ? this.#plan.prefillTokens : 0;
   }
 
+  get stage(): AttemptStage {
+    if (this.#lastEventAt !== undefined) return 'streaming';
+    return this.#head ? 'starting' : 'waiting';
+  }
+
   get head(): ResponseHead | undefined {
     return this.#head;
   }
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -1,6 +1,17 @@
 /** Logs and measures a relayed stream: its failed attempts and the gaps that its caller sees. */
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
+import type { PromptPart } from './dialect.js';
+import type { AttemptStage } from './streamattempt.js';
+
+/** Maximum length of the prompt's parts in a log line. */
+const MAX_PARTS_LENGTH = 120;
+
+/** The parts of a prompt that other requests can share, as one log field. */
+function partsField(parts: readonly PromptPart[]): string | undefined {
+  const shared = parts.slice(0, -1).map(({ id }) => id).join(',');
+  return shared === '' ? undefined : shared.slice(0, MAX_PARTS_LENGTH);
+}
 
 export interface FailedAttempt {
   readonly number: number;
@@ -9,6 +20,7 @@
   readonly reason: string;
   /** Prompt tokens that were sent to the engine and not prefilled. */
   readonly pendingTokens: number;
+  readonly stage: AttemptStage;
 }
 
 export class StreamRecorder {
@@ -35,18 +47,21 @@
 
   /** @param eventCount events that were written to the caller */
   attemptFailed({
-    number, server, ran, reason, pendingTokens,
+    number, server, ran, reason, pendingTokens, stage,
   }: FailedAttempt, eventCount: number): void {
     const { log, scheduler, meter } = this.#context;
     const now = scheduler.now();
     this.#interruptedAt ??= now;
     if (pendingTokens > 0) meter.record({ kind: 'read_in_vain', tokens: pendingTokens });
+    meter.record({ kind: 'attempt_failed', stage });
     log.event('info', 'attempt_failed', {
       request: this.#call.id,
       server,
       attempt: number,
       ran,
       reason,
+      stage,
+      parts: partsField(this.#call.fields.parts),
       from: eventCount,
       age_ms: Math.round(now - this.#call.receivedAt),
     });
@@ -83,6 +98,7 @@
       events: eventCount,
       first_ms: Math.round(this.#firstEventMs),
       longest_gap_ms: Math.round(this.#longestGapMs),
+      parts: partsField(this.#call.fields.parts),
       objective_ms: objectiveMs,
       pause_objective_ms: pauseObjectiveMs,
     });
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -253,6 +253,7 @@
         ran: event.failure.ran,
         reason: event.failure.message,
         pendingTokens: streamAttempt?.pendingTokens ?? 0,
+        stage: streamAttempt?.stage ?? 'waiting',
       }, this.#state.accepted.tokens);
       const copyHolder = streamAttempt?.copyHolder;
       if (copyHolder !== undefined) this.#copyHolder = copyHolder;
