Quarantine parts of prompts that crash engines, and tell other instances of them

What callers saw: requests with one part of a prompt crashed each engine that began to answer them. Each was sent on up to five times, the next with the same part started anew at any instance, and sound streams lost their engines and found no room.

Cause: the end of an attempt was held against the engine alone. Nothing was learnt about the request, neither by the instance nor by its peers (a query of death).

Change: a connection that breaks before the first event, with the engine down or restarted, is evidence against the parts of the prompt that other requests can share. Three crashes without an answer quarantine a part. Instances pass the evidence on with their messages. Requests with it are refused at once as not run, and those that wait on an engine are cancelled.

Why it works: evidence counts crashes of engines that had begun to answer such a request, an answer clears it, and one crash counts against one part, so that requests which only ran beside the cause, or share another part, stay served.

The test failed before.

--- a/src/common/refusal.ts
+++ b/src/common/refusal.ts
@@ -24,6 +24,7 @@
   queue_timeout: 503,
   overloaded: 503,
   unavailable: 503,
+  query_of_death: 503,
   backend_failed: 502,
   backend_timeout: 504,
   interrupted: 502,
--- a/src/generation/event.ts
+++ b/src/generation/event.ts
@@ -54,6 +54,8 @@
   | { readonly kind: 'suspected'; readonly attempt: number }
   | { readonly kind: 'settled'; readonly attempt: number; readonly outcome: CancelOutcome }
   | { readonly kind: 'expired'; readonly message: string }
+  /** The generation must not be run, or not any more. */
+  | { readonly kind: 'rejected'; readonly refusal: Refusal }
   | { readonly kind: 'caller_gone' }
   | AttemptEvent;
 
--- a/src/generation/transaction.ts
+++ b/src/generation/transaction.ts
@@ -212,6 +212,7 @@
     case 'suspected': return suspected(state, event.attempt);
     case 'settled': return settled(state, event.attempt, event.outcome);
     case 'expired': return refuse(state, lossRefusal(state, event.message));
+    case 'rejected': return refuse(state, withRan(state, event.refusal));
     case 'caller_gone': return {
       state: { ...state, phase: ENDED }, effects: stopAll(state),
     };
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -9,6 +9,7 @@
 import type { Dialect } from './dialect.js';
 import type { Fleet } from './fleet.js';
 import type { Meter } from './meter.js';
+import type { Quarantines } from './quarantine.js';
 import type { RetrySchedules } from './retryafter.js';
 import type { SilenceWatch } from './silencewatch.js';
 
@@ -25,6 +26,7 @@
   readonly retries: RetryWindows;
   readonly retrySchedules: RetrySchedules;
   readonly silence: SilenceWatch;
+  readonly quarantines: Quarantines;
   readonly cachedPrompts: CachedPrompts;
 }
 
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -22,6 +22,7 @@
 import type { RelayGauges } from './metrics.js';
 import { Peers } from './peers.js';
 import type { Platform } from './platform.js';
+import { Quarantines } from './quarantine.js';
 import { RetrySchedules } from './retryafter.js';
 import type { RelayConfiguration } from './routes.js';
 import type { RelaySettings } from './settings.js';
@@ -61,6 +62,8 @@
 
   readonly #peers: Peers;
 
+  readonly #quarantines: Quarantines;
+
   readonly #retries: RetryWindows;
 
   readonly #meter = Meter.of();
@@ -86,18 +89,23 @@
       ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowMs,
     });
     this.#retries.count(settings.seeds.length, scheduler.now());
-    this.#fleet = Fleet.of({
+    const shared = {
+      scheduler, random: context.random, log, onUrgentChange: () => this.#peers.sendSoon(),
+    };
+    const identity = {
       scheduler,
-      random: context.random,
-      log,
       connections: this.#connections,
-      peerLoads: (server) => this.#peers.loads(server),
-      onUrgentChange: () => this.#peers.sendSoon(),
       dialect: context.platform.dialect,
-      healthPath: (service) => (
+      healthPath: (service: string) => (
         this.#activeConfiguration.routes?.configuration.services[service]?.healthPath),
+    };
+    this.#fleet = Fleet.of({
+      ...shared,
+      ...identity,
+      peerLoads: (server) => this.#peers.loads(server),
       reuseAfterMs: settings.reuseAfterMs,
     });
+    this.#quarantines = Quarantines.of({ ...shared, identity });
     this.#peers = this.#createPeers();
     this.#relayContext = {
       zone: settings.zone,
@@ -114,6 +122,7 @@
         scheduler, connections: this.#connections, log, cacheQuery: context.platform.cacheQuery,
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
+      quarantines: this.#quarantines,
     };
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
@@ -150,6 +159,7 @@
       { name: 'peers', run: this.#peers.run },
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
+      childOfSubscription('quarantines', () => this.#quarantines.start()),
       listenerOf('callers', settings.callers, () => this.#createFrontend()),
       listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
         res.writeHead(this.ready ? 200 : 503).end();
@@ -206,6 +216,7 @@
         onCopies: (copies, from) => {
           if (this.#storeFeed.compare(copies)) this.#fetchSnapshot(from);
         },
+        onCrashes: (reports) => this.#quarantines.adopt(reports),
         onInstanceCount: (count) => this.#retries.count(count, scheduler.now()),
       },
       localState: () => ({
@@ -213,6 +224,7 @@
         copies: this.#storeFeed.reports,
         servers: this.#fleet.servers,
         successors: this.#fleet.successors,
+        crashes: this.#quarantines.reports,
       }),
     });
   }
@@ -272,6 +284,7 @@
       peers: () => this.#peers.alive.length,
       storeSilentMs: () => this.#storeFeed.silentMs,
       serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
+      quarantines: () => this.#quarantines.found.length,
       retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
     };
   }
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -17,6 +17,7 @@
   readonly deadlineMs: number | undefined;
   /** The last event that a reconnecting caller has received. */
   readonly lastEvent: number | undefined;
+  readonly model: string | undefined;
   /** Length of the prompt, and the limit on generated tokens. */
   readonly promptTokens: number;
   readonly outputTokens: number;
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import { IPV4 } from '../common/address.js';
+import type { CrashReport } from './quarantine.js';
 import type { Load } from './serverstate.js';
 
 /** Keeps datagrams below the size at which networks fragment them. */
@@ -15,6 +16,11 @@
 
 const COUNT = z.number().min(0);
 const REPORT = z.object({ newestChange: COUNT, ageMs: COUNT }).optional();
+/** A crash as instances tell it, in the order of `CrashReport`; null for a part without answer. */
+const CRASH = z.tuple([
+  z.string(), COUNT, z.boolean(), z.array(z.tuple([z.string(), COUNT.nullable()])),
+  z.array(z.string()),
+]);
 const MESSAGE = z.object({
   /** The sender's IP address. */
   ip: z.string().regex(IPV4),
@@ -31,6 +37,8 @@
   /** Restarted servers, each with its previous and its new id. */
   successors: z.array(z.tuple([z.string(), z.string()])),
   peers: z.array(z.string()),
+  /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
+  crashes: z.array(CRASH).default([]),
 });
 
 export type PeerMessage = z.infer<typeof MESSAGE>;
@@ -57,23 +65,53 @@
   };
 }
 
-/** Encodes a message; the first halves of its lists are dropped until it fits. */
-export function encodeMessage(message: PeerMessage): Buffer {
-  let bytes = Buffer.from(JSON.stringify(message));
-  let {
-    gone, suspect, successors, peers,
+export function encodeCrash({
+  server, ageMs, started, parts, previous,
+}: CrashReport): PeerMessage['crashes'][number] {
+  const answers = parts.map(({ part, answerAgeMs }): [string, number | null] => (
+    [part, answerAgeMs ?? null]));
+  return [server, ageMs, started, answers, [...previous]];
+}
+
+export function decodeCrash(
+  [server, ageMs, started, answers, previous]: PeerMessage['crashes'][number],
+): CrashReport {
+  const parts = answers.map(([part, answerAgeMs]) => (
+    { part, answerAgeMs: answerAgeMs ?? undefined }));
+  return {
+    server, ageMs, started, parts, previous,
+  };
+}
+
+function secondHalf<Item>(items: readonly Item[]): Item[] {
+  return items.slice(Math.ceil(items.length / 2));
+}
+
+/** A shorter message; undefined if there is nothing left that it can do without. */
+function shortened(message: PeerMessage): PeerMessage | undefined {
+  const {
+    gone, suspect, successors, peers, crashes,
   } = message;
-  while (bytes.length > MAX_MESSAGE_BYTES
-    && gone.length + suspect.length + successors.length + peers.length > 0) {
-    successors = successors.slice(Math.ceil(successors.length / 2));
-    gone = gone.slice(Math.ceil(gone.length / 2));
-    suspect = suspect.slice(Math.ceil(suspect.length / 2));
-    peers = peers.slice(Math.ceil(peers.length / 2));
-    bytes = Buffer.from(JSON.stringify({
-      ...message, gone, suspect, successors, peers,
-    }));
+  if (gone.length + suspect.length + successors.length + peers.length > 0) {
+    return {
+      ...message,
+      gone: secondHalf(gone),
+      suspect: secondHalf(suspect),
+      successors: secondHalf(successors),
+      peers: secondHalf(peers),
+    };
   }
-  return bytes;
+  return crashes.length > 1 ? { ...message, crashes: secondHalf(crashes) } : undefined;
+}
+
+/**
+ * Encodes a message; the first halves of its lists are dropped until it fits. The last crash always
+ * stays: it is the newest, and rarely there.
+ */
+export function encodeMessage(message: PeerMessage): Buffer {
+  const bytes = Buffer.from(JSON.stringify(message));
+  const shorter = bytes.length > MAX_MESSAGE_BYTES ? shortened(message) : undefined;
+  return shorter ? encodeMessage(shorter) : bytes;
 }
 
 export function decodeMessage(bytes: Buffer): Result<PeerMessage, string> {
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -8,9 +8,10 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import {
-  decodeLoad, decodeMessage, encodeLoad, encodeMessage,
+  decodeCrash, decodeLoad, decodeMessage, encodeCrash, encodeLoad, encodeMessage,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
+import type { CrashReport } from './quarantine.js';
 import type { Load, ServerState } from './serverstate.js';
 
 /** A tenth of a prompt's prefill; with older loads, instances would pick the same engine. */
@@ -42,6 +43,8 @@
   onSuccessor(previousId: string, id: string, from: string): void;
   /** Another instance reports its copies of the store's objects. */
   onCopies(copies: PeerMessage['copies'], from: string): void;
+  /** Another instance reports engines that crashed. */
+  onCrashes(reports: readonly CrashReport[]): void;
   /** The number of live instances, this one included. */
   onInstanceCount(count: number): void;
 }
@@ -60,6 +63,7 @@
     readonly copies: PeerMessage['copies'];
     readonly servers: readonly ServerState[];
     readonly successors: readonly (readonly [string, string])[];
+    readonly crashes: readonly CrashReport[];
   };
 }
 
@@ -154,7 +158,7 @@
   #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
     const {
-      configuration, copies, servers, successors,
+      configuration, copies, servers, successors, crashes,
     } = localState();
     const busy = servers.filter((server) => (
       server.ownLoad.running > 0 || server.ownLoad.standby > 0));
@@ -173,6 +177,7 @@
       successors: randomWindow(successors, MAX_LISTED, random)
         .map(([previousId, id]) => [previousId, id]),
       peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
+      crashes: crashes.map(encodeCrash),
     };
   }
 
@@ -231,5 +236,6 @@
     message.successors.forEach(([previousId, id]) => listener.onSuccessor(previousId, id, address));
     message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, address));
     listener.onCopies(message.copies, address);
+    if (message.crashes.length > 0) listener.onCrashes(message.crashes.map(decodeCrash));
   }
 }
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -2,11 +2,21 @@
 import type { LogFields } from '../common/log.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
+import type { Rejection } from './quarantine.js';
 import type { EngineCapacity } from './routes.js';
 import type { Candidate } from './selection.js';
 import type { ServerState } from './serverstate.js';
 import type { AttemptPlan } from './streamattempt.js';
 
+/** Maximum length of a prompt's parts in a log line. */
+const MAX_PARTS_LENGTH = 120;
+
+/** The parts of a call's prompt that other requests can share. */
+export function sharedPartsField({ fields: { parts } }: Call): string | undefined {
+  const shared = parts.slice(0, -1).map(({ id }) => id).join(',');
+  return shared === '' ? undefined : shared.slice(0, MAX_PARTS_LENGTH);
+}
+
 /** Time since the last bytes from a server; undefined if none ever came. */
 export function heardMsAgo(id: string, { fleet, scheduler }: RelayContext): number | undefined {
   const at = fleet.heardAt(id);
@@ -73,3 +83,13 @@
     configuration: version,
   };
 }
+
+/** Why a call must not be sent to any engine. */
+export function rejectionFields(
+  call: Call,
+  { refusal, inputs }: Rejection,
+  context: RelayContext,
+): LogFields {
+  const fields = unplacedFields(call, refusal.message, context);
+  return { ...fields, parts: sharedPartsField(call), ...inputs };
+}
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -40,6 +40,8 @@
   /** Position of the first event to request. */
   readonly from: number;
   readonly demand: RunDemand;
+  /** Engines that have failed the request since its last event. */
+  readonly excluded: readonly string[];
   /** Whether the caller's own request named a last event. */
   readonly reconnecting: boolean;
   /** Whether another engine could take over the stream now. */
@@ -182,12 +184,27 @@
         this.#onEnd();
         break;
       case 'failed':
+        if (event.ran === 'unknown') this.#markBroken();
         fleet.markSuspect(server.id, event.message);
         this.#fail(event.ran, event.message);
         break;
     }
   }
 
+  /** Tells the quarantines of a broken connection, if the run has never had an event. */
+  #markBroken(): void {
+    const { fleet, quarantines } = this.#context;
+    const { from, reconnecting } = this.#options;
+    const { stage } = this;
+    if (stage === 'streaming' || from > 0 || reconnecting) return;
+    const state = fleet.server(this.#plan.server.id);
+    // Engines that leave close the connections of requests that they no longer run.
+    if (state?.entry.state !== 'ready' || state.expiresAt !== undefined) return;
+    quarantines.markBroken(state.entry, this.#call.fields, {
+      started: stage === 'starting', previous: this.#options.excluded,
+    });
+  }
+
   #onHead(head: ResponseHead): void {
     const { dialect, fleet } = this.#context;
     const { server } = this.#plan;
@@ -217,6 +234,7 @@
     const { demand, number } = this.#options;
     const { server } = this.#plan;
     if (this.#lastEventAt === undefined) {
+      this.#context.quarantines.markAnswered(this.#call.fields);
       this.#assignments[0]?.update({
         ...NO_LOAD, running: 1, memoryTokens: requiredMemory(demand),
       });
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -1,18 +1,9 @@
 /** Logs and measures a relayed stream: its failed attempts and the gaps that its caller sees. */
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
-import type { PromptPart } from './dialect.js';
+import { sharedPartsField } from './routefields.js';
 import type { AttemptStage } from './streamattempt.js';
 
-/** Maximum length of the prompt's parts in a log line. */
-const MAX_PARTS_LENGTH = 120;
-
-/** The parts of a prompt that other requests can share, as one log field. */
-function partsField(parts: readonly PromptPart[]): string | undefined {
-  const shared = parts.slice(0, -1).map(({ id }) => id).join(',');
-  return shared === '' ? undefined : shared.slice(0, MAX_PARTS_LENGTH);
-}
-
 export interface FailedAttempt {
   readonly number: number;
   readonly server: string;
@@ -61,7 +52,7 @@
       ran,
       reason,
       stage,
-      parts: partsField(this.#call.fields.parts),
+      parts: sharedPartsField(this.#call),
       from: eventCount,
       age_ms: Math.round(now - this.#call.receivedAt),
     });
@@ -98,7 +89,7 @@
       events: eventCount,
       first_ms: Math.round(this.#firstEventMs),
       longest_gap_ms: Math.round(this.#longestGapMs),
-      parts: partsField(this.#call.fields.parts),
+      parts: sharedPartsField(this.#call),
       objective_ms: objectiveMs,
       pause_objective_ms: pauseObjectiveMs,
     });
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -16,7 +16,7 @@
 import { countRetry, remainingMs } from './context.js';
 import { attemptDenialReason, mayMigrate } from './migration.js';
 import {
-  capacityFields, heardMsAgo, listingFields, routeFields, unplacedFields,
+  capacityFields, heardMsAgo, listingFields, rejectionFields, routeFields, unplacedFields,
 } from './routefields.js';
 import {
   firstEventMs, requiredMemory, selectEngine, selectStandby, uncachedTokens,
@@ -97,6 +97,7 @@
   #begin(): void {
     this.#timers.add(timer(remainingMs(this.#call, this.#context), this.#context.scheduler)
       .subscribe(() => this.#apply({ kind: 'expired', message: 'the deadline has passed' })));
+    this.#timers.add(this.#context.quarantines.changes.subscribe(() => this.#rejectQuarantined()));
     if (this.#call.fields.lastEvent === undefined) this.#apply({ kind: 'begin' });
     else this.#queryCachedPrompt();
   }
@@ -113,6 +114,17 @@
     }).finally(() => this.#apply({ kind: 'begin' }));
   }
 
+  /** Ends the call if it is known to crash engines; returns whether it is. */
+  #rejectQuarantined(): boolean {
+    if (this.#state.accepted.tokens > 0) return false;
+    const rejection = this.#context.quarantines.check(this.#call.fields);
+    if (!rejection) return false;
+    const fields = rejectionFields(this.#call, rejection, this.#context);
+    this.#context.log.event('info', 'unplaced', fields);
+    this.#apply({ kind: 'rejected', refusal: rejection.refusal });
+    return true;
+  }
+
   #apply(event: GenerationEvent): void {
     const { state, effects } = transaction(this.#state, event);
     this.#state = state;
@@ -175,6 +187,7 @@
       this.#unassignable('the service has no engines');
       return;
     }
+    if (this.#rejectQuarantined()) return;
     const sent = this.#sentAttempts;
     const reason = attemptDenialReason(this.#call, sent, this.#context);
     if (reason !== undefined) {
@@ -236,6 +249,7 @@
       number: attempt.number,
       from: attempt.from,
       demand: this.#demand,
+      excluded: this.#state.excluded,
       reconnecting: this.#call.fields.lastEvent !== undefined,
       canMigrate: () => mayMigrate(this.#call, this.#sentAttempts, [
         ...this.#state.excluded, attempt.server], this.#demand, this.#context),
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -19,6 +19,7 @@
     key: headerOf(raw, 'x-key'),
     deadlineMs: numberOf(raw, 'x-deadline'),
     lastEvent: numberOf(raw, 'x-last'),
+    model: headerOf(raw, 'x-model'),
     promptTokens: numberOf(raw, 'x-prompt') ?? 0,
     outputTokens: numberOf(raw, 'x-output') ?? 0,
     parts: (headerOf(raw, 'x-parts') ?? '').split(',').filter((id) => id !== '')
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -143,6 +143,7 @@
     key: 'k',
     deadlineMs: 900,
     lastEvent: undefined,
+    model: 'm',
     promptTokens: 15,
     outputTokens: 7,
     parts: [{ id: 'a', tokens: 10 }, { id: 'b', tokens: 5 }],
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -321,7 +321,10 @@
     suspect: ids.map((id) => [id, 1]),
     successors: ids.map((id) => [id, id]),
     peers: ids,
+    crashes: ids.map((id) => [id, 20, true, [['part', null], ['answered', 50]], ['e1']]),
   });
   t.true(bytes.length <= MAX_MESSAGE_BYTES);
-  t.is(decodeMessage(bytes).map(({ configuration }) => configuration).unwrapOr(0), 3);
+  const message = decodeMessage(bytes);
+  t.is(message.map(({ configuration }) => configuration).unwrapOr(0), 3);
+  t.is(message.map(({ crashes }) => crashes.at(-1)?.[0]).unwrapOr(undefined), 'server-99');
 });
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -31,10 +31,11 @@
       onSuccessor: () => undefined,
       onSuspect: () => undefined,
       onCopies: () => undefined,
+      onCrashes: () => undefined,
       onInstanceCount,
     },
     localState: () => ({
-      configuration: 3, copies: {}, servers: [], successors: [],
+      configuration: 3, copies: {}, servers: [], successors: [], crashes: [],
     }),
     ...change,
   };
@@ -107,7 +108,7 @@
   const first = contextOf(FIRST, port, new RecordedLog(), () => undefined);
   const second = contextOf(SECOND, port, new RecordedLog(), () => undefined, {
     localState: () => ({
-      configuration: 3, copies: {}, servers, successors: [],
+      configuration: 3, copies: {}, servers, successors: [], crashes: [],
     }),
   });
   const running = Peers.of({
--- a/test/relay-quarantine.test.ts
+++ b/test/relay-quarantine.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
-import { Relay } from './fakes/relay.js';
+import { HOST, KEY, Relay } from './fakes/relay.js';
 import type { RelayEngine, RelayEngineOptions } from './fakes/relayengine.js';
 
 const STREAM = { 'x-prompt': '80', 'x-output': '20', 'x-deadline': '3000' };
@@ -25,21 +25,42 @@
   };
 }
 
-interface Instances {
-  readonly first: Relay;
-  readonly second: Relay;
-  readonly engines: readonly RelayEngine[];
+/** An engine that breaks the connection of such a request, and lives on. */
+function resettingEngine(id: string): RelayEngineOptions {
+  return {
+    id,
+    zone: 'a',
+    respond: (req, res, engine) => {
+      if (!hasPart(req.headers['x-parts'], 'bad')) return false;
+      res.writeHead(200, engine.responseHeaders(req)).flushHeaders();
+      setTimeout(() => req.socket.resetAndDestroy(), 20);
+      return true;
+    },
+  };
+}
+
+const IDS = Array.from({ length: 12 }, (_, index) => `e${index}`);
+
+async function ready(t: ExecutionContext, relay: Relay): Promise<Relay> {
+  t.true(await eventually(() => (
+    relay.daemon.ready && relay.log.of('server_listed').length >= IDS.length)));
+  return relay;
 }
 
-async function twoInstances(t: ExecutionContext): Promise<Instances> {
-  const ids = Array.from({ length: 12 }, (_, index) => `e${index}`);
-  const first = await Relay.of(t, { engines: ids.map(fragileEngine) });
+async function firstInstance(
+  t: ExecutionContext,
+  engine: (id: string) => RelayEngineOptions = fragileEngine,
+): Promise<Relay> {
+  return ready(t, await Relay.of(t, { engines: IDS.map(engine) }));
+}
+
+/** An instance that exchanges messages with the first one and has a store of its own. */
+async function secondInstance(t: ExecutionContext, first: Relay): Promise<Relay> {
   const second = await Relay.of(t, { peer: first });
   await Promise.all(first.engines.map((engine) => second.putEntry(engine, 'engines')));
-  t.true(await eventually(() => [first, second].every(({ daemon, log }) => (
-    daemon.ready && log.of('server_listed').length >= ids.length))));
+  await ready(t, second);
   t.true(await eventually(() => second.log.of('peer_reached').length > 0));
-  return { first, second, engines: first.engines };
+  return second;
 }
 
 /** Sends a stream whose prompt has these parts and one of its own. */
@@ -54,11 +75,105 @@
 }
 
 test('a part that crashes engines stops reaching engines at every instance', async (t) => {
-  const { first, second, engines } = await twoInstances(t);
+  const first = await firstInstance(t);
+  const second = await secondInstance(t, first);
   await send(first, 'bad-1', 'shared,bad');
   await send(second, 'bad-2', 'shared,bad');
   await send(second, 'bad-3', 'shared,bad');
-  t.true(crashingRequests(engines) <= MAX_CRASHING);
+  t.true(crashingRequests(first.engines) <= MAX_CRASHING);
   t.is((await send(first, 'sound-1', 'shared')).status, 200);
   t.is((await send(second, 'sound-2', 'shared,other')).status, 200);
 });
+
+test('the request that crashed engines may have run, later ones have not', async (t) => {
+  const relay = await firstInstance(t);
+  const crashing = await send(relay, 'bad-1', 'shared,bad');
+  t.is(crashing.status, 502);
+  t.like(JSON.parse(crashing.text), { error: { code: 'query_of_death', ran: 'unknown' } });
+  const refused = await send(relay, 'bad-2', 'shared,bad');
+  t.is(refused.status, 503);
+  t.like(JSON.parse(refused.text), { error: { code: 'query_of_death', ran: 'no' } });
+  t.true(Number(refused.headers['retry-after']) > 200);
+  t.like(relay.log.of('unplaced').at(-1), { request: 'bad-2', service: 'engines' });
+  t.is(String(relay.log.of('unplaced').at(-1)?.crashed).split(',').length, 3);
+  t.true(await eventually(async () => {
+    const metrics = await relay.metrics();
+    return metrics.includes('shallotshunt_relay_quarantines 1')
+      && metrics.includes('refusals_total{code="query_of_death",ran="no"} 1');
+  }));
+});
+
+test('an instance that started after the crashes refuses the part', async (t) => {
+  const first = await firstInstance(t);
+  await send(first, 'bad-1', 'shared,bad');
+  const sent = crashingRequests(first.engines);
+  const second = await secondInstance(t, first);
+  t.true(await eventually(() => second.log.of('parts_quarantined').length > 0));
+  t.is((await send(second, 'bad-2', 'shared,bad')).status, 503);
+  t.is(crashingRequests(first.engines), sent);
+});
+
+test('a part that crashes engines is told to others while the store is down', async (t) => {
+  const first = await firstInstance(t);
+  const second = await secondInstance(t, first);
+  [first, second].forEach(({ objects }) => objects.setFaults({ outage: true }));
+  await send(first, 'bad-1', 'shared,bad');
+  t.true(await eventually(() => second.log.of('parts_quarantined').length > 0));
+  t.is((await send(second, 'bad-2', 'shared,bad')).status, 503);
+  t.is((await send(second, 'sound-1', 'shared')).status, 200);
+});
+
+test('a request that waits on an engine is cancelled when its part is quarantined', async (t) => {
+  const relay = await firstInstance(t, (id) => ({
+    ...fragileEngine(id),
+    respond: (req, res, engine) => (
+      req.headers['x-id'] === 'waiting' || fragileEngine(id).respond!(req, res, engine)),
+  }));
+  const waiting = send(relay, 'waiting', 'shared,bad');
+  t.true(await eventually(() => crashingRequests(relay.engines) === 1));
+  await send(relay, 'bad-1', 'shared,bad');
+  const reply = await waiting;
+  t.is(reply.status, 502);
+  t.like(JSON.parse(reply.text), { error: { code: 'query_of_death', ran: 'unknown' } });
+});
+
+test('connections that break while engines live on are not held against a part', async (t) => {
+  const relay = await firstInstance(t, resettingEngine);
+  await send(relay, 'bad-1', 'shared,bad');
+  await send(relay, 'bad-2', 'shared,bad');
+  t.is(crashingRequests(relay.engines), 10);
+  t.deepEqual(relay.log.of('crash_recorded'), []);
+});
+
+test('callers that hang up are not held against a part', async (t) => {
+  const relay = await firstInstance(t, (id) => ({ id, zone: 'a', stepMs: 5_000 }));
+  const hangUp = async (id: string) => {
+    const caller = new AbortController();
+    const url = `http://${relay.endpoint.ip}:${relay.endpoint.callersPort}/stream/`;
+    const headers = {
+      ...STREAM, 'x-id': id, 'x-key': KEY, 'x-parts': 'shared,bad,own', 'x-host': HOST,
+    };
+    const reply = fetch(url, { headers, signal: caller.signal }).catch(() => undefined);
+    caller.abort();
+    await reply;
+  };
+  await Promise.all(['r1', 'r2', 'r3', 'r4'].map(hangUp));
+  t.deepEqual(relay.log.of('crash_recorded'), []);
+  t.deepEqual(relay.log.of('parts_quarantined'), []);
+});
+
+test('engines that crash while they leave are not held against a part', async (t) => {
+  const relay = await firstInstance(t, (id) => ({ id, zone: 'a', stepMs: 5_000 }));
+  const replies = ['r1', 'r2', 'r3', 'r4'].map((id) => send(relay, id, 'shared,bad'));
+  t.true(await eventually(() => crashingRequests(relay.engines) === 4));
+  const busy = relay.engines.filter(({ requests }) => requests.length > 0);
+  await Promise.all(busy.map((engine) => (
+    relay.putEntry(engine, 'engines', { state: 'leaving' }))));
+  const leaving = () => relay.log.of('server_listed').filter(({ state }) => state === 'leaving');
+  t.true(await eventually(() => leaving().length === busy.length));
+  busy.forEach((engine) => engine.crash());
+  t.true(await eventually(() => relay.log.of('attempt_failed').length === 4));
+  t.deepEqual(relay.log.of('crash_recorded'), []);
+  relay.stop();
+  await Promise.all(replies);
+});
