Bound responses without end, and check whose refusal a response is

What callers and operators would see: a server in trouble that sends empty lines, interim heads, a body or an event without end kept its caller until the deadline, and its body filled the instance's memory. A late copy of another request's refusal on a connection in use again counted as a refusal of the request that was waiting: a call that may not be repeated went to a second server while the first ran it.

Cause: only the parser's own limits were in force, which leave out empty lines, interim heads and bodies. The claim 'not run' was taken before the echoed id was compared.

Change: a head may have 128 KiB, a buffered body 8 MiB, a list of cached parts 1 MiB, an event 64 KiB, a failure's body 64 KiB; then the connection is closed and the attempt has failed. The id is compared first.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -20,6 +20,8 @@
 const HEDGE_AFTER_SHARE = 0.5;
 /** `Retry-After` when no server is up: about as long as a server takes to restart. */
 const NO_SERVER_RETRY_AFTER_MS = 300;
+/** Limit on a response that is held in memory, as long as those of most services' interfaces. */
+const MAX_RESPONSE_BYTES = 8_388_608;
 const ONE_REQUEST = { ...NO_LOAD, running: 1 };
 
 interface LiveAttempt {
@@ -162,7 +164,7 @@
       chunks: [],
     });
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
-    subscription.add(exchange(outgoing, scheduler)
+    subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
       .subscribe((event) => this.#onExchangeEvent(number, event)));
   }
 
--- a/src/relay/cachedprompts.ts
+++ b/src/relay/cachedprompts.ts
@@ -19,6 +19,9 @@
 /** Lifetime of a lookup: shorter than the prefill of a prompt that evicts another. */
 const LOOKUP_TTL_MS = 1_000;
 
+/** Ten thousand parts. */
+const MAX_LIST_BYTES = 1_048_576;
+
 /** Cached tokens of each prompt part, by the part's id. */
 export type CachedParts = ReadonlyMap<string, number>;
 
@@ -102,6 +105,7 @@
       headers: ['Host', engine.address],
       body: Buffer.alloc(0),
       reuse: true,
+      maxBodyBytes: MAX_LIST_BYTES,
     }, scheduler).pipe(
       reduce((body, event) => (
         event.kind === 'piece' ? body + event.bytes.toString('utf8') : body), ''),
--- a/src/relay/eventsplitter.ts
+++ b/src/relay/eventsplitter.ts
@@ -9,6 +9,8 @@
   readonly id: number | undefined;
 }
 
+/** An event of some thousand tokens. */
+const MAX_EVENT_LENGTH = 65_536;
 const EVENT_END = /\r?\n\r?\n/g;
 const EVENT_ID = /^id: ?(\d{1,15})\r?$/m;
 
@@ -19,6 +21,11 @@
     return new EventSplitter();
   }
 
+  /** Whether an event is too long, after which nothing more is split. */
+  get isOverlong(): boolean {
+    return this.#pending.length > MAX_EVENT_LENGTH;
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.#pending !== '';
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import { Observable, Subscription } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
@@ -16,6 +17,9 @@
 /** A lost SYN is sent again only after a second; another server answers sooner. */
 const CONNECT_TIMEOUT_MS = 120;
 
+/** More than any head that servers send; the parser itself does not limit empty lines before it. */
+const MAX_HEAD_BYTES = 131_072;
+
 export interface OutgoingRequest {
   readonly agent: KeepAliveAgent;
   /** `host:port`, by IP. */
@@ -27,6 +31,8 @@
   readonly body: Buffer;
   /** Whether an idle connection may be reused. */
   readonly reuse: boolean;
+  /** Limit on the length of the response's body; undefined if it has none. */
+  readonly maxBodyBytes?: number | undefined;
 }
 
 /**
@@ -60,6 +66,17 @@
   });
 }
 
+/** Calls `onExcess` for a connection on which a head does not end; returns how to stop counting. */
+function limitHead(socket: Socket, onExcess: () => void): () => void {
+  let length = 0;
+  const count = (bytes: Buffer) => {
+    length += bytes.length;
+    if (length > MAX_HEAD_BYTES) onExcess();
+  };
+  socket.on('data', count);
+  return () => socket.off('data', count);
+}
+
 /** Sends on subscription; unsubscribing closes the connection unless the response has ended. */
 export function exchange(
   outgoing: OutgoingRequest,
@@ -67,8 +84,11 @@
 ): Observable<ExchangeEvent> {
   return new Observable((subscriber) => {
     const timers = new Subscription();
+    const { maxBodyBytes = Infinity } = outgoing;
     let sent = false;
     let ended = false;
+    let bodyLength = 0;
+    let stopCounting: () => void = () => undefined;
     const options = {
       ...parseHostPort(outgoing.address),
       method: outgoing.method,
@@ -100,6 +120,7 @@
     request.on('error', (error) => fail(error.message));
     request.once('socket', (socket) => {
       socket.setNoDelay(true);
+      stopCounting = limitHead(socket, () => fail('the head of the response is too long'));
       if (socket.connecting) socket.once('connect', onConnected);
       else onConnected();
     });
@@ -107,9 +128,14 @@
       // A server that has not read the whole body may parse the rest as the next request.
       if (!request.writableFinished) request.shouldKeepAlive = false;
       outgoing.agent.setIdleTimeout(response.socket, response.headers['keep-alive']);
+      stopCounting();
       emit({ kind: 'head', status: response.statusCode ?? 0, headers: response.rawHeaders });
       readResponse(response, outgoing.method, {
-        chunk: (bytes) => emit({ kind: 'piece', bytes }),
+        chunk: (bytes) => {
+          bodyLength += bytes.length;
+          if (bodyLength > maxBodyBytes) fail('the body of the response is too long');
+          else emit({ kind: 'piece', bytes });
+        },
         end: () => emit({ kind: 'end' }),
         fail,
       });
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -4,8 +4,8 @@
  */
 import type { RefusalCode, Refusal } from '../common/refusal.js';
 import type { StoreCall } from '../store/meteredreader.js';
+import type { AttemptStage } from './attemptplan.js';
 import type { Delivery } from './routes.js';
-import type { AttemptStage } from './streamattempt.js';
 
 export type Measurement =
   /** A response to a caller that ended; status 0 if it was aborted. */
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -27,6 +27,10 @@
   dialect: Dialect,
 ): ResponseClass & { readonly response: ResponseFields } {
   const response = dialect.readResponse(status, headers);
+  // First, since a late copy of a refusal says nothing about the request that is now waiting.
+  if (response.id !== undefined && response.id !== id) {
+    return { kind: 'foreign', message: 'the response belongs to another request', response };
+  }
   if (response.notRun) {
     return {
       kind: 'not_run',
@@ -35,9 +39,6 @@
       response,
     };
   }
-  if (response.id !== undefined && response.id !== id) {
-    return { kind: 'foreign', message: 'the response belongs to another request', response };
-  }
   if (isSuccess(status) && (response.signature === undefined || response.id === undefined)) {
     return { kind: 'foreign', message: 'the response is not signed', response };
   }
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -1,12 +1,12 @@
 /** Log fields that explain the choice of a server. */
 import type { LogFields } from '../common/log.js';
+import type { AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
 import type { Rejection } from './quarantine.js';
 import type { EngineCapacity } from './routes.js';
 import type { Candidate } from './selection.js';
 import type { ServerState } from './serverstate.js';
-import type { AttemptPlan } from './streamattempt.js';
 
 /** Maximum length of a prompt's parts in a log line. */
 const MAX_PARTS_LENGTH = 120;
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -2,6 +2,7 @@
 import { Subscription } from 'rxjs';
 import type { GenerationEvent } from '../generation/event.js';
 import type { Assignment } from './assignment.js';
+import type { AttemptOptions, AttemptPlan, AttemptStage } from './attemptplan.js';
 import type { Call, ResponseHead } from './call.js';
 import type { RelayContext } from './context.js';
 import { EventSplitter } from './eventsplitter.js';
@@ -10,43 +11,14 @@
 import type { ExchangeEvent } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
 import { requiredMemory } from './selection.js';
-import type { RunDemand } from './selection.js';
-import type { ServerEntry } from './serverentry.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 
 /** Id of a stream's first event. */
 export const FIRST_EVENT_ID = 1;
 
-/**
- * How far an engine has got with an attempt: `waiting` before the response's head, `starting`
- * between the head and the first event, `streaming` after it.
- */
-export type AttemptStage = 'waiting' | 'starting' | 'streaming';
-
-/** The engines chosen for an attempt, and what the choice was based on. */
-export interface AttemptPlan {
-  readonly server: ServerEntry;
-  readonly standby: ServerEntry | undefined;
-  /** Whether the engine resumes from a standby copy of the run's KV cache. */
-  readonly resumesFromCopy: boolean;
-  /** Prompt tokens that the engine has to prefill. */
-  readonly prefillTokens: number;
-  readonly expectedFirstMs: number;
-}
-
-export interface AttemptOptions {
-  readonly number: number;
-  /** Position of the first event to request. */
-  readonly from: number;
-  readonly demand: RunDemand;
-  /** Engines that have failed the request since its last event. */
-  readonly excluded: readonly string[];
-  /** Whether the caller's own request named a last event. */
-  readonly reconnecting: boolean;
-  /** Whether another engine could take over the stream now. */
-  readonly canMigrate: () => boolean;
-}
+/** The rest of a failure's body is not waited for. */
+const MAX_FAILURE_BYTES = 65_536;
 
 export class StreamAttempt {
   readonly #call: Call;
@@ -76,6 +48,9 @@
 
   #head: ResponseHead | undefined;
 
+  /** Length of the body of a failure. */
+  #failureLength = 0;
+
   /** Failure given by the response's head, reported once the response has ended. */
   #failure: { readonly ran: 'no' | 'unknown'; readonly message: string } | undefined;
 
@@ -177,8 +152,7 @@
         break;
       case 'piece':
         fleet.markHeard(server.id);
-        if (this.#failure) break;
-        this.#splitter.push(event.bytes).forEach((part) => this.#onEvent(part));
+        this.#onBytes(event.bytes);
         break;
       case 'end':
         this.#onEnd();
@@ -230,6 +204,18 @@
     }
   }
 
+  #onBytes(bytes: Buffer): void {
+    if (this.#failure) {
+      this.#failureLength += bytes.length;
+      if (this.#failureLength > MAX_FAILURE_BYTES) {
+        this.#fail(this.#failure.ran, this.#failure.message);
+      }
+      return;
+    }
+    this.#splitter.push(bytes).forEach((part) => this.#onEvent(part));
+    if (this.#splitter.isOverlong) this.#fail('unknown', 'an event of the stream is too long');
+  }
+
   #onEvent(event: ServerSentEvent): void {
     const { demand, number } = this.#options;
     const { server } = this.#plan;
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -1,8 +1,8 @@
 /** Logs and measures a relayed stream: its failed attempts and the gaps that its caller sees. */
+import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
 import { sharedPartsField } from './routefields.js';
-import type { AttemptStage } from './streamattempt.js';
 
 export interface FailedAttempt {
   readonly number: number;
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -11,6 +11,7 @@
 import { generationState } from '../generation/state.js';
 import type { Attempt, GenerationState } from '../generation/state.js';
 import { transaction } from '../generation/transaction.js';
+import type { AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, remainingMs } from './context.js';
@@ -23,7 +24,6 @@
 } from './selection.js';
 import type { RunDemand } from './selection.js';
 import { FIRST_EVENT_ID, StreamAttempt } from './streamattempt.js';
-import type { AttemptPlan } from './streamattempt.js';
 import { StreamRecorder } from './streamrecorder.js';
 
 /** Limit on consecutive attempts without an event, most of which reach no engine at all. */
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
@@ -246,6 +247,60 @@
   t.deepEqual(relay.engines.flatMap(({ runs }) => runs), ['r1@1', 'r1@1']);
 });
 
+/** The first engine streams by the head, bytes and end given; all others in full. */
+function unframedEngines(bytes: string, end: (socket: Socket) => void): RelayEngineOptions[] {
+  let isFirst = true;
+  return ENGINES.map((engine) => ({
+    ...engine,
+    respond: (req, _, { options: { id } }) => {
+      if (!isFirst || !req.url?.startsWith('/stream')) return false;
+      isFirst = false;
+      const { socket } = req;
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signature: ${id}\r\n\r\n${bytes}`);
+      setTimeout(() => end(socket), 30);
+      return true;
+    },
+  }));
+}
+
+test('a stream without length or chunks that ends with its connection is complete', async (t) => {
+  const engines = unframedEngines(eventsText(20), (socket) => socket.end());
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+  t.deepEqual(relay.engines.flatMap(({ runs }) => runs), []);
+});
+
+test('a stream without length or chunks that ends inside an event goes on elsewhere', async (t) => {
+  const engines = unframedEngines(eventsText(8).slice(0, -1), (socket) => socket.end());
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+});
+
+test('an event without end is given up and the stream goes on elsewhere', async (t) => {
+  const engines = unframedEngines(eventsText(8), (socket) => {
+    const writing = setInterval(() => socket.write('data: a\n'.repeat(1_000)), 1);
+    socket.once('close', () => clearInterval(writing));
+  });
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+});
+
+test('a late copy of a refusal does not send a call that runs to another server', async (t) => {
+  const copy = 'HTTP/1.1 503 Unavailable\r\nx-id: r0\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n';
+  const respond: RelayEngineOptions['respond'] = (req) => {
+    req.socket.write(copy);
+    return true;
+  };
+  const relay = await startRelay(t, {
+    plain: [{ id: 's1', zone: 'a', respond }, { id: 's2', zone: 'b' }],
+  });
+  t.is((await relay.call('/unsafe/', {}, 'body')).status, 502);
+  t.deepEqual(relay.plain[1]!.runs, []);
+});
+
 test('a stream that may not be repeated is aborted when its engine is lost', async (t) => {
   const stream = { ...ROUTES.stream, repeat: 'never' as const };
   const relay = await startRelay(t, {
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -17,6 +17,8 @@
 import { EventSplitter } from '../src/relay/eventsplitter.js';
 import { cachedTokens } from '../src/relay/cachedprompts.js';
 import { decodeMessage, encodeMessage, MAX_MESSAGE_BYTES } from '../src/relay/peermessage.js';
+import { classifyResponse } from '../src/relay/responseclass.js';
+import type { ResponseClass } from '../src/relay/responseclass.js';
 import { pickTarget } from '../src/relay/frontend.js';
 import { RouteTable } from '../src/relay/routes.js';
 import {
@@ -244,6 +246,62 @@
   t.true(splitter.hasPartialEvent);
 });
 
+test('events: an event without end is not buffered for good', (t) => {
+  const splitter = EventSplitter.of();
+  const bytes = Buffer.from('data: a\n'.repeat(1_000));
+  for (let index = 0; index < 100; index += 1) splitter.push(bytes);
+  t.true(splitter.isOverlong);
+});
+
+const ID = ['x-id', 'r1'];
+const OTHER_ID = ['x-id', 'r0'];
+const SIGNED = ['x-signature', 's'];
+const NOT_RUN = ['x-not-run', '1'];
+const RESPONSE_CLASSES: readonly {
+  name: string; status: number; headers: string[]; kind: ResponseClass['kind'];
+}[] = [
+  {
+    name: 'signed', status: 200, headers: [...ID, ...SIGNED], kind: 'answer',
+  },
+  {
+    name: 'a signed client error', status: 404, headers: [...ID, ...SIGNED], kind: 'answer',
+  },
+  {
+    name: 'a late copy of another answer',
+    status: 200,
+    headers: [...OTHER_ID, ...SIGNED],
+    kind: 'foreign',
+  },
+  {
+    name: 'a late copy of another refusal',
+    status: 503,
+    headers: [...OTHER_ID, ...NOT_RUN],
+    kind: 'foreign',
+  },
+  {
+    name: 'a late copy of another failure', status: 500, headers: OTHER_ID, kind: 'foreign',
+  },
+  {
+    name: 'a refusal', status: 503, headers: [...ID, ...NOT_RUN], kind: 'not_run',
+  },
+  {
+    name: 'a refusal without an id', status: 421, headers: [], kind: 'not_run',
+  },
+  {
+    name: 'a failure', status: 500, headers: ID, kind: 'failed',
+  },
+  {
+    name: 'unsigned', status: 200, headers: ID, kind: 'foreign',
+  },
+];
+RESPONSE_CLASSES.forEach(({
+  name, status, headers, kind,
+}) => {
+  test(`response class: ${name} counts as ${kind}`, (t) => {
+    t.is(classifyResponse(status, headers, 'r1', testDialect).kind, kind);
+  });
+});
+
 const LIMIT = { ratio: 0.5, slack: 20, windowMs: 1_000 };
 
 testProp('retries of all instances stay within ratio and slack in every window', [
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -36,6 +36,15 @@
   return { address: `127.0.0.1:${port}`, connections: () => connections };
 }
 
+/** Writes for as long as the connection lasts. */
+function writeEndlessly(socket: Socket, head: string, bytes: string): void {
+  socket.write(head);
+  const writing = setInterval(() => socket.write(bytes.repeat(1_000)), 1);
+  socket.once('close', () => clearInterval(writing));
+}
+
+const MAX_BODY_BYTES = 100_000;
+
 function send(address: string, connections: Connections): Promise<ExchangeEvent[]> {
   return lastValueFrom(exchange({
     agent: connections.agent('s'),
@@ -45,6 +54,7 @@
     headers: ['Host', 'h'],
     body: Buffer.alloc(0),
     reuse: true,
+    maxBodyBytes: MAX_BODY_BYTES,
   }, monotonicScheduler).pipe(toArray()));
 }
 
@@ -83,6 +93,46 @@
     respond: (socket) => socket.end('nonsense\r\n\r\n'),
     end: 'failed unknown',
   },
+  {
+    name: 'of empty lines without end',
+    respond: (socket) => writeEndlessly(socket, '', '\r\n'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with a reason without end',
+    respond: (socket) => writeEndlessly(socket, 'HTTP/1.1 200 ', 'a'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with headers without end',
+    respond: (socket) => writeEndlessly(socket, 'HTTP/1.1 200 OK\r\n', 'a: b\r\n'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'of interim heads without end',
+    respond: (socket) => writeEndlessly(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with a body without end',
+    respond: (socket) => writeEndlessly(socket, 'HTTP/1.1 200 OK\r\n\r\n', 'a'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with chunks without end',
+    respond: (socket) => writeEndlessly(socket, CHUNKED, '2\r\nab\r\n'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with an extension of a chunk without end',
+    respond: (socket) => writeEndlessly(socket, `${CHUNKED}2;`, 'a'),
+    end: 'failed unknown',
+  },
+  {
+    name: 'with trailers without end',
+    respond: (socket) => writeEndlessly(socket, `${CHUNKED}0\r\n`, 'a: b\r\n'),
+    end: 'failed unknown',
+  },
 ];
 
 RESPONSES.forEach(({ name, respond, end }) => {
