Follow a store that was restored from a backup

What operators would see: after the store came back from a copy some seconds old, changes with revisions given out before were taken for old ones. A leaving engine went unnoticed and a configuration did not come into force until the revisions had caught up.

Change: a version is era and revision in one number, so all that a restored store says is newer. A watch whose answer names another era needs a new listing. Servers that the backup lacks have time to register again; removed ones that it brings back are held back until they write, or are listed for longer than a server that has ended.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -27,6 +27,7 @@
   resumed: 'the answer went on',
   retry: 'to be tried elsewhere',
   route: 'a server was chosen',
+  server_held_back: 'a removed server was listed again by a restored store',
   server_listed: 'the server\'s entry was read',
   server_reached: 'the server was reached again',
   server_removed: 'the server was taken as gone',
@@ -35,6 +36,7 @@
   stop: 'the instance began to stop',
   store_lost: 'the store was lost',
   store_regained: 'the store answered again',
+  store_restored: 'the store came back from a backup',
   stream_ended: 'the stream ended',
   unplaced: 'no server could be chosen',
 };
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -8,6 +8,7 @@
 import { parseJson } from '../store/calls.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
+import { epochOf } from '../store/epoch.js';
 import { follow } from '../store/follow.js';
 import type { FollowEvent } from '../store/follow.js';
 import type { StoreChange } from '../store/versions.js';
@@ -16,6 +17,7 @@
 import type { CopyReport } from './freshness.js';
 import type { Snapshot } from './peersnapshot.js';
 import type { Platform } from './platform.js';
+import { RestoredEntries } from './restoredentries.js';
 import type { RelayConfiguration } from './routes.js';
 import { StoreCopy } from './storecopy.js';
 
@@ -25,6 +27,8 @@
 const MAX_BACKOFF_MS = 400;
 /** Entries expire after three heartbeats, so an outage of two may already have lost one. */
 const LAPSE_HEARTBEATS = 2;
+/** The store removes entries after three heartbeats without one, and may be late by another. */
+const REMOVAL_HEARTBEATS = 4;
 /** How often the copies' ages are checked. */
 const AGE_CHECK_MS = 100;
 
@@ -54,9 +58,15 @@
 
   readonly #servers: StoreCopy;
 
+  readonly #restored: RestoredEntries;
+
+  /** The store's epoch, by the servers' entries. */
+  #epoch: number | undefined;
+
   private constructor(context: StoreFeedContext) {
     const { platform, configurationDelayMs, leavingDelayMs } = context;
     this.#context = context;
+    this.#restored = RestoredEntries.of(context.heartbeatMs * REMOVAL_HEARTBEATS);
     this.#configuration = StoreCopy.of({
       ...context, kind: platform.configurationKind, maxAgeMs: configurationDelayMs,
     });
@@ -85,6 +95,8 @@
       this.#configuration.checkAge();
       this.#servers.checkAge();
       this.#removeUnlisted();
+      this.#restored.release(scheduler.now())
+        .forEach((change) => this.#onServerChange(change, 'store'));
     }));
     return merge(configuration, servers, ages);
   }
@@ -130,7 +142,9 @@
     fleet.awaitRenewals(renewalMs);
     this.#configuration.adopt(copies.configuration)
       .forEach((change) => this.#onConfigurationChange(change, from));
-    this.#servers.adopt(copies.servers).forEach((change) => this.#onServerChange(change, from));
+    const changes = this.#servers.adopt(copies.servers);
+    this.#checkEpoch(from);
+    changes.forEach((change) => this.#onServerChange(change, from));
     if (copies.servers.version > 0) fleet.markLoaded();
   }
 
@@ -159,6 +173,17 @@
     );
   }
 
+  /** Awaits servers that registered after the backup from which the store was restored. */
+  #checkEpoch(from: string): void {
+    const { fleet, log } = this.#context;
+    const epoch = epochOf(this.#servers.versions.position);
+    if (this.#epoch !== undefined && epoch > this.#epoch) {
+      log.event('warn', 'store_restored', { epoch, before: this.#epoch, from });
+      fleet.awaitRenewals();
+    }
+    this.#epoch = Math.max(epoch, this.#epoch ?? 0);
+  }
+
   #onServerEvent(event: FollowEvent): void {
     const { fleet, heartbeatMs } = this.#context;
     const outageMs = this.#servers.recordEvent(event);
@@ -166,6 +191,7 @@
       case 'lost': break;
       case 'heard':
         fleet.markLoaded();
+        this.#checkEpoch('store');
         // While other instances confirmed the copy, the store was up and entries were renewed.
         if (outageMs !== undefined && outageMs > heartbeatMs * LAPSE_HEARTBEATS) {
           fleet.awaitRenewals();
@@ -189,11 +215,19 @@
   }
 
   #onServerChange(change: StoreChange, from: string): void {
-    const { platform, log, fleet } = this.#context;
+    const {
+      platform, log, fleet, scheduler,
+    } = this.#context;
+    const now = scheduler.now();
     if (change.kind === 'delete') {
+      this.#restored.recordRemoval(change.name, change.version, now);
       fleet.remove(change.name);
       return;
     }
+    if (this.#restored.holdBack(change, now)) {
+      log.event('info', 'server_held_back', { server: change.object.name, from });
+      return;
+    }
     const { name, value, version } = change.object;
     const entry = platform.readServer(name, parseJson(value));
     if (entry) fleet.upsert(entry, from);
--- a/src/store/calls.ts
+++ b/src/store/calls.ts
@@ -3,7 +3,7 @@
  * sent, because only then can it have had an effect.
  */
 import { Agent, request as httpRequest } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { timer } from 'rxjs';
@@ -23,7 +23,11 @@
   readonly body?: string;
 }
 
-export interface Answer { readonly status: number; readonly text: string }
+export interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+}
 
 /** A call without a complete answer; `sent` tells whether any of its bytes may have been sent. */
 export interface Failure { readonly sent: boolean; readonly message: string }
@@ -54,7 +58,9 @@
       text += chunk;
       if (text.length > MAX_ANSWER_CHARS) reject(new Error('answer exceeds the size limit'));
     });
-    response.once('end', () => resolve({ status: response.statusCode ?? 0, text }));
+    response.once('end', () => resolve({
+      status: response.statusCode ?? 0, headers: response.headers, text,
+    }));
     response.once('error', reject);
     response.once('close', () => reject(new Error('answer is incomplete')));
   });
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -173,14 +173,18 @@
   t.is(cacheQuery.read('{"held":[[').size, 0);
 });
 
-async function store(t: ExecutionContext, answers: readonly (readonly [number, unknown])[]) {
+/** Status, body and the store's era, if the answer names one. */
+type StoreAnswer = readonly [number, unknown] | readonly [number, unknown, number];
+
+async function store(t: ExecutionContext, answers: readonly StoreAnswer[]) {
   const requests: string[] = [];
   const ports = new Set<number | undefined>();
   const server = createServer((req, res) => {
     ports.add(req.socket.remotePort);
-    const [status, body] = answers[requests.length] ?? [500, {}];
+    const [status, body, era] = answers[requests.length] ?? [500, {}];
     requests.push(req.url ?? '');
-    res.writeHead(status).end(JSON.stringify(body));
+    const headers = era === undefined ? {} : { 'Store-Era': String(era) };
+    res.writeHead(status, headers).end(JSON.stringify(body));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -252,3 +256,40 @@
     t.like(error, { code });
   });
 });
+
+test('store: after a restore from a backup lower revisions are newer versions', async (t) => {
+  const { requests, reader } = await store(t, [
+    [200, { Items: [item('a', 30)], CurrentRev: 40 }, 1],
+    [200, { Items: [item('a', 20)], CurrentRev: 22 }, 2],
+    [200, { events: [{ Object: item('a', 23) }], CurrentRev: 23 }, 2],
+  ]);
+  const before = valueOf(await reader.list('servers'));
+  const after = valueOf(await reader.list('servers'));
+  t.true(after.version > before.version);
+  t.true(after.objects[0]!.version > before.version);
+  const events = await firstValueFrom(reader.watch('servers', after.version)
+    .pipe(take(2), toArray()));
+  t.regex(requests[2]!, /Watch=22&/);
+  const [, change] = events;
+  t.true(change?.kind === 'put' && change.object.version > after.version);
+});
+
+test('store: a watch across a restore from a backup needs a new listing', async (t) => {
+  const { reader } = await store(t, [
+    [200, { Items: [], CurrentRev: 40 }, 1],
+    [200, { events: [{ Object: item('a', 41) }], CurrentRev: 41 }, 2],
+  ]);
+  const { version } = valueOf(await reader.list('servers'));
+  const events = firstValueFrom(reader.watch('servers', version).pipe(toArray()));
+  t.like(await events.catch((error: unknown) => error), { code: 'version_too_old' });
+});
+
+test('store: a listing across a restore from a backup is not used', async (t) => {
+  const { reader } = await store(t, [
+    [200, { Items: [item('a', 3)], MorePages: true, CurrentRev: 9 }, 1],
+    [200, { Items: [item('b', 4)], CurrentRev: 8 }, 2],
+  ]);
+  t.like(await reader.list('servers').then((listing) => listing.isErr() && listing.error), {
+    code: 'version_too_old',
+  });
+});
