Count requests that another server refused against the retry budget

Cause: engines crash behind a cut and start again at their addresses under other ids. Until the store drops the old entries, each request for the old id is refused there with 421. Such an attempt was counted as one that reached nobody: the next one drew nothing from the budget, and up to eight followed each other. Each of the 83 instances found each of the 18 engines out by itself.

Change: an attempt that any server received counts against the budget, still not against the route's limit of attempts. A replaced server counts as leaving, which messages tell the other instances at once.

--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -41,6 +41,13 @@
     return items[this.integer(0, items.length - 1)]!;
   }
 
+  /** The items in a random order. */
+  shuffled<Item>(items: readonly Item[]): readonly Item[] {
+    return items.map((item) => ({ item, order: this.fraction() }))
+      .sort((left, right) => left.order - right.order)
+      .map(({ item }) => item);
+  }
+
   /** 124 random bits in hexadecimal, for identifiers that don't have to be secret. */
   identifier(): string {
     return Array.from({ length: 4 }, () => this.integer(0, MAX_INT).toString(HEX).padStart(8, '0'))
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -39,8 +39,8 @@
   readonly message: string;
   /** The server's response, if it sent one. */
   readonly response?: BufferedResponse;
-  /** Overrides whether the server counts as having received the call. */
-  readonly sent?: boolean;
+  /** Whether another server has taken over the address. */
+  readonly misdirected?: boolean;
 }
 
 export class BufferedRelay {
@@ -149,7 +149,11 @@
     const server = fleet.server(attempt.server);
     if (!server) {
       this.#apply({
-        kind: 'failed', attempt: number, ran: 'no', sent: false, message: 'the server was removed',
+        kind: 'failed',
+        attempt: number,
+        ran: 'no',
+        arrival: 'nowhere',
+        message: 'the server was removed',
       });
       return;
     }
@@ -215,8 +219,7 @@
       case 'not_run':
         if (responseClass.misdirected) fleet.markMisdirected(server);
         this.#onFailure(number, {
-          // Another server has taken this address; the intended one never received the call.
-          ran: 'no', message: responseClass.message, sent: !responseClass.misdirected,
+          ran: 'no', message: responseClass.message, misdirected: responseClass.misdirected,
         });
         break;
       case 'failed':
@@ -248,8 +251,14 @@
       ran,
       reason: message,
     });
+    const arrival = failure.misdirected ? 'other_server' : 'server';
     this.#apply({
-      kind: 'failed', attempt: number, ran, sent: failure.sent ?? live.sent, message, response,
+      kind: 'failed',
+      attempt: number,
+      ran,
+      arrival: live.sent ? arrival : 'nowhere',
+      message,
+      response,
     });
   }
 
--- a/src/relay/callstate.ts
+++ b/src/relay/callstate.ts
@@ -6,6 +6,12 @@
 import type { Refusal } from '../common/refusal.js';
 import type { BufferedResponse } from './call.js';
 
+/**
+ * Where a failed attempt may have arrived: at the server chosen, at another one that has taken over
+ * its address and refused the request, or nowhere.
+ */
+export type Arrival = 'server' | 'other_server' | 'nowhere';
+
 export interface CallAttempt { readonly number: number; readonly server: string }
 
 /** `waiting`: a server is being chosen. */
@@ -18,8 +24,10 @@
   readonly repeatable: boolean;
   readonly maxAttempts: number;
   readonly attempts: number;
-  /** Attempts that reached no server; they don't count towards `maxAttempts`. */
+  /** Attempts that did not reach the server chosen; they don't count towards `maxAttempts`. */
   readonly unreached: number;
+  /** Failed attempts that arrived at any server. */
+  readonly arrivals: number;
   readonly phase: CallPhase;
   readonly tried: readonly string[];
   /** Whether a server may have run the call. */
@@ -41,8 +49,7 @@
     readonly attempt: number;
     readonly ran: 'no' | 'unknown';
     readonly message: string;
-    /** Whether the server may have received any of the request. */
-    readonly sent: boolean;
+    readonly arrival: Arrival;
     /** The server's response, if it sent one. */
     readonly response?: BufferedResponse | undefined;
   }
@@ -52,7 +59,7 @@
   | { readonly kind: 'caller_gone' };
 
 export type CallEffect =
-  /** `isRetry` is set when a server has already received the call. */
+  /** `isRetry` is set when any server has already received the call. */
   | { readonly kind: 'assign'; readonly isRetry: boolean; readonly exclude: readonly string[] }
   | { readonly kind: 'dispatch'; readonly attempt: CallAttempt }
   | { readonly kind: 'cancel'; readonly attempt: CallAttempt }
@@ -70,6 +77,7 @@
     maxAttempts,
     attempts: 0,
     unreached: 0,
+    arrivals: 0,
     phase: { kind: 'waiting' },
     tried: [],
     mayHaveRun: false,
@@ -137,8 +145,8 @@
 
 /** Asks for a server that has not been tried yet. */
 function retry(state: CallState): CallTransition {
-  const { attempts, unreached, tried } = state;
-  return { state, effects: [{ kind: 'assign', isRetry: attempts > unreached, exclude: tried }] };
+  const isRetry = state.arrivals + liveAttempts(state).length > 0;
+  return { state, effects: [{ kind: 'assign', isRetry, exclude: state.tried }] };
 }
 
 /** `Retry-After` of a call that has not run: about as long as a server stays busy. */
@@ -156,7 +164,8 @@
     mayHaveRun: state.mayHaveRun || event.ran === 'unknown',
     errorResponse: event.response ?? state.errorResponse,
     message: event.message,
-    unreached: state.unreached + (event.sent ? 0 : 1),
+    unreached: state.unreached + (event.arrival === 'server' ? 0 : 1),
+    arrivals: state.arrivals + (event.arrival === 'nowhere' ? 0 : 1),
     phase: remaining.length > 0 ? { kind: 'running', live: remaining } : { kind: 'waiting' },
   };
   if (remaining.length > 0) return withoutEffects(next);
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -69,17 +69,13 @@
   /** The usable servers of a service, shuffled so that instances don't all pick the same one. */
   candidates(service: string, exclude: readonly string[]): readonly Candidate[] {
     const now = this.#now();
-    return this.servers
-      .filter((server) => server.entry.service === service && isUsable(server, now)
-        && !exclude.includes(server.entry.id))
-      .map((server) => ({
-        server,
-        load: totalLoad(server.ownLoad, this.#context.peerLoads(server.entry.id)),
-        zoneSuspect: this.#zoneFailures.suspects(server.entry, this.heardAt(server.entry.id), now),
-      }))
-      .map((candidate) => ({ candidate, order: this.#context.random.fraction() }))
-      .sort((left, right) => left.order - right.order)
-      .map(({ candidate }) => candidate);
+    const usable = this.servers.filter((server) => server.entry.service === service
+      && isUsable(server, now) && !exclude.includes(server.entry.id));
+    return this.#context.random.shuffled(usable).map((server) => ({
+      server,
+      load: totalLoad(server.ownLoad, this.#context.peerLoads(server.entry.id)),
+      zoneSuspect: this.#zoneFailures.suspects(server.entry, this.heardAt(server.entry.id), now),
+    }));
   }
 
   /** Adds or updates a server from its entry. */
@@ -126,9 +122,11 @@
     this.#expire(id, 'entry_gone', lapsed ? this.#graceUntil : now);
   }
 
-  /** Called when another server answers at this server's address. */
+  /** Called when another server answers at this server's address; other instances are told. */
   markMisdirected(id: string): void {
+    this.markLeaving(id, this.#servers.get(id)?.entry.startedAt ?? 0, 'misdirected');
     this.#expire(id, 'misdirected');
+    this.#context.onUrgentChange();
   }
 
   /** Marks a server as gone from a given time on. */
--- a/src/relay/migration.ts
+++ b/src/relay/migration.ts
@@ -4,16 +4,30 @@
 import { selectEngine } from './selection.js';
 import type { RunDemand } from './selection.js';
 
-/**
- * Why a stream may not start another attempt; undefined if it may.
- * @param sent number of engines that the request was sent to
- */
+/** The attempts of a stream so far. */
+export interface AttemptCounts {
+  /** Attempts that the engine chosen may have received. */
+  readonly sent: number;
+  /** Attempts that any server may have received, such as one that took over an engine's address. */
+  readonly arrived: number;
+}
+
+export function countAttempts(
+  attempts: readonly { readonly sent: boolean; readonly arrived: boolean }[],
+): AttemptCounts {
+  return {
+    sent: attempts.filter(({ sent }) => sent).length,
+    arrived: attempts.filter(({ arrived }) => arrived).length,
+  };
+}
+
+/** Why a stream may not start another attempt; undefined if it may. */
 export function attemptDenialReason(
   { route, service }: Call,
-  sent: number,
+  { sent, arrived }: AttemptCounts,
   { retries, scheduler }: RelayContext,
 ): string | undefined {
-  if (sent > 0 && retries.left(service.name, scheduler.now()) < 1) {
+  if (arrived > 0 && retries.left(service.name, scheduler.now()) < 1) {
     return 'the retry budget is used up';
   }
   return sent >= route.maxAttempts ? 'no attempt is left' : undefined;
@@ -22,19 +36,18 @@
 /**
  * Silence alone does not end a stream: it stays on its engine unless the request may be
  * repeated and another engine has capacity for it.
- * @param sent number of engines that the request was sent to
  * @param exclude ids of the engines that the stream can't move to
  */
 export function mayMigrate(
   call: Call,
-  sent: number,
+  counts: AttemptCounts,
   exclude: readonly string[],
   demand: RunDemand,
   context: RelayContext,
 ): boolean {
   const { engine, name } = call.service;
   if (!engine || call.route.repeat === 'never') return false;
-  if (attemptDenialReason(call, sent, context) !== undefined) return false;
+  if (attemptDenialReason(call, counts, context) !== undefined) return false;
   const { fleet, scheduler } = context;
   return selectEngine(fleet.candidates(name, exclude), demand, engine, scheduler.now())
     !== undefined;
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -40,6 +40,9 @@
   /** Whether the engine may have received any of the request. */
   sent = false;
 
+  /** Whether any server may have, also one that has taken over the engine's address. */
+  arrived = false;
+
   #startedAt = 0;
 
   #lastEventAt: number | undefined;
@@ -145,6 +148,7 @@
     switch (event.kind) {
       case 'sent':
         this.sent = true;
+        this.arrived = true;
         break;
       case 'head':
         fleet.markHeard(server.id);
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -15,7 +15,8 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, remainingMs } from './context.js';
-import { attemptDenialReason, mayMigrate } from './migration.js';
+import { attemptDenialReason, countAttempts, mayMigrate } from './migration.js';
+import type { AttemptCounts } from './migration.js';
 import {
   capacityFields, heardMsAgo, listingFields, rejectionFields, routeFields, unplacedFields,
 } from './routefields.js';
@@ -82,9 +83,8 @@
     return () => relay.#apply({ kind: 'caller_gone' });
   }
 
-  /** Attempts whose request was sent to an engine. */
-  get #sentAttempts(): number {
-    return [...this.#attempts.values()].filter(({ sent }) => sent).length;
+  get #counts(): AttemptCounts {
+    return countAttempts([...this.#attempts.values()]);
   }
 
   get #demand(): RunDemand {
@@ -133,7 +133,7 @@
     this.#timers.unsubscribe();
     this.#recorder.streamEnded(state.accepted.tokens);
     const { retrySchedules, scheduler } = this.#context;
-    if (this.#sentAttempts > 0) retrySchedules.runEnded(this.#call.service.name, scheduler.now());
+    if (this.#counts.sent > 0) retrySchedules.runEnded(this.#call.service.name, scheduler.now());
   }
 
   #perform(effect: GenerationEffect): void {
@@ -188,8 +188,7 @@
       return;
     }
     if (this.#rejectQuarantined()) return;
-    const sent = this.#sentAttempts;
-    const reason = attemptDenialReason(this.#call, sent, this.#context);
+    const reason = attemptDenialReason(this.#call, this.#counts, this.#context);
     if (reason !== undefined) {
       this.#unassignable(reason);
       return;
@@ -204,7 +203,7 @@
       else this.#unassignable('no engine has room', inputs, retrySchedules.next(service.name, now));
       return;
     }
-    if (sent > 0) countRetry(this.#call, this.#context);
+    if (this.#counts.arrived > 0) countRetry(this.#call, this.#context);
     const standby = engine.standby
       ? selectStandby(allowed, this.#demand, engine, chosen.server)
       : undefined;
@@ -251,7 +250,7 @@
       demand: this.#demand,
       excluded: this.#state.excluded,
       reconnecting: this.#call.fields.lastEvent !== undefined,
-      canMigrate: () => mayMigrate(this.#call, this.#sentAttempts, [
+      canMigrate: () => mayMigrate(this.#call, this.#counts, [
         ...this.#state.excluded, attempt.server], this.#demand, this.#context),
     }, this.#context, (event) => this.#onAttemptEvent(attempt, event));
     this.#attempts.set(attempt.number, streamAttempt);
--- a/test/relay-callstate.test.ts
+++ b/test/relay-callstate.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { callState, callTransition } from '../src/relay/callstate.js';
-import type { CallEffect, CallEvent } from '../src/relay/callstate.js';
+import type { Arrival, CallEffect, CallEvent } from '../src/relay/callstate.js';
 
 const ANSWER = { status: 200, headers: [], body: Buffer.from('ok') };
 const FAILURE = { status: 500, headers: [], body: Buffer.from('no') };
@@ -9,9 +9,14 @@
   return { kind: 'assigned', server };
 }
 
-function failed(attempt: number, ran: 'no' | 'unknown', sent = true, answer = false): CallEvent {
+function failed(
+  attempt: number,
+  ran: 'no' | 'unknown',
+  arrival: Arrival = 'server',
+  answer = false,
+): CallEvent {
   return {
-    kind: 'failed', attempt, ran, sent, message: 'lost', response: answer ? FAILURE : undefined,
+    kind: 'failed', attempt, ran, arrival, message: 'lost', response: answer ? FAILURE : undefined,
   };
 }
 
@@ -81,9 +86,16 @@
   {
     name: 'uses no retry budget when no server was reached',
     safe: false,
-    events: [assigned('a'), failed(1, 'no', false)],
+    events: [assigned('a'), failed(1, 'no', 'nowhere')],
     effects: 'assign -a',
   },
+  {
+    name: 'uses retry budget after another server has refused it',
+    safe: false,
+    attempts: 1,
+    events: [assigned('a'), failed(1, 'no', 'other_server')],
+    effects: 'assign again -a',
+  },
   {
     name: 'makes no more attempts than the route allows',
     safe: true,
@@ -95,13 +107,13 @@
     name: 'does not count servers that were not reached as attempts',
     safe: true,
     attempts: 1,
-    events: [assigned('a'), failed(1, 'no', false)],
+    events: [assigned('a'), failed(1, 'no', 'nowhere')],
     effects: 'assign -a',
   },
   {
     name: 'passes on a server\'s error response when no attempt succeeds',
     safe: true,
-    events: [assigned('a'), failed(1, 'unknown', true, true), UNASSIGNABLE],
+    events: [assigned('a'), failed(1, 'unknown', 'server', true), UNASSIGNABLE],
     effects: 'answer 500',
   },
   {
