Take no progress from comments in a stream, and no event without an id

What callers would see: a stalled engine that sent a comment now and then kept its caller until the deadline, and the comment was passed on as if it were the next event, after which the real one was dropped as a repetition. Bytes without an id that ended like an event reached the caller in the answer.

Cause: an event without an id was given the next position.

Change: comments are left out; any other event without an id fails the attempt, and the stream goes on elsewhere.

Measured: on the code before, the tests with comments and without an id failed. Those with single bytes, a slow but steady stream, and a planned stop under load (20 callers on kept connections; no request that a server took went without an answer) passed.

--- a/src/relay/eventsplitter.ts
+++ b/src/relay/eventsplitter.ts
@@ -6,12 +6,16 @@
 export interface ServerSentEvent {
   /** The event, including the blank line that ends it. */
   readonly text: string;
+  /** Undefined if it has none, which only comments may lack. */
   readonly id: number | undefined;
+  /** Whether it is only a comment, as servers send to keep a connection open. */
+  readonly isComment: boolean;
 }
 
 /** An event of some thousand tokens. */
 const MAX_EVENT_LENGTH = 65_536;
 const EVENT_END = /\r?\n\r?\n/g;
+const COMMENT = /^(?::[^\n]*\n|\r?\n)*$/;
 const EVENT_ID = /^id: ?(\d{1,15})\r?$/m;
 
 export class EventSplitter {
@@ -40,7 +44,11 @@
     for (let end = EVENT_END.exec(text); end; end = EVENT_END.exec(text)) {
       const event = text.slice(from, EVENT_END.lastIndex);
       const id = EVENT_ID.exec(event)?.[1];
-      events.push({ text: event, id: id === undefined ? undefined : Number(id) });
+      events.push({
+        text: event,
+        id: id === undefined ? undefined : Number(id),
+        isComment: id === undefined && COMMENT.test(event),
+      });
       from = EVENT_END.lastIndex;
     }
     this.#pending = text.slice(from);
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -216,13 +216,17 @@
       }
       return;
     }
-    this.#splitter.push(bytes).forEach((part) => this.#onEvent(part));
+    this.#splitter.push(bytes).filter(({ isComment }) => !isComment)
+      .forEach((event) => this.#onEvent(event));
     if (this.#splitter.isOverlong) this.#fail('unknown', 'an event of the stream is too long');
   }
 
   #onEvent(event: ServerSentEvent): void {
     const { demand, number } = this.#options;
-    const { server } = this.#plan;
+    if (event.id === undefined) {
+      this.#fail('unknown', 'an event of the stream has no id');
+      return;
+    }
     if (this.#lastEventAt === undefined) {
       this.#context.quarantines.markAnswered(this.#call.fields);
       this.#assignments[0]?.update({
@@ -231,13 +235,8 @@
       if (this.#plan.resumesFromCopy) this.#context.meter.record({ kind: 'copy', outcome: 'used' });
     }
     this.#lastEventAt = this.#context.scheduler.now();
-    const position = event.id === undefined ? this.#nextPosition : event.id - FIRST_EVENT_ID;
+    const position = event.id - FIRST_EVENT_ID;
     this.#nextPosition = position + 1;
-    if (event.id === undefined) {
-      this.#context.log.event('warn', 'event_without_id', {
-        request: this.#call.id, server: server.id, text: event.text.slice(0, 80),
-      });
-    }
     this.#emit({
       kind: 'token', attempt: number, position, text: event.text,
     });
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -1,5 +1,6 @@
 /** Runs a relay daemon on loopback with fake backend servers and an in-process object store. */
 import { request as httpRequest } from 'node:http';
+import type { Agent } from 'node:http';
 import type { ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
 import { map } from 'rxjs';
@@ -282,6 +283,7 @@
     headers: Readonly<Record<string, string>> = {},
     body?: string,
     onData?: (text: string, disconnect: () => void) => void,
+    agent: Agent | false = false,
   ): Promise<Reply> {
     return new Promise((resolve) => {
       const request = httpRequest({
@@ -292,7 +294,7 @@
         headers: {
           host: HOST, 'x-id': 'r1', 'x-key': KEY, ...headers,
         },
-        agent: false,
+        agent,
       });
       request.on('error', () => resolve({
         status: 0, headers: {}, text: '', whole: false,
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -1,3 +1,4 @@
+import { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
@@ -288,6 +289,78 @@
   t.like(reply, { status: 200, text: eventsText(20), whole: true });
 });
 
+function writeEvery(ms: number, text: string) {
+  return (socket: Socket) => {
+    const writing = setInterval(() => socket.write(text), ms);
+    socket.once('close', () => clearInterval(writing));
+  };
+}
+
+test('a stalled stream that sends a byte now and then goes on elsewhere', async (t) => {
+  const engines = unframedEngines(eventsText(8), writeEvery(50, 'd'));
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+});
+
+test('a stalled stream that sends comments goes on elsewhere', async (t) => {
+  const engines = unframedEngines(eventsText(8), writeEvery(50, ': ping\n\n'));
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+});
+
+test('an event without an id is not passed on, and the stream goes on elsewhere', async (t) => {
+  const engines = unframedEngines(`${eventsText(8)}data: other\n\n`, (socket) => socket.end());
+  const relay = await startRelay(t, { engines });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(20), whole: true });
+});
+
+test('a slow but steady stream stays on its engine', async (t) => {
+  const relay = await startRelay(t, {
+    engines: ENGINES.map((options) => ({ ...options, stepMs: 300, events: 8 })),
+  });
+  const reply = await relay.call('/stream/', STREAM, 'prompt');
+  t.like(reply, { status: 200, text: eventsText(8), whole: true });
+  t.is(relay.engines.flatMap(({ runs }) => runs).length, 1);
+});
+
+test('a planned stop under load leaves no request that was taken without an answer', async (t) => {
+  const relay = await startRelay(t, {
+    plain: PLAIN.map((options) => ({
+      ...options,
+      respond: (req, res, server) => {
+        server.runs.push(String(req.headers['x-id']));
+        setTimeout(() => res.writeHead(200, server.responseHeaders(req)).end('ok'), 20);
+        return true;
+      },
+    })),
+  });
+  const answered = new Set<string>();
+  let stopped = false;
+  relay.daemon.drain.ended.subscribe(() => {
+    stopped = true;
+    relay.stop();
+  });
+  const callUntilStopped = async (caller: number) => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    for (let index = 0; !stopped; index += 1) {
+      const id = `r${caller}-${index}`;
+      // eslint-disable-next-line no-await-in-loop -- one request after the other
+      const reply = await relay.call('/unsafe/', { 'x-id': id }, 'body', undefined, agent);
+      if (reply.whole && reply.status === 200) answered.add(id);
+    }
+    agent.destroy();
+  };
+  const callers = Promise.all(Array.from({ length: 20 }, (_, index) => callUntilStopped(index)));
+  t.true(await eventually(() => answered.size > 50));
+  relay.daemon.startDrain();
+  await callers;
+  const taken = relay.plain.flatMap(({ runs }) => runs);
+  t.deepEqual(taken.filter((id) => !answered.has(id)), []);
+});
+
 test('a late copy of a refusal does not send a call that runs to another server', async (t) => {
   const copy = 'HTTP/1.1 503 Unavailable\r\nx-id: r0\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n';
   const respond: RelayEngineOptions['respond'] = (req) => {
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -246,6 +246,15 @@
   t.true(splitter.hasPartialEvent);
 });
 
+test('events: comments are told from events, which have ids', (t) => {
+  const text = ': ping\n\n:\r\n\r\nid: 4\n: note\ndata: a\n\ndata: b\n\n';
+  const events = EventSplitter.of().push(Buffer.from(text));
+  t.is(events.map((event) => event.text).join(''), text);
+  t.deepEqual(events.map(({ id, isComment }) => [id, isComment]), [
+    [undefined, true], [undefined, true], [4, false], [undefined, false],
+  ]);
+});
+
 test('events: an event without end is not buffered for good', (t) => {
   const splitter = EventSplitter.of();
   const bytes = Buffer.from('data: a\n'.repeat(1_000));
