Repeat the crashes of quarantined parts to instances that start later

Cause: besides the newest changes a message repeated one crash at random. Beside 60 other crashes an instance that started a minute later learnt of the three that matter after up to 15 s; those in use for 3 s are expected to refuse such requests.

Change: each message also repeats one crash of a quarantine.

--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -25,9 +25,8 @@
 const MAX_ANSWERED_PARTS = 4_096;
 /** How long a change is in every message, so that it reaches all instances within a second. */
 const NEWS_MS = 2_000;
-/** Crashes in a message: the newest changes, and others for instances that have just started. */
+/** New changes in a message, besides a crash of a quarantine and another one. */
 const MAX_NEWS = 3;
-const MAX_REPEATED = 1;
 /** Crashes are no longer passed on this long before they are forgotten, so that none comes back. */
 const EXPIRY_MARGIN_MS = 10_000;
 
@@ -193,12 +192,17 @@
     const changedAt = ({ server }: Crash) => this.#changedAt.get(server) ?? -Infinity;
     const news = lasting.filter((crash) => changedAt(crash) > now - NEWS_MS)
       .sort((left, right) => changedAt(right) - changedAt(left)).slice(0, MAX_NEWS);
-    const others = lasting.filter((crash) => !news.includes(crash));
-    const start = others.length === 0 ? 0 : random.integer(0, others.length - 1);
-    const repeated = others.slice(start, start + MAX_REPEATED);
+    // Repeated, one by one, for instances that have just started.
+    const known = random.shuffled(lasting.filter((crash) => !news.includes(crash)));
+    const quarantined = known.find((crash) => this.#isQuarantined(crash));
+    const repeated = [...new Set([known[0], quarantined])].filter((crash) => crash !== undefined);
     return [...repeated, ...news].map((crash) => this.#reportOf(crash, now));
   }
 
+  #isQuarantined(crash: Crash): boolean {
+    return this.#found.some(({ crashes }) => crashes.includes(crash));
+  }
+
   #reportOf({
     server, at, started, parts, previous,
   }: Crash, now: number): CrashReport {
