Don't quarantine a part alone that two crashing parts share

Cause: of parts with crashes that nothing else explains the one with the most came first. A sound part that all requests with two bad ones share has the crashes of both; without an answer in between it was quarantined alone, and with it all sound requests that have it.

Change: if other parts that suffice by themselves explain all its crashes together, only requests with it and one of those are refused, until a crash or an answer tells more.

Measured: the new test's first case gave the shared part alone before.

--- a/src/limits/crashevidence.ts
+++ b/src/limits/crashevidence.ts
@@ -46,7 +46,7 @@
   readonly answers: ReadonlyMap<string, number>;
 }
 
-/** Parts that can't be told apart yet; requests that have all of them are refused. */
+/** Parts of which each may be innocent; requests that have all of them are refused. */
 export interface Quarantine {
   readonly parts: readonly string[];
   readonly crashes: readonly Crash[];
@@ -182,18 +182,36 @@
   return left.length === right.length && left.every((crash, index) => crash === right[index]);
 }
 
+function quarantineBy(suspect: Suspect, parts: readonly Suspect[]): Quarantine {
+  return {
+    parts: parts.map(({ part }) => part), crashes: suspect.crashes, until: endOf(suspect),
+  };
+}
+
+/**
+ * What to refuse for the suspect with the most crashes. If others with a part of its crashes each
+ * explain all of them together, it may be innocent: only requests with one of those are refused.
+ */
+function quarantinesFor(first: Suspect, others: readonly Suspect[]): readonly Quarantine[] {
+  const subsets = others.filter(({ crashes }) => (
+    crashes.every((crash) => first.crashes.includes(crash))));
+  const same = [first, ...subsets.filter(({ crashes }) => isSame(crashes, first.crashes))];
+  const narrower = subsets.filter((suspect) => !same.includes(suspect));
+  const isCovered = first.crashes.every((crash) => (
+    narrower.some(({ crashes }) => crashes.includes(crash))));
+  return isCovered
+    ? narrower.map((suspect) => quarantineBy(suspect, [...same, suspect]))
+    : [quarantineBy(first, same)];
+}
+
 /** The parts whose requests are to be refused. */
 export function quarantines(evidence: CrashEvidence): readonly Quarantine[] {
   const [first, ...others] = suspects(evidence);
   if (!first) return [];
-  const group = others.filter(({ crashes }) => isSame(crashes, first.crashes));
-  const quarantine = {
-    parts: [first, ...group].map(({ part }) => part),
-    crashes: first.crashes,
-    until: endOf(first),
-  };
   const unexplained = evidence.crashes.filter((crash) => !first.crashes.includes(crash));
-  return [quarantine, ...quarantines({ ...evidence, crashes: unexplained })];
+  return [
+    ...quarantinesFor(first, others), ...quarantines({ ...evidence, crashes: unexplained }),
+  ];
 }
 
 /** The quarantine that a request with these parts falls under; undefined if there is none. */
--- a/test/crashevidence.test.ts
+++ b/test/crashevidence.test.ts
@@ -146,6 +146,36 @@
     ]),
     parts: ['bad', 'worse'],
   },
+  {
+    name: 'two parts that crash engines, and one that all their requests share',
+    steps: [1, 2, 3].flatMap((index) => [
+      crash(`e${index}`, index * 1_000, 'all,bad'),
+      crash(`f${index}`, index * 1_000 + 400, 'all,worse'),
+    ]),
+    parts: ['all+bad', 'all+worse'],
+  },
+  {
+    name: 'the same, and then a crash without either of the two',
+    steps: [
+      ...[1, 2, 3].flatMap((index) => [
+        crash(`e${index}`, index * 1_000, 'all,other'),
+        crash(`f${index}`, index * 1_000 + 400, 'all,another'),
+      ]),
+      crash('g', 5_000, 'all'),
+    ],
+    parts: ['all'],
+  },
+  {
+    name: 'the same, and then an answer without either of the two',
+    steps: [
+      ...[1, 2, 3].flatMap((index) => [
+        crash(`e${index}`, index * 1_000, 'all,bad'),
+        crash(`f${index}`, index * 1_000 + 400, 'all,worse'),
+      ]),
+      answered(5_000, 'all'),
+    ],
+    parts: ['bad', 'worse'],
+  },
   {
     name: 'a part that was answered before takes one crash more',
     steps: [
