Log and measure the rate limits that servers name

The log of the incident can't tell whether a limit was read, or kept by each instance alone: no line and no metric names one. The header is read by the adapter, and a change is logged (server_limit, server_limit_unreadable) and shown by explain; the gauge servers_limited counts such servers. No decision changes.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -28,6 +28,8 @@
   retry: 'to be tried elsewhere',
   route: 'a server was chosen',
   server_held_back: 'a removed server was listed again by a restored store',
+  server_limit: 'the server named another rate limit',
+  server_limit_unreadable: 'the server named a rate limit that can\'t be read',
   server_listed: 'the server\'s entry was read',
   server_reached: 'the server was reached again',
   server_removed: 'the server was taken as gone',
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -13,6 +13,7 @@
 import type { ResponseClass } from './responseclass.js';
 import { heardMsAgo, listingFields, unplacedFields } from './routefields.js';
 import { selectServer } from './selection.js';
+import type { ServerEntry } from './serverentry.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 
@@ -26,6 +27,7 @@
 
 interface LiveAttempt {
   readonly attempt: CallAttempt;
+  readonly entry: ServerEntry;
   readonly assignment: Assignment;
   readonly subscription: Subscription;
   readonly startedAt: number;
@@ -160,6 +162,7 @@
     const subscription = new Subscription();
     this.#liveAttempts.set(number, {
       attempt,
+      entry: server.entry,
       assignment: fleet.assign(attempt.server, ONE_REQUEST),
       subscription,
       startedAt: scheduler.now(),
@@ -185,6 +188,7 @@
         fleet.markHeard(server);
         const { status, headers } = event;
         const responseClass = classifyResponse(status, headers, this.#call.id, dialect);
+        this.#context.limits.observe(live.entry, responseClass);
         live.head = { response: { status, headers }, responseClass };
         if (responseClass.kind === 'foreign') {
           this.#onFailure(number, { ran: 'unknown', message: responseClass.message });
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -3,6 +3,7 @@
 import type { Log } from '../common/log.js';
 import type { Refusal } from '../common/refusal.js';
 import type { RetryWindows } from '../limits/retrywindow.js';
+import type { AdvertisedLimits } from './advertisedlimits.js';
 import type { CachedPrompts } from './cachedprompts.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
 import type { Connections } from './connections.js';
@@ -20,6 +21,7 @@
   readonly meter: Meter;
   readonly dialect: Dialect;
   readonly fleet: Fleet;
+  readonly limits: AdvertisedLimits;
   /** Version and age of this instance's copy of the servers' entries. */
   readonly serverCopy: () => { readonly version: number; readonly ageMs: number };
   readonly connections: Connections;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -13,6 +13,7 @@
 import { RetryWindows } from '../limits/retrywindow.js';
 import { MeteredReader } from '../store/meteredreader.js';
 import { ActiveConfiguration } from './activeconfiguration.js';
+import { AdvertisedLimits } from './advertisedlimits.js';
 import { CachedPrompts } from './cachedprompts.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
@@ -60,6 +61,8 @@
 
   readonly #fleet: Fleet;
 
+  readonly #limits: AdvertisedLimits;
+
   readonly #peers: Peers;
 
   readonly #quarantines: Quarantines;
@@ -105,6 +108,9 @@
       peerLoads: (server) => this.#peers.loads(server),
       reuseAfterMs: settings.reuseAfterMs,
     });
+    this.#limits = AdvertisedLimits.of({
+      scheduler, log, server: (id) => this.#fleet.server(id),
+    });
     this.#quarantines = Quarantines.of({ ...shared, identity });
     this.#peers = this.#createPeers();
     this.#relayContext = {
@@ -113,6 +119,7 @@
       log,
       dialect: context.platform.dialect,
       fleet: this.#fleet,
+      limits: this.#limits,
       serverCopy: () => this.#storeFeed.serverCopy,
       connections: this.#connections,
       retries: this.#retries,
@@ -285,6 +292,7 @@
       storeSilentMs: () => this.#storeFeed.silentMs,
       serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       quarantines: () => this.#quarantines.found.length,
+      limitedServers: () => this.#limits.limited.size,
       retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
     };
   }
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -45,6 +45,12 @@
   readonly goOnFrom: StandbyCopy | undefined;
 }
 
+/** The requests per second that a server says it takes from all instances together. */
+export type AdvertisedLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'rate'; readonly perSecond: number }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
 /** What the relay reads from the headers of a server's response. */
 export interface ResponseFields {
   /** The request that the response belongs to. */
@@ -55,6 +61,7 @@
   /** The server that responded, if it names itself. */
   readonly server: string | undefined;
   readonly weights: number | undefined;
+  readonly limit: AdvertisedLimit;
 }
 
 export interface Dialect {
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -31,6 +31,8 @@
   readonly serverCopyAgeMs: () => number;
   /** Prompt parts, or groups of them, whose requests are refused because they crash engines. */
   readonly quarantines: () => number;
+  /** Servers that name a rate limit. */
+  readonly limitedServers: () => number;
   /** Retries that this instance may still send, for the service with the fewest left. */
   readonly retriesLeft: () => number;
 }
@@ -117,6 +119,7 @@
     this.#gauge('server_copy_age_seconds', 'Since the servers\' entries were confirmed', () => (
       gauges.serverCopyAgeMs() / MILLISECONDS_PER_SECOND));
     this.#gauge('quarantines', 'Prompt parts refused as they crash engines', gauges.quarantines);
+    this.#gauge('servers_limited', 'Backend servers that name a rate limit', gauges.limitedServers);
     this.#gauge('retries_left', 'Retries that may still be sent now', gauges.retriesLeft);
     this.#gauge('log_lines_left_out', 'Lines left out for a slow reader', gauges.droppedLogLines);
   }
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -1,5 +1,5 @@
 /** Header names for relay tests; the platform's own are tested with its adapter. */
-import type { Dialect, RawHeaders } from '../../src/relay/dialect.js';
+import type { AdvertisedLimit, Dialect, RawHeaders } from '../../src/relay/dialect.js';
 
 const RELAY_HEADERS = /^x-(key|deadline|server|workspace|priority|last|standby|from)$/;
 
@@ -13,6 +13,13 @@
   return text === undefined ? undefined : Number(text);
 }
 
+function limitOf(raw: RawHeaders): AdvertisedLimit {
+  const text = headerOf(raw, 'x-limit');
+  if (text === undefined) return { kind: 'none' };
+  const perSecond = Number(text);
+  return text !== '' && perSecond >= 0 ? { kind: 'rate', perSecond } : { kind: 'unreadable', text };
+}
+
 export const testDialect: Dialect = {
   readRequest: (raw) => ({
     id: headerOf(raw, 'x-id'),
@@ -50,6 +57,7 @@
     notRun: status === 421 || headerOf(raw, 'x-not-run') !== undefined,
     server: headerOf(raw, 'x-server'),
     weights: undefined,
+    limit: limitOf(raw),
   }),
   retryAfter: (ms) => (ms / 1_000).toFixed(2),
 };
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -168,6 +168,22 @@
   t.is(platformDialect.retryAfter(250), '0.25');
 });
 
+const LIMITS: readonly (readonly [string, string | undefined, object])[] = [
+  ['absent', undefined, { kind: 'none' }],
+  ['below one', '0.4', { kind: 'rate', perSecond: 0.4 }],
+  ['zero', '0', { kind: 'rate', perSecond: 0 }],
+  ['padded', ' 12 ', { kind: 'rate', perSecond: 12 }],
+  ['negative', '-1', { kind: 'unreadable', text: '-1' }],
+  ['a word', 'few', { kind: 'unreadable', text: 'few' }],
+  ['empty', '', { kind: 'unreadable', text: '' }],
+];
+LIMITS.forEach(([name, text, limit]) => {
+  test(`headers: a server's rate limit is read: ${name}`, (t) => {
+    const headers = text === undefined ? [] : ['Server-Limit', text];
+    t.deepEqual(platformDialect.readResponse(200, headers).limit, limit);
+  });
+});
+
 test('cached parts: an invalid list counts as empty', (t) => {
   t.deepEqual([...cacheQuery.read('{"held":[["","a",10,"m"]]}')], [['a', 10]]);
   t.is(cacheQuery.read('{"held":[[').size, 0);
