Keep the rate limits that servers name, as a sum over all instances

What callers saw: servers in need got many times what they took (87 requests in 4 s where 18 were allowed), and failed for others too. Cause: the limit was not read; choice by duration even preferred a server that had been relieved. Class: a server's own back-pressure ignored, a limit that no one instance can keep alone. Change: each instance sends its share of a limit, and instances tell each other limits and their use of limited servers, so that idle ones lend their shares. All attempts take permits; when every server is at its limit, callers are refused at once with the next turn as Retry-After. The choice of engines moves out of streamrelay.ts, the deferred listeners out of daemon.ts, the sliding maximum out of retrywindow.ts.

--- a/src/limits/retrywindow.ts
+++ b/src/limits/retrywindow.ts
@@ -8,6 +8,9 @@
  * seen in the last window.
  */
 
+import { largest, samplesSince, withSample } from './slidingmax.js';
+import type { SlidingMax } from './slidingmax.js';
+
 /** Fraction of the budget that is used; the rest covers instances that have just started. */
 const USED_FRACTION = 0.8;
 
@@ -20,8 +23,8 @@
 export interface RetryWindow {
   readonly requests: readonly number[];
   readonly retries: readonly number[];
-  /** Numbers of instances, and when each was last observed. */
-  readonly members: readonly { readonly count: number; readonly at: number }[];
+  /** Numbers of live instances. */
+  readonly members: SlidingMax;
 }
 
 export const EMPTY_WINDOW: RetryWindow = { requests: [], retries: [], members: [] };
@@ -38,7 +41,7 @@
   return {
     requests: since(window.requests, from),
     retries: since(window.retries, from),
-    members: window.members.filter(({ at }) => at > from),
+    members: samplesSince(window.members, from),
   };
 }
 
@@ -49,15 +52,13 @@
 
 /** Records the number of live instances. */
 export function recordMembers(window: RetryWindow, count: number, now: number): RetryWindow {
-  const larger = window.members.filter((other) => other.count > count);
-  return { ...window, members: [...larger, { count, at: now }] };
+  return { ...window, members: withSample(window.members, count, now) };
 }
 
 /** Number of retries that this instance may still send in the window. */
 export function retriesLeft(window: RetryWindow, limit: RetryLimit, now: number): number {
   const { requests, retries, members } = current(window, limit, now);
-  const instances = Math.max(1, ...members.map(({ count }) => count));
-  const allowed = limit.ratio * requests.length + limit.slack / instances;
+  const allowed = limit.ratio * requests.length + limit.slack / largest(members, 1);
   return Math.floor(allowed * USED_FRACTION) - retries.length;
 }
 
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -1,5 +1,6 @@
 /** Relays a call whose response is buffered: performs the effects of its state transitions. */
 import { Subscription, timer } from 'rxjs';
+import type { LogFields } from '../common/log.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { Assignment } from './assignment.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
@@ -11,8 +12,11 @@
 import type { ExchangeEvent } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
 import type { ResponseClass } from './responseclass.js';
-import { heardMsAgo, listingFields, unplacedFields } from './routefields.js';
-import { selectServer } from './selection.js';
+import {
+  heardMsAgo, listingFields, THROTTLED_MESSAGE, throttledFields, unplacedFields,
+} from './routefields.js';
+import { areAllThrottled, selectServer } from './selection.js';
+import type { Candidate } from './selection.js';
 import type { ServerEntry } from './serverentry.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
@@ -110,7 +114,7 @@
 
   #assign(isRetry: boolean, exclude: readonly string[]): void {
     const {
-      fleet, retries, zone, scheduler, log,
+      fleet, retries, throttles, zone, scheduler, log,
     } = this.#context;
     const { id, service } = this.#call;
     const now = scheduler.now();
@@ -118,9 +122,11 @@
       this.#unassignable('the retry budget is used up');
       return;
     }
-    const chosen = selectServer(fleet.candidates(service.name, exclude), zone, now);
+    const candidates = fleet.candidates(service.name, exclude);
+    const chosen = selectServer(candidates, zone, now);
     if (!chosen) {
-      this.#unassignable('no backend server is up');
+      if (areAllThrottled(candidates)) this.#refuseThrottled(candidates);
+      else this.#unassignable('no backend server is up');
       return;
     }
     if (isRetry) countRetry(this.#call, this.#context);
@@ -130,6 +136,7 @@
       server: chosen.server.entry.id,
       zone: chosen.server.entry.zone,
       ...listingFields(chosen.server, this.#context),
+      ...throttles.fields(chosen.server.entry),
       running: chosen.load.running,
       mean_ms: Math.round(chosen.server.meanDurationMs),
       heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
@@ -139,14 +146,25 @@
     this.#apply({ kind: 'assigned', server: chosen.server.entry.id });
   }
 
-  #unassignable(message: string): void {
+  #refuseThrottled(candidates: readonly Candidate[]): void {
+    const { throttles, meter } = this.#context;
+    meter.record({ kind: 'throttled' });
+    const retryAfterMs = throttles.retryAfterMs(this.#call.service.name, candidates);
+    this.#unassignable(THROTTLED_MESSAGE, throttledFields(candidates, this.#context), retryAfterMs);
+  }
+
+  #unassignable(
+    message: string,
+    inputs: LogFields = {},
+    retryAfterMs = NO_SERVER_RETRY_AFTER_MS,
+  ): void {
     const fields = unplacedFields(this.#call, message, this.#context);
-    this.#context.log.event('info', 'unplaced', { ...fields, tried: this.#state.tried });
-    this.#apply({ kind: 'unassignable', message, retryAfterMs: NO_SERVER_RETRY_AFTER_MS });
+    this.#context.log.event('info', 'unplaced', { ...fields, ...inputs, tried: this.#state.tried });
+    this.#apply({ kind: 'unassignable', message, retryAfterMs });
   }
 
   #dispatch(attempt: CallAttempt): void {
-    const { fleet, scheduler } = this.#context;
+    const { fleet, throttles, scheduler } = this.#context;
     const { number } = attempt;
     const server = fleet.server(attempt.server);
     if (!server) {
@@ -170,6 +188,7 @@
       head: undefined,
       chunks: [],
     });
+    throttles.take(server.entry);
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
     subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
       .subscribe((event) => this.#onExchangeEvent(number, event)));
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -13,6 +13,7 @@
 import type { Quarantines } from './quarantine.js';
 import type { RetrySchedules } from './retryafter.js';
 import type { SilenceWatch } from './silencewatch.js';
+import type { Throttles } from './throttles.js';
 
 export interface RelayContext {
   readonly zone: string;
@@ -22,6 +23,7 @@
   readonly dialect: Dialect;
   readonly fleet: Fleet;
   readonly limits: AdvertisedLimits;
+  readonly throttles: Throttles;
   /** Version and age of this instance's copy of the servers' entries. */
   readonly serverCopy: () => { readonly version: number; readonly ageMs: number };
   readonly connections: Connections;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -1,7 +1,6 @@
 /** The relay daemon: builds its supervisor tree from its settings and the platform's adapter. */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
-import { mergeMap, timer } from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import { listenerOf } from '../common/listeners.js';
 import type { Log } from '../common/log.js';
@@ -17,6 +16,7 @@
 import { CachedPrompts } from './cachedprompts.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
+import { deferredListeners } from './deferredlisteners.js';
 import { Fleet } from './fleet.js';
 import { Frontend } from './frontend.js';
 import { Meter } from './meter.js';
@@ -29,6 +29,7 @@
 import type { RelaySettings } from './settings.js';
 import { SilenceWatch } from './silencewatch.js';
 import { StoreFeed } from './storefeed.js';
+import { Throttles } from './throttles.js';
 
 /** The load balancer probes once a second and removes an instance after two failures. */
 const BALANCER_LAG_MS = 2_500;
@@ -36,8 +37,6 @@
 const STOP_MARGIN_MS = 150;
 /** Shortest time between two requests for another daemon's snapshot. */
 const SNAPSHOT_INTERVAL_MS = 500;
-/** Modules that serving doesn't need are loaded once the first requests are likely done. */
-const DEFERRED_START_MS = 1_500;
 
 export interface RelayDaemonContext {
   readonly settings: RelaySettings;
@@ -63,6 +62,8 @@
 
   readonly #limits: AdvertisedLimits;
 
+  readonly #throttles: Throttles;
+
   readonly #peers: Peers;
 
   readonly #quarantines: Quarantines;
@@ -106,10 +107,16 @@
       ...shared,
       ...identity,
       peerLoads: (server) => this.#peers.loads(server),
+      admission: (server) => this.#throttles.admission(server),
       reuseAfterMs: settings.reuseAfterMs,
     });
-    this.#limits = AdvertisedLimits.of({
-      scheduler, log, server: (id) => this.#fleet.server(id),
+    this.#limits = AdvertisedLimits.of({ ...shared, server: (id) => this.#fleet.server(id) });
+    this.#throttles = Throttles.of({
+      ...shared,
+      limits: this.#limits,
+      ip: settings.ip,
+      hasSeeds: settings.seeds.some((ip) => ip !== settings.ip && ip !== ''),
+      peers: () => ({ heard: this.#peers.alive, idle: (entry) => this.#peers.idle(entry) }),
     });
     this.#quarantines = Quarantines.of({ ...shared, identity });
     this.#peers = this.#createPeers();
@@ -120,6 +127,7 @@
       dialect: context.platform.dialect,
       fleet: this.#fleet,
       limits: this.#limits,
+      throttles: this.#throttles,
       serverCopy: () => this.#storeFeed.serverCopy,
       connections: this.#connections,
       retries: this.#retries,
@@ -171,7 +179,12 @@
       listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
         res.writeHead(this.ready ? 200 : 503).end();
       })),
-      this.#deferredListeners(),
+      deferredListeners({
+        ...this.#context,
+        meter: this.#meter,
+        gauges: this.#gauges(),
+        snapshot: () => this.#storeFeed.snapshot,
+      }),
     ];
     return Supervisor.of('relay', children, { scheduler, random, log });
   }
@@ -224,7 +237,12 @@
           if (this.#storeFeed.compare(copies)) this.#fetchSnapshot(from);
         },
         onCrashes: (reports) => this.#quarantines.adopt(reports),
-        onInstanceCount: (count) => this.#retries.count(count, scheduler.now()),
+        onLimits: (reports, from) => this.#limits.adopt(reports, from),
+        onInstanceCount: (count) => {
+          this.#retries.count(count, scheduler.now());
+          this.#throttles.countInstances(count);
+        },
+        onReportedCount: (count) => this.#throttles.adoptCount(count),
       },
       localState: () => ({
         configuration: this.#activeConfiguration.version,
@@ -232,6 +250,7 @@
         servers: this.#fleet.servers,
         successors: this.#fleet.successors,
         crashes: this.#quarantines.reports,
+        limits: this.#throttles.reports,
       }),
     });
   }
@@ -260,28 +279,6 @@
     if (this.#frontend && heads) applyHeadLimits(this.#frontend, heads);
   }
 
-  /** Listeners that serving requests doesn't depend on, loaded after the start. */
-  #deferredListeners(): Child {
-    const { scheduler } = this.#context;
-    const modules = () => Promise.all([import('./peersnapshot.js'), import('./metrics.js')]);
-    return {
-      name: 'others',
-      run: timer(DEFERRED_START_MS, scheduler).pipe(
-        mergeMap(modules),
-        mergeMap(([{ snapshotServer }, { RelayMetrics }]) => {
-          const metrics = RelayMetrics.of(this.#gauges());
-          this.#meter.attach((measurement) => metrics.record(measurement));
-          const { settings: { ip, peerPort, metricsPort } } = this.#context;
-          return Supervisor.of('others', [
-            listenerOf('snapshots', `${ip}:${peerPort}`, () => (
-              snapshotServer(() => this.#storeFeed.snapshot))),
-            listenerOf('metrics', `${ip}:${metricsPort}`, () => metrics.server()),
-          ], this.#context).run;
-        }),
-      ),
-    };
-  }
-
   #gauges(): RelayGauges {
     return {
       droppedLogLines: this.#context.droppedLogLines,
@@ -292,7 +289,7 @@
       storeSilentMs: () => this.#storeFeed.silentMs,
       serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       quarantines: () => this.#quarantines.found.length,
-      limitedServers: () => this.#limits.limited.size,
+      limitedServers: () => this.#limits.count,
       retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
     };
   }
--- /dev/null
+++ b/src/relay/enginechoice.ts
@@ -0,0 +1,94 @@
+/** Chooses the engines for the next attempt of a stream, or says why none can take it. */
+import type { LogFields } from '../common/log.js';
+import type { AttemptPlan } from './attemptplan.js';
+import type { Call } from './call.js';
+import type { RelayContext } from './context.js';
+import type { EngineCapacity } from './routes.js';
+import { capacityFields, THROTTLED_MESSAGE, throttledFields } from './routefields.js';
+import {
+  areAllThrottled, firstEventMs, requiredMemory, selectEngine, selectStandby, uncachedTokens,
+} from './selection.js';
+import type { Candidate, RunDemand } from './selection.js';
+
+/** `Retry-After` unless capacity is short: about as long as an engine takes to restart. */
+export const RETRY_AFTER_MS = 1_000;
+
+export interface AttemptDemand {
+  readonly run: RunDemand;
+  /** Engines that have failed the request since its last event. */
+  readonly exclude: readonly string[];
+  /** The engine that holds a standby copy of the run's KV cache. */
+  readonly copyHolder: string | undefined;
+}
+
+export type EngineChoice =
+  | {
+    readonly kind: 'chosen';
+    readonly plan: AttemptPlan;
+    readonly chosen: Candidate;
+    readonly candidates: number;
+  }
+  | {
+    readonly kind: 'unplaced';
+    readonly message: string;
+    readonly inputs: LogFields;
+    readonly retryAfterMs: number;
+  };
+
+/** Says why none of the allowed candidates can take the run. */
+function unplaced(
+  { service: { name } }: Call,
+  candidates: readonly Candidate[],
+  allowed: readonly Candidate[],
+  demand: RunDemand,
+  engine: EngineCapacity,
+  context: RelayContext,
+): EngineChoice {
+  const {
+    throttles, retrySchedules, scheduler, meter,
+  } = context;
+  if (areAllThrottled(allowed)) {
+    meter.record({ kind: 'throttled' });
+    return {
+      kind: 'unplaced',
+      message: THROTTLED_MESSAGE,
+      inputs: throttledFields(allowed, context),
+      retryAfterMs: throttles.retryAfterMs(name, allowed),
+    };
+  }
+  const isUp = candidates.length > 0;
+  return {
+    kind: 'unplaced',
+    message: isUp ? 'no engine has room' : 'no engine is up',
+    inputs: capacityFields(allowed, requiredMemory(demand), engine),
+    retryAfterMs: isUp ? retrySchedules.next(name, scheduler.now()) : RETRY_AFTER_MS,
+  };
+}
+
+export function chooseEngines(
+  call: Call,
+  { run, exclude, copyHolder }: AttemptDemand,
+  engine: EngineCapacity,
+  context: RelayContext,
+): EngineChoice {
+  const { fleet, scheduler } = context;
+  const candidates = fleet.candidates(call.service.name, []);
+  const allowed = candidates.filter(({ server }) => !exclude.includes(server.entry.id));
+  const holder = allowed.find(({ server, delayMs }) => (
+    server.entry.id === copyHolder && delayMs === 0));
+  const chosen = holder ?? selectEngine(allowed, run, engine, scheduler.now());
+  if (!chosen) return unplaced(call, candidates, allowed, run, engine, context);
+  const standby = engine.standby ? selectStandby(allowed, run, engine, chosen.server) : undefined;
+  return {
+    kind: 'chosen',
+    chosen,
+    candidates: candidates.length,
+    plan: {
+      server: chosen.server.entry,
+      standby: standby?.server.entry,
+      resumesFromCopy: holder !== undefined,
+      prefillTokens: holder ? 0 : uncachedTokens(chosen.server, run),
+      expectedFirstMs: firstEventMs(chosen, run),
+    },
+  };
+}
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -71,10 +71,12 @@
     const now = this.#now();
     const usable = this.servers.filter((server) => server.entry.service === service
       && isUsable(server, now) && !exclude.includes(server.entry.id));
-    return this.#context.random.shuffled(usable).map((server) => ({
+    const { random, peerLoads, admission } = this.#context;
+    return random.shuffled(usable).map((server) => ({
       server,
-      load: totalLoad(server.ownLoad, this.#context.peerLoads(server.entry.id)),
+      load: totalLoad(server.ownLoad, peerLoads(server.entry.id)),
       zoneSuspect: this.#zoneFailures.suspects(server.entry, this.heardAt(server.entry.id), now),
+      ...admission(server.entry),
     }));
   }
 
--- a/src/relay/fleetcontext.ts
+++ b/src/relay/fleetcontext.ts
@@ -2,6 +2,8 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import type { IdentityContext } from './identity.js';
+import type { ServerEntry } from './serverentry.js';
+import type { Admission } from './selection.js';
 import type { Load } from './serverstate.js';
 
 /** Loads on a server that other instances report. */
@@ -13,6 +15,8 @@
   /** How long the platform keeps a stopped server's address from being reused by other services. */
   readonly reuseAfterMs: number;
   readonly peerLoads: PeerLoads;
+  /** Whether a server's rate limit admits a request. */
+  readonly admission: (server: ServerEntry) => Admission;
   /** Called on an assignment or a change of servers that other instances should learn of soon. */
   readonly onUrgentChange: () => void;
 }
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -28,6 +28,8 @@
   | { readonly kind: 'read_in_vain'; readonly tokens: number }
   /** An attempt of a stream that failed, by how far its engine had got. */
   | { readonly kind: 'attempt_failed'; readonly stage: AttemptStage }
+  /** A request for which every server was at its rate limit. */
+  | { readonly kind: 'throttled' }
   /** A request that was sent to another server. */
   | { readonly kind: 'retry' }
   /** A new connection to a server, for a request or for a check that it accepts connections. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -69,6 +69,11 @@
     ['stage'],
   );
 
+  readonly #throttled = this.#counter(
+    'throttled_total',
+    'Requests for which every server was at its rate limit',
+  );
+
   readonly #retries = this.#counter('retries_total', 'Requests sent to one more server');
 
   readonly #connections = this.#counter(
@@ -189,6 +194,9 @@
       case 'attempt_failed':
         this.#failedAttempts.inc({ stage: measurement.stage });
         break;
+      case 'throttled':
+        this.#throttled.inc();
+        break;
       case 'retry':
         this.#retries.inc();
         break;
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -10,6 +10,7 @@
 import { IPV4 } from '../common/address.js';
 import type { CrashReport } from './quarantine.js';
 import type { Load } from './serverstate.js';
+import type { ThrottleReport } from './throttles.js';
 
 /** Keeps datagrams below the size at which networks fragment them. */
 export const MAX_MESSAGE_BYTES = 1_400;
@@ -21,6 +22,8 @@
   z.string(), COUNT, z.boolean(), z.array(z.tuple([z.string(), COUNT.nullable()])),
   z.array(z.string()),
 ]);
+/** A rate limit in the order of `ThrottleReport`; null for a server that names none any more. */
+const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()]);
 const MESSAGE = z.object({
   /** The sender's IP address. */
   ip: z.string().regex(IPV4),
@@ -39,6 +42,10 @@
   peers: z.array(z.string()),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
   crashes: z.array(CRASH).default([]),
+  /** Live instances, the sender included; 0 from daemons that don't report it. */
+  instances: COUNT.default(0),
+  /** Rate limits of servers; empty from daemons that don't report them. */
+  limits: z.array(LIMIT).default([]),
 });
 
 export type PeerMessage = z.infer<typeof MESSAGE>;
@@ -83,6 +90,20 @@
   };
 }
 
+export function encodeLimit({
+  server, startedAt, perSecond, ageMs, inUse,
+}: ThrottleReport): PeerMessage['limits'][number] {
+  return [server, startedAt, perSecond ?? null, ageMs, inUse];
+}
+
+export function decodeLimit(
+  [server, startedAt, perSecond, ageMs, inUse]: PeerMessage['limits'][number],
+): ThrottleReport {
+  return {
+    server, startedAt, perSecond: perSecond ?? undefined, ageMs, inUse,
+  };
+}
+
 function secondHalf<Item>(items: readonly Item[]): Item[] {
   return items.slice(Math.ceil(items.length / 2));
 }
@@ -90,15 +111,17 @@
 /** A shorter message; undefined if there is nothing left that it can do without. */
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
-    gone, suspect, successors, peers, crashes,
+    gone, suspect, successors, peers, crashes, limits,
   } = message;
-  if (gone.length + suspect.length + successors.length + peers.length > 0) {
+  const lists = [gone, suspect, successors, peers, limits];
+  if (lists.some(({ length }) => length > 0)) {
     return {
       ...message,
       gone: secondHalf(gone),
       suspect: secondHalf(suspect),
       successors: secondHalf(successors),
       peers: secondHalf(peers),
+      limits: secondHalf(limits),
     };
   }
   return crashes.length > 1 ? { ...message, crashes: secondHalf(crashes) } : undefined;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -8,11 +8,14 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import {
-  decodeCrash, decodeLoad, decodeMessage, encodeCrash, encodeLoad, encodeMessage,
+  decodeCrash, decodeLimit, decodeLoad, decodeMessage, encodeCrash, encodeLimit, encodeLoad,
+  encodeMessage,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
 import type { CrashReport } from './quarantine.js';
+import type { ServerEntry } from './serverentry.js';
 import type { Load, ServerState } from './serverstate.js';
+import type { ThrottleReport } from './throttles.js';
 
 /** A tenth of a prompt's prefill; with older loads, instances would pick the same engine. */
 const INTERVAL_MS = 100;
@@ -45,8 +48,12 @@
   onCopies(copies: PeerMessage['copies'], from: string): void;
   /** Another instance reports engines that crashed. */
   onCrashes(reports: readonly CrashReport[]): void;
+  /** Another instance reports rate limits of servers. */
+  onLimits(reports: readonly ThrottleReport[], from: string): void;
   /** The number of live instances, this one included. */
   onInstanceCount(count: number): void;
+  /** The number of live instances as another instance counts them. */
+  onReportedCount(count: number): void;
 }
 
 export interface PeersContext {
@@ -64,6 +71,7 @@
     readonly servers: readonly ServerState[];
     readonly successors: readonly (readonly [string, string])[];
     readonly crashes: readonly CrashReport[];
+    readonly limits: readonly ThrottleReport[];
   };
 }
 
@@ -124,6 +132,14 @@
     });
   }
 
+  /** IP addresses of the live peers that say that they don't use a limited server. */
+  idle({ id, startedAt }: ServerEntry): readonly string[] {
+    return this.#recentMessages(this.#context.scheduler.now())
+      .filter(([, { limits }]) => limits.map(decodeLimit).some((limit) => (
+        limit.server === id && limit.startedAt === startedAt && !limit.inUse)))
+      .map(([ip]) => ip);
+  }
+
   /** IP addresses of the live peers. */
   get alive(): readonly string[] {
     return this.#aliveAt(this.#context.scheduler.now());
@@ -158,7 +174,7 @@
   #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
     const {
-      configuration, copies, servers, successors, crashes,
+      configuration, copies, servers, successors, crashes, limits,
     } = localState();
     const busy = servers.filter((server) => (
       server.ownLoad.running > 0 || server.ownLoad.standby > 0));
@@ -178,6 +194,8 @@
         .map(([previousId, id]) => [previousId, id]),
       peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
       crashes: crashes.map(encodeCrash),
+      instances: alive.length + 1,
+      limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
     };
   }
 
@@ -236,6 +254,8 @@
     message.successors.forEach(([previousId, id]) => listener.onSuccessor(previousId, id, address));
     message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, address));
     listener.onCopies(message.copies, address);
+    listener.onReportedCount(message.instances);
+    if (message.limits.length > 0) listener.onLimits(message.limits.map(decodeLimit), address);
     if (message.crashes.length > 0) listener.onCrashes(message.crashes.map(decodeCrash));
   }
 }
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -69,6 +69,20 @@
   };
 }
 
+export const THROTTLED_MESSAGE = 'every backend server is at the rate limit that it names';
+
+/** The rate limits of candidates that are all at them. */
+export function throttledFields(
+  candidates: readonly Candidate[],
+  { throttles }: RelayContext,
+): LogFields {
+  const limits = candidates.map(({ server, delayMs }) => {
+    const { limit_per_second: limit, share_per_second: share } = throttles.fields(server.entry);
+    return `${server.entry.id}:${String(limit)}:${String(share)}:${Math.ceil(delayMs)}`;
+  });
+  return { candidates: candidates.length, limits: limits.join(',') };
+}
+
 /** Why no server was chosen. */
 export function unplacedFields(
   { id, service, version }: Call,
--- a/src/relay/selection.ts
+++ b/src/relay/selection.ts
@@ -26,10 +26,22 @@
 const OTHER_ZONE_RTT_MS = 3;
 /** Expected loss on a server that may have failed with its zone without being detected yet. */
 const ZONE_SUSPECT_PENALTY_MS = 1_000;
+/** Mean duration above which a server with a rate limit is used less than that allows. */
+const SLOW_RESPONSE_MS = 100;
+/** Half-life of what is known of the duration of a server with a rate limit. */
+const DURATION_HALF_LIFE_MS = 1_000;
 /** Cost of a failed request to its caller: about the time of a retry. */
 const FAILURE_PENALTY_MS = 400;
 
-export interface Candidate {
+/** What a server's rate limit admits. */
+export interface Admission {
+  /** Whether the server names a rate limit. */
+  readonly isLimited: boolean;
+  /** Time until its limit admits a request; 0 if it does now, infinite if not in sight. */
+  readonly delayMs: number;
+}
+
+export interface Candidate extends Admission {
   readonly server: ServerState;
   /** Load that all instances have assigned to the server, as far as this instance knows. */
   readonly load: Load;
@@ -88,20 +100,29 @@
   return best;
 }
 
-/** Selects the engine for a run; undefined when none has capacity. */
+/** Whether every candidate is at its rate limit. */
+export function areAllThrottled(candidates: readonly Candidate[]): boolean {
+  return candidates.length > 0 && candidates.every(({ delayMs }) => delayMs > 0);
+}
+
+/** Selects the engine for a run; undefined when none has capacity within its rate limit. */
 export function selectEngine(
   candidates: readonly Candidate[],
   demand: RunDemand,
   capacity: EngineCapacity,
   now: number,
 ): Candidate | undefined {
-  const eligible = candidates.filter((candidate) => hasCapacity(candidate, demand, capacity));
+  const eligible = candidates.filter((candidate) => (
+    candidate.delayMs === 0 && hasCapacity(candidate, demand, capacity)));
   return minBy(eligible, (candidate) => firstEventMs(candidate, demand)
     + FAILURE_PENALTY_MS * failureRate(candidate.server, now)
     + (candidate.zoneSuspect ? ZONE_SUSPECT_PENALTY_MS : 0));
 }
 
-/** Selects the engine for a standby copy, if possible outside the zone of the run's engine. */
+/**
+ * Selects the engine for a standby copy, if possible outside the zone of the run's engine. One that
+ * names a rate limit may not admit the run when it has to resume.
+ */
 export function selectStandby(
   candidates: readonly Candidate[],
   demand: RunDemand,
@@ -109,25 +130,41 @@
   primary: ServerState,
 ): Candidate | undefined {
   const others = candidates.filter((candidate) => candidate.server.entry.id !== primary.entry.id
-    && hasCapacity(candidate, demand, capacity));
+    && !candidate.isLimited && hasCapacity(candidate, demand, capacity));
   const otherZones = others.filter(({ server }) => server.entry.zone !== primary.entry.zone);
   return minBy(otherZones.length > 0 ? otherZones : others, ({ load, zoneSuspect }) => (
     load.memoryTokens + STANDBY_WEIGHT * load.standby + load.prefillTokens
     + (zoneSuspect ? capacity.memoryTokens : 0)));
 }
 
-/** Selects the server for a call to a plain service. */
+/**
+ * Duration expected of a limited server. It answers few requests, so its mean is old and would keep
+ * it from being used up to its limit: unless it is slow, and was lately, it counts as the fastest.
+ */
+function limitedDurationMs(server: ServerState, fastestMs: number, now: number): number {
+  const ageMs = Math.max(0, now - server.outcomeAt);
+  const meanMs = server.meanDurationMs * 0.5 ** (ageMs / DURATION_HALF_LIFE_MS);
+  return meanMs < SLOW_RESPONSE_MS ? fastestMs : meanMs;
+}
+
+/** Selects the server for a call to a plain service; undefined when none admits it now. */
 export function selectServer(
   candidates: readonly Candidate[],
   zone: string,
   now: number,
 ): Candidate | undefined {
-  return minBy(candidates, ({ server, load, zoneSuspect }) => {
+  const admitting = candidates.filter(({ delayMs }) => delayMs === 0);
+  const fastestMs = Math.min(...admitting.map(({ server }) => server.meanDurationMs));
+  return minBy(admitting, ({
+    server, load, zoneSuspect, isLimited,
+  }) => {
+    const durationMs = isLimited
+      ? limitedDurationMs(server, fastestMs, now) : server.meanDurationMs;
     const slots = Math.max(1, server.entry.slots);
     const failurePenalty = FAILURE_PENALTY_MS * failureRate(server, now);
     const zoneLatencyMs = server.entry.zone === zone ? 0 : OTHER_ZONE_RTT_MS;
     const suspectPenalty = zoneSuspect ? ZONE_SUSPECT_PENALTY_MS : 0;
-    return server.meanDurationMs * (1 + load.running / slots)
+    return durationMs * (1 + load.running / slots)
       + failurePenalty + zoneLatencyMs + suspectPenalty;
   });
 }
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -102,7 +102,9 @@
   }
 
   start(): void {
-    const { fleet, scheduler, silence } = this.#context;
+    const {
+      fleet, throttles, scheduler, silence,
+    } = this.#context;
     const {
       server, standby, resumesFromCopy, prefillTokens,
     } = this.#plan;
@@ -113,6 +115,7 @@
       ...NO_LOAD, running: 1, memoryTokens: memory, prefillTokens,
     }));
     if (standby) this.#assignments.push(fleet.assign(standby.id, { ...NO_LOAD, standby: memory }));
+    throttles.take(server);
     const outgoing = serverRequest(this.#call, {
       server,
       lastEvent: from > 0 || this.#options.reconnecting ? from - 1 + FIRST_EVENT_ID : undefined,
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -15,22 +15,19 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, remainingMs } from './context.js';
+import { chooseEngines, RETRY_AFTER_MS } from './enginechoice.js';
+import type { EngineChoice } from './enginechoice.js';
 import { attemptDenialReason, countAttempts, mayMigrate } from './migration.js';
 import type { AttemptCounts } from './migration.js';
 import {
-  capacityFields, heardMsAgo, listingFields, rejectionFields, routeFields, unplacedFields,
+  heardMsAgo, listingFields, rejectionFields, routeFields, unplacedFields,
 } from './routefields.js';
-import {
-  firstEventMs, requiredMemory, selectEngine, selectStandby, uncachedTokens,
-} from './selection.js';
 import type { RunDemand } from './selection.js';
 import { FIRST_EVENT_ID, StreamAttempt } from './streamattempt.js';
 import { StreamRecorder } from './streamrecorder.js';
 
 /** Limit on consecutive attempts without an event, most of which reach no engine at all. */
 const MAX_ATTEMPTS_WITHOUT_EVENT = 12;
-/** `Retry-After` unless capacity is short: about as long as an engine takes to restart. */
-const RETRY_AFTER_MS = 1_000;
 
 const noCachedTokens = () => 0;
 
@@ -106,7 +103,8 @@
   #queryCachedPrompt(): void {
     const { fleet, cachedPrompts, log } = this.#context;
     const { name } = this.#call.service;
-    const engines = fleet.candidates(name, []).map(({ server }) => server.entry);
+    const engines = fleet.candidates(name, []).filter(({ isLimited }) => !isLimited)
+      .map(({ server }) => server.entry);
     cachedPrompts.cachedTokensAt(name, engines, this.#call.fields.parts).then((cachedTokens) => {
       this.#cachedTokens = cachedTokens;
     }, (error: unknown) => {
@@ -177,13 +175,8 @@
   }
 
   #assign(exclude: readonly string[]): void {
-    const {
-      fleet, retrySchedules, scheduler, log,
-    } = this.#context;
     const { service } = this.#call;
-    const { engine } = service;
-    const now = scheduler.now();
-    if (!engine) {
+    if (!service.engine) {
       this.#unassignable('the service has no engines');
       return;
     }
@@ -193,42 +186,35 @@
       this.#unassignable(reason);
       return;
     }
-    const candidates = fleet.candidates(service.name, []);
-    const allowed = candidates.filter(({ server }) => !exclude.includes(server.entry.id));
-    const copyHolder = allowed.find(({ server }) => server.entry.id === this.#copyHolder);
-    const chosen = copyHolder ?? selectEngine(allowed, this.#demand, engine, now);
-    if (!chosen) {
-      const inputs = capacityFields(allowed, requiredMemory(this.#demand), engine);
-      if (candidates.length === 0) this.#unassignable('no engine is up', inputs);
-      else this.#unassignable('no engine has room', inputs, retrySchedules.next(service.name, now));
-      return;
+    const demand = { run: this.#demand, exclude, copyHolder: this.#copyHolder };
+    const choice = chooseEngines(this.#call, demand, service.engine, this.#context);
+    switch (choice.kind) {
+      case 'unplaced':
+        this.#unassignable(choice.message, choice.inputs, choice.retryAfterMs);
+        break;
+      case 'chosen':
+        this.#assigned(choice);
+        break;
     }
+  }
+
+  #assigned({ plan, chosen, candidates }: Extract<EngineChoice, { kind: 'chosen' }>): void {
+    const { throttles, log } = this.#context;
+    const { entry } = chosen.server;
     if (this.#counts.arrived > 0) countRetry(this.#call, this.#context);
-    const standby = engine.standby
-      ? selectStandby(allowed, this.#demand, engine, chosen.server)
-      : undefined;
-    this.#plan = {
-      server: chosen.server.entry,
-      standby: standby?.server.entry,
-      resumesFromCopy: copyHolder !== undefined,
-      prefillTokens: copyHolder ? 0 : uncachedTokens(chosen.server, this.#demand),
-      expectedFirstMs: firstEventMs(chosen, this.#demand),
-    };
+    this.#plan = plan;
     log.event('info', 'route', {
-      ...routeFields(this.#call, this.#plan, chosen),
+      ...routeFields(this.#call, plan, chosen),
       ...listingFields(chosen.server, this.#context),
+      ...throttles.fields(entry),
       attempt: this.#state.attempts + 1,
-      held_tokens: this.#cachedTokens(chosen.server.entry.id),
-      heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
-      candidates: candidates.length,
+      held_tokens: this.#cachedTokens(entry.id),
+      heard_ms_ago: heardMsAgo(entry.id, this.#context),
+      candidates,
       from: this.#state.accepted.tokens,
       left_ms: Math.round(remainingMs(this.#call, this.#context)),
     });
-    this.#apply({
-      kind: 'assigned',
-      server: chosen.server.entry.id,
-      version: String(chosen.server.entry.weights ?? 0),
-    });
+    this.#apply({ kind: 'assigned', server: entry.id, version: String(entry.weights ?? 0) });
   }
 
   #unassignable(message: string, inputs: LogFields = {}, retryAfterMs = RETRY_AFTER_MS): void {
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -55,7 +55,12 @@
   change: Partial<Candidate> & { zone?: string } = {},
 ): Candidate {
   return {
-    server: server(id, change.zone), load: { ...NO_LOAD, ...load }, zoneSuspect: false, ...change,
+    server: server(id, change.zone),
+    load: { ...NO_LOAD, ...load },
+    zoneSuspect: false,
+    isLimited: false,
+    delayMs: 0,
+    ...change,
   };
 }
 
@@ -153,6 +158,7 @@
     dialect: testDialect,
     healthPath: () => undefined,
     reuseAfterMs: 0,
+    admission: () => ({ isLimited: false, delayMs: 0 }),
     peerLoads: () => [],
     onUrgentChange: () => undefined,
   });
@@ -389,6 +395,8 @@
     successors: ids.map((id) => [id, id]),
     peers: ids,
     crashes: ids.map((id) => [id, 20, true, [['part', null], ['answered', 50]], ['e1']]),
+    instances: 101,
+    limits: ids.map((id) => [id, 1, 0.5, 20, true]),
   });
   t.true(bytes.length <= MAX_MESSAGE_BYTES);
   const message = decodeMessage(bytes);
--- a/test/relay-limits.test.ts
+++ b/test/relay-limits.test.ts
@@ -86,3 +86,55 @@
   t.true(limited.mostInWindow() >= 4 * 2 * 0.5, `${limited.mostInWindow()}`);
   t.deepEqual([...new Set(statuses)], [200]);
 });
+
+test('when all servers are at their limits, callers are refused at once', async (t) => {
+  const servers = ['a', 'b'].map((id) => new LimitedServer(id, '4'));
+  const relays = await twoInstances(t, servers);
+  await load(relays, { forMs: 300 });
+  await pause(3_000);
+  const replies = await Promise.all(Array.from({ length: 12 }, (_, index) => (
+    relays[0].call('/safe/x', { 'x-id': `late-${index}` }, 'body'))));
+  t.true(replies.some(({ status }) => status === 200));
+  const refused = replies.filter(({ status }) => status === 503);
+  t.true(refused.length >= 6, `${refused.length}`);
+  const waits = refused.map(({ headers }) => Number(headers['retry-after']));
+  t.true(waits.every((wait) => wait > 0 && wait <= 10));
+  // Each refused caller is told a time of its own, as the servers admit one after the other.
+  t.is(new Set(waits).size, refused.length, waits.join(' '));
+  t.true(relays[0].log.of('refuse').every(({ after_ms: ms }) => Number(ms) < 500));
+  t.true(await eventually(async () => (
+    /throttled_total [1-9]/.test(await relays[0].metrics()))));
+});
+
+test('a limit that one instance has read holds at another before it has asked', async (t) => {
+  const limited = new LimitedServer('limited', '0.2');
+  const [first, second] = await twoInstances(t, [limited]);
+  await load([first], { forMs: 100 });
+  t.true(await eventually(() => second.log.of('server_limit').length > 0));
+  const reply = await second.call('/unsafe/x', { 'x-id': 'second' }, 'body');
+  t.is(reply.status, 503);
+  t.like(JSON.parse(reply.text), { error: { code: 'unavailable', ran: 'no' } });
+});
+
+test('a stream goes to an engine that is below its limit', async (t) => {
+  const limit = (id: string, perSecond: string): RelayEngineOptions => ({
+    id,
+    zone: 'a',
+    respond: (req, res, engine) => {
+      res.writeHead(200, { ...engine.responseHeaders(req), 'x-limit': perSecond });
+      res.end('id: 1\ndata: text 1\n\n');
+      return true;
+    },
+  });
+  const engines = [limit('e1', '0'), limit('e2', '100')];
+  const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
+  const send = (id: string) => relay.call('/stream/', {
+    'x-id': id, 'x-prompt': '80', 'x-output': '20', 'x-deadline': '3000',
+  }, 'prompt');
+  await Promise.all(Array.from({ length: 6 }, (_, index) => send(`warm-${index}`)));
+  await pause(500);
+  const before = relay.engines[0]!.requests.length;
+  t.true(before > 0);
+  t.is((await send('r1')).status, 200);
+  t.is(relay.engines[0]!.requests.length, before);
+});
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -32,10 +32,12 @@
       onSuspect: () => undefined,
       onCopies: () => undefined,
       onCrashes: () => undefined,
+      onLimits: () => undefined,
       onInstanceCount,
+      onReportedCount: () => undefined,
     },
     localState: () => ({
-      configuration: 3, copies: {}, servers: [], successors: [], crashes: [],
+      configuration: 3, copies: {}, servers: [], successors: [], crashes: [], limits: [],
     }),
     ...change,
   };
@@ -108,7 +110,7 @@
   const first = contextOf(FIRST, port, new RecordedLog(), () => undefined);
   const second = contextOf(SECOND, port, new RecordedLog(), () => undefined, {
     localState: () => ({
-      configuration: 3, copies: {}, servers, successors: [], crashes: [],
+      configuration: 3, copies: {}, servers, successors: [], crashes: [], limits: [],
     }),
   });
   const running = Peers.of({
--- a/test/relay-restore.test.ts
+++ b/test/relay-restore.test.ts
@@ -112,6 +112,7 @@
     dialect: testDialect,
     healthPath: () => undefined,
     reuseAfterMs: 0,
+    admission: () => ({ isLimited: false, delayMs: 0 }),
     peerLoads: () => [],
     onUrgentChange: () => undefined,
   });
--- a/test/relay-storefeed.test.ts
+++ b/test/relay-storefeed.test.ts
@@ -35,6 +35,7 @@
     dialect: testDialect,
     healthPath: () => undefined,
     reuseAfterMs: 0,
+    admission: () => ({ isLimited: false, delayMs: 0 }),
     peerLoads: () => [],
     onUrgentChange: () => undefined,
   });
