Log the fingerprint of requests whose attempts failed

The log of the incident can't tell whether requests with different ids are the same one, sent again. A fingerprint of caller, method, path and body is logged with each attempt that may have run. No decision changes.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -10,6 +10,7 @@
 import { countRetry, remainingMs } from './context.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
+import { fingerprintOf } from './fingerprint.js';
 import { classifyResponse } from './responseclass.js';
 import type { ResponseClass } from './responseclass.js';
 import {
@@ -273,6 +274,7 @@
       attempt: number,
       ran,
       reason: message,
+      fingerprint: ran === 'unknown' ? fingerprintOf(this.#call) : undefined,
     });
     const arrival = failure.misdirected ? 'other_server' : 'server';
     this.#apply({
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -2,6 +2,7 @@
 import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
+import { fingerprintOf } from './fingerprint.js';
 import { sharedPartsField } from './routefields.js';
 
 export interface FailedAttempt {
@@ -53,6 +54,7 @@
       reason,
       stage,
       parts: sharedPartsField(this.#call),
+      fingerprint: ran === 'no' ? undefined : fingerprintOf(this.#call),
       from: eventCount,
       age_ms: Math.round(now - this.#call.receivedAt),
     });
