--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -69,7 +69,8 @@
     });
     this.#server = server;
     const port = Number(this.address.split(':')[1] ?? 0);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
       server.listen(port, '127.0.0.1', () => {
         this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
         resolve();
@@ -77,6 +78,14 @@
     });
   }
 
+  /** Listens again some time after a crash, or later if the port is taken by then. */
+  restartAfter(ms: number): void {
+    const timer = setTimeout(() => {
+      this.start().catch(() => this.restartAfter(ms));
+    }, ms);
+    timer.unref();
+  }
+
   /** Behaves like a process that crashes. */
   crash(): void {
     this.#server?.close();
