Failing test: one stream that crashes engines takes the part with it that sound ones share

Eight sound streams with the part are served before, none after. The streams of the file get a body each, as other requests have.

--- a/test/relay-quarantine.test.ts
+++ b/test/relay-quarantine.test.ts
@@ -64,9 +64,9 @@
 }
 
 /** Sends a stream whose prompt has these parts and one of its own. */
-function send(relay: Relay, id: string, parts: string) {
+function send(relay: Relay, id: string, parts: string, body = `prompt of ${id}`) {
   const headers = { ...STREAM, 'x-id': id, 'x-parts': `${parts},own-${id}` };
-  return relay.call('/stream/', headers, 'prompt');
+  return relay.call('/stream/', headers, body);
 }
 
 function crashingRequests(engines: readonly RelayEngine[]): number {
@@ -103,6 +103,27 @@
   }));
 });
 
+test('sound streams are served after one stream with their part crashed engines', async (t) => {
+  const relay = await firstInstance(t, (id) => ({
+    ...fragileEngine(id),
+    respond: (req, res, engine) => {
+      if (engine.bodies.at(-1) !== 'deadly') return false;
+      res.writeHead(200, engine.responseHeaders(req)).flushHeaders();
+      setTimeout(() => engine.crash(), 20);
+      return true;
+    },
+  }));
+  const sound = async (round: string) => {
+    const replies = await Promise.all(Array.from({ length: 8 }, (_, index) => (
+      send(relay, `${round}-${index}`, 'shared'))));
+    return replies.filter(({ status }) => status === 200).length;
+  };
+  t.is(await sound('before'), 8);
+  await send(relay, 'crashing', 'shared', 'deadly');
+  t.is(await sound('after'), 8);
+  t.is((await send(relay, 'crashing', 'shared', 'deadly')).status, 503);
+});
+
 test('an instance that started after the crashes refuses the part', async (t) => {
   const first = await firstInstance(t);
   await send(first, 'bad-1', 'shared,bad');
