Refuse requests that crash servers, plain calls too

What callers saw: a request that crashed each server that ran it was sent on and taken again at every instance; with it all servers of a service went down, and all calls to it were refused, four times within nine seconds. Cause: only parts of prompts were held against crashes; a plain call names none, and the relay of such calls reported no broken connection. Class: query of death. Change: a crash also counts against the requests that waited on the server, by their fingerprints (caller, method, path, body, and the prompt if headers name it). After three crashes without an answer, at any instances, the request is refused at once and what is open of it cancelled; crashes that one request explains don't count against others. A server that starts again under its id counts anew if it was seen to run in between. The fingerprints travel beside the crashes in the instances' messages. crashevidence.ts is split by what it finds; crashnews.ts, crashguard.ts and bufferedattempt.ts are moved out.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -24,6 +24,8 @@
   peer_lost: 'another instance fell silent',
   peer_reached: 'another instance was heard of',
   refuse: 'refused',
+  request_quarantined: 'the request with this fingerprint is refused from now on',
+  request_released: 'the request with this fingerprint is no longer refused',
   resumed: 'the answer went on',
   retry: 'to be tried elsewhere',
   route: 'a server was chosen',
--- /dev/null
+++ b/src/limits/partquarantine.ts
@@ -0,0 +1,129 @@
+/**
+ * Finds prompt parts that crash every engine which begins to answer a request with them.
+ *
+ * A crash also hits requests that only ran beside the cause. So it counts against the requests that
+ * the engine had begun to answer, if there were any; crashes that one part explains don't count
+ * against others; and crashes close together, such as those of one rack, count once, unless one
+ * request went from the first engine to the second.
+ */
+import { EVIDENCE_MS, isCleared, isSameList } from './crashevidence.js';
+import type { Crash, CrashEvidence } from './crashevidence.js';
+
+/** Crashes within this time of each other count as one incident. */
+const INCIDENT_MS = 300;
+/** Weights of an incident: a request that waits for its head is hit by accident far more often. */
+const STARTED_WEIGHT = 2;
+const WAITING_WEIGHT = 1;
+/** Weight of the incidents without an answer after which a part is quarantined. */
+const MIN_WEIGHT = 3 * STARTED_WEIGHT;
+/** The same for a part that was answered before, and so is likelier to be hit by accident. */
+const MIN_WEIGHT_AFTER_ANSWER = 4 * STARTED_WEIGHT;
+/** Parts of which each may be innocent; requests that have all of them are refused. */
+export interface PartQuarantine {
+  readonly kind: 'parts';
+  readonly parts: readonly string[];
+  readonly crashes: readonly Crash[];
+  /** When too few crashes are left of it, unless others follow. */
+  readonly until: number;
+}
+
+/** Whether a request went from one of these engines to the other after the first had crashed. */
+function areConsecutive(left: Crash, right: Crash): boolean {
+  return left.previous.includes(right.server) || right.previous.includes(left.server);
+}
+
+/** Crashes with one cause in common. */
+interface Incident {
+  readonly at: number;
+  readonly weight: number;
+  readonly crashes: readonly Crash[];
+}
+
+function withIncident(incidents: readonly Incident[], crash: Crash): readonly Incident[] {
+  const weight = crash.started ? STARTED_WEIGHT : WAITING_WEIGHT;
+  const last = incidents.at(-1);
+  const isNew = !last || crash.at - last.at >= INCIDENT_MS
+    || last.crashes.some((other) => areConsecutive(other, crash));
+  if (isNew) return [...incidents, { at: crash.at, weight, crashes: [crash] }];
+  const crashes = [...last.crashes, crash];
+  return [...incidents.slice(0, -1), { ...last, weight: Math.max(last.weight, weight), crashes }];
+}
+
+function totalWeight(incidents: readonly Incident[]): number {
+  return incidents.reduce((sum, { weight }) => sum + weight, 0);
+}
+
+interface Suspect {
+  readonly part: string;
+  readonly crashes: readonly Crash[];
+  readonly incidents: readonly Incident[];
+  readonly required: number;
+}
+
+/** The crashes that count against each part: those since its last answer. */
+function crashesByPart(evidence: CrashEvidence): ReadonlyMap<string, readonly Crash[]> {
+  const byPart = new Map<string, Crash[]>();
+  evidence.crashes.forEach((crash) => crash.parts.forEach((part) => {
+    if (isCleared(evidence, part, crash)) return;
+    const others = byPart.get(part);
+    if (others) others.push(crash);
+    else byPart.set(part, [crash]);
+  }));
+  return byPart;
+}
+
+/** The parts with enough crashes since their last answer, those with the most first. */
+function suspects(evidence: CrashEvidence): readonly Suspect[] {
+  return [...crashesByPart(evidence)].map(([part, crashes]): Suspect => ({
+    part,
+    crashes,
+    incidents: crashes.reduce(withIncident, []),
+    required: evidence.answers.has(part) ? MIN_WEIGHT_AFTER_ANSWER : MIN_WEIGHT,
+  })).filter(({ incidents, required }) => totalWeight(incidents) >= required)
+    .sort((left, right) => totalWeight(right.incidents) - totalWeight(left.incidents)
+      || left.required - right.required || (left.part < right.part ? -1 : 1));
+}
+
+/** When so many incidents are forgotten that the others don't suffice. */
+function endOf({ incidents, required }: Suspect): number {
+  const last = incidents.findLast((_, index) => totalWeight(incidents.slice(index)) >= required);
+  return last!.at + EVIDENCE_MS;
+}
+
+function quarantineBy(suspect: Suspect, parts: readonly Suspect[]): PartQuarantine {
+  return {
+    kind: 'parts',
+    parts: parts.map(({ part }) => part),
+    crashes: suspect.crashes,
+    until: endOf(suspect),
+  };
+}
+
+/**
+ * What to refuse for the suspect with the most crashes. If others with a part of its crashes each
+ * explain all of them together, it may be innocent: only requests with one of those are refused.
+ */
+function quarantinesFor(
+  first: Suspect,
+  others: readonly Suspect[],
+): readonly PartQuarantine[] {
+  const subsets = others.filter(({ crashes }) => (
+    crashes.every((crash) => first.crashes.includes(crash))));
+  const same = [first, ...subsets.filter(({ crashes }) => isSameList(crashes, first.crashes))];
+  const narrower = subsets.filter((suspect) => !same.includes(suspect));
+  const isCovered = first.crashes.every((crash) => (
+    narrower.some(({ crashes }) => crashes.includes(crash))));
+  return isCovered
+    ? narrower.map((suspect) => quarantineBy(suspect, [...same, suspect]))
+    : [quarantineBy(first, same)];
+}
+
+/** The parts whose requests are to be refused. */
+export function partQuarantines(evidence: CrashEvidence): readonly PartQuarantine[] {
+  const [first, ...others] = suspects(evidence);
+  if (!first) return [];
+  const unexplained = evidence.crashes.filter((crash) => !first.crashes.includes(crash));
+  return [
+    ...quarantinesFor(first, others), ...partQuarantines({ ...evidence, crashes: unexplained }),
+  ];
+}
--- /dev/null
+++ b/src/relay/bufferedattempt.ts
@@ -0,0 +1,43 @@
+/** An attempt of a call whose response is buffered. */
+import type { Subscription } from 'rxjs';
+import { endToEnd } from '../entry/upstream.js';
+import type { Assignment } from './assignment.js';
+import type { BufferedResponse, ResponseHead } from './call.js';
+import type { CallAttempt } from './callstate.js';
+import type { ResponseClass } from './responseclass.js';
+import type { ServerEntry } from './serverentry.js';
+
+export interface LiveAttempt {
+  readonly attempt: CallAttempt;
+  readonly entry: ServerEntry;
+  readonly assignment: Assignment;
+  readonly subscription: Subscription;
+  readonly startedAt: number;
+  sent: boolean;
+  /** When the server accepted the connection; 0 if it was open before. */
+  connectedAt: number;
+  head: { readonly response: ResponseHead; readonly responseClass: ResponseClass } | undefined;
+  chunks: Buffer[];
+}
+
+export interface AttemptFailure {
+  readonly ran: 'no' | 'unknown';
+  readonly message: string;
+  /** The server's response, if it sent one. */
+  readonly response?: BufferedResponse;
+  /** Whether another server has taken over the address. */
+  readonly misdirected?: boolean;
+}
+
+/** The whole response of an attempt that has ended. */
+export function bufferedResponse(
+  { status, headers }: ResponseHead,
+  chunks: readonly Buffer[],
+): BufferedResponse {
+  const body = Buffer.concat(chunks);
+  return {
+    status,
+    headers: [...endToEnd(headers, ['content-length']), 'Content-Length', String(body.length)],
+    body,
+  };
+}
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -1,24 +1,23 @@
 /** Relays a call whose response is buffered: performs the effects of its state transitions. */
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
-import { endToEnd } from '../entry/upstream.js';
-import type { Assignment } from './assignment.js';
-import type { BufferedResponse, Call, ResponseHead } from './call.js';
+import { bufferedResponse } from './bufferedattempt.js';
+import type { AttemptFailure, LiveAttempt } from './bufferedattempt.js';
+import type { Call } from './call.js';
 import { callState, callTransition } from './callstate.js';
 import type { CallAttempt, CallEffect, CallEvent } from './callstate.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, remainingMs } from './context.js';
+import { quarantineRefusal, recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import { fingerprintOf } from './fingerprint.js';
 import { classifyResponse } from './responseclass.js';
-import type { ResponseClass } from './responseclass.js';
 import {
   heardMsAgo, listingFields, THROTTLED_MESSAGE, throttledFields, unplacedFields,
 } from './routefields.js';
 import { areAllThrottled, selectServer } from './selection.js';
 import type { Candidate } from './selection.js';
-import type { ServerEntry } from './serverentry.js';
 import { serverRequest } from './serverrequest.js';
 import { NO_LOAD } from './serverstate.js';
 
@@ -30,26 +29,6 @@
 const MAX_RESPONSE_BYTES = 8_388_608;
 const ONE_REQUEST = { ...NO_LOAD, running: 1 };
 
-interface LiveAttempt {
-  readonly attempt: CallAttempt;
-  readonly entry: ServerEntry;
-  readonly assignment: Assignment;
-  readonly subscription: Subscription;
-  readonly startedAt: number;
-  sent: boolean;
-  head: { readonly response: ResponseHead; readonly responseClass: ResponseClass } | undefined;
-  chunks: Buffer[];
-}
-
-interface AttemptFailure {
-  readonly ran: 'no' | 'unknown';
-  readonly message: string;
-  /** The server's response, if it sent one. */
-  readonly response?: BufferedResponse;
-  /** Whether another server has taken over the address. */
-  readonly misdirected?: boolean;
-}
-
 export class BufferedRelay {
   readonly #call: Call;
 
@@ -83,9 +62,17 @@
       .subscribe(() => this.#apply({ kind: 'expired' })));
     this.#timers.add(timer(this.#call.route.objectiveMs * HEDGE_AFTER_SHARE, scheduler)
       .subscribe(() => this.#apply({ kind: 'slow' })));
+    this.#timers.add(this.#context.quarantines.changes.subscribe(() => this.#rejectQuarantined()));
     this.#apply({ kind: 'begin' });
   }
 
+  /** Ends the call if it is known to crash servers; returns whether it is. */
+  #rejectQuarantined(): boolean {
+    const refusal = quarantineRefusal(this.#call, this.#context);
+    if (refusal) this.#apply({ kind: 'rejected', refusal });
+    return refusal !== undefined;
+  }
+
   #apply(event: CallEvent): void {
     const { state, effects } = callTransition(this.#state, event);
     this.#state = state;
@@ -119,6 +106,7 @@
     } = this.#context;
     const { id, service } = this.#call;
     const now = scheduler.now();
+    if (this.#rejectQuarantined()) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
@@ -186,6 +174,7 @@
       subscription,
       startedAt: scheduler.now(),
       sent: false,
+      connectedAt: 0,
       head: undefined,
       chunks: [],
     });
@@ -203,6 +192,7 @@
     switch (event.kind) {
       case 'sent':
         live.sent = true;
+        if (!event.reused) live.connectedAt = this.#context.scheduler.now();
         break;
       case 'head': {
         fleet.markHeard(server);
@@ -223,22 +213,26 @@
         break;
       case 'failed':
         if (event.ran === 'no') fleet.markSuspect(server, event.message);
+        else this.#recordBroken(live);
         this.#onFailure(number, { ran: event.ran, message: event.message });
         break;
     }
   }
 
+  #recordBroken({ attempt: { server }, head, connectedAt }: LiveAttempt): void {
+    const previous = this.#state.tried.filter((other) => other !== server);
+    recordBroken(this.#call, {
+      server, started: head !== undefined, previous, connectedAt,
+    }, this.#context);
+  }
+
   #onResponseEnd(
     live: LiveAttempt,
     { response: head, responseClass }: NonNullable<LiveAttempt['head']>,
   ): void {
     const { fleet, scheduler } = this.#context;
     const { number, server } = live.attempt;
-    const body = Buffer.concat(live.chunks);
-    const headers = endToEnd(head.headers, ['content-length']);
-    const response: BufferedResponse = {
-      status: head.status, headers: [...headers, 'Content-Length', String(body.length)], body,
-    };
+    const response = bufferedResponse(head, live.chunks);
     switch (responseClass.kind) {
       case 'not_run':
         if (responseClass.misdirected) fleet.markMisdirected(server);
@@ -247,12 +241,14 @@
         });
         break;
       case 'failed':
+        this.#context.quarantines.markAnswered(this.#call);
         this.#onFailure(number, { ran: 'unknown', message: responseClass.message, response });
         break;
       case 'foreign':
         this.#onFailure(number, { ran: 'unknown', message: responseClass.message });
         break;
       case 'answer':
+        this.#context.quarantines.markAnswered(this.#call);
         this.#release(number);
         fleet.recordOutcome(server, false, scheduler.now() - live.startedAt);
         this.#apply({ kind: 'answered', attempt: number, response });
--- a/src/relay/callstate.ts
+++ b/src/relay/callstate.ts
@@ -53,6 +53,8 @@
     /** The server's response, if it sent one. */
     readonly response?: BufferedResponse | undefined;
   }
+  /** The call is known to crash servers. */
+  | { readonly kind: 'rejected'; readonly refusal: Refusal }
   /** The live attempt has taken long enough to be hedged. */
   | { readonly kind: 'slow' }
   | { readonly kind: 'expired' }
@@ -192,6 +194,10 @@
       return state.repeatable && liveAttempts(state).length === 1 && mayAttempt(state)
         ? retry(state)
         : withoutEffects(state);
+    case 'rejected': {
+      const mayHaveRun = state.mayHaveRun || liveAttempts(state).length > 0;
+      return refuse(state, { ...event.refusal, ran: mayHaveRun ? 'unknown' : 'no' });
+    }
     case 'expired': {
       const ran = state.mayHaveRun || liveAttempts(state).length > 0 ? 'unknown' : 'no';
       return refuse(state, {
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -8,7 +8,7 @@
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import { IPV4 } from '../common/address.js';
-import type { CrashReport } from './quarantine.js';
+import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
 import type { ThrottleReport } from './throttles.js';
 
@@ -22,6 +22,13 @@
   z.string(), COUNT, z.boolean(), z.array(z.tuple([z.string(), COUNT.nullable()])),
   z.array(z.string()),
 ]);
+/**
+ * The requests of the crash at the same place in `crashes`, each with the age of its last answer,
+ * and the time since the server was last seen to run before it.
+ */
+const CRASH_REQUESTS = z.tuple([
+  COUNT.nullable(), z.array(z.tuple([z.string(), COUNT.nullable()])),
+]);
 /** A rate limit in the order of `ThrottleReport`; null for a server that names none any more. */
 const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()]);
 const MESSAGE = z.object({
@@ -42,6 +49,8 @@
   peers: z.array(z.string()),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
   crashes: z.array(CRASH).default([]),
+  /** Empty from daemons that don't report them. */
+  crashRequests: z.array(CRASH_REQUESTS).default([]),
   /** Live instances, the sender included; 0 from daemons that don't report it. */
   instances: COUNT.default(0),
   /** Rate limits of servers; empty from daemons that don't report them. */
@@ -72,24 +81,44 @@
   };
 }
 
-export function encodeCrash({
-  server, ageMs, started, parts, previous,
-}: CrashReport): PeerMessage['crashes'][number] {
-  const answers = parts.map(({ part, answerAgeMs }): [string, number | null] => (
-    [part, answerAgeMs ?? null]));
-  return [server, ageMs, started, answers, [...previous]];
+type EncodedAnswers = [string, number | null][];
+
+function encodeAnswers(answers: readonly AnswerReport[]): EncodedAnswers {
+  return answers.map(({ subject, answerAgeMs }) => [subject, answerAgeMs ?? null]);
+}
+
+function decodeAnswers(answers: EncodedAnswers): readonly AnswerReport[] {
+  return answers.map(([subject, answerAgeMs]) => (
+    { subject, answerAgeMs: answerAgeMs ?? undefined }));
 }
 
-export function decodeCrash(
-  [server, ageMs, started, answers, previous]: PeerMessage['crashes'][number],
-): CrashReport {
-  const parts = answers.map(([part, answerAgeMs]) => (
-    { part, answerAgeMs: answerAgeMs ?? undefined }));
+export function encodeCrashes(
+  crashes: readonly CrashReport[],
+): Pick<PeerMessage, 'crashes' | 'crashRequests'> {
   return {
-    server, ageMs, started, parts, previous,
+    crashes: crashes.map(({
+      server, ageMs, started, parts, previous,
+    }) => [server, ageMs, started, encodeAnswers(parts), [...previous]]),
+    crashRequests: crashes.map(({ aliveAgeMs, requests }) => (
+      [aliveAgeMs ?? null, encodeAnswers(requests)])),
   };
 }
 
+export function decodeCrashes({ crashes, crashRequests }: PeerMessage): readonly CrashReport[] {
+  return crashes.map(([server, ageMs, started, parts, previous], index) => {
+    const [aliveAgeMs, requests] = crashRequests[index] ?? [null, []];
+    return {
+      server,
+      ageMs,
+      aliveAgeMs: aliveAgeMs ?? undefined,
+      started,
+      parts: decodeAnswers(parts),
+      requests: decodeAnswers(requests),
+      previous,
+    };
+  });
+}
+
 export function encodeLimit({
   server, startedAt, perSecond, ageMs, inUse,
 }: ThrottleReport): PeerMessage['limits'][number] {
@@ -111,7 +140,7 @@
 /** A shorter message; undefined if there is nothing left that it can do without. */
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
-    gone, suspect, successors, peers, crashes, limits,
+    gone, suspect, successors, peers, crashes, crashRequests, limits,
   } = message;
   const lists = [gone, suspect, successors, peers, limits];
   if (lists.some(({ length }) => length > 0)) {
@@ -124,7 +153,10 @@
       limits: secondHalf(limits),
     };
   }
-  return crashes.length > 1 ? { ...message, crashes: secondHalf(crashes) } : undefined;
+  if (crashes.length <= 1) return undefined;
+  return {
+    ...message, crashes: secondHalf(crashes), crashRequests: secondHalf(crashRequests),
+  };
 }
 
 /**
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -8,11 +8,11 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import {
-  decodeCrash, decodeLimit, decodeLoad, decodeMessage, encodeCrash, encodeLimit, encodeLoad,
+  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, encodeCrashes, encodeLimit, encodeLoad,
   encodeMessage,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
-import type { CrashReport } from './quarantine.js';
+import type { CrashReport } from './crashnews.js';
 import type { ServerEntry } from './serverentry.js';
 import type { Load, ServerState } from './serverstate.js';
 import type { ThrottleReport } from './throttles.js';
@@ -193,7 +193,7 @@
       successors: randomWindow(successors, MAX_LISTED, random)
         .map(([previousId, id]) => [previousId, id]),
       peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
-      crashes: crashes.map(encodeCrash),
+      ...encodeCrashes(crashes),
       instances: alive.length + 1,
       limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
     };
@@ -256,6 +256,6 @@
     listener.onCopies(message.copies, address);
     listener.onReportedCount(message.instances);
     if (message.limits.length > 0) listener.onLimits(message.limits.map(decodeLimit), address);
-    if (message.crashes.length > 0) listener.onCrashes(message.crashes.map(decodeCrash));
+    if (message.crashes.length > 0) listener.onCrashes(decodeCrashes(message));
   }
 }
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps requests that crash engines away from them. A request whose connection breaks before its
- * first event is evidence against its prompt's parts once the engine is found to be down or
- * restarted. Instances pass the evidence on to each other in their messages.
+ * Keeps requests that crash servers away from them. A request whose connection breaks before its
+ * response or its first event is evidence against it, and against its prompt's parts, once the
+ * server is found to be down or restarted. Instances pass the evidence on to each other in their
+ * messages.
  */
 import { interval, Subject } from 'rxjs';
 import type { Observable, SchedulerLike, Subscription } from 'rxjs';
@@ -11,35 +12,23 @@
 import type { Random } from '../common/random.js';
 import type { Refusal } from '../common/refusal.js';
 import {
-  EVIDENCE_MS, isSameCrash, NO_EVIDENCE, quarantineOf, quarantines, withAnswer, withCrash,
-  withoutExpired,
+  EVIDENCE_MS, NO_EVIDENCE, subjectsOf, withAnswer, withCrash, withoutExpired, withoutPrompt,
 } from '../limits/crashevidence.js';
-import type { Crash, CrashEvidence, Quarantine } from '../limits/crashevidence.js';
+import type { Crash, CrashEvidence } from '../limits/crashevidence.js';
+import { quarantineOf, quarantines } from '../limits/quarantine.js';
+import type { Quarantine } from '../limits/quarantine.js';
+import type { Call } from './call.js';
+import { CrashNews } from './crashnews.js';
+import type { CrashReport } from './crashnews.js';
 import type { RequestFields } from './dialect.js';
+import { fingerprintOf } from './fingerprint.js';
 import { identify } from './identity.js';
 import type { Identity, IdentityContext } from './identity.js';
 import type { ServerEntry } from './serverentry.js';
 
 const EXPIRY_INTERVAL_MS = 1_000;
-/** Parts whose last answer is remembered. */
-const MAX_ANSWERED_PARTS = 4_096;
-/** How long a change is in every message, so that it reaches all instances within a second. */
-const NEWS_MS = 2_000;
-/** New changes in a message, besides a crash of a quarantine and another one. */
-const MAX_NEWS = 3;
-/** Crashes are no longer passed on this long before they are forgotten, so that none comes back. */
-const EXPIRY_MARGIN_MS = 10_000;
-
-/** A crash in a message between instances; times are ages. */
-export interface CrashReport {
-  readonly server: string;
-  readonly ageMs: number;
-  readonly started: boolean;
-  readonly previous: readonly string[];
-  /** The parts, each with the age of its last answer if one is known. */
-  readonly parts: readonly { readonly part: string; readonly answerAgeMs: number | undefined }[];
-}
-
+/** Parts, and requests, whose last answer is remembered. */
+const MAX_ANSWERED = 4_096;
 /** Why a request must not be sent to an engine, and the inputs of that decision for the log. */
 export interface Rejection { readonly refusal: Refusal; readonly inputs: LogFields }
 
@@ -57,6 +46,21 @@
   return parts.slice(0, -1).map(({ id }) => hash64(`${model ?? ''}\n${id}`));
 }
 
+/** What a quarantine refuses, for the log. */
+function nameOf(quarantine: Quarantine): string {
+  switch (quarantine.kind) {
+    case 'parts': return quarantine.parts.join(',');
+    case 'request': return quarantine.request;
+  }
+}
+
+function refusalMessage({ kind, crashes: { length } }: Quarantine): string {
+  switch (kind) {
+    case 'parts': return `${length} engines crashed on requests with a part of this prompt`;
+    case 'request': return `${length} servers crashed on this request`;
+  }
+}
+
 /** Whether a server whose connection broke is down, or another process has taken its place. */
 function hasCrashed(server: ServerEntry, identity: Identity): boolean {
   switch (identity.kind) {
@@ -74,10 +78,12 @@
   #found: readonly Quarantine[] = [];
 
   /** When requests with a part were last answered by way of this instance. */
-  readonly #answeredAt = new LRUCache<string, number>({ max: MAX_ANSWERED_PARTS });
+  readonly #partAnsweredAt = new LRUCache<string, number>({ max: MAX_ANSWERED });
+
+  /** When a request was last answered by way of this instance. */
+  readonly #requestAnsweredAt = new LRUCache<string, number>({ max: MAX_ANSWERED });
 
-  /** When something new was learnt about a crash, by its server. */
-  readonly #changedAt = new Map<string, number>();
+  readonly #news: CrashNews;
 
   /** Requests that were lost with a server whose crash is not confirmed yet. */
   readonly #unconfirmed = new Map<string, Omit<Crash, 'server'>[]>();
@@ -86,6 +92,7 @@
 
   private constructor(context: QuarantineContext) {
     this.#context = context;
+    this.#news = CrashNews.of(context.scheduler, context.random);
   }
 
   static of(context: QuarantineContext): Quarantines {
@@ -107,48 +114,57 @@
       .subscribe(() => this.#update(withoutExpired(this.#evidence, this.#now())));
   }
 
-  /** Why a request may not be sent to an engine, with the inputs; undefined if it may. */
-  check(fields: RequestFields): Rejection | undefined {
+  /** Why a request may not be sent to a server, with the inputs; undefined if it may. */
+  check(call: Call): Rejection | undefined {
     if (this.#found.length === 0) return undefined;
-    const quarantine = quarantineOf(this.#found, sharedParts(fields));
+    const subject = { parts: sharedParts(call.fields), request: fingerprintOf(call) };
+    const quarantine = quarantineOf(this.#found, subject);
     if (!quarantine) return undefined;
-    const { parts, crashes, until } = quarantine;
+    const { crashes, until } = quarantine;
     return {
       refusal: {
         code: 'query_of_death',
-        message: `${crashes.length} engines crashed on requests with a part of this prompt`,
+        message: refusalMessage(quarantine),
         ran: 'no',
         retryAfterMs: Math.max(0, Math.ceil(until - this.#now())),
       },
       inputs: {
-        quarantined: parts.join(','),
+        quarantined: nameOf(quarantine),
         crashed: crashes.map(({ server }) => server).join(','),
         last_crash_ms_ago: Math.round(this.#now() - crashes.at(-1)!.at),
       },
     };
   }
 
-  /** Records the first event of a request. */
-  markAnswered(fields: RequestFields): void {
+  /** Records a response, or the first event of a stream. */
+  markAnswered(call: Call): void {
     const now = this.#now();
-    sharedParts(fields).forEach((part) => {
-      this.#answeredAt.set(part, now);
+    const request = fingerprintOf(call);
+    sharedParts(call.fields).forEach((part) => {
+      this.#partAnsweredAt.set(part, now);
       this.#update(withAnswer(this.#evidence, part, now));
     });
+    [request, withoutPrompt(request)].forEach((fingerprint) => {
+      this.#requestAnsweredAt.set(fingerprint, now);
+      this.#update(withAnswer(this.#evidence, fingerprint, now));
+    });
   }
 
   /**
-   * Called when the connection of a request broke before its first event.
+   * Called when the connection of a request broke before its response or its first event.
    */
   markBroken(
     server: ServerEntry,
-    fields: RequestFields,
-    { started, previous }: Pick<Crash, 'started' | 'previous'>,
+    call: Call,
+    { started, previous, aliveAt }: Pick<Crash, 'started' | 'previous' | 'aliveAt'>,
   ): void {
-    const parts = sharedParts(fields);
-    if (!started && parts.length === 0) return;
     const lost = {
-      at: this.#now(), started, parts, previous,
+      at: this.#now(),
+      aliveAt,
+      started,
+      parts: sharedParts(call.fields),
+      requests: [fingerprintOf(call)],
+      previous,
     };
     const unconfirmed = this.#unconfirmed.get(server.id);
     if (unconfirmed) {
@@ -173,69 +189,42 @@
   }
 
   #addCrash(crash: Crash): void {
-    const known = crash.parts.flatMap((part) => {
-      const at = this.#answeredAt.get(part);
-      return at === undefined || at <= this.#now() - EVIDENCE_MS ? [] : [{ part, at }];
+    const known = subjectsOf(crash).flatMap((subject) => {
+      const at = this.#partAnsweredAt.get(subject) ?? this.#requestAnsweredAt.get(subject);
+      return at === undefined || at <= this.#now() - EVIDENCE_MS ? [] : [{ subject, at }];
     });
     this.#update(known.reduce(
-      (evidence, { part, at }) => withAnswer(evidence, part, at),
+      (evidence, { subject, at }) => withAnswer(evidence, subject, at),
       withCrash(this.#evidence, crash, this.#now()),
     ));
   }
 
   /** What a message tells other instances. */
   get reports(): readonly CrashReport[] {
-    const { random } = this.#context;
-    const now = this.#now();
-    const { crashes } = this.#evidence;
-    const lasting = crashes.filter(({ at }) => at > now - EVIDENCE_MS + EXPIRY_MARGIN_MS);
-    const changedAt = ({ server }: Crash) => this.#changedAt.get(server) ?? -Infinity;
-    const news = lasting.filter((crash) => changedAt(crash) > now - NEWS_MS)
-      .sort((left, right) => changedAt(right) - changedAt(left)).slice(0, MAX_NEWS);
-    // Repeated, one by one, for instances that have just started.
-    const known = random.shuffled(lasting.filter((crash) => !news.includes(crash)));
-    const quarantined = known.find((crash) => this.#isQuarantined(crash));
-    const repeated = [...new Set([known[0], quarantined])].filter((crash) => crash !== undefined);
-    return [...repeated, ...news].map((crash) => this.#reportOf(crash, now));
-  }
-
-  #isQuarantined(crash: Crash): boolean {
-    return this.#found.some(({ crashes }) => crashes.includes(crash));
-  }
-
-  #reportOf({
-    server, at, started, parts, previous,
-  }: Crash, now: number): CrashReport {
-    const { answers } = this.#evidence;
-    return {
-      server,
-      // Rounded down, so that the time doesn't become earlier with each message.
-      ageMs: Math.floor(now - at),
-      started,
-      parts: parts.map((part) => {
-        const answeredAt = answers.get(part);
-        return { part, answerAgeMs: answeredAt && Math.round(now - answeredAt) };
-      }),
-      previous,
-    };
+    return this.#news.reports(this.#evidence, (crash) => (
+      this.#found.some(({ crashes }) => crashes.includes(crash))));
   }
 
   /** Adds what another instance reports. */
   adopt(reports: readonly CrashReport[]): void {
     const now = this.#now();
     reports.forEach(({
-      server, ageMs, started, parts, previous,
+      server, ageMs, aliveAgeMs, started, parts, requests, previous,
     }) => {
       this.#addCrash({
         server,
         at: now - ageMs,
+        aliveAt: now - (aliveAgeMs ?? Infinity),
         started,
-        parts: parts.map(({ part }) => part),
+        parts: parts.map(({ subject }) => subject),
+        requests: requests.map(({ subject }) => subject),
         previous,
       });
-      parts.forEach(({ part, answerAgeMs }) => {
+      [...parts, ...requests].forEach(({ subject, answerAgeMs }) => {
         if (answerAgeMs === undefined) return;
-        this.#update(withAnswer(this.#evidence, part, now - answerAgeMs));
+        const at = now - answerAgeMs;
+        this.#update(withAnswer(this.#evidence, subject, at));
+        this.#update(withAnswer(this.#evidence, withoutPrompt(subject), at));
       });
     });
   }
@@ -244,41 +233,33 @@
     if (evidence === this.#evidence) return;
     const previous = this.#evidence;
     this.#evidence = evidence;
-    this.#markChanged(previous);
+    if (this.#news.update(previous, evidence)) this.#context.onUrgentChange();
     this.#setFound(quarantines(evidence));
   }
 
-  /** Notes which crashes, or answers to their parts, are new. */
-  #markChanged(previous: CrashEvidence): void {
-    const now = this.#now();
-    const { crashes, answers } = this.#evidence;
-    const servers = new Set(crashes.map(({ server }) => server));
-    [...this.#changedAt.keys()].filter((server) => !servers.has(server))
-      .forEach((server) => this.#changedAt.delete(server));
-    const changed = crashes.filter((crash) => {
-      const known = previous.crashes.find(({ server }) => server === crash.server);
-      return !known || !isSameCrash(known, crash)
-        || crash.parts.some((part) => answers.get(part) !== previous.answers.get(part));
-    });
-    changed.forEach(({ server }) => this.#changedAt.set(server, now));
-    if (changed.length > 0) this.#context.onUrgentChange();
-  }
-
   #setFound(found: readonly Quarantine[]): void {
     const { log } = this.#context;
-    const names = (list: readonly Quarantine[]) => list.map(({ parts }) => parts.join(','));
-    const before = names(this.#found);
-    const after = names(found);
+    const before = this.#found;
     this.#found = found;
-    found.filter((_, index) => !before.includes(after[index]!))
-      .forEach(({ parts, crashes, until }) => log.event('warn', 'parts_quarantined', {
-        parts: parts.join(','),
+    const isIn = (list: readonly Quarantine[], quarantine: Quarantine) => (
+      list.some((other) => nameOf(other) === nameOf(quarantine)));
+    const added = found.filter((quarantine) => !isIn(before, quarantine));
+    const removed = before.filter((quarantine) => !isIn(found, quarantine));
+    added.forEach((quarantine) => {
+      const { kind, crashes, until } = quarantine;
+      log.event('warn', kind === 'parts' ? 'parts_quarantined' : 'request_quarantined', {
+        [kind]: nameOf(quarantine),
         crashed: crashes.map(({ server }) => server).join(','),
         for_ms: Math.round(until - this.#now()),
-      }));
-    before.filter((parts) => !after.includes(parts))
-      .forEach((parts) => log.event('info', 'parts_released', { parts }));
-    if (before.join(';') !== after.join(';')) this.#changes.next();
+      });
+    });
+    removed.forEach((quarantine) => {
+      const { kind } = quarantine;
+      log.event('info', kind === 'parts' ? 'parts_released' : 'request_released', {
+        [kind]: nameOf(quarantine),
+      });
+    });
+    if (added.length + removed.length > 0) this.#changes.next();
   }
 
   #now(): number {
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -5,6 +5,7 @@
 import type { AttemptOptions, AttemptPlan, AttemptStage } from './attemptplan.js';
 import type { Call, ResponseHead } from './call.js';
 import type { RelayContext } from './context.js';
+import { recordBroken } from './crashguard.js';
 import { EventSplitter } from './eventsplitter.js';
 import type { ServerSentEvent } from './eventsplitter.js';
 import { exchange } from './exchange.js';
@@ -45,6 +46,9 @@
 
   #startedAt = 0;
 
+  /** When the engine accepted the connection; 0 if it was open before. */
+  #connectedAt = 0;
+
   #lastEventAt: number | undefined;
 
   #nextPosition: number;
@@ -152,6 +156,7 @@
       case 'sent':
         this.sent = true;
         this.arrived = true;
+        if (!event.reused) this.#connectedAt = this.#context.scheduler.now();
         break;
       case 'head':
         fleet.markHeard(server.id);
@@ -165,7 +170,7 @@
         this.#onEnd();
         break;
       case 'failed':
-        if (event.ran === 'unknown') this.#markBroken();
+        if (event.ran === 'unknown') this.#recordBroken();
         fleet.markSuspect(server.id, event.message);
         this.#fail(event.ran, event.message);
         break;
@@ -173,17 +178,16 @@
   }
 
   /** Tells the quarantines of a broken connection, if the run has never had an event. */
-  #markBroken(): void {
-    const { fleet, quarantines } = this.#context;
-    const { from, reconnecting } = this.#options;
+  #recordBroken(): void {
+    const { from, reconnecting, excluded } = this.#options;
     const { stage } = this;
     if (stage === 'streaming' || from > 0 || reconnecting) return;
-    const state = fleet.server(this.#plan.server.id);
-    // Engines that leave close the connections of requests that they no longer run.
-    if (state?.entry.state !== 'ready' || state.expiresAt !== undefined) return;
-    quarantines.markBroken(state.entry, this.#call.fields, {
-      started: stage === 'starting', previous: this.#options.excluded,
-    });
+    recordBroken(this.#call, {
+      server: this.#plan.server.id,
+      started: stage === 'starting',
+      previous: excluded,
+      connectedAt: this.#connectedAt,
+    }, this.#context);
   }
 
   #onHead(head: ResponseHead): void {
@@ -232,7 +236,7 @@
       return;
     }
     if (this.#lastEventAt === undefined) {
-      this.#context.quarantines.markAnswered(this.#call.fields);
+      this.#context.quarantines.markAnswered(this.#call);
       this.#assignments[0]?.update({
         ...NO_LOAD, running: 1, memoryTokens: requiredMemory(demand),
       });
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -15,12 +15,13 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, remainingMs } from './context.js';
+import { quarantineRefusal } from './crashguard.js';
 import { chooseEngines, RETRY_AFTER_MS } from './enginechoice.js';
 import type { EngineChoice } from './enginechoice.js';
 import { attemptDenialReason, countAttempts, mayMigrate } from './migration.js';
 import type { AttemptCounts } from './migration.js';
 import {
-  heardMsAgo, listingFields, rejectionFields, routeFields, unplacedFields,
+  heardMsAgo, listingFields, routeFields, unplacedFields,
 } from './routefields.js';
 import type { RunDemand } from './selection.js';
 import { FIRST_EVENT_ID, StreamAttempt } from './streamattempt.js';
@@ -115,12 +116,9 @@
   /** Ends the call if it is known to crash engines; returns whether it is. */
   #rejectQuarantined(): boolean {
     if (this.#state.accepted.tokens > 0) return false;
-    const rejection = this.#context.quarantines.check(this.#call.fields);
-    if (!rejection) return false;
-    const fields = rejectionFields(this.#call, rejection, this.#context);
-    this.#context.log.event('info', 'unplaced', fields);
-    this.#apply({ kind: 'rejected', refusal: rejection.refusal });
-    return true;
+    const refusal = quarantineRefusal(this.#call, this.#context);
+    if (refusal) this.#apply({ kind: 'rejected', refusal });
+    return refusal !== undefined;
   }
 
   #apply(event: GenerationEvent): void {
--- a/test/crashevidence.test.ts
+++ b/test/crashevidence.test.ts
@@ -2,9 +2,12 @@
 import test from 'ava';
 import { fc, testProp } from '@fast-check/ava';
 import {
-  EVIDENCE_MS, NO_EVIDENCE, quarantineOf, quarantines, withAnswer, withCrash, withoutExpired,
+  EVIDENCE_MS, NO_EVIDENCE, withAnswer, withCrash, withoutExpired,
 } from '../src/limits/crashevidence.js';
 import type { Crash, CrashEvidence } from '../src/limits/crashevidence.js';
+import { partQuarantines } from '../src/limits/partquarantine.js';
+import { quarantineOf, quarantines } from '../src/limits/quarantine.js';
+import { requestQuarantines } from '../src/limits/requestquarantine.js';
 
 interface Answered { readonly at: number; readonly answered: string }
 type Step = Crash | Answered;
@@ -12,7 +15,14 @@
 /** A crash of an engine that had begun to answer a request with these parts. */
 function crash(server: string, at: number, parts: string, change: Partial<Crash> = {}): Crash {
   return {
-    server, at, started: true, parts: parts.split(','), previous: [], ...change,
+    server,
+    at,
+    aliveAt: -Infinity,
+    started: true,
+    parts: parts.split(','),
+    requests: [],
+    previous: [],
+    ...change,
   };
 }
 
@@ -31,7 +41,11 @@
 }
 
 function quarantinedParts(evidence: CrashEvidence): readonly string[] {
-  return quarantines(evidence).map(({ parts }) => parts.join('+'));
+  return partQuarantines(evidence).map(({ parts }) => parts.join('+'));
+}
+
+function quarantinedRequests(evidence: CrashEvidence): readonly string[] {
+  return requestQuarantines(evidence).map(({ request }) => request);
 }
 
 interface Scenario {
@@ -207,14 +221,97 @@
   });
 });
 
+interface RequestScenario {
+  readonly name: string;
+  readonly steps: readonly Step[];
+  readonly requests: readonly string[];
+}
+
+/** A crash of a plain server under these requests. */
+function under(server: string, at: number, requests: string, change: Partial<Crash> = {}): Crash {
+  return crash(server, at, '', {
+    started: false, parts: [], requests: requests.split(','), ...change,
+  });
+}
+
+const REQUEST_SCENARIOS: readonly RequestScenario[] = [
+  {
+    name: 'two crashes prove nothing',
+    steps: [under('s1', 1_000, 'r'), under('s2', 1_100, 'r')],
+    requests: [],
+  },
+  {
+    name: 'three crashes, also at the same time',
+    steps: [under('s1', 1_000, 'r'), under('s2', 1_001, 'r'), under('s3', 1_002, 'r')],
+    requests: ['r'],
+  },
+  {
+    name: 'requests that wait beside the cause are not refused',
+    steps: [1, 2, 3, 4].map((index) => (
+      under(`s${index}`, index * 1_000, index < 4 ? 'r,bystander' : 'r'))),
+    requests: ['r'],
+  },
+  {
+    name: 'an answer clears a request that waited beside the cause',
+    steps: [1, 2, 3].flatMap((index) => [
+      under(`s${index}`, index * 1_000, 'r,poll'), answered(index * 1_000 + 500, 'poll'),
+    ]),
+    requests: ['r'],
+  },
+  {
+    name: 'a request that was answered before takes one crash more',
+    steps: [
+      under('s1', 1_000, 'r'), answered(1_500, 'r'), under('s2', 2_000, 'r'),
+      under('s3', 3_000, 'r'), under('s4', 4_000, 'r'),
+    ],
+    requests: [],
+  },
+  {
+    name: 'one server that starts again under its id',
+    steps: [1, 2, 3].map((index) => (
+      under('s1', index * 1_000, 'r', { aliveAt: index * 1_000 - 100 }))),
+    requests: ['r'],
+  },
+  {
+    name: 'late reports of one crash',
+    steps: [1, 2, 3].map((index) => under('s1', index * 1_000, 'r', { aliveAt: 900 })),
+    requests: [],
+  },
+  {
+    name: 'one prompt is refused, not its body with another one',
+    steps: [1, 2, 3].map((index) => under(`s${index}`, index * 1_000, 'body/prompt')),
+    requests: ['body/prompt'],
+  },
+  {
+    name: 'a body that crashes servers with several prompts',
+    steps: [1, 2, 3].map((index) => under(`s${index}`, index * 1_000, `body/${index}`)),
+    requests: ['body'],
+  },
+];
+REQUEST_SCENARIOS.forEach(({ name, steps, requests }) => {
+  test(`crashing requests: ${name}`, (t) => {
+    t.deepEqual(quarantinedRequests(evidenceOf(steps)), requests);
+  });
+});
+
+test('crashing requests: the same body is refused, another one is not', (t) => {
+  const found = quarantines(evidenceOf([1, 2, 3].map((index) => (
+    under(`s${index}`, index * 1_000, 'body')))));
+  const refuses = (request: string) => quarantineOf(found, { parts: [], request });
+  t.is(refuses('body')?.until, 1_000 + EVIDENCE_MS);
+  t.truthy(refuses('body/prompt'));
+  t.is(refuses('other'), undefined);
+});
+
 const BAD = [1, 2, 3, 4].map((index) => crash(`e${index}`, index * 60_000, 'all,bad'));
 
 test('crash evidence: only requests with all parts of a quarantine are refused', (t) => {
   const found = quarantines(evidenceOf(BAD));
-  t.truthy(quarantineOf(found, ['bad', 'x', 'all']));
-  t.is(quarantineOf(found, ['all', 'x']), undefined);
-  t.is(quarantineOf(found, ['bad']), undefined);
-  t.is(quarantineOf(found, []), undefined);
+  const refuses = (...parts: string[]) => quarantineOf(found, { parts, request: 'r' });
+  t.truthy(refuses('bad', 'x', 'all'));
+  t.is(refuses('all', 'x'), undefined);
+  t.is(refuses('bad'), undefined);
+  t.is(refuses(), undefined);
 });
 
 test('crash evidence: a quarantine ends when its crashes are forgotten, one by one', (t) => {
@@ -245,12 +342,15 @@
   fc.record({
     server: fc.constantFrom('e1', 'e2', 'e3', 'e4', 'e5'),
     at: fc.integer({ min: 1_000, max: 4_000 }),
+    aliveAt: fc.constant(-Infinity),
     started: fc.boolean(),
+    requests: fc.uniqueArray(fc.constantFrom('r1', 'r2/p', 'r2/q'), { maxLength: 2 }),
     parts: fc.uniqueArray(fc.constantFrom('a', 'b', 'c'), { maxLength: 3 }),
     previous: fc.uniqueArray(fc.constantFrom('e1', 'e2', 'e3'), { maxLength: 2 }),
   }),
   fc.record({
-    at: fc.integer({ min: 1_000, max: 4_000 }), answered: fc.constantFrom('a', 'b', 'c'),
+    at: fc.integer({ min: 1_000, max: 4_000 }),
+    answered: fc.constantFrom('a', 'b', 'c', 'r1', 'r2'),
   }),
 );
 
@@ -260,9 +360,11 @@
   (t, steps) => {
     const crashes = steps.filter((step) => !('answered' in step));
     const answers = steps.filter((step) => 'answered' in step);
-    const expected = quarantinedParts(evidenceOf([...crashes, ...answers]));
+    const conclusions = (evidence: CrashEvidence) => [
+      quarantinedParts(evidence), quarantinedRequests(evidence)];
+    const expected = conclusions(evidenceOf([...crashes, ...answers]));
     const reversed = evidenceOf([...crashes.toReversed(), ...crashes, ...answers]);
-    t.deepEqual(quarantinedParts(reversed), expected);
+    t.deepEqual(conclusions(reversed), expected);
   },
   { numRuns: 300, seed: 20 },
 );
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -274,7 +274,7 @@
 
   stop(): void {
     this.#running.unsubscribe();
-    [...this.engines, ...this.plain].forEach((engine) => engine.crash());
+    [...this.engines, ...this.plain].forEach((engine) => engine.end());
   }
 
   /** Sends one request; resolves when its response has ended or was cut off. */
--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -45,6 +45,8 @@
 
   #server: Server | undefined;
 
+  #hasEnded = false;
+
   private constructor(options: RelayEngineOptions, peers: readonly RelayEngine[]) {
     this.options = options;
     this.#peers = peers;
@@ -80,10 +82,16 @@
 
   /** Listens again some time after a crash, or later if the port is taken by then. */
   restartAfter(ms: number): void {
-    const timer = setTimeout(() => {
+    setTimeout(() => {
+      if (this.#hasEnded || this.#server?.listening) return;
       this.start().catch(() => this.restartAfter(ms));
     }, ms);
-    timer.unref();
+  }
+
+  /** Crashes and doesn't start again. */
+  end(): void {
+    this.#hasEnded = true;
+    this.crash();
   }
 
   /** Behaves like a process that crashes. */
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -395,6 +395,7 @@
     successors: ids.map((id) => [id, id]),
     peers: ids,
     crashes: ids.map((id) => [id, 20, true, [['part', null], ['answered', 50]], ['e1']]),
+    crashRequests: ids.map((id) => [null, [[id, null]]]),
     instances: 101,
     limits: ids.map((id) => [id, 1, 0.5, 20, true]),
   });
--- a/test/relay-quarantine.test.ts
+++ b/test/relay-quarantine.test.ts
@@ -98,7 +98,7 @@
   t.is(String(relay.log.of('unplaced').at(-1)?.crashed).split(',').length, 3);
   t.true(await eventually(async () => {
     const metrics = await relay.metrics();
-    return metrics.includes('shallotshunt_relay_quarantines 1')
+    return metrics.includes('shallotshunt_relay_quarantines 2')
       && metrics.includes('refusals_total{code="query_of_death",ran="no"} 1');
   }));
 });
--- a/test/relay-quarantinereports.test.ts
+++ b/test/relay-quarantinereports.test.ts
@@ -6,7 +6,7 @@
 import { Connections } from '../src/relay/connections.js';
 import { Meter } from '../src/relay/meter.js';
 import { Quarantines } from '../src/relay/quarantine.js';
-import type { CrashReport } from '../src/relay/quarantine.js';
+import type { CrashReport } from '../src/relay/crashnews.js';
 import { VirtualClock } from './fakes/clock.js';
 import { testDialect } from './fakes/relaydialect.js';
 
@@ -16,9 +16,11 @@
   return {
     server,
     ageMs,
+    aliveAgeMs: undefined,
     started: true,
     previous: [],
-    parts: parts.map((part) => ({ part, answerAgeMs: undefined })),
+    parts: parts.map((subject) => ({ subject, answerAgeMs: undefined })),
+    requests: [],
   };
 }
 
@@ -66,7 +68,8 @@
   }
 
   get found(): readonly string[] {
-    return this.instances.map(({ found }) => found.map(({ parts }) => parts.join('+')).join());
+    return this.instances.map(({ found }) => found.flatMap((quarantine) => (
+      quarantine.kind === 'parts' ? [quarantine.parts.join('+')] : [])).join());
   }
 }
 
