Hold crashes against a prompt's part only if several requests explain them

What callers saw: one stream that crashed engines took the part of its prompt with it that sound ones share, for five minutes; one caller could so shut out all. Cause: crashes were counted by engine and part, whatever request caused them. Change: the requests that waited on the crashed engines are counted: a part needs two that together explain its crashes, three if it was answered before.

--- a/src/limits/partquarantine.ts
+++ b/src/limits/partquarantine.ts
@@ -4,10 +4,11 @@
  * A crash also hits requests that only ran beside the cause. So it counts against the requests that
  * the engine had begun to answer, if there were any; crashes that one part explains don't count
  * against others; and crashes close together, such as those of one rack, count once, unless one
- * request went from the first engine to the second.
+ * request went from the first engine to the second. What few requests explain by themselves does
+ * not count against a part, which others may share.
  */
 import { EVIDENCE_MS, isCleared, isSameList } from './crashevidence.js';
-import type { Crash, CrashEvidence } from './crashevidence.js';
+import type { Crash, CrashEvidence, Fingerprint } from './crashevidence.js';
 
 /** Crashes within this time of each other count as one incident. */
 const INCIDENT_MS = 300;
@@ -18,6 +19,11 @@
 const MIN_WEIGHT = 3 * STARTED_WEIGHT;
 /** The same for a part that was answered before, and so is likelier to be hit by accident. */
 const MIN_WEIGHT_AFTER_ANSWER = 4 * STARTED_WEIGHT;
+/** Requests that must have crashed engines before their part is to blame. */
+const MIN_REQUESTS = 2;
+/** The same for a part that was answered before: likelier, some of its requests are. */
+const MIN_REQUESTS_AFTER_ANSWER = 3;
+
 /** Parts of which each may be innocent; requests that have all of them are refused. */
 export interface PartQuarantine {
   readonly kind: 'parts';
@@ -72,6 +78,27 @@
   return byPart;
 }
 
+/** The request that waited in most of the crashes, and may be to blame for them. */
+function mostFrequentRequest(
+  crashes: readonly Crash[],
+  evidence: CrashEvidence,
+): Fingerprint | undefined {
+  const counts = new Map<Fingerprint, number>();
+  crashes.forEach((crash) => crash.requests.forEach((request) => {
+    if (!isCleared(evidence, request, crash)) counts.set(request, (counts.get(request) ?? 0) + 1);
+  }));
+  return [...counts].sort(([left, leftCount], [right, rightCount]) => (
+    rightCount - leftCount || (left < right ? -1 : 1)))[0]?.[0];
+}
+
+/** The number of requests that explain the crashes without a part that they share. */
+function requestCount(crashes: readonly Crash[], evidence: CrashEvidence): number {
+  const request = mostFrequentRequest(crashes, evidence);
+  if (request === undefined) return crashes.length;
+  const others = crashes.filter(({ requests }) => !requests.includes(request));
+  return 1 + requestCount(others, evidence);
+}
+
 /** The parts with enough crashes since their last answer, those with the most first. */
 function suspects(evidence: CrashEvidence): readonly Suspect[] {
   return [...crashesByPart(evidence)].map(([part, crashes]): Suspect => ({
@@ -80,6 +107,8 @@
     incidents: crashes.reduce(withIncident, []),
     required: evidence.answers.has(part) ? MIN_WEIGHT_AFTER_ANSWER : MIN_WEIGHT,
   })).filter(({ incidents, required }) => totalWeight(incidents) >= required)
+    .filter(({ part, crashes }) => requestCount(crashes, evidence)
+      >= (evidence.answers.has(part) ? MIN_REQUESTS_AFTER_ANSWER : MIN_REQUESTS))
     .sort((left, right) => totalWeight(right.incidents) - totalWeight(left.incidents)
       || left.required - right.required || (left.part < right.part ? -1 : 1));
 }
--- a/test/crashevidence.test.ts
+++ b/test/crashevidence.test.ts
@@ -206,6 +206,42 @@
     ],
     parts: ['part'],
   },
+  {
+    name: 'one request that crashes engine after engine',
+    steps: [1, 2, 3, 4, 5].map((index) => (
+      crash(`e${index}`, index * 1_000, 'shared', { requests: ['r1'] }))),
+    parts: [],
+  },
+  {
+    name: 'a second request that crashes an engine with the part',
+    steps: [1, 2, 3, 4].map((index) => (
+      crash(`e${index}`, index * 1_000, 'bad', { requests: [index < 4 ? 'r1' : 'r2'] }))),
+    parts: ['bad'],
+  },
+  {
+    name: 'one request, and others that had begun beside it',
+    steps: [1, 2, 3, 4].map((index) => (
+      crash(`e${index}`, index * 1_000, 'shared', { requests: ['r1', `beside-${index}`] }))),
+    parts: [],
+  },
+  {
+    name: 'two requests with a part that was answered before',
+    steps: [
+      crash('e0', 500, 'shared', { requests: ['r0'] }), answered(900, 'shared'),
+      ...[1, 2, 3, 4, 5, 6].map((index) => (
+        crash(`e${index}`, index * 1_000, 'shared', { requests: [index < 4 ? 'r1' : 'r2'] }))),
+    ],
+    parts: [],
+  },
+  {
+    name: 'three requests with a part that was answered before',
+    steps: [
+      crash('e0', 500, 'shared', { requests: ['r0'] }), answered(900, 'shared'),
+      ...[1, 2, 3, 4].map((index) => (
+        crash(`e${index}`, index * 1_000, 'shared', { requests: [`r${Math.min(index, 3)}`] }))),
+    ],
+    parts: ['shared'],
+  },
   {
     name: 'an answer clears the part',
     steps: [
