--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -42,6 +42,8 @@
   readonly settings: RelaySettings;
   readonly platform: Platform;
   readonly scheduler: SchedulerLike;
+  /** Times the lookups of cached prompts, which callers wait for; `scheduler` by default. */
+  readonly lookupScheduler?: SchedulerLike | undefined;
   readonly random: Random;
   readonly log: Log;
   /** Log lines dropped since the start. */
@@ -96,10 +98,11 @@
     const shared = {
       scheduler, random: context.random, log, onUrgentChange: () => this.#peers.sendSoon(),
     };
+    const { dialect, cacheQuery } = context.platform;
     const identity = {
       scheduler,
       connections: this.#connections,
-      dialect: context.platform.dialect,
+      dialect,
       healthPath: (service: string) => (
         this.#activeConfiguration.routes?.configuration.services[service]?.healthPath),
     };
@@ -124,7 +127,7 @@
       zone: settings.zone,
       scheduler,
       log,
-      dialect: context.platform.dialect,
+      dialect,
       fleet: this.#fleet,
       limits: this.#limits,
       throttles: this.#throttles,
@@ -134,7 +137,7 @@
       retrySchedules: RetrySchedules.of(),
       meter: this.#meter,
       cachedPrompts: CachedPrompts.of({
-        scheduler, connections: this.#connections, log, cacheQuery: context.platform.cacheQuery,
+        ...identity, log, cacheQuery, scheduler: context.lookupScheduler ?? scheduler,
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
@@ -156,8 +159,8 @@
 
   /** Whether the load balancer may send connections. */
   get ready(): boolean {
-    const loaded = this.#activeConfiguration.routes !== undefined && this.#fleet.loaded;
-    return loaded && this.drain.state === 'serving';
+    return this.#activeConfiguration.routes !== undefined && this.#fleet.loaded
+      && this.drain.state === 'serving';
   }
 
   /** Begins a graceful shutdown. */
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -4,7 +4,7 @@
 import type { ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
 import { map } from 'rxjs';
-import type { Subscription } from 'rxjs';
+import type { SchedulerLike, Subscription } from 'rxjs';
 import { Random } from '../../src/common/random.js';
 import { monotonicScheduler } from '../../src/common/time.js';
 import { DEFAULT_HEAD_LIMITS } from '../../src/entry/httpserver.js';
@@ -87,6 +87,8 @@
   readonly configuration?: RelayConfiguration | undefined;
   /** A relay whose peer this one becomes; each has a store of its own. */
   readonly peer?: Relay;
+  /** Times the lookups of cached prompts in place of real time. */
+  readonly lookupScheduler?: SchedulerLike;
   /** Whether the store is down at first. */
   readonly outage?: boolean;
 }
@@ -165,6 +167,7 @@
     engines: readonly RelayEngine[],
     plain: readonly RelayEngine[],
     endpoint: Endpoint,
+    lookupScheduler: SchedulerLike | undefined,
   ) {
     this.objects = objects;
     this.engines = engines;
@@ -209,6 +212,7 @@
         },
       },
       scheduler: monotonicScheduler,
+      lookupScheduler,
       random: Random.of(7),
       log: this.log,
       droppedLogLines: () => 3,
@@ -221,7 +225,8 @@
     objects.setFaults({ outage: fixture.outage ?? false });
     const engines = await RelayEngine.fleet(fixture.engines ?? []);
     const plain = await RelayEngine.fleet(fixture.plain ?? []);
-    const relay = new Relay(objects, engines, plain, await endpointOf(fixture.peer));
+    const endpoint = await endpointOf(fixture.peer);
+    const relay = new Relay(objects, engines, plain, endpoint, fixture.lookupScheduler);
     t.teardown(() => relay.stop());
     await Promise.all([
       ...engines.map((engine) => relay.putEntry(engine, 'engines')),
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { VirtualClock } from './fakes/clock.js';
 import { eventually } from './fakes/eventually.js';
 import {
   eventsText, Relay, relayConfiguration, ROUTES,
@@ -393,7 +394,8 @@
 });
 
 test('a reconnecting caller is routed to the engine that has its prompt cached', async (t) => {
-  const relay = await startRelay(t, { engines: ENGINES });
+  // No lookup times out, however slow the machine is.
+  const relay = await startRelay(t, { engines: ENGINES, lookupScheduler: new VirtualClock() });
   await Promise.all(ENGINES.map(async ({ id }, index) => {
     relay.engines[index]!.cachedParts.add(`part-${id}`);
     const headers = { ...STREAM, 'x-prompt': '10', 'x-last': '12' };
