--- /dev/null
+++ b/test/entrycrashing.test.ts
@@ -0,0 +1,91 @@
+/** Requests that crash each backend server that runs them, at the product's own interface. */
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import type { StandInEngine } from '../src/standin/engine.js';
+import { deployment, requestOf } from './fakes/deployment.js';
+import { call, sleep, startEntry } from './fakes/entry.js';
+
+const DEADLY = 'deadly';
+/** Crashes of the request, and retries that may still reach a server. */
+const MAX_ARRIVALS = 3 + 3;
+const RESTART_MS = 100;
+
+test('a generation that crashes engines stops reaching them', async (t) => {
+  let arrivals = 0;
+  const { clock, call: send } = deployment({
+    engines: 8,
+    wrap: (engine: StandInEngine) => ({
+      generate: (request) => {
+        const answer = engine.generate(request);
+        if (request.input.kind !== 'prompt' || request.input.text !== DEADLY) return answer;
+        arrivals += 1;
+        const restarted = `${engine.incarnation}+`;
+        clock.schedule(() => engine.crash(restarted), 10);
+        return answer;
+      },
+      join: (generation, attempt, position) => engine.join(generation, attempt, position),
+      cancel: (generation, attempt) => engine.cancel(generation, attempt),
+      load: () => engine.load(),
+      cacheEvents: () => engine.cacheEvents(),
+      order: (order) => engine.order(order),
+    }),
+    engine: { stepMs: 20 },
+  });
+  await clock.advance(500);
+  const request = (id: string, text: string) => requestOf({ id, input: { kind: 'prompt', text } });
+  for (let round = 0; round < 4; round += 1) {
+    send(request(`deadly-${round}`, DEADLY));
+    await clock.advance(3_000); // eslint-disable-line no-await-in-loop -- it comes again
+  }
+  t.true(arrivals <= MAX_ARRIVALS, `${arrivals}`);
+  const refused = send(request('again', DEADLY));
+  const sound = send(request('sound', 'List the ovens'));
+  await clock.advance(5_000);
+  t.like(refused.end(), { refusal: { code: 'query_of_death', ran: 'no' } });
+  t.is(sound.end()?.kind, 'finish');
+});
+
+['PUT', 'GET'].forEach((method) => {
+  test(`a service call that crashes servers stops reaching them: ${method}`, async (t) => {
+    let arrivals = 0;
+    let servers: readonly Server[] = [];
+    let hasEnded = false;
+    const listener: RequestListener = (req, res) => {
+      if (!req.url!.startsWith('/deadly')) {
+        res.end('ok');
+        return;
+      }
+      arrivals += 1;
+      const { localPort } = req.socket;
+      const server = servers.find((other) => (
+        (other.address() as AddressInfo | null)?.port === localPort))!;
+      server.close();
+      server.closeAllConnections();
+      setTimeout(() => {
+        if (!hasEnded) server.listen(localPort, '127.0.0.1');
+      }, RESTART_MS);
+    };
+    const own = await startEntry({
+      engines: 1,
+      services: Array.from({ length: 6 }, () => listener),
+    });
+    servers = own.serviceServers;
+    t.teardown(() => {
+      hasEnded = true;
+      own.stop();
+    });
+    const send = (path: string) => call(own.address, `/services/stock${path}`, {
+      method, ...(method === 'PUT' ? { body: Buffer.from('body') } : {}),
+    });
+    for (let round = 0; round < 8; round += 1) {
+      await send('/deadly'); // eslint-disable-line no-await-in-loop -- it comes again
+      await sleep(2 * RESTART_MS); // eslint-disable-line no-await-in-loop
+    }
+    t.true(arrivals <= MAX_ARRIVALS, `${arrivals}`);
+    const refused = await send('/deadly');
+    t.is(refused.status, 503);
+    t.like(JSON.parse(refused.text), { error: { code: 'query_of_death', ran: 'no' } });
+    t.is((await send('/sound')).status, 200);
+  });
+});
