--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -8,6 +8,7 @@
 import { Meter } from '../src/relay/meter.js';
 import { exchange } from '../src/relay/exchange.js';
 import type { ExchangeEvent } from '../src/relay/exchange.js';
+import { eventually } from './fakes/eventually.js';
 
 const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n';
 const WHOLE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=10\r\n\r\nbody';
@@ -157,14 +158,14 @@
 
 test('a connection with unsolicited bytes is not reused', async (t) => {
   const server = await startServer(t, (socket, request) => {
-    socket.write(WHOLE);
+    // The idle timeout outlasts the test, so that it can't be what closes the connection.
+    socket.write(WHOLE.replace('timeout=10', 'timeout=100'));
     if (request === 1) setTimeout(() => socket.write(WHOLE), 20);
   });
   const connections = Connections.of(Meter.of());
   await send(server.address, connections);
-  await new Promise((resolve) => {
-    setTimeout(resolve, 60);
-  });
+  const idle = () => Object.values(connections.agent('s').freeSockets).flat().length;
+  t.true(await eventually(() => idle() === 0));
   const events = await send(server.address, connections);
   t.deepEqual(events[0], { kind: 'sent', reused: false });
   t.is(server.connections(), 2);
