Refuse requests that crash servers at the product's own interface

What callers saw: a generation without a token went to up to six engines each time it was sent, a service call to three servers; each ended, and nothing was learnt. Cause: as on the relay, the end of an attempt was held against the server alone. Change: CrashingRequests keeps the evidence of limits/crashevidence.ts for generations and service calls; an engine's load report, a service's port tell whether it crashed; instances tell each other by their soft state. Short bodies of calls that may not be repeated are read before they are sent while there is any evidence, so that such a call is recognised.

--- /dev/null
+++ b/src/common/reachable.ts
@@ -0,0 +1,19 @@
+/** Whether something listens at an address. */
+import { connect } from 'node:net';
+import { parseHostPort } from './address.js';
+import { afterPendingInput, monotonicScheduler } from './time.js';
+
+/** Whether an address, `host:port`, accepts a connection within `timeoutMs`. */
+export function accepts(address: string, timeoutMs: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(parseHostPort(address));
+    const settle = (accepted: boolean) => {
+      deadline.unsubscribe(); // eslint-disable-line @typescript-eslint/no-use-before-define
+      socket.destroy();
+      resolve(accepted);
+    };
+    const deadline = afterPendingInput(timeoutMs, monotonicScheduler, () => settle(false));
+    socket.once('connect', () => settle(true));
+    socket.once('error', () => settle(false));
+  });
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -29,6 +29,7 @@
 import { claimHandler, claimPeers } from './claimpeers.js';
 import { ConfigurationFeed } from './configurationfeed.js';
 import { controlView } from './controlview.js';
+import { followCrashes, sharedCrashes } from './crashexchange.js';
 import { DemandReport } from './demandreport.js';
 import { Isolation } from './isolation.js';
 import { LeavingServers } from './leavingservers.js';
@@ -186,6 +187,7 @@
       configuration,
     });
     this.drain = Drain.of(scheduler, log, settings.drain);
+    const crashes = sharedCrashes(softState, { scheduler, log, instance: name });
     this.gateway = Gateway.of({
       dispatcher: demand,
       directory: this.monitor,
@@ -195,6 +197,7 @@
       log,
       configuration,
       claims,
+      crashes,
       ...(settings.cursorKey === undefined ? {} : { cursorKey: settings.cursorKey }),
     });
     this.handlers = {
@@ -214,6 +217,7 @@
       this.heartbeats,
       childOfSubscription('demand', () => demand.start(softState, configuration, scheduler)),
       childOfSubscription('leaving', () => leaving.start(scheduler)),
+      childOfSubscription('crashes', () => followCrashes(softState, crashes, name)),
       childOfSubscription('store_budget', () => this.heartbeats.members.subscribe((members) => {
         objects.setRates(shareOf(FLEET_RATES, members.length, claims.homeShare));
       })),
--- a/src/entry/gateway.ts
+++ b/src/entry/gateway.ts
@@ -19,6 +19,7 @@
 import type { AnswerEvent, GenerationRequest } from '../generation/request.js';
 import type { Attempt } from '../generation/state.js';
 import type { Admission } from '../limits/admission.js';
+import { CrashingRequests } from '../limits/crashingrequests.js';
 import type { Dispatcher } from '../routing/dispatcher.js';
 import { claimRefusal } from './claimrefusal.js';
 
@@ -60,15 +61,17 @@
 }
 
 export class Gateway {
-  readonly #context: GatewayContext;
+  readonly #context: GatewayContext & { readonly crashes: CrashingRequests };
 
   private constructor(context: GatewayContext) {
     const { directory, configuration } = context;
     const pacer = ResumePacer.of(() => (
       RESUMES_PER_ENGINE * directory.engines().filter(({ health }) => health === 'up').length));
+    const { scheduler = monotonicScheduler, log } = context;
     this.#context = {
       pacer,
-      scheduler: monotonicScheduler,
+      scheduler,
+      crashes: CrashingRequests.of({ scheduler, log }),
       hedges: () => configuration().deployment.favour === 'latency',
       ...context,
     };
@@ -90,6 +93,11 @@
     return this.#context.claims;
   }
 
+  /** Requests that crash servers, which are refused. */
+  get crashes(): CrashingRequests {
+    return this.#context.crashes;
+  }
+
   get log(): Log {
     return this.#context.log;
   }
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -8,17 +8,23 @@
 import type { SchedulerLike } from 'rxjs';
 import type { ClaimReference } from '../claims/claims.js';
 import { sha256 } from '../common/hash.js';
+import { accepts } from '../common/reachable.js';
 import type { Refusal } from '../common/refusal.js';
 import { statusOf } from '../common/refusal.js';
 import type { Route, Service, Workspace } from '../configuration/configuration.js';
-import { readBody, sendRefusal, whenClosed } from './body.js';
+import {
+  MAX_BODY_BYTES, readBody, sendRefusal, whenClosed,
+} from './body.js';
 import { claimRefusal } from './claimrefusal.js';
 import type { Gateway } from './gateway.js';
+import { ServiceFingerprint } from './servicefingerprint.js';
 import { forward } from './upstream.js';
 import type { ForwardResult } from './upstream.js';
 
 const MAX_ATTEMPTS = 3;
 const DEFAULT_TIMEOUT_MS = 30_000;
+/** Covers two round trips between zones and the delay of a busy server. */
+const CHECK_TIMEOUT_MS = 80;
 const SAFE_METHODS: readonly string[] = ['GET', 'HEAD'];
 const TARGET = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 
@@ -39,6 +45,11 @@
   };
 }
 
+/** Whether the body is known to fit in memory. */
+function isShort({ headers }: IncomingMessage): boolean {
+  return Number(headers['content-length'] ?? Infinity) <= MAX_BODY_BYTES;
+}
+
 /** A call that is being relayed. */
 interface Call {
   readonly id: string;
@@ -51,6 +62,7 @@
   readonly target: string;
   /** The whole body if it was read, for a retry or a claim; otherwise it is streamed. */
   readonly body: Buffer | undefined;
+  readonly fingerprint: ServiceFingerprint;
 }
 
 export class ServiceRelay {
@@ -82,7 +94,8 @@
     const key = req.headers['idempotency-key'];
     const claimed = route.repeat === 'never' && typeof key === 'string';
     let body: Buffer | undefined;
-    if (route.repeat === 'safe' || claimed) {
+    const mayBeRefused = this.#gateway.crashes.hasEvidence && isShort(req);
+    if (route.repeat === 'safe' || claimed || mayBeRefused) {
       const read = await readBody(req, this.#scheduler);
       if (read.isErr()) return sendRefusal(res, read.error);
       body = read.value;
@@ -90,8 +103,17 @@
     const admitted = this.#gateway.admit(workspace.name, route.priority);
     if (admitted.isErr()) return sendRefusal(res, admitted.error);
     whenClosed(res, () => admitted.value.release());
+    const identity = [workspace.name, service.name, req.method, `${path}${query}`];
     const call: Call = {
-      id, req, res, workspace, service, route, target: `${path}${query}`, body,
+      id,
+      req,
+      res,
+      workspace,
+      service,
+      route,
+      target: `${path}${query}`,
+      body,
+      fingerprint: ServiceFingerprint.of(identity, body),
     };
     if (claimed) return this.#claimAndRelay(call, key);
     const refused = await this.#tryServers(call);
@@ -136,11 +158,14 @@
     const exclude: string[] = [];
     let lastRefusal: Refusal | undefined;
     for (let attempts = 0; attempts < MAX_ATTEMPTS; attempts += 1) {
+      const rejected = this.#crashRefusal(call);
+      if (rejected) return { ...rejected, ran: lastRefusal?.ran ?? 'no' };
       // eslint-disable-next-line no-await-in-loop -- each attempt depends on the one before
       const outcome = await this.#attempt(call, exclude);
       if (outcome.kind === 'answered') return undefined;
       if (outcome.kind === 'unplaced') return lastRefusal ?? outcome.refusal;
       const { ran, message } = outcome.forwarded;
+      if (ran === 'unknown') this.#recordLost(call, outcome.server);
       const unknown = lastRefusal?.ran === 'unknown' || ran !== 'no';
       lastRefusal = {
         code: 'backend_failed',
@@ -156,6 +181,23 @@
     return lastRefusal;
   }
 
+  /** Why a call may not be sent to a server, since it crashes servers; undefined if it may. */
+  #crashRefusal({ fingerprint: { value } }: Call): Refusal | undefined {
+    return value === undefined ? undefined : this.#gateway.crashes.refusal(value);
+  }
+
+  #recordLost({ res, fingerprint: { value } }: Call, server: string): void {
+    const address = this.#gateway.configuration.servers[server]?.address;
+    // A caller that disconnects ends the connection to the server too.
+    if (value === undefined || address === undefined || res.destroyed) return;
+    const hasCrashed = accepts(address, CHECK_TIMEOUT_MS).then((accepted) => !accepted);
+    this.#gateway.crashes.recordLost(server, value, hasCrashed);
+  }
+
+  #recordAnswer({ fingerprint: { value } }: Call, whole: boolean): void {
+    if (value !== undefined && whole) this.#gateway.crashes.recordAnswer(value);
+  }
+
   async #attempt(call: Call, exclude: readonly string[]): Promise<
     | { readonly kind: 'answered' }
     | { readonly kind: 'unplaced'; readonly refusal: Refusal }
@@ -196,8 +238,10 @@
       workspace: workspace.name,
       timeoutMs: route.timeoutMs,
       body: call.body,
+      onBody: call.fingerprint.body,
     }, this.#scheduler);
     if (forwarded.kind === 'answered') {
+      this.#recordAnswer(call, forwarded.whole);
       assignment.release(forwarded.whole ? 'answered' : 'failed');
       return { kind: 'answered' };
     }
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -34,6 +34,8 @@
   readonly timeoutMs: number;
   /** The body if it was read; otherwise the request's stream is forwarded. */
   readonly body: Buffer | undefined;
+  /** Told of the body as it is forwarded, if it was not read before. */
+  readonly onBody?: { chunk(bytes: Buffer): void; end(): void };
 }
 
 /** Raw headers without hop-by-hop ones and `exclude`, as alternating names and values. */
@@ -62,11 +64,18 @@
   return chunked ? [...headers, 'Transfer-Encoding', 'chunked'] : headers;
 }
 
-function sendBody({ req, body }: ForwardRequest, upstream: ClientRequest): void {
-  if (body !== undefined) upstream.end(body);
+function sendBody({ req, body, onBody }: ForwardRequest, upstream: ClientRequest): void {
+  if (body !== undefined) {
+    upstream.end(body);
+    return;
+  }
   // The caller's body is not read before the connection is established, so that after a refused
   // connection all of it can go to another server.
-  else req.pipe(upstream);
+  if (onBody) {
+    req.on('data', (bytes: Buffer) => onBody.chunk(bytes));
+    req.once('end', () => onBody.end());
+  }
+  req.pipe(upstream);
 }
 
 export function forward(
--- a/src/generation/run.ts
+++ b/src/generation/run.ts
@@ -7,6 +7,7 @@
 import type { Directory } from '../engines/directory.js';
 import type { AttemptFailure, EngineEvent } from '../engines/engine.js';
 import type { Watcher } from '../engines/watch.js';
+import type { CrashingRequests } from '../limits/crashingrequests.js';
 import type { AttemptOutcome, Dispatcher } from '../routing/dispatcher.js';
 import { AttemptAssigner } from './assigner.js';
 import { AttemptReader } from './attempt.js';
@@ -15,6 +16,7 @@
 } from './event.js';
 import type { GenerationMeter } from './meter.js';
 import type { ResumePacer } from './pacing.js';
+import { CrashWatch } from './crashwatch.js';
 import { GenerationRecorder } from './recorder.js';
 import type { AnswerEvent, GenerationRequest } from './request.js';
 import { generationState } from './state.js';
@@ -35,6 +37,8 @@
   readonly watcher?: Watcher;
   readonly pacer?: ResumePacer;
   readonly meter?: GenerationMeter;
+  /** Requests that crash engines; without it, none is refused for that. */
+  readonly crashes?: CrashingRequests;
   /** Whether a silent attempt may be hedged with another one. */
   readonly hedges?: () => boolean;
 }
@@ -73,6 +77,8 @@
 
   readonly #assigner: AttemptAssigner;
 
+  readonly #crashWatch: CrashWatch;
+
   #recoveryTimer: Subscription | undefined;
 
   #state: GenerationState;
@@ -102,6 +108,7 @@
       hedges: context.hedges?.() ?? false,
       maxTokens: request.sampling.maxTokens,
     });
+    this.#crashWatch = CrashWatch.of(request, context.crashes);
     this.#assigner = AttemptAssigner.of(request, context, (event) => this.#receive(event));
   }
 
@@ -171,6 +178,11 @@
   }
 
   #assign(reason: AssignReason, exclude: readonly string[]): void {
+    const refusal = this.#state.accepted.tokens === 0 ? this.#crashWatch.refusal : undefined;
+    if (refusal) {
+      this.#receive({ kind: 'rejected', refusal });
+      return;
+    }
     if (reason === 'resume') this.#limitRecovery();
     if (reason !== 'begin') this.#recorder.reassigning(reason, exclude);
     this.#assigner.start(reason, this.#state, exclude);
@@ -193,6 +205,7 @@
       return;
     }
     this.#recorder.dispatched(attempt, assigned?.reason);
+    this.#crashWatch.dispatched(number, view);
     this.#options.onDispatch?.(attempt);
     const reader = AttemptReader.of({
       attempt,
@@ -213,12 +226,16 @@
   #handleEvent(attempt: number, event: EngineEvent): void {
     if (event.kind === 'failed') {
       this.#recorder.attemptFailed(attempt, event);
+      if (this.#state.accepted.tokens === 0) this.#crashWatch.failed(attempt, event);
       this.#receive({ kind: 'failed', attempt, failure: event });
       return;
     }
+    if (event.kind === 'opened') this.#crashWatch.opened(attempt, event.incarnation);
     const before = this.#state.accepted.tokens;
     this.#receive({ ...event, attempt });
-    if (event.kind === 'token' && this.#state.accepted.tokens > before) this.#progressed(attempt);
+    if (event.kind !== 'token' || this.#state.accepted.tokens <= before) return;
+    if (before === 0) this.#crashWatch.answered();
+    this.#progressed(attempt);
   }
 
   #progressed(attempt: number): void {
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -3,30 +3,13 @@
  * unsolicited bytes, a response that came before its request was fully sent, or a response that was
  * cut off.
  */
-import { connect } from 'node:net';
-import { parseHostPort } from '../common/address.js';
-import { afterPendingInput, monotonicScheduler } from '../common/time.js';
+import { accepts } from '../common/reachable.js';
 import { KeepAliveAgent } from './keepaliveagent.js';
 import type { Meter } from './meter.js';
 
 /** Keeps a burst from using up the connections that a server accepts from all callers together. */
 const MAX_IDLE_CONNECTIONS = 16;
 
-/** Whether an address accepts a connection within `timeoutMs`. */
-function accepts(address: string, timeoutMs: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect(parseHostPort(address));
-    const settle = (accepted: boolean) => {
-      deadline.unsubscribe(); // eslint-disable-line @typescript-eslint/no-use-before-define
-      socket.destroy();
-      resolve(accepted);
-    };
-    const deadline = afterPendingInput(timeoutMs, monotonicScheduler, () => settle(false));
-    socket.once('connect', () => settle(true));
-    socket.once('error', () => settle(false));
-  });
-}
-
 export class Connections {
   readonly #agents = new Map<string, KeepAliveAgent>();
 
--- a/test/entrycrashing.test.ts
+++ b/test/entrycrashing.test.ts
@@ -2,7 +2,11 @@
 import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
+import { silentLog } from '../src/common/log.js';
+import { EVIDENCE_MS } from '../src/limits/crashevidence.js';
+import { CrashingRequests } from '../src/limits/crashingrequests.js';
 import type { StandInEngine } from '../src/standin/engine.js';
+import { VirtualClock } from './fakes/clock.js';
 import { deployment, requestOf } from './fakes/deployment.js';
 import { call, sleep, startEntry } from './fakes/entry.js';
 
@@ -46,6 +50,26 @@
   t.is(sound.end()?.kind, 'finish');
 });
 
+test('instances tell each other the crashes', async (t) => {
+  const clock = new VirtualClock();
+  const instances: CrashingRequests[] = [];
+  ['a', 'b', 'c'].forEach((instance) => instances.push(CrashingRequests.of({
+    scheduler: clock,
+    log: silentLog,
+    instance,
+    publish: (crashes) => instances.forEach((other) => other.adopt(crashes, clock.now())),
+  })));
+  instances.forEach((instance, index) => (
+    instance.recordLost(`e${index}`, DEADLY, Promise.resolve(true))));
+  await clock.advance(10);
+  instances.forEach((instance) => {
+    t.is(instance.refusal(DEADLY)?.code, 'query_of_death');
+    t.is(instance.refusal('other'), undefined);
+  });
+  await clock.advance(EVIDENCE_MS);
+  instances.forEach((instance) => t.is(instance.refusal(DEADLY), undefined));
+});
+
 ['PUT', 'GET'].forEach((method) => {
   test(`a service call that crashes servers stops reaching them: ${method}`, async (t) => {
     let arrivals = 0;
