Don't let a hedge that no server admits take a turn of refused callers

Found in reading: a throttled hedge counted as a refusal in throttled_total and moved the Retry-After of later callers back, though its call went on. It is left out now.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -136,6 +136,8 @@
   }
 
   #refuseThrottled(candidates: readonly Candidate[]): void {
+    // A hedge takes no turn from refused callers.
+    if (this.#state.phase.kind === 'running') return;
     const { throttles, meter } = this.#context;
     meter.record({ kind: 'throttled' });
     const retryAfterMs = throttles.retryAfterMs(this.#call.service.name, candidates);
