--- a/src/relay/throttles.ts
+++ b/src/relay/throttles.ts
@@ -144,7 +144,9 @@
   /** What a message tells other instances. */
   get reports(): readonly ThrottleReport[] {
     const now = this.#now();
-    return this.#context.limits.reports.map((report) => ({
+    const { reports } = this.#context.limits;
+    this.#forgetUnlimited(new Set(reports.map(({ server }) => server)));
+    return reports.map((report) => ({
       ...report, inUse: isInUse(this.#uses.get(report.server), now),
     }));
   }
@@ -161,6 +163,11 @@
     };
   }
 
+  /** Forgets the use of servers that are gone or name no limit any more. */
+  #forgetUnlimited(limited: ReadonlySet<string>): void {
+    [...this.#uses.keys()].filter((id) => !limited.has(id)).forEach((id) => this.#uses.delete(id));
+  }
+
   #useOf(entry: ServerEntry, now: number): Use {
     const known = this.#uses.get(entry.id);
     const use = known && sameProcess(known.entry, entry) ? known : undefined;
