--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -4,7 +4,7 @@
   recordMembers, EMPTY_WINDOW, recordRequest, recordRetry, retriesLeft,
 } from '../src/limits/retrywindow.js';
 import {
-  hasCapacity, selectEngine, selectServer, selectStandby,
+  areAllThrottled, hasCapacity, selectEngine, selectServer, selectStandby,
 } from '../src/relay/selection.js';
 import type { Candidate, RunDemand } from '../src/relay/selection.js';
 import { silentLog } from '../src/common/log.js';
@@ -404,3 +404,59 @@
   t.is(message.map(({ configuration }) => configuration).unwrapOr(0), 3);
   t.is(message.map(({ crashes }) => crashes.at(-1)?.[0]).unwrapOr(undefined), 'server-99');
 });
+
+function callCandidate(id: string, meanDurationMs: number, change: Partial<Candidate> = {}) {
+  return {
+    ...candidate(id), server: server(id, 'a', { meanDurationMs, outcomeAt: 0 }), ...change,
+  };
+}
+
+const LIMITED = { isLimited: true };
+const THROTTLED = { ...LIMITED, delayMs: 200 };
+const LIMITED_SERVERS: readonly {
+  readonly name: string;
+  readonly limited: Candidate;
+  readonly now: number;
+  readonly chosen: string;
+}[] = [
+  {
+    name: 'at its limit is not chosen',
+    limited: callCandidate('limited', 1, THROTTLED),
+    now: 0,
+    chosen: 'other',
+  },
+  {
+    name: 'with permits is chosen in spite of an old mean duration',
+    limited: callCandidate('limited', 90, LIMITED),
+    now: 0,
+    chosen: 'limited',
+  },
+  {
+    name: 'that was slow lately is not chosen',
+    limited: callCandidate('limited', 300, LIMITED),
+    now: 500,
+    chosen: 'other',
+  },
+  {
+    name: 'that was slow some time ago is tried again',
+    limited: callCandidate('limited', 300, LIMITED),
+    now: 5_000,
+    chosen: 'limited',
+  },
+];
+LIMITED_SERVERS.forEach(({
+  name, limited, now, chosen,
+}) => {
+  test(`select server: a limited server ${name}`, (t) => {
+    const other = callCandidate('other', 20, { load: { ...NO_LOAD, running: 1 } });
+    t.is(selectServer([limited, other], 'a', now)?.server.entry.id, chosen);
+  });
+});
+
+test('select server: none when all are at their limits', (t) => {
+  const all = ['a', 'b'].map((id) => callCandidate(id, 20, THROTTLED));
+  t.is(selectServer(all, 'a', 0), undefined);
+  t.true(areAllThrottled(all));
+  t.false(areAllThrottled([...all, callCandidate('c', 20)]));
+  t.false(areAllThrottled([]));
+});
