--- a/src/relay/crashnews.ts
+++ b/src/relay/crashnews.ts
@@ -70,19 +70,24 @@
     return new CrashNews(scheduler, random);
   }
 
-  /** Notes which crashes, or answers to their requests, are new; returns whether any are. */
+  /**
+   * Notes which crashes, or answers to their requests, are new; returns whether a crash is. What is
+   * learnt of known ones can wait for the next message: each victim changes it at every instance.
+   */
   update(previous: CrashEvidence, { crashes, answers }: CrashEvidence): boolean {
     const now = this.#scheduler.now();
     const servers = new Set(crashes.map(({ server }) => server));
     [...this.#changedAt.keys()].filter((server) => !servers.has(server))
       .forEach((server) => this.#changedAt.delete(server));
+    let isNew = false;
     const changed = crashes.filter((crash) => {
       const known = previous.crashes.find((other) => isSameCrash(other, crash));
+      isNew ||= !known;
       return !known || !isSameState(known, crash) || subjectsOf(crash).some((subject) => (
         answers.get(subject) !== previous.answers.get(subject)));
     });
     changed.forEach(({ server }) => this.#changedAt.set(server, now));
-    return changed.length > 0;
+    return isNew;
   }
 
   /** What a message tells. */
