Close a fake server that ends while it starts to listen

Found in reading: closing has no effect while the address is still being looked up, so the server would stay and keep its test process alive.

--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -75,6 +75,8 @@
       server.once('error', reject);
       server.listen(port, '127.0.0.1', () => {
         this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        // Closing has no effect while the address is still being looked up.
+        if (this.#hasEnded) server.close();
         resolve();
       });
     });
