Failing test: a request that crashes engines after its first tokens reaches all of them

Found in looking for the same cause elsewhere: evidence is taken only before the first token or event. The earlier test of generations is now one row of a table with this one.

--- a/test/entrycrashing.test.ts
+++ b/test/entrycrashing.test.ts
@@ -15,39 +15,47 @@
 const MAX_ARRIVALS = 3 + 3;
 const RESTART_MS = 100;
 
-test('a generation that crashes engines stops reaching them', async (t) => {
-  let arrivals = 0;
-  const { clock, call: send } = deployment({
-    engines: 8,
-    wrap: (engine: StandInEngine) => ({
-      generate: (request) => {
-        const answer = engine.generate(request);
-        if (request.input.kind !== 'prompt' || request.input.text !== DEADLY) return answer;
-        arrivals += 1;
-        const restarted = `${engine.incarnation}+`;
-        clock.schedule(() => engine.crash(restarted), 10);
-        return answer;
-      },
-      join: (generation, attempt, position) => engine.join(generation, attempt, position),
-      cancel: (generation, attempt) => engine.cancel(generation, attempt),
-      load: () => engine.load(),
-      cacheEvents: () => engine.cacheEvents(),
-      order: (order) => engine.order(order),
-    }),
-    engine: { stepMs: 20 },
+const CRASHES: readonly { readonly when: string; readonly afterMs: number }[] = [
+  { when: 'before their first token', afterMs: 10 },
+  { when: 'after some tokens', afterMs: 110 },
+];
+CRASHES.forEach(({ when, afterMs }) => {
+  test(`a generation that crashes engines ${when} stops reaching them`, async (t) => {
+    let arrivals = 0;
+    const { clock, call: send } = deployment({
+      engines: 8,
+      wrap: (engine: StandInEngine) => ({
+        generate: (request) => {
+          const answer = engine.generate(request);
+          if (request.input.kind !== 'prompt' || request.input.text !== DEADLY) return answer;
+          arrivals += 1;
+          const restarted = `${engine.incarnation}+`;
+          clock.schedule(() => engine.crash(restarted), afterMs);
+          return answer;
+        },
+        join: (generation, attempt, position) => engine.join(generation, attempt, position),
+        cancel: (generation, attempt) => engine.cancel(generation, attempt),
+        load: () => engine.load(),
+        cacheEvents: () => engine.cacheEvents(),
+        order: (order) => engine.order(order),
+      }),
+      engine: { stepMs: 20 },
+    });
+    await clock.advance(500);
+    const request = (id: string, text: string) => requestOf({
+      id, input: { kind: 'prompt', text },
+    });
+    for (let round = 0; round < 4; round += 1) {
+      send(request(`deadly-${round}`, DEADLY));
+      await clock.advance(3_000); // eslint-disable-line no-await-in-loop -- it comes again
+    }
+    t.true(arrivals <= MAX_ARRIVALS, `${arrivals}`);
+    const refused = send(request('again', DEADLY));
+    const sound = send(request('sound', 'List the ovens'));
+    await clock.advance(5_000);
+    t.like(refused.end(), { refusal: { code: 'query_of_death', ran: 'no' } });
+    t.is(sound.end()?.kind, 'finish');
   });
-  await clock.advance(500);
-  const request = (id: string, text: string) => requestOf({ id, input: { kind: 'prompt', text } });
-  for (let round = 0; round < 4; round += 1) {
-    send(request(`deadly-${round}`, DEADLY));
-    await clock.advance(3_000); // eslint-disable-line no-await-in-loop -- it comes again
-  }
-  t.true(arrivals <= MAX_ARRIVALS, `${arrivals}`);
-  const refused = send(request('again', DEADLY));
-  const sound = send(request('sound', 'List the ovens'));
-  await clock.advance(5_000);
-  t.like(refused.end(), { refusal: { code: 'query_of_death', ran: 'no' } });
-  t.is(sound.end()?.kind, 'finish');
 });
 
 test('instances tell each other the crashes', async (t) => {
--- a/test/relay-quarantine.test.ts
+++ b/test/relay-quarantine.test.ts
@@ -125,6 +125,30 @@
   t.is((await send(relay, 'crashing', 'shared', 'deadly')).status, 503);
 });
 
+test('a stream that crashes engines after its first events stops reaching them', async (t) => {
+  const relay = await firstInstance(t, (id) => ({
+    id,
+    zone: 'a',
+    respond: (req, res, engine) => {
+      if (engine.bodies.at(-1) !== 'deadly') return false;
+      const next = Number(req.headers['x-last'] ?? 0) + 1;
+      res.writeHead(200, engine.responseHeaders(req));
+      res.write(`id: ${next}\ndata: text ${next}\n\n`);
+      setTimeout(() => engine.crash(), 20);
+      return true;
+    },
+  }));
+  await send(relay, 'crashing-1', 'shared', 'deadly');
+  await send(relay, 'crashing-1', 'shared', 'deadly');
+  const arrivals = relay.engines.flatMap(({ bodies }) => bodies)
+    .filter((body) => body === 'deadly').length;
+  t.true(arrivals <= 3 + 3, `${arrivals}`);
+  const refused = await send(relay, 'crashing-1', 'shared', 'deadly');
+  t.is(refused.status, 503);
+  t.like(JSON.parse(refused.text), { error: { code: 'query_of_death', ran: 'no' } });
+  t.is((await send(relay, 'sound', 'shared')).status, 200);
+});
+
 test('an instance that started after the crashes refuses the part', async (t) => {
   const first = await firstInstance(t);
   await send(first, 'bad-1', 'shared,bad');
