Hold a crash soon after the first tokens against the request too

What callers saw: a request that crashes engines once it has an event or a token was resumed on one engine after the other, at the product's own interface without any limit, since each token made the count of attempts start anew. Cause: evidence was taken only before the first event, and the first event cleared the request. Class: query of death. Change: an attempt that is lost within a second of its first event or token counts against the request by its fingerprint, not against its parts; a stream clears its request once it has run for a second or to its end. A stream with events is ended only when it would need another engine, never while it runs.

--- a/src/generation/crashwatch.ts
+++ b/src/generation/crashwatch.ts
@@ -1,9 +1,10 @@
-/** Notices whether a generation crashes the engines that it is given to, before its first token. */
+/** Notices whether a generation crashes the engines that it is given to, soon after it starts. */
 import type { Refusal } from '../common/refusal.js';
 import type { EngineView } from '../engines/directory.js';
 import type { AttemptFailure, EngineClient } from '../engines/engine.js';
 import { requestFingerprint } from '../limits/crashingrequests.js';
 import type { CrashingRequests } from '../limits/crashingrequests.js';
+import { SoundRun } from '../limits/soundrun.js';
 import type { GenerationRequest } from './request.js';
 
 /** Deadline of the load report that tells whether an engine still runs. */
@@ -14,6 +15,7 @@
   readonly client: EngineClient;
   /** Undefined until the engine has reported it. */
   incarnation: string | undefined;
+  readonly run: SoundRun;
 }
 
 /** Whether the connection ended, and not just went silent. */
@@ -60,7 +62,12 @@
   }
 
   dispatched(attempt: number, { server, client, report }: EngineView): void {
-    this.#engines.set(attempt, { name: server.name, client, incarnation: report?.incarnation });
+    this.#engines.set(attempt, {
+      name: server.name,
+      client,
+      incarnation: report?.incarnation,
+      run: SoundRun.of(),
+    });
   }
 
   opened(attempt: number, incarnation: string): void {
@@ -68,15 +75,19 @@
     if (engine) engine.incarnation = incarnation;
   }
 
-  /** An attempt failed before the generation had a token. */
   failed(attempt: number, failure: AttemptFailure): void {
     const engine = this.#engines.get(attempt);
-    if (!this.#crashes || !engine || !isBroken(failure)) return;
+    if (!this.#crashes || !engine || engine.run.isSound || !isBroken(failure)) return;
     this.#crashes.recordLost(engine.name, this.#fingerprint, hasCrashed(engine));
   }
 
-  /** The generation has its first token. */
-  answered(): void {
+  /** An attempt has another token. */
+  progressed(attempt: number, now: number): void {
+    if (this.#engines.get(attempt)?.run.record(now)) this.finished();
+  }
+
+  /** The generation is sound: it has run for some time, or to its end. */
+  finished(): void {
     this.#crashes?.recordAnswer(this.#fingerprint);
   }
 }
--- a/src/generation/run.ts
+++ b/src/generation/run.ts
@@ -145,6 +145,7 @@
         this.#emit(effect);
         break;
       case 'finish':
+        this.#crashWatch.finished();
         this.#end();
         this.#emit(effect);
         break;
@@ -178,11 +179,8 @@
   }
 
   #assign(reason: AssignReason, exclude: readonly string[]): void {
-    const refusal = this.#state.accepted.tokens === 0 ? this.#crashWatch.refusal : undefined;
-    if (refusal) {
-      this.#receive({ kind: 'rejected', refusal });
-      return;
-    }
+    const { refusal } = this.#crashWatch;
+    if (refusal) return this.#receive({ kind: 'rejected', refusal });
     if (reason === 'resume') this.#limitRecovery();
     if (reason !== 'begin') this.#recorder.reassigning(reason, exclude);
     this.#assigner.start(reason, this.#state, exclude);
@@ -226,7 +224,7 @@
   #handleEvent(attempt: number, event: EngineEvent): void {
     if (event.kind === 'failed') {
       this.#recorder.attemptFailed(attempt, event);
-      if (this.#state.accepted.tokens === 0) this.#crashWatch.failed(attempt, event);
+      this.#crashWatch.failed(attempt, event);
       this.#receive({ kind: 'failed', attempt, failure: event });
       return;
     }
@@ -234,7 +232,7 @@
     const before = this.#state.accepted.tokens;
     this.#receive({ ...event, attempt });
     if (event.kind !== 'token' || this.#state.accepted.tokens <= before) return;
-    if (before === 0) this.#crashWatch.answered();
+    this.#crashWatch.progressed(attempt, this.#scheduler.now());
     this.#progressed(attempt);
   }
 
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -224,7 +224,7 @@
   #recordBroken({ attempt: { server }, head, connectedAt }: LiveAttempt): void {
     const previous = this.#state.tried.filter((other) => other !== server);
     recordBroken(this.#call, {
-      server, started: head !== undefined, previous, connectedAt,
+      server, stage: head ? 'starting' : 'waiting', previous, connectedAt,
     }, this.#context);
   }
 
--- a/src/relay/crashguard.ts
+++ b/src/relay/crashguard.ts
@@ -1,14 +1,14 @@
 /** What the relays of streams and of plain calls do about requests that crash servers. */
 import type { Refusal } from '../common/refusal.js';
+import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
 import { rejectionFields } from './routefields.js';
 
-/** An attempt whose connection broke before its response or its first event. */
+/** An attempt whose connection broke before its response, or soon after its stream began. */
 export interface BrokenAttempt {
   readonly server: string;
-  /** Whether the head of the response had arrived. */
-  readonly started: boolean;
+  readonly stage: AttemptStage;
   /** Servers that had failed the request before. */
   readonly previous: readonly string[];
   /** When the server accepted the connection; 0 if it was open before. */
@@ -27,7 +27,7 @@
 export function recordBroken(
   call: Call,
   {
-    server, started, previous, connectedAt,
+    server, stage, previous, connectedAt,
   }: BrokenAttempt,
   { fleet, quarantines }: RelayContext,
 ): void {
@@ -35,5 +35,5 @@
   // Servers that leave close the connections of requests that they no longer run.
   if (state?.entry.state !== 'ready' || state.expiresAt !== undefined) return;
   const aliveAt = Math.max(connectedAt, fleet.heardAt(server));
-  quarantines.markBroken(state.entry, call, { started, previous, aliveAt });
+  quarantines.markBroken(state.entry, call, { stage, previous, aliveAt });
 }
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -17,6 +17,7 @@
 import type { Crash, CrashEvidence } from '../limits/crashevidence.js';
 import { quarantineOf, quarantines } from '../limits/quarantine.js';
 import type { Quarantine } from '../limits/quarantine.js';
+import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import { CrashNews } from './crashnews.js';
 import type { CrashReport } from './crashnews.js';
@@ -32,6 +33,11 @@
 /** Why a request must not be sent to an engine, and the inputs of that decision for the log. */
 export interface Rejection { readonly refusal: Refusal; readonly inputs: LogFields }
 
+/** An attempt that was lost with its server. */
+export interface LostAttempt extends Pick<Crash, 'previous' | 'aliveAt'> {
+  readonly stage: AttemptStage;
+}
+
 export interface QuarantineContext {
   readonly scheduler: SchedulerLike;
   readonly random: Random;
@@ -136,14 +142,19 @@
     };
   }
 
-  /** Records a response, or the first event of a stream. */
-  markAnswered(call: Call): void {
+  /** Records the first event of a stream: the parts of its prompt did not crash the engine. */
+  markStarted(call: Call): void {
     const now = this.#now();
-    const request = fingerprintOf(call);
     sharedParts(call.fields).forEach((part) => {
       this.#partAnsweredAt.set(part, now);
       this.#update(withAnswer(this.#evidence, part, now));
     });
+  }
+
+  /** Records a response, or a stream that has run for some time. */
+  markAnswered(call: Call): void {
+    const now = this.#now();
+    const request = fingerprintOf(call);
     [request, withoutPrompt(request)].forEach((fingerprint) => {
       this.#requestAnsweredAt.set(fingerprint, now);
       this.#update(withAnswer(this.#evidence, fingerprint, now));
@@ -151,18 +162,20 @@
   }
 
   /**
-   * Called when the connection of a request broke before its response or its first event.
+   * Called when the connection of a request broke before its response, or soon after its stream
+   * began.
+   * @param stage how far the attempt had got; a prompt's parts are cleared by the first event
    */
   markBroken(
     server: ServerEntry,
     call: Call,
-    { started, previous, aliveAt }: Pick<Crash, 'started' | 'previous' | 'aliveAt'>,
+    { stage, previous, aliveAt }: LostAttempt,
   ): void {
     const lost = {
       at: this.#now(),
       aliveAt,
-      started,
-      parts: sharedParts(call.fields),
+      started: stage === 'starting',
+      parts: stage === 'streaming' ? [] : sharedParts(call.fields),
       requests: [fingerprintOf(call)],
       previous,
     };
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to relay a stream from one engine: sends the request and reads its events. */
 import { Subscription } from 'rxjs';
 import type { GenerationEvent } from '../generation/event.js';
+import { SoundRun } from '../limits/soundrun.js';
 import type { Assignment } from './assignment.js';
 import type { AttemptOptions, AttemptPlan, AttemptStage } from './attemptplan.js';
 import type { Call, ResponseHead } from './call.js';
@@ -51,6 +52,8 @@
 
   #lastEventAt: number | undefined;
 
+  readonly #soundRun = SoundRun.of();
+
   #nextPosition: number;
 
   #head: ResponseHead | undefined;
@@ -177,14 +180,16 @@
     }
   }
 
-  /** Tells the quarantines of a broken connection, if the run has never had an event. */
+  /**
+   * Tells the quarantines of a broken connection. An attempt that goes on with a stream says
+   * nothing of the prompt's parts, and one that has run for some time was not the cause.
+   */
   #recordBroken(): void {
+    if (this.#soundRun.isSound) return;
     const { from, reconnecting, excluded } = this.#options;
-    const { stage } = this;
-    if (stage === 'streaming' || from > 0 || reconnecting) return;
     recordBroken(this.#call, {
       server: this.#plan.server.id,
-      started: stage === 'starting',
+      stage: from > 0 || reconnecting ? 'streaming' : this.stage,
       previous: excluded,
       connectedAt: this.#connectedAt,
     }, this.#context);
@@ -236,13 +241,16 @@
       return;
     }
     if (this.#lastEventAt === undefined) {
-      this.#context.quarantines.markAnswered(this.#call);
+      this.#context.quarantines.markStarted(this.#call);
       this.#assignments[0]?.update({
         ...NO_LOAD, running: 1, memoryTokens: requiredMemory(demand),
       });
       if (this.#plan.resumesFromCopy) this.#context.meter.record({ kind: 'copy', outcome: 'used' });
     }
     this.#lastEventAt = this.#context.scheduler.now();
+    if (this.#soundRun.record(this.#lastEventAt)) {
+      this.#context.quarantines.markAnswered(this.#call);
+    }
     const position = event.id - FIRST_EVENT_ID;
     this.#nextPosition = position + 1;
     this.#emit({
@@ -260,6 +268,7 @@
       return;
     }
     this.#context.fleet.recordOutcome(this.#plan.server.id, false);
+    this.#context.quarantines.markAnswered(this.#call);
     this.#emit({
       kind: 'finish', attempt: this.#options.number, position: this.#nextPosition, reason: 'stop',
     });
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -95,7 +95,10 @@
   #begin(): void {
     this.#timers.add(timer(remainingMs(this.#call, this.#context), this.#context.scheduler)
       .subscribe(() => this.#apply({ kind: 'expired', message: 'the deadline has passed' })));
-    this.#timers.add(this.#context.quarantines.changes.subscribe(() => this.#rejectQuarantined()));
+    this.#timers.add(this.#context.quarantines.changes.subscribe(() => {
+      // A stream that runs may be sound; what crashes engines has lost its own.
+      if (this.#state.accepted.tokens === 0) this.#rejectQuarantined();
+    }));
     if (this.#call.fields.lastEvent === undefined) this.#apply({ kind: 'begin' });
     else this.#queryCachedPrompt();
   }
@@ -115,7 +118,6 @@
 
   /** Ends the call if it is known to crash engines; returns whether it is. */
   #rejectQuarantined(): boolean {
-    if (this.#state.accepted.tokens > 0) return false;
     const refusal = quarantineRefusal(this.#call, this.#context);
     if (refusal) this.#apply({ kind: 'rejected', refusal });
     return refusal !== undefined;
