Give turns of limited servers only to callers that can still use them

What callers saw: after a while of load above the limits each refused caller was told the upper limit of 10 s, and all who were told so came back at the same moment. Cause: every refused caller took a turn, also those whose deadline came long before it; the schedule ran ahead without end. Class: a queue of callers who have left. Change: a caller takes a turn only if its deadline is later; it is told the true time either way, and the upper limit is gone. With it tests that retries, hedges and moved streams keep a limit. The weights in a response's head, which nothing used, are no longer read.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -140,7 +140,8 @@
     if (this.#state.phase.kind === 'running') return;
     const { throttles, meter } = this.#context;
     meter.record({ kind: 'throttled' });
-    const retryAfterMs = throttles.retryAfterMs(this.#call.service.name, candidates);
+    const remaining = remainingMs(this.#call, this.#context);
+    const retryAfterMs = throttles.retryAfterMs(this.#call.service.name, candidates, remaining);
     this.#unassignable(THROTTLED_MESSAGE, throttledFields(candidates, this.#context), retryAfterMs);
   }
 
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -60,7 +60,6 @@
   readonly notRun: boolean;
   /** The server that responded, if it names itself. */
   readonly server: string | undefined;
-  readonly weights: number | undefined;
   readonly limit: AdvertisedLimit;
 }
 
--- a/src/relay/enginechoice.ts
+++ b/src/relay/enginechoice.ts
@@ -2,6 +2,7 @@
 import type { LogFields } from '../common/log.js';
 import type { AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
+import { remainingMs } from './context.js';
 import type { RelayContext } from './context.js';
 import type { EngineCapacity } from './routes.js';
 import { capacityFields, THROTTLED_MESSAGE, throttledFields } from './routefields.js';
@@ -37,13 +38,14 @@
 
 /** Says why none of the allowed candidates can take the run. */
 function unplaced(
-  { service: { name } }: Call,
+  call: Call,
   candidates: readonly Candidate[],
   allowed: readonly Candidate[],
   demand: RunDemand,
   engine: EngineCapacity,
   context: RelayContext,
 ): EngineChoice {
+  const { name } = call.service;
   const {
     throttles, retrySchedules, scheduler, meter,
   } = context;
@@ -53,7 +55,7 @@
       kind: 'unplaced',
       message: THROTTLED_MESSAGE,
       inputs: throttledFields(allowed, context),
-      retryAfterMs: throttles.retryAfterMs(name, allowed),
+      retryAfterMs: throttles.retryAfterMs(name, allowed, remainingMs(call, context)),
     };
   }
   const isUp = candidates.length > 0;
--- a/src/relay/throttles.ts
+++ b/src/relay/throttles.ts
@@ -30,8 +30,6 @@
 const ASSUMED_INSTANCES = 10;
 /** `Retry-After` of callers for whom this instance has no share at all. */
 const NO_SHARE_RETRY_AFTER_MS = 1_000;
-/** Upper limit: callers that can't be served by then had better ask anew. */
-const MAX_RETRY_AFTER_MS = 10_000;
 
 /** A limit as instances tell it, and whether the sender uses the server. */
 export interface ThrottleReport extends LimitReport { readonly inUse: boolean }
@@ -128,16 +126,19 @@
     this.#uses.set(entry.id, { ...use, throttle: withRequest(use.throttle) });
   }
 
-  /** When a caller may come back for whom every server is at its limit. */
-  retryAfterMs(service: string, candidates: readonly Candidate[]): number {
+  /**
+   * When a caller may come back for whom every server is at its limit. Turns are given one after
+   * another at this instance's share; a caller whose deadline comes first takes none.
+   */
+  retryAfterMs(service: string, candidates: readonly Candidate[], remainingMs: number): number {
     const now = this.#now();
     const delayMs = Math.min(...candidates.map((candidate) => candidate.delayMs));
     if (!Number.isFinite(delayMs)) return NO_SHARE_RETRY_AFTER_MS;
     const perSecond = candidates.reduce((sum, { server }) => (
       sum + (this.#uses.get(server.entry.id)?.throttle.share ?? 0)), 0);
     const next = (this.#lastRetryAt.get(service) ?? 0) + MILLISECONDS_PER_SECOND / perSecond;
-    const retryAt = Math.min(Math.max(now + delayMs, next), now + MAX_RETRY_AFTER_MS);
-    this.#lastRetryAt.set(service, retryAt);
+    const retryAt = Math.max(now + delayMs, next);
+    if (retryAt <= now + remainingMs) this.#lastRetryAt.set(service, retryAt);
     return Math.ceil(retryAt - now);
   }
 
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -56,7 +56,6 @@
     signature: headerOf(raw, 'x-signature'),
     notRun: status === 421 || headerOf(raw, 'x-not-run') !== undefined,
     server: headerOf(raw, 'x-server'),
-    weights: undefined,
     limit: limitOf(raw),
   }),
   retryAfter: (ms) => (ms / 1_000).toFixed(2),
--- a/test/fakes/throttlefleet.ts
+++ b/test/fakes/throttlefleet.ts
@@ -5,11 +5,15 @@
 import { interval, timer } from 'rxjs';
 import { Random } from '../../src/common/random.js';
 import type { AdvertisedLimit } from '../../src/relay/dialect.js';
+import { NO_LOAD, serverState } from '../../src/relay/serverstate.js';
 import { VirtualClock } from './clock.js';
 import { ThrottleInstance } from './throttleinstance.js';
 
 const MESSAGE_INTERVAL_MS = 100;
 const RESPONSE_MS = 20;
+/** Time that callers have left, of calls and of generations. */
+const IMPATIENT_MS = 600;
+const PATIENT_MS = 25_000;
 
 export class ThrottleFleet {
   readonly clock = new VirtualClock();
@@ -80,17 +84,42 @@
       const pauseMs = (-Math.log(1 - this.#random.fraction()) * 1_000) / perSecond;
       // eslint-disable-next-line no-await-in-loop -- one request after another
       await this.clock.advance(pauseMs);
-      this.#request(used[this.#random.integer(0, used.length - 1)]!);
+      this.#request(used[this.#random.integer(0, used.length - 1)]!, IMPATIENT_MS);
     }
   }
 
+  /**
+   * Sends as many requests at once, each of which comes back once at any instance when it is told.
+   * Returns how many were refused, and how many of those were served when they came back.
+   */
+  async burst(count: number, forMs: number): Promise<{ refused: number; served: number }> {
+    const result = { refused: 0, served: 0 };
+    const atRandom = () => this.instances[this.#random.integer(0, this.instances.length - 1)]!;
+    for (let index = 0; index < count; index += 1) {
+      const retryAfterMs = this.#request(atRandom(), PATIENT_MS);
+      if (retryAfterMs !== undefined) {
+        result.refused += 1;
+        timer(retryAfterMs, this.clock).subscribe(() => {
+          if (this.#request(atRandom(), PATIENT_MS) === undefined) result.served += 1;
+        });
+      }
+    }
+    await this.clock.advance(forMs);
+    return result;
+  }
+
+  /** Returns when a refused request may come back; undefined if it was sent. */
   #request({
     isStopped, throttles, limits, entry,
-  }: ThrottleInstance): void {
-    if (isStopped) return;
-    if (throttles.admission(entry).delayMs > 0) {
+  }: ThrottleInstance, remainingMs: number): number | undefined {
+    if (isStopped) return undefined;
+    const admission = throttles.admission(entry);
+    if (admission.delayMs > 0) {
       this.refused += 1;
-      return;
+      const candidate = {
+        ...admission, server: serverState(entry), load: NO_LOAD, zoneSuspect: false,
+      };
+      return throttles.retryAfterMs(entry.service, [candidate], remainingMs);
     }
     throttles.take(entry);
     this.arrivals.push(this.clock.now());
@@ -98,9 +127,10 @@
     timer(RESPONSE_MS, this.clock).subscribe(() => limits.observe(entry, {
       kind: 'answer',
       response: {
-        id: 'r', signature: 's', notRun: false, server: undefined, weights: undefined, limit,
+        id: 'r', signature: 's', notRun: false, server: undefined, limit,
       },
     }));
+    return undefined;
   }
 
   /** Arrivals from a time on. */
--- a/test/relay-limits.test.ts
+++ b/test/relay-limits.test.ts
@@ -87,6 +87,81 @@
   t.deepEqual([...new Set(statuses)], [200]);
 });
 
+interface FurtherAttempt {
+  readonly name: string;
+  readonly path: string;
+  /** How the servers without a limit fail, so that all calls go on to the limited one. */
+  readonly respond: NonNullable<RelayEngineOptions['respond']>;
+}
+const FURTHER_ATTEMPTS: readonly FurtherAttempt[] = [
+  {
+    name: 'retries',
+    path: '/safe/x',
+    respond: (req, res, engine) => {
+      res.writeHead(500, engine.responseHeaders(req)).end('failed');
+      return true;
+    },
+  },
+  {
+    name: 'hedges',
+    path: '/safe/x',
+    respond: (req, res, engine) => {
+      setTimeout(() => res.writeHead(200, engine.responseHeaders(req)).end('late'), 600);
+      return true;
+    },
+  },
+];
+FURTHER_ATTEMPTS.forEach(({ name, path, respond }) => {
+  test(`${name} keep the limit of a server`, async (t) => {
+    const limited = new LimitedServer('limited', '2');
+    const plain = [limited.options, { id: 'other', zone: 'a', respond }];
+    const relay = await ready(t, await Relay.of(t, { plain }), plain.length);
+    await load([relay], { path });
+    t.true(limited.mostInWindow() <= 4 * 2 * 1.5 + 5, `${limited.mostInWindow()}`);
+    t.true(limited.mostInWindow() >= 4 * 2 * 0.5, `${limited.mostInWindow()}`);
+  });
+});
+
+test('streams that move from a lost engine keep the limit of another', async (t) => {
+  const arrivals: number[] = [];
+  const engines: readonly RelayEngineOptions[] = [
+    {
+      id: 'limited',
+      zone: 'a',
+      respond: (req, res, engine) => {
+        arrivals.push(performance.now());
+        const last = Number(req.headers['x-last'] ?? 0);
+        res.writeHead(200, { ...engine.responseHeaders(req), 'x-limit': '2' });
+        res.end(`id: ${last + 1}\ndata: text ${last + 1}\n\n`);
+        return true;
+      },
+    },
+    {
+      id: 'lossy',
+      zone: 'a',
+      respond: (req, res, engine) => {
+        const last = Number(req.headers['x-last'] ?? 0);
+        res.writeHead(200, engine.responseHeaders(req));
+        res.write(`id: ${last + 1}\ndata: text ${last + 1}\n\n`);
+        setTimeout(() => res.destroy(), 5);
+        return true;
+      },
+    },
+  ];
+  const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
+  const end = performance.now() + NOTICE_MS + WINDOW_MS;
+  for (let index = 0; performance.now() < end; index += 1) {
+    const headers = {
+      'x-id': `r${index}`, 'x-prompt': '8', 'x-output': '2', 'x-deadline': '60000',
+    };
+    // eslint-disable-next-line no-await-in-loop -- one stream after another
+    await relay.call('/stream/', headers, 'prompt');
+  }
+  const counted = arrivals.filter((at) => at >= arrivals[0]! + NOTICE_MS);
+  t.true(counted.length <= 4 * 2 * 1.5 + 5, `${counted.length}`);
+  t.true(counted.length >= 2, `${counted.length}`);
+});
+
 test('when all servers are at their limits, callers are refused at once', async (t) => {
   const servers = ['a', 'b'].map((id) => new LimitedServer(id, '4'));
   const relays = await twoInstances(t, servers);
--- a/test/relay-throttles.test.ts
+++ b/test/relay-throttles.test.ts
@@ -9,6 +9,9 @@
 /** Requests in a window that a server with this limit may get. */
 const allowed = (perSecond: number) => (1.5 * perSecond * WINDOW_MS) / 1_000 + 5;
 
+/** Six callers at a time that come to any of six instances with a permit each find this many. */
+const RANDOM_INSTANCE_SHARE = 1 - (5 / 6) ** 6;
+
 async function limitedFleet(instances: number, perSecond: number): Promise<ThrottleFleet> {
   const fleet = new ThrottleFleet(instances);
   await fleet.clock.advance(1_000);
@@ -81,6 +84,14 @@
   });
 });
 
+test('refused callers that come back when they are told are served', async (t) => {
+  const fleet = await limitedFleet(6, 6);
+  await fleet.clock.advance(3_000);
+  const { refused, served } = await fleet.burst(40, 25_000);
+  t.true(refused >= 25, `${refused}`);
+  t.true(served >= RANDOM_INSTANCE_SHARE * refused, `${served} of ${refused}`);
+});
+
 test('an instance that was frozen keeps the limit when it goes on', async (t) => {
   const fleet = await limitedFleet(6, 3);
   const from = fleet.clock.now();
