Read and log the software version of servers and what a reconnecting caller takes up

Change: the adapter decodes both; server_listed and route name the version, route and unplaced the attempt that is taken up. Nothing is decided by them yet.

--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -17,6 +17,8 @@
   readonly deadlineMs: number | undefined;
   /** The last event that a reconnecting caller has received. */
   readonly lastEvent: number | undefined;
+  /** The attempt of a reconnecting caller that brought the stream's first event, by its id. */
+  readonly resumes: string | undefined;
   readonly model: string | undefined;
   /** Length of the prompt, and the limit on generated tokens. */
   readonly promptTokens: number;
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -97,6 +97,7 @@
       service: entry.service,
       address: entry.address,
       zone: entry.zone,
+      software: entry.software,
       state: state.entry.state,
       started_at: entry.startedAt,
       from,
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -44,6 +44,8 @@
     service: call.service.name,
     server: server.entry.id,
     zone: server.entry.zone,
+    software: server.entry.software,
+    resumes: call.fields.resumes,
     copy: plan.resumesFromCopy,
     standby: plan.standby?.id,
     running: load.running,
@@ -85,7 +87,9 @@
 
 /** Why no server was chosen. */
 export function unplacedFields(
-  { id, service, version }: Call,
+  {
+    id, service, version, fields: { resumes },
+  }: Call,
   reason: string,
   { retries, scheduler }: RelayContext,
 ): LogFields {
@@ -93,6 +97,7 @@
     request: id,
     service: service.name,
     reason,
+    resumes,
     retries_left: retries.left(service.name, scheduler.now()),
     configuration: version,
   };
--- a/src/relay/serverentry.ts
+++ b/src/relay/serverentry.ts
@@ -14,6 +14,8 @@
   readonly slots: number;
   /** When the server's process started, in Unix milliseconds; 0 if the entry doesn't say. */
   readonly startedAt: number;
+  /** Version of the server's software; undefined if the entry names none. */
+  readonly software: string | undefined;
   /** Version of the loaded weights; undefined for plain services. */
   readonly weights: number | undefined;
 }
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -251,6 +251,7 @@
       state: 'ready',
       slots: 8,
       startedAt: 1,
+      software: engine.options.software ?? 'v1',
       weights: 1,
       ...change,
     };
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -26,6 +26,7 @@
     key: headerOf(raw, 'x-key'),
     deadlineMs: numberOf(raw, 'x-deadline'),
     lastEvent: numberOf(raw, 'x-last'),
+    resumes: headerOf(raw, 'x-resumes'),
     model: headerOf(raw, 'x-model'),
     promptTokens: numberOf(raw, 'x-prompt') ?? 0,
     outputTokens: numberOf(raw, 'x-output') ?? 0,
--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -10,6 +10,8 @@
 export interface RelayEngineOptions {
   readonly id: string;
   readonly zone: string;
+  /** Version of its software; `v1` by default. */
+  readonly software?: string;
   /** Time between events. */
   readonly stepMs?: number;
   /** Length of each stream. */
--- a/test/fakes/throttleinstance.ts
+++ b/test/fakes/throttleinstance.ts
@@ -17,6 +17,7 @@
   state: 'ready',
   slots: 4,
   startedAt: 1,
+  software: undefined,
   weights: undefined,
 };
 
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -117,10 +117,19 @@
   Slots: 4,
   State: 'ready',
   born: 12,
+  Version: 'v1.1',
   Models: [{ Version: 3 }],
 };
 const ENTRIES: readonly { name: string; change: object; read: object | undefined }[] = [
-  { name: 'ready', change: {}, read: { state: 'ready', startedAt: 12, weights: 3 } },
+  {
+    name: 'ready',
+    change: {},
+    read: {
+      state: 'ready', startedAt: 12, software: 'v1.1', weights: 3,
+    },
+  },
+  { name: 'without a version', change: { Version: undefined }, read: { software: undefined } },
+  { name: 'with a version of another type', change: { Version: 1 }, read: undefined },
   { name: 'draining', change: { State: 'draining' }, read: { state: 'leaving' } },
   { name: 'with an unknown state', change: { State: 'asleep' }, read: undefined },
   { name: 'without an address', change: { Address: undefined }, read: undefined },
@@ -137,12 +146,14 @@
 
 test('headers: reserved headers are replaced, others are forwarded', (t) => {
   const raw = ['Request-Id', 'r', 'Credential', 'k', 'Tenant', 'x', 'Kv-From', 'y', 'Hold', 'z',
-    'Model', 'm', 'Deadline-Ms', '900', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7'];
+    'Model', 'm', 'Deadline-Ms', '900', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7',
+    'Resumes', 'q'];
   t.deepEqual(platformDialect.readRequest(raw), {
     id: 'r',
     key: 'k',
     deadlineMs: 900,
     lastEvent: undefined,
+    resumes: 'q',
     model: 'm',
     promptTokens: 15,
     outputTokens: 7,
@@ -157,7 +168,7 @@
     standby: '10.0.0.2:80',
     goOnFrom: { address: '10.0.0.3:80', run: 'r' },
   }), ['Request-Id', 'r', 'Model', 'm', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7',
-    'Deadline-Ms', '812', 'Target-Instance', 'i-1', 'Tenant', 'w', 'Request-Priority', '1',
+    'Resumes', 'q', 'Deadline-Ms', '812', 'Target-Instance', 'i-1', 'Tenant', 'w', 'Request-Priority', '1',
     'Last-Event-Id', '4', 'Kv-Backup', '10.0.0.2:80', 'Kv-From', '10.0.0.3:80/r']);
 });
 
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -43,6 +43,7 @@
       state: 'ready',
       slots: 4,
       startedAt: 1,
+      software: 'v1',
       weights: 1,
     }),
     ...change,
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -104,6 +104,7 @@
     state: 'leaving',
     slots: 4,
     startedAt: 1,
+    software: 'v1',
     weights: 1,
   }));
   const told = new Set<string>();
--- a/test/relay-restore.test.ts
+++ b/test/relay-restore.test.ts
@@ -96,6 +96,7 @@
     state: 'ready',
     slots: 4,
     startedAt: 1,
+    software: 'v1',
     weights: 1,
     ...change,
   };
--- a/test/relay-storefeed.test.ts
+++ b/test/relay-storefeed.test.ts
@@ -23,6 +23,7 @@
   state: 'ready',
   slots: 4,
   startedAt: 1,
+  software: 'v1',
   weights: 1,
 };
 
