Failing tests: streams go on at another software version

Two instances on loopback with four engines of v1 and six of v2, 24 streams each. Callers take streams up at once, later, several times at once, while the store is down, after the instance that began them has gone; engines fail while they stream; a standby copy is refused; a version has gone; an instance never heard of the stream or of its version; an engine restarts at another version.

--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -24,6 +24,9 @@
   /** The requests that were run, by id; for streams with their first event as well. */
   readonly runs: string[] = [];
 
+  /** The streams to which it sent an event, by request id. */
+  readonly streamed = new Set<string>();
+
   /** The requests received. */
   readonly requests: IncomingMessage[] = [];
 
@@ -159,6 +162,7 @@
       if (!res.headersSent) {
         res.writeHead(200, { ...this.responseHeaders(req), 'content-type': 'text/event-stream' });
       }
+      this.streamed.add(run);
       res.write(`id: ${event}\ndata: text ${event}\n\n`);
       standby?.storeCopy(run);
       event += 1;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -168,8 +168,9 @@
     standby: '10.0.0.2:80',
     goOnFrom: { address: '10.0.0.3:80', run: 'r' },
   }), ['Request-Id', 'r', 'Model', 'm', 'Prompt-Prefix', 'a:10,b:5', 'Token-Counts', '15,7',
-    'Resumes', 'q', 'Deadline-Ms', '812', 'Target-Instance', 'i-1', 'Tenant', 'w', 'Request-Priority', '1',
-    'Last-Event-Id', '4', 'Kv-Backup', '10.0.0.2:80', 'Kv-From', '10.0.0.3:80/r']);
+    'Resumes', 'q', 'Deadline-Ms', '812', 'Target-Instance', 'i-1', 'Tenant', 'w',
+    'Request-Priority', '1', 'Last-Event-Id', '4',
+    'Kv-Backup', '10.0.0.2:80', 'Kv-From', '10.0.0.3:80/r']);
 });
 
 test('headers: status 421 and Not-Executed mean that a request has not run', (t) => {
--- /dev/null
+++ b/test/relay-software.test.ts
@@ -0,0 +1,262 @@
+/** Streams on engines of several software versions, whose events don't fit together. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { eventually } from './fakes/eventually.js';
+import { Relay } from './fakes/relay.js';
+import type { Reply } from './fakes/relay.js';
+import type { RelayEngine, RelayEngineOptions } from './fakes/relayengine.js';
+
+const STREAMS = 24;
+const EVENTS = 25;
+const STEP_MS = 20;
+/** Events that callers have when they leave. */
+const HELD_EVENTS = 4;
+
+const pause = (ms: number) => new Promise((resolve) => {
+  setTimeout(resolve, ms);
+});
+
+function enginesOf(
+  software: string,
+  count: number,
+  change: Partial<RelayEngineOptions> = {},
+): readonly RelayEngineOptions[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `${software}-${index}`,
+    zone: 'ab'[index % 2]!,
+    software,
+    stepMs: STEP_MS,
+    events: EVENTS,
+    ...change,
+  }));
+}
+
+async function ready(t: ExecutionContext, relay: Relay, count: number): Promise<Relay> {
+  t.true(await eventually(() => (
+    relay.daemon.ready && relay.log.of('server_listed').length >= count)));
+  return relay;
+}
+
+async function anotherInstance(
+  t: ExecutionContext,
+  { engines }: Relay,
+  fixture: { readonly peer?: Relay } = {},
+): Promise<Relay> {
+  const relay = await Relay.of(t, fixture);
+  await Promise.all(engines.map((engine) => relay.putEntry(engine, 'engines')));
+  await ready(t, relay, engines.length);
+  if (!fixture.peer) return relay;
+  t.true(await eventually(() => relay.log.of('peer_reached').length > 0));
+  t.true(await eventually(() => fixture.peer!.log.of('peer_reached').length > 0));
+  return relay;
+}
+
+/** Two instances that know each other; the engines belong to the second. */
+async function twoInstances(
+  t: ExecutionContext,
+  engines: readonly RelayEngineOptions[],
+): Promise<readonly [Relay, Relay]> {
+  const second = await ready(t, await Relay.of(t, { engines }), engines.length);
+  return [await anotherInstance(t, second, { peer: second }), second];
+}
+
+const IDS = Array.from({ length: STREAMS }, (_, index) => `r${index}`);
+
+function streamHeaders(id: string): Record<string, string> {
+  return { 'x-id': id, 'x-parts': `shared,own-${id}` };
+}
+
+/** Begins streams whose callers leave after some events. */
+async function beginAndLeave(relay: Relay, ids = IDS): Promise<void> {
+  await Promise.all(ids.map((id) => relay.call(
+    '/stream/',
+    streamHeaders(id),
+    'prompt',
+    (text, disconnect) => {
+      if (text.includes(`id: ${HELD_EVENTS}\n`)) disconnect();
+    },
+  )));
+}
+
+function takeUp(relay: Relay, root: string, tries = 1): Promise<Reply> {
+  return relay.call('/stream/', {
+    ...streamHeaders(root),
+    'x-id': `${root}-${tries}`,
+    'x-last': String(HELD_EVENTS),
+    'x-resumes': root,
+  }, 'prompt');
+}
+
+/** The software versions whose engines sent events of a stream, over all tries of its caller. */
+function versionsOf(engines: readonly RelayEngine[], root: string): ReadonlySet<string> {
+  return new Set(engines
+    .filter(({ streamed }) => [...streamed].some((id) => id === root || id.startsWith(`${root}-`)))
+    .map(({ options }) => options.software!));
+}
+
+function joinedIds(engines: readonly RelayEngine[]): readonly string[] {
+  return IDS.filter((id) => versionsOf(engines, id).size > 1);
+}
+
+function isComplete({ status, whole, text }: Reply): boolean {
+  return status === 200 && whole && text.includes(`id: ${EVENTS}\n`);
+}
+
+const MIXED = [...enginesOf('v1', 4), ...enginesOf('v2', 6)];
+
+interface Take {
+  readonly name: string;
+  readonly delayMs: number;
+  /** What happens between the callers' leaving and their return. */
+  readonly incident?: (first: Relay, second: Relay) => void;
+}
+const TAKES: readonly Take[] = [
+  { name: 'at once', delayMs: 0 },
+  { name: 'later', delayMs: 1_500 },
+  {
+    name: 'after the instance that began it has gone',
+    delayMs: 300,
+    incident: (first) => first.stop(),
+  },
+  {
+    name: 'while the store is down',
+    delayMs: 100,
+    incident: (first, second) => [first, second].forEach(({ objects }) => (
+      objects.setFaults({ outage: true }))),
+  },
+];
+TAKES.forEach(({ name, delayMs, incident }) => {
+  test(`a stream taken up elsewhere stays at its software version: ${name}`, async (t) => {
+    const [first, second] = await twoInstances(t, MIXED);
+    await beginAndLeave(first);
+    incident?.(first, second);
+    await pause(delayMs);
+    const replies = await Promise.all(IDS.map((id) => takeUp(second, id)));
+    t.deepEqual(joinedIds(second.engines), []);
+    t.true(replies.filter(isComplete).length >= STREAMS / 2);
+  });
+});
+
+test('a stream taken up several times at once stays at its software version', async (t) => {
+  const [first, second] = await twoInstances(t, MIXED);
+  await beginAndLeave(first);
+  const replies = await Promise.all(IDS.flatMap((id) => [
+    takeUp(second, id, 1), takeUp(first, id, 2), takeUp(second, id, 3)]));
+  t.deepEqual(joinedIds(second.engines), []);
+  t.true(replies.filter(isComplete).length >= replies.length / 2);
+});
+
+test('a stream whose engine fails stays at its software version', async (t) => {
+  const relay = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
+  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt'));
+  t.true(await eventually(() => IDS.every((id) => versionsOf(relay.engines, id).size > 0)));
+  relay.engines.filter(({ options }) => options.id.startsWith('v2')).slice(1).forEach((engine) => (
+    engine.crash()));
+  const complete = (await Promise.all(replies)).filter(isComplete).length;
+  t.deepEqual(joinedIds(relay.engines), []);
+  t.true(complete >= STREAMS / 2);
+  const copies = relay.log.of('route').filter(({ standby }) => standby !== undefined);
+  t.true(copies.every(({ software, standby }) => String(standby).startsWith(String(software))));
+});
+
+test('a stream whose standby copy is refused stays at its software version', async (t) => {
+  const engines = MIXED.map((options) => ({
+    ...options,
+    respond: ((req, res) => {
+      if (req.headers['x-from'] === undefined) return false;
+      res.writeHead(503, { 'x-not-run': '1' }).end();
+      return true;
+    }) satisfies RelayEngineOptions['respond'],
+  }));
+  const relay = await ready(t, await Relay.of(t, { engines }), MIXED.length);
+  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt'));
+  t.true(await eventually(() => IDS.every((id) => versionsOf(relay.engines, id).size > 0)));
+  relay.engines.filter((_, index) => index % 2 === 0).forEach((engine) => engine.crash());
+  const complete = (await Promise.all(replies)).filter(isComplete).length;
+  t.deepEqual(joinedIds(relay.engines), []);
+  t.true(complete >= STREAMS / 2);
+});
+
+test('a stream whose software version no engine runs any more is refused at once', async (t) => {
+  const [first, second] = await twoInstances(t, MIXED);
+  await beginAndLeave(first);
+  const old = second.engines.filter(({ options }) => options.software === 'v1');
+  const gone = IDS.filter((id) => versionsOf(old, id).size > 0);
+  t.true(gone.length > 0);
+  old.forEach((engine) => engine.end());
+  await Promise.all(old.map(({ options: { id } }) => second.removeEntry(id)));
+  t.true(await eventually(() => second.log.of('server_removed').length >= old.length));
+  const startedAt = performance.now();
+  const replies = await Promise.all(gone.map((id) => takeUp(second, id)));
+  t.true(performance.now() - startedAt < 1_000);
+  t.deepEqual([...new Set(replies.map(({ status }) => status))], [503]);
+  t.true(replies.every(({ text }) => text.includes('"ran":"no"')));
+  t.deepEqual(joinedIds(second.engines), []);
+});
+
+test('an instance that never heard of a stream does not guess its software version', async (t) => {
+  const first = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
+  await beginAndLeave(first);
+  const stranger = await anotherInstance(t, first);
+  const replies = await Promise.all(IDS.map((id) => takeUp(stranger, id)));
+  t.deepEqual(joinedIds(first.engines), []);
+  t.deepEqual([...new Set(replies.map(({ status }) => status))], [503]);
+});
+
+test('an instance that never saw a stream\'s software version takes no other', async (t) => {
+  const first = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
+  await beginAndLeave(first);
+  const stranger = await Relay.of(t);
+  const left = first.engines.filter(({ options }) => options.software === 'v2');
+  await Promise.all(left.map((engine) => stranger.putEntry(engine, 'engines')));
+  await ready(t, stranger, left.length);
+  await Promise.all(IDS.map((id) => takeUp(stranger, id)));
+  t.deepEqual(joinedIds(first.engines), []);
+});
+
+test('an instance that never heard of a stream finds its engine\'s version', async (t) => {
+  const first = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
+  await beginAndLeave(first);
+  first.engines.forEach(({ streamed, cachedParts }) => {
+    cachedParts.add('shared');
+    streamed.forEach((id) => cachedParts.add(`own-${id}`));
+  });
+  const stranger = await anotherInstance(t, first);
+  const replies = await Promise.all(IDS.map((id) => takeUp(stranger, id)));
+  t.deepEqual(joinedIds(first.engines), []);
+  t.true(replies.filter(isComplete).length >= STREAMS / 2);
+});
+
+test('an instance that started later asks the others for a stream\'s version', async (t) => {
+  const first = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
+  await beginAndLeave(first);
+  await pause(2_500);
+  const second = await anotherInstance(t, first, { peer: first });
+  const replies = await Promise.all(IDS.map((id) => takeUp(second, id)));
+  t.deepEqual(joinedIds(first.engines), []);
+  t.true(replies.filter(isComplete).length >= STREAMS / 2);
+});
+
+test('a stream does not go on at an engine that restarted at another version', async (t) => {
+  const [first, second] = await twoInstances(t, [...enginesOf('v1', 1), ...enginesOf('v2', 2)]);
+  await beginAndLeave(first);
+  const [engine] = second.engines;
+  const begun = IDS.filter((id) => versionsOf([engine!], id).size > 0);
+  t.true(begun.length > 0);
+  engine!.crash();
+  await engine!.start();
+  await Promise.all([first, second].map((relay) => (
+    relay.putEntry(engine!, 'engines', { software: 'v2', startedAt: 2 }))));
+  t.true(await eventually(() => (
+    second.log.of('server_listed').some((line) => line.started_at === 2))));
+  const replies = await Promise.all(begun.map((id) => takeUp(second, id)));
+  t.deepEqual([...new Set(replies.map(({ status }) => status))], [503]);
+});
+
+test('streams begin at a software version in proportion to its engines', async (t) => {
+  const engines = [...enginesOf('v1', 1), ...enginesOf('v2', 5)];
+  const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
+  await Promise.all(IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt')));
+  const share = relay.engines[0]!.streamed.size / STREAMS;
+  t.true(share >= 1 / 12 && share <= 1 / 3, String(share));
+});
