Let streams go on only at the software version that began them

Cause: the version in the servers' entries and the earlier attempt that a reconnecting caller names were not read, so standby copies, resumed streams and streams that callers took up were placed like new ones. Class: version skew, a stream without pinning to a version. Change: from its first event on a stream is pinned to the software of the engine that wrote it; engines of other versions are no candidates for resuming, moving or its standby copy. The first event records the version by the request's id; instances tell each other for two seconds, and one that was not told asks them. Where none knows, the engines that have read the request's own part of the prompt do, or the fact that only one version ran for a minute; otherwise the stream is refused at once, not run. A version that is contradicted, or whose engine restarted at another one, counts as unknown; a successor found without its entry matches no version. taken_up, streams_taken_up_total, explain.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -42,6 +42,8 @@
   store_regained: 'the store answered again',
   store_restored: 'the store came back from a backup',
   stream_ended: 'the stream ended',
+  stream_origin_ambiguous: 'it is not known at which software version the stream began',
+  taken_up: 'the caller takes up a stream',
   unplaced: 'no server could be chosen',
 };
 const OFFSET_WIDTH = 9;
--- a/src/relay/cachedprompts.ts
+++ b/src/relay/cachedprompts.ts
@@ -83,16 +83,6 @@
     return partsByEngine;
   }
 
-  /** Returns the number of the prompt's tokens that an engine, given by its id, has cached. */
-  async cachedTokensAt(
-    service: string,
-    engines: readonly ServerEntry[],
-    parts: readonly PromptPart[],
-  ): Promise<(engine: string) => number> {
-    const partsByEngine = await this.lookUp(service, engines);
-    return (engine) => cachedTokens(parts, partsByEngine.get(engine) ?? new Map());
-  }
-
   #query(engine: ServerEntry): Promise<CachedParts> {
     const {
       scheduler, connections, cacheQuery, log,
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -13,6 +13,7 @@
 import type { Quarantines } from './quarantine.js';
 import type { RetrySchedules } from './retryafter.js';
 import type { SilenceWatch } from './silencewatch.js';
+import type { StreamOrigins } from './streamorigins.js';
 import type { Throttles } from './throttles.js';
 
 export interface RelayContext {
@@ -32,6 +33,7 @@
   readonly silence: SilenceWatch;
   readonly quarantines: Quarantines;
   readonly cachedPrompts: CachedPrompts;
+  readonly origins: StreamOrigins;
 }
 
 /** Writes the response to the caller. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -21,7 +21,8 @@
 import { Frontend } from './frontend.js';
 import { Meter } from './meter.js';
 import type { RelayGauges } from './metrics.js';
-import { Peers } from './peers.js';
+import { createPeers } from './peerexchange.js';
+import type { Peers } from './peers.js';
 import type { Platform } from './platform.js';
 import { Quarantines } from './quarantine.js';
 import { RetrySchedules } from './retryafter.js';
@@ -29,14 +30,13 @@
 import type { RelaySettings } from './settings.js';
 import { SilenceWatch } from './silencewatch.js';
 import { StoreFeed } from './storefeed.js';
+import { StreamOrigins } from './streamorigins.js';
 import { Throttles } from './throttles.js';
 
 /** The load balancer probes once a second and removes an instance after two failures. */
 const BALANCER_LAG_MS = 2_500;
 /** Open responses are cut off this long before the end of the shutdown timeout. */
 const STOP_MARGIN_MS = 150;
-/** Shortest time between two requests for another daemon's snapshot. */
-const SNAPSHOT_INTERVAL_MS = 500;
 
 export interface RelayDaemonContext {
   readonly settings: RelaySettings;
@@ -70,6 +70,8 @@
 
   readonly #quarantines: Quarantines;
 
+  readonly #origins: StreamOrigins;
+
   readonly #retries: RetryWindows;
 
   readonly #meter = Meter.of();
@@ -80,8 +82,6 @@
 
   #frontend: Server | undefined;
 
-  #lastSnapshotAt = -Infinity;
-
   readonly #storeFeed: StoreFeed;
 
   private constructor(context: RelayDaemonContext) {
@@ -112,6 +112,7 @@
       peerLoads: (server) => this.#peers.loads(server),
       admission: (server) => this.#throttles.admission(server),
       reuseAfterMs: settings.reuseAfterMs,
+      onRestart: (previous, restarted) => this.#origins.markRestarted(previous, restarted),
     });
     this.#limits = AdvertisedLimits.of({ ...shared, server: (id) => this.#fleet.server(id) });
     this.#throttles = Throttles.of({
@@ -122,7 +123,24 @@
       peers: () => ({ heard: this.#peers.alive, idle: (entry) => this.#peers.idle(entry) }),
     });
     this.#quarantines = Quarantines.of({ ...shared, identity });
-    this.#peers = this.#createPeers();
+    this.#origins = StreamOrigins.of({
+      ...shared,
+      servers: () => this.#fleet.servers,
+      copyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
+      hasPeers: () => this.#peers.alive.length > 0,
+    });
+    this.#peers = createPeers({
+      settings,
+      ...shared,
+      activeConfiguration: this.#activeConfiguration,
+      fleet: this.#fleet,
+      limits: this.#limits,
+      throttles: this.#throttles,
+      quarantines: this.#quarantines,
+      origins: this.#origins,
+      retries: this.#retries,
+      storeFeed: () => this.#storeFeed,
+    });
     this.#relayContext = {
       zone: settings.zone,
       scheduler,
@@ -141,6 +159,7 @@
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
+      origins: this.#origins,
     };
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
@@ -177,6 +196,7 @@
       { name: 'peers', run: this.#peers.run },
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
+      childOfSubscription('origins', () => this.#origins.start()),
       childOfSubscription('quarantines', () => this.#quarantines.start()),
       listenerOf('callers', settings.callers, () => this.#createFrontend()),
       listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
@@ -223,55 +243,6 @@
     return this.#frontend;
   }
 
-  #createPeers(): Peers {
-    const { settings, scheduler, log } = this.#context;
-    return Peers.of({
-      ip: settings.ip,
-      port: settings.peerPort,
-      seeds: settings.seeds,
-      scheduler,
-      random: this.#context.random,
-      log,
-      listener: {
-        onLeaving: (id, startedAt, from) => this.#fleet.markLeaving(id, startedAt, from),
-        onSuccessor: (previousId, id, from) => this.#fleet.addSuccessor(previousId, id, from),
-        onSuspect: (id, startedAt, from) => this.#fleet.verifySuspect(id, startedAt, from),
-        onCopies: (copies, from) => {
-          if (this.#storeFeed.compare(copies)) this.#fetchSnapshot(from);
-        },
-        onCrashes: (reports) => this.#quarantines.adopt(reports),
-        onLimits: (reports, from) => this.#limits.adopt(reports, from),
-        onInstanceCount: (count) => {
-          this.#retries.count(count, scheduler.now());
-          this.#throttles.countInstances(count);
-        },
-        onReportedCount: (count) => this.#throttles.adoptCount(count),
-      },
-      localState: () => ({
-        configuration: this.#activeConfiguration.version,
-        copies: this.#storeFeed.reports,
-        servers: this.#fleet.servers,
-        successors: this.#fleet.successors,
-        crashes: this.#quarantines.reports,
-        limits: this.#throttles.reports,
-      }),
-    });
-  }
-
-  /** Asks another daemon for what the store has not delivered yet. */
-  #fetchSnapshot(ip: string): void {
-    const { scheduler, log, settings } = this.#context;
-    const now = scheduler.now();
-    if (now - this.#lastSnapshotAt < SNAPSHOT_INTERVAL_MS) return;
-    this.#lastSnapshotAt = now;
-    import('./peersnapshot.js')
-      .then(({ fetchSnapshot }) => fetchSnapshot(`${ip}:${settings.peerPort}`))
-      .then((snapshot) => this.#storeFeed.adopt(snapshot, ip))
-      .catch((error: unknown) => {
-        log.event('warn', 'peer_snapshot_failed', { peer: ip, reason: String(error) });
-      });
-  }
-
   #applyConfiguration(configuration: RelayConfiguration, from: string): void {
     this.#activeConfiguration.adopt(configuration, from);
     this.#applyHeadLimits();
--- a/src/relay/enginechoice.ts
+++ b/src/relay/enginechoice.ts
@@ -4,6 +4,8 @@
 import type { Call } from './call.js';
 import { remainingMs } from './context.js';
 import type { RelayContext } from './context.js';
+import { releaseOf, runsRelease } from './release.js';
+import type { Release } from './release.js';
 import type { EngineCapacity } from './routes.js';
 import { capacityFields, THROTTLED_MESSAGE, throttledFields } from './routefields.js';
 import {
@@ -20,6 +22,8 @@
   readonly exclude: readonly string[];
   /** The engine that holds a standby copy of the run's KV cache. */
   readonly copyHolder: string | undefined;
+  /** What the engine has to run; undefined for a stream that has not begun. */
+  readonly release: Release | undefined;
 }
 
 export type EngineChoice =
@@ -41,7 +45,7 @@
   call: Call,
   candidates: readonly Candidate[],
   allowed: readonly Candidate[],
-  demand: RunDemand,
+  { run, release }: AttemptDemand,
   engine: EngineCapacity,
   context: RelayContext,
 ): EngineChoice {
@@ -58,29 +62,42 @@
       retryAfterMs: throttles.retryAfterMs(name, allowed, remainingMs(call, context)),
     };
   }
-  const isUp = candidates.length > 0;
+  const inputs = capacityFields(allowed, requiredMemory(run), engine);
+  if (candidates.length === 0) {
+    const message = release
+      ? `no engine runs software version ${release.software}` : 'no engine is up';
+    return {
+      kind: 'unplaced', message, inputs, retryAfterMs: RETRY_AFTER_MS,
+    };
+  }
   return {
     kind: 'unplaced',
-    message: isUp ? 'no engine has room' : 'no engine is up',
-    inputs: capacityFields(allowed, requiredMemory(demand), engine),
-    retryAfterMs: isUp ? retrySchedules.next(name, scheduler.now()) : RETRY_AFTER_MS,
+    message: 'no engine has room',
+    inputs,
+    retryAfterMs: retrySchedules.next(name, scheduler.now()),
   };
 }
 
 export function chooseEngines(
   call: Call,
-  { run, exclude, copyHolder }: AttemptDemand,
+  demand: AttemptDemand,
   engine: EngineCapacity,
   context: RelayContext,
 ): EngineChoice {
   const { fleet, scheduler } = context;
-  const candidates = fleet.candidates(call.service.name, []);
+  const {
+    run, exclude, copyHolder, release,
+  } = demand;
+  const candidates = fleet.candidates(call.service.name, [])
+    .filter(({ server }) => runsRelease(server.entry, release));
   const allowed = candidates.filter(({ server }) => !exclude.includes(server.entry.id));
   const holder = allowed.find(({ server, delayMs }) => (
     server.entry.id === copyHolder && delayMs === 0));
   const chosen = holder ?? selectEngine(allowed, run, engine, scheduler.now());
-  if (!chosen) return unplaced(call, candidates, allowed, run, engine, context);
-  const standby = engine.standby ? selectStandby(allowed, run, engine, chosen.server) : undefined;
+  if (!chosen) return unplaced(call, candidates, allowed, demand, engine, context);
+  const alike = allowed.filter(({ server }) => (
+    runsRelease(server.entry, releaseOf(chosen.server.entry))));
+  const standby = engine.standby ? selectStandby(alike, run, engine, chosen.server) : undefined;
   return {
     kind: 'chosen',
     chosen,
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -7,11 +7,13 @@
 import { isReachable } from './identity.js';
 import type { Identity } from './identity.js';
 import { Probes } from './probes.js';
+import { unknownSoftware } from './release.js';
 import type { Candidate } from './selection.js';
 import { totalLoad } from './selection.js';
 import type { ServerEntry } from './serverentry.js';
 import {
-  addLoad, isUsable, markReached, markSuspect, sameProcess, serverState, withEntry, withOutcome,
+  addLoad, isUsable, listedFields, markReached, markSuspect, sameProcess, serverState, withEntry,
+  withOutcome,
 } from './serverstate.js';
 import type { Load, ServerState } from './serverstate.js';
 import { ZoneFailures } from './zonefailures.js';
@@ -91,17 +93,11 @@
     if (!prior) this.#supersede(entry);
     if (prior && sameProcess(prior.entry, state.entry) && prior.entry.state === entry.state
       && prior.expiresAt === undefined) return;
-    if (prior && !sameProcess(prior.entry, state.entry)) this.#context.connections.close(entry.id);
-    this.#context.log.event('info', 'server_listed', {
-      server: entry.id,
-      service: entry.service,
-      address: entry.address,
-      zone: entry.zone,
-      software: entry.software,
-      state: state.entry.state,
-      started_at: entry.startedAt,
-      from,
-    });
+    if (prior && !sameProcess(prior.entry, state.entry)) {
+      this.#context.connections.close(entry.id);
+      this.#context.onRestart(prior, entry);
+    }
+    this.#context.log.event('info', 'server_listed', listedFields(state));
   }
 
   /** Expires a server that had the same address before. */
@@ -270,7 +266,9 @@
   }
 
   #registerSuccessor(previous: ServerEntry, id: string, from: string): void {
-    this.upsert({ ...previous, id, state: 'ready' }, from);
+    this.upsert({
+      ...previous, id, software: unknownSoftware(id), state: 'ready',
+    }, from);
     this.#successors.set(previous.id, id);
     this.#context.onUrgentChange();
   }
--- a/src/relay/fleetcontext.ts
+++ b/src/relay/fleetcontext.ts
@@ -4,7 +4,7 @@
 import type { IdentityContext } from './identity.js';
 import type { ServerEntry } from './serverentry.js';
 import type { Admission } from './selection.js';
-import type { Load } from './serverstate.js';
+import type { Load, ServerState } from './serverstate.js';
 
 /** Loads on a server that other instances report. */
 export type PeerLoads = (server: string) => readonly Load[];
@@ -17,6 +17,8 @@
   readonly peerLoads: PeerLoads;
   /** Whether a server's rate limit admits a request. */
   readonly admission: (server: ServerEntry) => Admission;
+  /** Called when a server runs another process than before. */
+  readonly onRestart: (previous: ServerState, restarted: ServerEntry) => void;
   /** Called on an assignment or a change of servers that other instances should learn of soon. */
   readonly onUrgentChange: () => void;
 }
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -6,6 +6,7 @@
 import type { StoreCall } from '../store/meteredreader.js';
 import type { AttemptStage } from './attemptplan.js';
 import type { Delivery } from './routes.js';
+import type { OriginSource } from './takeup.js';
 
 export type Measurement =
   /** A response to a caller that ended; status 0 if it was aborted. */
@@ -28,6 +29,8 @@
   | { readonly kind: 'read_in_vain'; readonly tokens: number }
   /** An attempt of a stream that failed, by how far its engine had got. */
   | { readonly kind: 'attempt_failed'; readonly stage: AttemptStage }
+  /** A stream that a caller took up, by who told the version that began it. */
+  | { readonly kind: 'taken_up'; readonly source: OriginSource | 'unknown' }
   /** A request for which every server was at its rate limit. */
   | { readonly kind: 'throttled' }
   /** A request that was sent to another server. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -69,6 +69,12 @@
     ['stage'],
   );
 
+  readonly #takenUp = this.#counter(
+    'streams_taken_up_total',
+    'Streams that callers took up, by who told the software version that began them',
+    ['source'],
+  );
+
   readonly #throttled = this.#counter(
     'throttled_total',
     'Requests for which every server was at its rate limit',
@@ -194,6 +200,9 @@
       case 'attempt_failed':
         this.#failedAttempts.inc({ stage: measurement.stage });
         break;
+      case 'taken_up':
+        this.#takenUp.inc({ source: measurement.source });
+        break;
       case 'throttled':
         this.#throttled.inc();
         break;
--- a/src/relay/migration.ts
+++ b/src/relay/migration.ts
@@ -1,8 +1,9 @@
 /** Whether a stream may start another attempt, and whether it may leave a silent engine. */
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
+import type { AttemptDemand } from './enginechoice.js';
+import { runsRelease } from './release.js';
 import { selectEngine } from './selection.js';
-import type { RunDemand } from './selection.js';
 
 /** The attempts of a stream so far. */
 export interface AttemptCounts {
@@ -36,19 +37,18 @@
 /**
  * Silence alone does not end a stream: it stays on its engine unless the request may be
  * repeated and another engine has capacity for it.
- * @param exclude ids of the engines that the stream can't move to
  */
 export function mayMigrate(
   call: Call,
   counts: AttemptCounts,
-  exclude: readonly string[],
-  demand: RunDemand,
+  { run, exclude, release }: Omit<AttemptDemand, 'copyHolder'>,
   context: RelayContext,
 ): boolean {
   const { engine, name } = call.service;
   if (!engine || call.route.repeat === 'never') return false;
   if (attemptDenialReason(call, counts, context) !== undefined) return false;
   const { fleet, scheduler } = context;
-  return selectEngine(fleet.candidates(name, exclude), demand, engine, scheduler.now())
-    !== undefined;
+  const candidates = fleet.candidates(name, exclude)
+    .filter(({ server }) => runsRelease(server.entry, release));
+  return selectEngine(candidates, run, engine, scheduler.now()) !== undefined;
 }
--- /dev/null
+++ b/src/relay/peerexchange.ts
@@ -0,0 +1,95 @@
+/** Connects the relay's state to the messages that instances exchange. */
+import type { SchedulerLike } from 'rxjs';
+import type { Log } from '../common/log.js';
+import type { Random } from '../common/random.js';
+import type { RetryWindows } from '../limits/retrywindow.js';
+import type { ActiveConfiguration } from './activeconfiguration.js';
+import type { AdvertisedLimits } from './advertisedlimits.js';
+import type { Fleet } from './fleet.js';
+import { Peers } from './peers.js';
+import type { Quarantines } from './quarantine.js';
+import type { RelaySettings } from './settings.js';
+import type { StoreFeed } from './storefeed.js';
+import type { StreamOrigins } from './streamorigins.js';
+import type { Throttles } from './throttles.js';
+
+/** Shortest time between two requests for another daemon's snapshot. */
+const SNAPSHOT_INTERVAL_MS = 500;
+
+export interface PeerExchangeContext {
+  readonly settings: RelaySettings;
+  readonly scheduler: SchedulerLike;
+  readonly random: Random;
+  readonly log: Log;
+  readonly activeConfiguration: ActiveConfiguration;
+  readonly fleet: Fleet;
+  readonly limits: AdvertisedLimits;
+  readonly throttles: Throttles;
+  readonly quarantines: Quarantines;
+  readonly origins: StreamOrigins;
+  readonly retries: RetryWindows;
+  readonly storeFeed: () => StoreFeed;
+}
+
+/** Asks other daemons for what the store has not delivered yet. */
+function snapshotRequest(
+  {
+    scheduler, log, settings, storeFeed,
+  }: PeerExchangeContext,
+): (ip: string) => void {
+  let lastAt = -Infinity;
+  return (ip) => {
+    const now = scheduler.now();
+    if (now - lastAt < SNAPSHOT_INTERVAL_MS) return;
+    lastAt = now;
+    import('./peersnapshot.js')
+      .then(({ fetchSnapshot }) => fetchSnapshot(`${ip}:${settings.peerPort}`))
+      .then((snapshot) => storeFeed().adopt(snapshot, ip))
+      .catch((error: unknown) => {
+        log.event('warn', 'peer_snapshot_failed', { peer: ip, reason: String(error) });
+      });
+  };
+}
+
+export function createPeers(context: PeerExchangeContext): Peers {
+  const {
+    settings, scheduler, random, log, activeConfiguration, fleet, limits, throttles, quarantines,
+    origins, retries, storeFeed,
+  } = context;
+  const requestSnapshot = snapshotRequest(context);
+  return Peers.of({
+    ip: settings.ip,
+    port: settings.peerPort,
+    seeds: settings.seeds,
+    scheduler,
+    random,
+    log,
+    listener: {
+      onLeaving: (id, startedAt, from) => fleet.markLeaving(id, startedAt, from),
+      onSuccessor: (previousId, id, from) => fleet.addSuccessor(previousId, id, from),
+      onSuspect: (id, startedAt, from) => fleet.verifySuspect(id, startedAt, from),
+      onCopies: (copies, from) => {
+        if (storeFeed().compare(copies)) requestSnapshot(from);
+      },
+      onCrashes: (reports) => quarantines.adopt(reports),
+      onLimits: (reports, from) => limits.adopt(reports, from),
+      onOrigins: (reports) => origins.adopt(reports),
+      originsOf: (streams) => origins.reportsOf(streams),
+      onInstanceCount: (count) => {
+        retries.count(count, scheduler.now());
+        throttles.countInstances(count);
+      },
+      onReportedCount: (count) => throttles.adoptCount(count),
+    },
+    localState: () => ({
+      configuration: activeConfiguration.version,
+      copies: storeFeed().reports,
+      servers: fleet.servers,
+      successors: fleet.successors,
+      crashes: quarantines.reports,
+      limits: throttles.reports,
+      origins: origins.reports,
+      sought: origins.sought,
+    }),
+  });
+}
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -10,6 +10,7 @@
 import { IPV4 } from '../common/address.js';
 import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
+import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
 
 /** Keeps datagrams below the size at which networks fragment them. */
@@ -31,6 +32,8 @@
 ]);
 /** A rate limit in the order of `ThrottleReport`; null for a server that names none any more. */
 const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()]);
+/** A stream and the software version that began it; null if that is ambiguous. */
+const ORIGIN = z.tuple([z.string(), z.string().nullable()]);
 const MESSAGE = z.object({
   /** The sender's IP address. */
   ip: z.string().regex(IPV4),
@@ -55,6 +58,10 @@
   instances: COUNT.default(0),
   /** Rate limits of servers; empty from daemons that don't report them. */
   limits: z.array(LIMIT).default([]),
+  /** Where streams began; empty from daemons that don't report it. */
+  origins: z.array(ORIGIN).default([]),
+  /** Streams of which the sender wants to know where they began. */
+  sought: z.array(z.string()).default([]),
 });
 
 export type PeerMessage = z.infer<typeof MESSAGE>;
@@ -133,6 +140,19 @@
   };
 }
 
+export function encodeOrigin({ stream, origin }: OriginReport): PeerMessage['origins'][number] {
+  switch (origin.kind) {
+    case 'version': return [stream, origin.software];
+    case 'ambiguous': return [stream, null];
+  }
+}
+
+export function decodeOrigin([stream, software]: PeerMessage['origins'][number]): OriginReport {
+  return {
+    stream, origin: software === null ? { kind: 'ambiguous' } : { kind: 'version', software },
+  };
+}
+
 function secondHalf<Item>(items: readonly Item[]): Item[] {
   return items.slice(Math.ceil(items.length / 2));
 }
@@ -140,9 +160,9 @@
 /** A shorter message; undefined if there is nothing left that it can do without. */
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
-    gone, suspect, successors, peers, crashes, crashRequests, limits,
+    gone, suspect, successors, peers, crashes, crashRequests, limits, origins, sought,
   } = message;
-  const lists = [gone, suspect, successors, peers, limits];
+  const lists = [gone, suspect, successors, peers, limits, origins, sought];
   if (lists.some(({ length }) => length > 0)) {
     return {
       ...message,
@@ -151,6 +171,8 @@
       successors: secondHalf(successors),
       peers: secondHalf(peers),
       limits: secondHalf(limits),
+      origins: secondHalf(origins),
+      sought: secondHalf(sought),
     };
   }
   if (crashes.length <= 1) return undefined;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -8,13 +8,14 @@
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import {
-  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, encodeCrashes, encodeLimit, encodeLoad,
-  encodeMessage,
+  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, encodeCrashes, encodeLimit,
+  encodeLoad, encodeMessage, encodeOrigin,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
 import type { CrashReport } from './crashnews.js';
 import type { ServerEntry } from './serverentry.js';
 import type { Load, ServerState } from './serverstate.js';
+import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
 
 /** A tenth of a prompt's prefill; with older loads, instances would pick the same engine. */
@@ -50,6 +51,10 @@
   onCrashes(reports: readonly CrashReport[]): void;
   /** Another instance reports rate limits of servers. */
   onLimits(reports: readonly ThrottleReport[], from: string): void;
+  /** Another instance tells where streams began. */
+  onOrigins(reports: readonly OriginReport[]): void;
+  /** Where those of the given streams began of which this instance knows it. */
+  originsOf(streams: readonly string[]): readonly OriginReport[];
   /** The number of live instances, this one included. */
   onInstanceCount(count: number): void;
   /** The number of live instances as another instance counts them. */
@@ -72,6 +77,8 @@
     readonly successors: readonly (readonly [string, string])[];
     readonly crashes: readonly CrashReport[];
     readonly limits: readonly ThrottleReport[];
+    readonly origins: readonly OriginReport[];
+    readonly sought: readonly string[];
   };
 }
 
@@ -156,7 +163,7 @@
     const socket = createSocket('udp4');
     let sending: Subscription | undefined;
     socket.on('error', (error) => subscriber.error(error));
-    socket.on('message', (bytes, { address }) => this.#receive(bytes, address));
+    socket.on('message', (bytes, { address }) => this.#receive(bytes, address, socket));
     socket.bind(port, ip, () => {
       const urgent = this.#urgent.pipe(throttleTime(URGENT_DELAY_MS, scheduler, {
         leading: false, trailing: true,
@@ -174,7 +181,7 @@
   #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
     const {
-      configuration, copies, servers, successors, crashes, limits,
+      configuration, copies, servers, successors, crashes, limits, origins, sought,
     } = localState();
     const busy = servers.filter((server) => (
       server.ownLoad.running > 0 || server.ownLoad.standby > 0));
@@ -196,6 +203,8 @@
       ...encodeCrashes(crashes),
       instances: alive.length + 1,
       limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
+      origins: origins.map(encodeOrigin),
+      sought: [...sought],
     };
   }
 
@@ -212,26 +221,36 @@
     });
   }
 
+  #sendTo(socket: Socket, ip: string, bytes: Buffer): void {
+    const { port, log } = this.#context;
+    // A send error is handled like a lost datagram: the next message follows shortly.
+    socket.send(bytes, port, ip, (error) => {
+      if (error) log.event('debug', 'peer_send_failed', { peer: ip, reason: error.message });
+    });
+  }
+
   #send(socket: Socket): void {
-    const { scheduler, port, log } = this.#context;
-    const now = scheduler.now();
+    const now = this.#context.scheduler.now();
     this.#expirePeers(now);
     const alive = this.#aliveAt(now);
     const bytes = encodeMessage(this.#message(alive));
     const all = [...this.#peers.keys()];
     const count = Math.min(all.length, PEERS_PER_INTERVAL);
     for (let index = 0; index < count; index += 1) {
-      const ip = all[(this.#nextPeer + index) % all.length]!;
-      // A send error is handled like a lost datagram: the next message follows shortly.
-      socket.send(bytes, port, ip, (error) => {
-        if (error) log.event('debug', 'peer_send_failed', { peer: ip, reason: error.message });
-      });
+      this.#sendTo(socket, all[(this.#nextPeer + index) % all.length]!, bytes);
     }
     this.#nextPeer += count;
     this.#context.listener.onInstanceCount(alive.length + 1);
   }
 
-  #receive(bytes: Buffer, address: string): void {
+  /** Tells a peer at once where streams that it asks for began. */
+  #reply(socket: Socket, address: string, origins: readonly OriginReport[]): void {
+    const now = this.#context.scheduler.now();
+    const message = { ...this.#message(this.#aliveAt(now)), origins: origins.map(encodeOrigin) };
+    this.#sendTo(socket, address, encodeMessage(message));
+  }
+
+  #receive(bytes: Buffer, address: string, socket: Socket): void {
     const {
       ip, scheduler, log, listener,
     } = this.#context;
@@ -257,5 +276,8 @@
     listener.onReportedCount(message.instances);
     if (message.limits.length > 0) listener.onLimits(message.limits.map(decodeLimit), address);
     if (message.crashes.length > 0) listener.onCrashes(decodeCrashes(message));
+    listener.onOrigins(message.origins.map(decodeOrigin));
+    const told = message.sought.length > 0 ? listener.originsOf(message.sought) : [];
+    if (told.length > 0) this.#reply(socket, address, told);
   }
 }
--- /dev/null
+++ b/src/relay/release.ts
@@ -0,0 +1,29 @@
+/**
+ * What an engine runs. Engines of several software versions may serve side by side, and what two of
+ * them generate doesn't fit together, so a stream continues only where the same version runs.
+ */
+import type { ServerEntry } from './serverentry.js';
+
+export interface Release {
+  /** Empty for engines that name no version, which count as one. */
+  readonly software: string;
+  /** Version of the weights; undefined if any will do. */
+  readonly weights: string | undefined;
+}
+
+export function releaseOf({ software, weights }: ServerEntry): Release {
+  return { software: software ?? '', weights: String(weights ?? 0) };
+}
+
+/** Stands for the version of a server whose own entry has not been read; equal to no other. */
+export function unknownSoftware(server: string): string {
+  return `unknown at ${server}`;
+}
+
+/** @param release undefined if any release will do */
+export function runsRelease(entry: ServerEntry, release: Release | undefined): boolean {
+  if (!release) return true;
+  const { software, weights } = releaseOf(entry);
+  return software === release.software
+    && (release.weights === undefined || weights === release.weights);
+}
--- a/src/relay/serverstate.ts
+++ b/src/relay/serverstate.ts
@@ -2,6 +2,7 @@
  * This instance's view of one backend server: its entry in the store, whether it can be reached,
  * and the load assigned to it. The state is immutable; each function returns the next state.
  */
+import type { LogFields } from '../common/log.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Half-life of the failure rate, so that a partly failing server is retried within seconds. */
@@ -56,6 +57,8 @@
   /** Tells restarts apart: load assigned to an earlier incarnation doesn't count for a later. */
   readonly incarnation: symbol;
   readonly health: Health;
+  /** When the server was last found unreachable; undefined if it never was. */
+  readonly lostAt: number | undefined;
   /** When a server whose entry is missing counts as gone; undefined while the entry exists. */
   readonly expiresAt: number | undefined;
   /** Load that this instance has assigned to the server. */
@@ -73,6 +76,7 @@
     listed,
     incarnation: Symbol(entry.id),
     health: { kind: 'up' },
+    lostAt: undefined,
     expiresAt: undefined,
     ownLoad: NO_LOAD,
     failureRate: 0,
@@ -81,9 +85,27 @@
   };
 }
 
+/** Log fields of a server whose entry was read. */
+export function listedFields({ entry, listed }: ServerState): LogFields {
+  const {
+    id, service, address, zone, software, state, startedAt,
+  } = entry;
+  return {
+    server: id,
+    service,
+    address,
+    zone,
+    software,
+    state,
+    started_at: startedAt,
+    from: listed.from,
+  };
+}
+
 /** Whether two entries describe the same process of a server. */
 export function sameProcess(left: ServerEntry, right: ServerEntry): boolean {
-  return left.startedAt === right.startedAt && left.address === right.address;
+  return left.startedAt === right.startedAt && left.address === right.address
+    && left.software === right.software;
 }
 
 /** Applies a newer entry; a restarted server begins with a fresh state. */
@@ -125,7 +147,7 @@
 
 export function markSuspect(state: ServerState, reason: string, now: number): ServerState {
   if (state.health.kind === 'suspect') return state;
-  return { ...state, health: { kind: 'suspect', since: now, reason } };
+  return { ...state, health: { kind: 'suspect', since: now, reason }, lostAt: now };
 }
 
 export function markReached(state: ServerState): ServerState {
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -14,6 +14,7 @@
 import { classifyResponse } from './responseclass.js';
 import { requiredMemory } from './selection.js';
 import { serverRequest } from './serverrequest.js';
+import type { ServerEntry } from './serverentry.js';
 import { NO_LOAD } from './serverstate.js';
 
 /** Id of a stream's first event. */
@@ -99,6 +100,10 @@
     return this.sent && this.#lastEventAt === undefined ? this.#plan.prefillTokens : 0;
   }
 
+  get server(): ServerEntry {
+    return this.#plan.server;
+  }
+
   get stage(): AttemptStage {
     if (this.#lastEventAt !== undefined) return 'streaming';
     return this.#head ? 'starting' : 'waiting';
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -4,6 +4,7 @@
 import type { RelayContext } from './context.js';
 import { fingerprintOf } from './fingerprint.js';
 import { sharedPartsField } from './routefields.js';
+import type { FoundOrigin } from './takeup.js';
 
 export interface FailedAttempt {
   readonly number: number;
@@ -37,6 +38,20 @@
     return new StreamRecorder(call, context);
   }
 
+  /** Records that a caller takes a stream up; without an origin it is refused. */
+  takenUp(origin: FoundOrigin | undefined): void {
+    const { log, meter } = this.#context;
+    const { id, service, fields: { resumes } } = this.#call;
+    meter.record({ kind: 'taken_up', source: origin?.source ?? 'unknown' });
+    log.event('info', 'taken_up', {
+      request: id,
+      service: service.name,
+      resumes,
+      software: origin?.software,
+      source: origin?.source,
+    });
+  }
+
   /** @param eventCount events that were written to the caller */
   attemptFailed({
     number, server, ran, reason, pendingTokens, stage,
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -26,11 +26,13 @@
 import type { RunDemand } from './selection.js';
 import { FIRST_EVENT_ID, StreamAttempt } from './streamattempt.js';
 import { StreamRecorder } from './streamrecorder.js';
+import { StreamRelease } from './streamrelease.js';
+import { prepareTakeUp } from './takeup.js';
 
 /** Limit on consecutive attempts without an event, most of which reach no engine at all. */
 const MAX_ATTEMPTS_WITHOUT_EVENT = 12;
 
-const noCachedTokens = () => 0;
+const UNKNOWN_ORIGIN_MESSAGE = 'the software version that began the stream is not known';
 
 export class StreamRelay {
   readonly #call: Call;
@@ -49,7 +51,9 @@
   #plan: AttemptPlan | undefined;
 
   /** Prompt tokens in an engine's KV cache; queried only for a reconnecting caller. */
-  #cachedTokens: (engine: string) => number = noCachedTokens;
+  #cachedTokens: (engine: string) => number = () => 0;
+
+  readonly #release: StreamRelease;
 
   /** The engine that holds a standby copy of the run's KV cache. */
   #copyHolder: string | undefined;
@@ -63,6 +67,7 @@
     this.#caller = caller;
     this.#context = context;
     this.#recorder = StreamRecorder.of(call, context);
+    this.#release = StreamRelease.of(call, context.origins);
     const { lastEvent } = call.fields;
     this.#state = generationState({
       repeatable: call.route.repeat === 'safe',
@@ -99,21 +104,20 @@
       // A stream that runs may be sound; what crashes engines has lost its own.
       if (this.#state.accepted.tokens === 0) this.#rejectQuarantined();
     }));
-    if (this.#call.fields.lastEvent === undefined) this.#apply({ kind: 'begin' });
-    else this.#queryCachedPrompt();
+    if (this.#state.accepted.tokens === 0) this.#apply({ kind: 'begin' });
+    else this.#takeUp();
   }
 
-  /** Finds out which engines have a reconnecting caller's prompt cached, then begins. */
-  #queryCachedPrompt(): void {
-    const { fleet, cachedPrompts, log } = this.#context;
-    const { name } = this.#call.service;
-    const engines = fleet.candidates(name, []).filter(({ isLimited }) => !isLimited)
-      .map(({ server }) => server.entry);
-    cachedPrompts.cachedTokensAt(name, engines, this.#call.fields.parts).then((cachedTokens) => {
+  /** Continues a stream of which the caller already has events. */
+  #takeUp(): void {
+    prepareTakeUp(this.#call, this.#context).then(({ origin, cachedTokens }) => {
       this.#cachedTokens = cachedTokens;
-    }, (error: unknown) => {
-      log.event('warn', 'held_prompts_unknown', { request: this.#call.id, reason: String(error) });
-    }).finally(() => this.#apply({ kind: 'begin' }));
+      this.#recorder.takenUp(origin);
+      if (origin) {
+        this.#release.takeUp(origin.software);
+        this.#apply({ kind: 'begin' });
+      } else this.#unassignable(UNKNOWN_ORIGIN_MESSAGE);
+    }, (error: unknown) => this.#unassignable(`${UNKNOWN_ORIGIN_MESSAGE}: ${String(error)}`));
   }
 
   /** Ends the call if it is known to crash engines; returns whether it is. */
@@ -181,12 +185,18 @@
       return;
     }
     if (this.#rejectQuarantined()) return;
-    const reason = attemptDenialReason(this.#call, this.#counts, this.#context);
+    const reason = attemptDenialReason(this.#call, this.#counts, this.#context)
+      ?? (this.#release.isAmbiguous ? UNKNOWN_ORIGIN_MESSAGE : undefined);
     if (reason !== undefined) {
       this.#unassignable(reason);
       return;
     }
-    const demand = { run: this.#demand, exclude, copyHolder: this.#copyHolder };
+    const demand = {
+      run: this.#demand,
+      exclude,
+      copyHolder: this.#copyHolder,
+      release: this.#release.required(this.#state.version),
+    };
     const choice = chooseEngines(this.#call, demand, service.engine, this.#context);
     switch (choice.kind) {
       case 'unplaced':
@@ -236,8 +246,11 @@
       demand: this.#demand,
       excluded: this.#state.excluded,
       reconnecting: this.#call.fields.lastEvent !== undefined,
-      canMigrate: () => mayMigrate(this.#call, this.#counts, [
-        ...this.#state.excluded, attempt.server], this.#demand, this.#context),
+      canMigrate: () => mayMigrate(this.#call, this.#counts, {
+        run: this.#demand,
+        exclude: [...this.#state.excluded, attempt.server],
+        release: this.#release.required(this.#state.version),
+      }, this.#context),
     }, this.#context, (event) => this.#onAttemptEvent(attempt, event));
     this.#attempts.set(attempt.number, streamAttempt);
     streamAttempt.start();
@@ -268,6 +281,7 @@
   }
 
   #write(text: string): void {
+    this.#release.markWritten([...this.#attempts.values()].at(-1)!.server);
     this.#writeHead();
     this.#recorder.eventWritten(this.#state.accepted.tokens);
     this.#caller.write(Buffer.from(text, 'latin1'));
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -161,6 +161,7 @@
     reuseAfterMs: 0,
     admission: () => ({ isLimited: false, delayMs: 0 }),
     peerLoads: () => [],
+    onRestart: () => undefined,
     onUrgentChange: () => undefined,
   });
   const serverEntry = server('e1').entry;
@@ -399,6 +400,8 @@
     crashRequests: ids.map((id) => [null, [[id, null]]]),
     instances: 101,
     limits: ids.map((id) => [id, 1, 0.5, 20, true]),
+    origins: ids.map((id) => [id, 'v1']),
+    sought: ids,
   });
   t.true(bytes.length <= MAX_MESSAGE_BYTES);
   const message = decodeMessage(bytes);
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -33,11 +33,20 @@
       onCopies: () => undefined,
       onCrashes: () => undefined,
       onLimits: () => undefined,
+      onOrigins: () => undefined,
+      originsOf: () => [],
       onInstanceCount,
       onReportedCount: () => undefined,
     },
     localState: () => ({
-      configuration: 3, copies: {}, servers: [], successors: [], crashes: [], limits: [],
+      configuration: 3,
+      copies: {},
+      servers: [],
+      successors: [],
+      crashes: [],
+      limits: [],
+      origins: [],
+      sought: [],
     }),
     ...change,
   };
@@ -111,7 +120,14 @@
   const first = contextOf(FIRST, port, new RecordedLog(), () => undefined);
   const second = contextOf(SECOND, port, new RecordedLog(), () => undefined, {
     localState: () => ({
-      configuration: 3, copies: {}, servers, successors: [], crashes: [], limits: [],
+      configuration: 3,
+      copies: {},
+      servers,
+      successors: [],
+      crashes: [],
+      limits: [],
+      origins: [],
+      sought: [],
     }),
   });
   const running = Peers.of({
--- a/test/relay-restore.test.ts
+++ b/test/relay-restore.test.ts
@@ -115,6 +115,7 @@
     reuseAfterMs: 0,
     admission: () => ({ isLimited: false, delayMs: 0 }),
     peerLoads: () => [],
+    onRestart: () => undefined,
     onUrgentChange: () => undefined,
   });
   const versions: number[] = [];
--- a/test/relay-software.test.ts
+++ b/test/relay-software.test.ts
@@ -66,12 +66,15 @@
   return { 'x-id': id, 'x-parts': `shared,own-${id}` };
 }
 
+/** Bodies differ, since a request that comes again may be what crashes engines. */
+const promptOf = (id: string) => `prompt of ${id}`;
+
 /** Begins streams whose callers leave after some events. */
 async function beginAndLeave(relay: Relay, ids = IDS): Promise<void> {
   await Promise.all(ids.map((id) => relay.call(
     '/stream/',
     streamHeaders(id),
-    'prompt',
+    promptOf(id),
     (text, disconnect) => {
       if (text.includes(`id: ${HELD_EVENTS}\n`)) disconnect();
     },
@@ -84,7 +87,7 @@
     'x-id': `${root}-${tries}`,
     'x-last': String(HELD_EVENTS),
     'x-resumes': root,
-  }, 'prompt');
+  }, promptOf(root));
 }
 
 /** The software versions whose engines sent events of a stream, over all tries of its caller. */
@@ -148,7 +151,7 @@
 
 test('a stream whose engine fails stays at its software version', async (t) => {
   const relay = await ready(t, await Relay.of(t, { engines: MIXED }), MIXED.length);
-  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt'));
+  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), promptOf(id)));
   t.true(await eventually(() => IDS.every((id) => versionsOf(relay.engines, id).size > 0)));
   relay.engines.filter(({ options }) => options.id.startsWith('v2')).slice(1).forEach((engine) => (
     engine.crash()));
@@ -169,7 +172,7 @@
     }) satisfies RelayEngineOptions['respond'],
   }));
   const relay = await ready(t, await Relay.of(t, { engines }), MIXED.length);
-  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt'));
+  const replies = IDS.map((id) => relay.call('/stream/', streamHeaders(id), promptOf(id)));
   t.true(await eventually(() => IDS.every((id) => versionsOf(relay.engines, id).size > 0)));
   relay.engines.filter((_, index) => index % 2 === 0).forEach((engine) => engine.crash());
   const complete = (await Promise.all(replies)).filter(isComplete).length;
@@ -256,7 +259,7 @@
 test('streams begin at a software version in proportion to its engines', async (t) => {
   const engines = [...enginesOf('v1', 1), ...enginesOf('v2', 5)];
   const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
-  await Promise.all(IDS.map((id) => relay.call('/stream/', streamHeaders(id), 'prompt')));
+  await Promise.all(IDS.map((id) => relay.call('/stream/', streamHeaders(id), promptOf(id))));
   const share = relay.engines[0]!.streamed.size / STREAMS;
   t.true(share >= 1 / 12 && share <= 1 / 3, String(share));
 });
