--- /dev/null
+++ b/test/fakes/serverproxy.ts
@@ -0,0 +1,68 @@
+/** A proxy on loopback through which one instance reaches one server, and which can be cut. */
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+/** `stale`: open connections live on while new ones are refused. */
+export type Cut = 'silent' | 'refused' | 'stale';
+
+export class ServerProxy {
+  readonly #target: string;
+
+  readonly #sockets = new Set<Socket>();
+
+  #server: Server | undefined;
+
+  #cut: Cut | undefined;
+
+  port = 0;
+
+  constructor(target: string) {
+    this.#target = target;
+  }
+
+  start(): Promise<void> {
+    const server = createServer((socket) => this.#accept(socket));
+    this.#server = server;
+    return new Promise((resolve) => {
+      server.listen(this.port, '127.0.0.1', () => {
+        this.port = (server.address() as AddressInfo).port;
+        resolve();
+      });
+    });
+  }
+
+  #track(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.#sockets.delete(socket));
+  }
+
+  #accept(socket: Socket): void {
+    this.#track(socket);
+    if (this.#cut === 'silent') return;
+    const [host, port] = this.#target.split(':');
+    const upstream = connect(Number(port), host);
+    this.#track(upstream);
+    socket.pipe(upstream).pipe(socket);
+    socket.on('close', () => upstream.destroy());
+    upstream.on('close', () => socket.destroy());
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  async cut(kind: Cut): Promise<void> {
+    this.#cut = kind;
+    if (kind !== 'silent') this.#server?.close();
+    if (kind !== 'stale') this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  async heal(): Promise<void> {
+    const was = this.#cut;
+    this.#cut = undefined;
+    if (was === 'silent') this.#sockets.forEach((socket) => socket.destroy());
+    else await this.start();
+  }
+}
