Forward calls to other instances while no server of their service is reached

Cause: what an instance doesn't reach counted as down, and nothing compared it with what the others reach. Class: network partition between some instances and the servers, a gray failure. Change: a service is unreached when all of its servers are suspect, or when requests are overdue, nothing was heard since and no server asked answers a health check. Instances tell each other the services that they don't reach, and nothing of silent servers. A call that no server here can take is forwarded to one that reaches them, by its peer port, with the time, attempts and events that it has left; it is forwarded once only, offered to two instances at most, and refused as not run if none could.

--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -5,8 +5,12 @@
 import type { BufferedResponse, ResponseHead } from './call.js';
 import type { CallAttempt } from './callstate.js';
 import type { ResponseClass } from './responseclass.js';
+import { NO_LOAD } from './serverstate.js';
 import type { ServerEntry } from './serverentry.js';
 
+/** The load of one attempt. */
+export const ONE_REQUEST = { ...NO_LOAD, running: 1 };
+
 export interface LiveAttempt {
   readonly attempt: CallAttempt;
   readonly entry: ServerEntry;
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -1,7 +1,7 @@
 /** Relays a call whose response is buffered: performs the effects of its state transitions. */
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
-import { bufferedResponse } from './bufferedattempt.js';
+import { bufferedResponse, ONE_REQUEST } from './bufferedattempt.js';
 import type { AttemptFailure, LiveAttempt } from './bufferedattempt.js';
 import type { Call } from './call.js';
 import { callState, callTransition } from './callstate.js';
@@ -12,14 +12,14 @@
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import { fingerprintOf } from './fingerprint.js';
+import { Handover } from './handover.js';
 import { classifyResponse } from './responseclass.js';
 import {
-  heardMsAgo, listingFields, THROTTLED_MESSAGE, throttledFields, unplacedFields,
+  callRouteFields, THROTTLED_MESSAGE, throttledFields, unplacedFields,
 } from './routefields.js';
 import { areAllThrottled, selectServer } from './selection.js';
 import type { Candidate } from './selection.js';
 import { serverRequest } from './serverrequest.js';
-import { NO_LOAD } from './serverstate.js';
 
 /** Share of the route's latency objective after which a repeatable call is hedged. */
 const HEDGE_AFTER_SHARE = 0.5;
@@ -27,7 +27,6 @@
 const NO_SERVER_RETRY_AFTER_MS = 300;
 /** Limit on a response that is held in memory, as long as those of most services' interfaces. */
 const MAX_RESPONSE_BYTES = 8_388_608;
-const ONE_REQUEST = { ...NO_LOAD, running: 1 };
 
 export class BufferedRelay {
   readonly #call: Call;
@@ -42,10 +41,13 @@
 
   #state;
 
+  readonly #handover: Handover;
+
   private constructor(call: Call, caller: Caller, context: RelayContext) {
     this.#call = call;
     this.#caller = caller;
     this.#context = context;
+    this.#handover = Handover.of(call, caller, context);
     this.#state = callState(call.route.repeat === 'safe', call.route.maxAttempts);
   }
 
@@ -53,7 +55,10 @@
   static start(call: Call, caller: Caller, context: RelayContext): () => void {
     const relay = new BufferedRelay(call, caller, context);
     relay.#begin();
-    return () => relay.#apply({ kind: 'caller_gone' });
+    return () => {
+      relay.#handover.cancel();
+      relay.#apply({ kind: 'caller_gone' });
+    };
   }
 
   #begin(): void {
@@ -102,15 +107,19 @@
 
   #assign(isRetry: boolean, exclude: readonly string[]): void {
     const {
-      fleet, retries, throttles, zone, scheduler, log,
+      fleet, retries, zone, scheduler, log,
     } = this.#context;
-    const { id, service } = this.#call;
+    const { service } = this.#call;
     const now = scheduler.now();
     if (this.#rejectQuarantined()) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
     }
+    if (this.#handover.start({ attempts: this.#state.arrivals })) {
+      this.#apply({ kind: 'caller_gone' });
+      return;
+    }
     const candidates = fleet.candidates(service.name, exclude);
     const chosen = selectServer(candidates, zone, now);
     if (!chosen) {
@@ -119,19 +128,7 @@
       return;
     }
     if (isRetry) countRetry(this.#call, this.#context);
-    log.event('info', 'route', {
-      request: id,
-      service: service.name,
-      server: chosen.server.entry.id,
-      zone: chosen.server.entry.zone,
-      ...listingFields(chosen.server, this.#context),
-      ...throttles.fields(chosen.server.entry),
-      running: chosen.load.running,
-      mean_ms: Math.round(chosen.server.meanDurationMs),
-      heard_ms_ago: heardMsAgo(chosen.server.entry.id, this.#context),
-      configuration: this.#call.version,
-      left_ms: Math.round(remainingMs(this.#call, this.#context)),
-    });
+    log.event('info', 'route', callRouteFields(this.#call, chosen, this.#context));
     this.#apply({ kind: 'assigned', server: chosen.server.entry.id });
   }
 
@@ -156,7 +153,9 @@
   }
 
   #dispatch(attempt: CallAttempt): void {
-    const { fleet, throttles, scheduler } = this.#context;
+    const {
+      fleet, throttles, scheduler, reach,
+    } = this.#context;
     const { number } = attempt;
     const server = fleet.server(attempt.server);
     if (!server) {
@@ -181,6 +180,11 @@
       head: undefined,
       chunks: [],
     });
+    subscription.add(reach.watch({
+      service: server.entry.service,
+      startedAt: scheduler.now(),
+      dueAt: scheduler.now() + this.#call.route.objectiveMs,
+    }));
     throttles.take(server.entry);
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
     subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -23,6 +23,8 @@
   readonly deadlineAt: number;
   /** Version of the configuration that the request was routed by. */
   readonly version: number;
+  /** The instance that forwarded the request; undefined if it came from its caller. */
+  readonly forwardedBy: string | undefined;
 }
 
 /** Status and headers of a response. */
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -9,8 +9,10 @@
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import type { Fleet } from './fleet.js';
+import type { Forwarding } from './forwarding.js';
 import type { Meter } from './meter.js';
 import type { Quarantines } from './quarantine.js';
+import type { Reach } from './reach.js';
 import type { RetrySchedules } from './retryafter.js';
 import type { SilenceWatch } from './silencewatch.js';
 import type { StreamOrigins } from './streamorigins.js';
@@ -34,6 +36,8 @@
   readonly quarantines: Quarantines;
   readonly cachedPrompts: CachedPrompts;
   readonly origins: StreamOrigins;
+  readonly reach: Reach;
+  readonly forwarding: Forwarding;
 }
 
 /** Writes the response to the caller. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -18,6 +18,7 @@
 import type { RelayContext } from './context.js';
 import { deferredListeners } from './deferredlisteners.js';
 import { Fleet } from './fleet.js';
+import { Forwarding } from './forwarding.js';
 import { Frontend } from './frontend.js';
 import { Meter } from './meter.js';
 import type { RelayGauges } from './metrics.js';
@@ -25,6 +26,7 @@
 import type { Peers } from './peers.js';
 import type { Platform } from './platform.js';
 import { Quarantines } from './quarantine.js';
+import { Reach } from './reach.js';
 import { RetrySchedules } from './retryafter.js';
 import type { RelayConfiguration } from './routes.js';
 import type { RelaySettings } from './settings.js';
@@ -80,7 +82,14 @@
 
   readonly #relayContext: RelayContext;
 
-  #frontend: Server | undefined;
+  /** The listener for callers. */
+  #callers: Server | undefined;
+
+  readonly #reach: Reach;
+
+  readonly #forwarding: Forwarding;
+
+  readonly #frontend: Frontend;
 
   readonly #storeFeed: StoreFeed;
 
@@ -129,6 +138,14 @@
       copyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       hasPeers: () => this.#peers.alive.length > 0,
     });
+    this.#reach = Reach.of({ ...shared, fleet: this.#fleet, identity });
+    this.#forwarding = Forwarding.of({
+      ip: settings.ip,
+      port: settings.peerPort,
+      random: context.random,
+      reach: this.#reach,
+      instancesReaching: (service) => this.#peers.reaching(service),
+    });
     this.#peers = createPeers({
       settings,
       ...shared,
@@ -138,6 +155,7 @@
       throttles: this.#throttles,
       quarantines: this.#quarantines,
       origins: this.#origins,
+      reach: this.#reach,
       retries: this.#retries,
       storeFeed: () => this.#storeFeed,
     });
@@ -160,15 +178,23 @@
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
       origins: this.#origins,
+      reach: this.#reach,
+      forwarding: this.#forwarding,
     };
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
       // A refused connection goes to another instance; a request accepted now might not complete
       // in time.
-      this.#frontend?.close();
-      this.#frontend?.closeIdleConnections();
+      this.#callers?.close();
+      this.#callers?.closeIdleConnections();
     });
     this.#storeFeed = this.#createStoreFeed();
+    this.#frontend = Frontend.of({
+      ...this.#relayContext,
+      drain: this.drain,
+      random: () => context.random.fraction(),
+      routes: () => this.#activeConfiguration.routes,
+    });
     this.run = this.#supervisorTree().run;
   }
 
@@ -179,7 +205,7 @@
   /** Whether the load balancer may send connections. */
   get ready(): boolean {
     return this.#activeConfiguration.routes !== undefined && this.#fleet.loaded
-      && this.drain.state === 'serving';
+      && this.drain.state === 'serving' && !this.#forwarding.isCutOff;
   }
 
   /** Begins a graceful shutdown. */
@@ -197,8 +223,9 @@
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
       childOfSubscription('origins', () => this.#origins.start()),
+      childOfSubscription('reach', () => this.#reach.start()),
       childOfSubscription('quarantines', () => this.#quarantines.start()),
-      listenerOf('callers', settings.callers, () => this.#createFrontend()),
+      listenerOf('callers', settings.callers, () => this.#createCallers()),
       listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
         res.writeHead(this.ready ? 200 : 503).end();
       })),
@@ -207,6 +234,7 @@
         meter: this.#meter,
         gauges: this.#gauges(),
         snapshot: () => this.#storeFeed.snapshot,
+        onForwarded: (req, res) => this.#frontend.onForwarded(req, res),
       }),
     ];
     return Supervisor.of('relay', children, { scheduler, random, log });
@@ -231,16 +259,10 @@
     });
   }
 
-  #createFrontend(): Server {
-    const { random } = this.#context;
-    this.#frontend = Frontend.of({
-      ...this.#relayContext,
-      drain: this.drain,
-      random: () => random.fraction(),
-      routes: () => this.#activeConfiguration.routes,
-    });
+  #createCallers(): Server {
+    this.#callers = this.#frontend.createServer();
     this.#applyHeadLimits();
-    return this.#frontend;
+    return this.#callers;
   }
 
   #applyConfiguration(configuration: RelayConfiguration, from: string): void {
@@ -250,7 +272,7 @@
 
   #applyHeadLimits(): void {
     const heads = this.#activeConfiguration.routes?.configuration.heads;
-    if (this.#frontend && heads) applyHeadLimits(this.#frontend, heads);
+    if (this.#callers && heads) applyHeadLimits(this.#callers, heads);
   }
 
   #gauges(): RelayGauges {
@@ -263,6 +285,7 @@
       storeSilentMs: () => this.#storeFeed.silentMs,
       serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       quarantines: () => this.#quarantines.found.length,
+      unreachedServices: () => this.#reach.unreached.length,
       limitedServers: () => this.#limits.count,
       retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
     };
--- a/src/relay/deferredlisteners.ts
+++ b/src/relay/deferredlisteners.ts
@@ -1,4 +1,5 @@
 /** Listeners that serving requests doesn't depend on, loaded after the start. */
+import type { RequestListener } from 'node:http';
 import { mergeMap, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { listenerOf } from '../common/listeners.js';
@@ -22,23 +23,26 @@
   readonly meter: Meter;
   readonly gauges: RelayGauges;
   readonly snapshot: () => Snapshot;
+  /** Handles requests that other instances forward. */
+  readonly onForwarded: RequestListener;
 }
 
 /** The listeners for other instances' snapshots and for metrics. */
 export function deferredListeners(context: DeferredListenersContext): Child {
   const {
-    settings: { ip, peerPort, metricsPort }, scheduler, meter, gauges, snapshot,
+    settings: { ip, peerPort, metricsPort }, scheduler, meter, gauges, snapshot, onForwarded,
   } = context;
   const modules = () => Promise.all([import('./peersnapshot.js'), import('./metrics.js')]);
   return {
     name: 'others',
     run: timer(DEFERRED_START_MS, scheduler).pipe(
       mergeMap(modules),
-      mergeMap(([{ snapshotServer }, { RelayMetrics }]) => {
+      mergeMap(([{ peerServer }, { RelayMetrics }]) => {
         const metrics = RelayMetrics.of(gauges);
         meter.attach((measurement) => metrics.record(measurement));
         return Supervisor.of('others', [
-          listenerOf('snapshots', `${ip}:${peerPort}`, () => snapshotServer(snapshot)),
+          listenerOf('snapshots', `${ip}:${peerPort}`, () => (
+            peerServer(snapshot, onForwarded))),
           listenerOf('metrics', `${ip}:${metricsPort}`, () => metrics.server()),
         ], context).run;
       }),
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -240,6 +240,7 @@
     switch (identity.kind) {
       case 'unreached': break;
       case 'reached':
+      case 'silent':
         this.#markReached(id, 'connection');
         break;
       case 'known':
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -12,6 +12,10 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import type { RequestFields } from './dialect.js';
+import {
+  outcomeHeaders, readForwarded, withoutForwardHeaders,
+} from './forwardedrequest.js';
+import type { ForwardedRequest } from './forwardedrequest.js';
 import { RouteTable } from './routes.js';
 import type { Target } from './routes.js';
 import { StreamRelay } from './streamrelay.js';
@@ -54,6 +58,22 @@
   }) ?? targets[0];
 }
 
+/** What is known of a request before its body is read. */
+interface ReceivedHead {
+  readonly fields: RequestFields;
+  readonly receivedAt: number;
+  readonly forwarded: ForwardedRequest | undefined;
+}
+
+/** The fields of a request, as they are after what the forwarding instance has done of it. */
+function withForwarded(
+  fields: RequestFields,
+  forwarded: ForwardedRequest | undefined,
+): RequestFields {
+  if (forwarded?.lastEvent === undefined) return fields;
+  return { ...fields, lastEvent: forwarded.lastEvent, resumes: fields.resumes ?? fields.id };
+}
+
 export class Frontend {
   readonly #context: FrontendContext;
 
@@ -61,18 +81,31 @@
     this.#context = context;
   }
 
-  static of(context: FrontendContext): Server {
-    const frontend = new Frontend(context);
-    return createCallerServer((req, res) => frontend.#onRequest(req, res));
+  static of(context: FrontendContext): Frontend {
+    return new Frontend(context);
+  }
+
+  /** The server for callers. */
+  createServer(): Server {
+    return createCallerServer((req, res) => this.#onRequest(req, res, undefined));
   }
 
-  #onRequest(req: IncomingMessage, res: ServerResponse): void {
+  /** Handles a request that another instance forwards. */
+  onForwarded(req: IncomingMessage, res: ServerResponse): void {
+    this.#onRequest(req, res, readForwarded(req.rawHeaders));
+  }
+
+  #onRequest(
+    req: IncomingMessage,
+    res: ServerResponse,
+    forwarded: ForwardedRequest | undefined,
+  ): void {
     const receivedAt = this.#context.scheduler.now();
     // `close` reports a broken connection; an `error` without a listener would end the process.
     req.on('error', () => undefined);
     res.on('error', () => undefined);
     const { dialect, drain, log } = this.#context;
-    const fields = dialect.readRequest(req.rawHeaders);
+    const fields = withForwarded(dialect.readRequest(req.rawHeaders), forwarded);
     const leave = drain.enter();
     res.on('close', () => {
       leave();
@@ -80,7 +113,7 @@
       if (drain.state !== 'serving') req.socket.destroySoon();
     });
     if (drain.state !== 'serving') res.setHeader('Connection', 'close');
-    this.#handle(req, res, fields, receivedAt).catch((error: unknown) => {
+    this.#handle(req, res, { fields, receivedAt, forwarded }).catch((error: unknown) => {
       log.event('error', 'request_failed', { target: req.url, reason: String(error) });
       const ran = 'unknown';
       this.#sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran }, fields);
@@ -90,10 +123,10 @@
   async #handle(
     req: IncomingMessage,
     res: ServerResponse,
-    fields: RequestFields,
-    receivedAt: number,
+    head: ReceivedHead,
   ): Promise<void> {
-    const checked = this.#validateHead(req, fields, receivedAt);
+    const { fields, forwarded } = head;
+    const checked = this.#validateHead(req, head);
     if (checked.isErr()) {
       req.resume();
       this.#sendRefusal(res, checked.error, fields);
@@ -106,14 +139,16 @@
       return;
     }
     if (res.closed || res.destroyed) return;
+    if (forwarded?.software !== undefined) {
+      this.#context.origins.record(fields.resumes ?? checked.value.id, forwarded.software);
+    }
     this.#startRelay({ ...checked.value, body: body.value }, res);
   }
 
   /** Validates a request by its head and builds the call except for its body. */
   #validateHead(
     req: IncomingMessage,
-    fields: RequestFields,
-    receivedAt: number,
+    { fields, receivedAt, forwarded }: ReceivedHead,
   ): Result<Omit<Call, 'body'>, Refusal> {
     const { random } = this.#context;
     const table = this.#context.routes();
@@ -137,14 +172,15 @@
     }
     if (fields.id === undefined) return err(refusal('bad_request', 'the request has no id'));
     const serviceName = pickTarget(route.targets, random())?.service ?? '';
-    const waitMs = Math.min(route.timeoutMs, fields.deadlineMs ?? Infinity);
+    const callerMs = fields.deadlineMs ?? Infinity;
+    const waitMs = Math.min(route.timeoutMs, callerMs, forwarded?.leftMs ?? Infinity);
     return ok({
       id: fields.id,
       method: req.method ?? 'GET',
       target,
-      headers: req.rawHeaders,
+      headers: withoutForwardHeaders(req.rawHeaders),
       fields,
-      route,
+      route: { ...route, maxAttempts: Math.max(1, route.maxAttempts - (forwarded?.attempts ?? 0)) },
       service: configuration.services[serviceName] ?? {
         name: serviceName, engine: undefined, healthPath: undefined,
       },
@@ -153,20 +189,23 @@
       receivedAt,
       deadlineAt: receivedAt + waitMs,
       version: configuration.version,
+      forwardedBy: forwarded?.by,
     });
   }
 
   #startRelay(call: Call, res: ServerResponse): void {
     const { retries, scheduler, meter } = this.#context;
-    retries.request(call.service.name, scheduler.now());
+    // The instance that forwards a request has counted it.
+    if (call.forwardedBy === undefined) retries.request(call.service.name, scheduler.now());
+    const outcome = call.forwardedBy === undefined ? [] : outcomeHeaders('answered');
     const caller: Caller = {
       respond: ({ status, headers, body }) => {
-        res.writeHead(status, headers as string[]);
+        res.writeHead(status, [...headers, ...outcome]);
         res.end(body);
       },
       refuse: (refused) => this.#sendRefusal(res, refused, call),
       begin: ({ status, headers }) => {
-        res.writeHead(status, headers as string[]);
+        res.writeHead(status, [...headers, ...outcome]);
       },
       write: (bytes) => {
         res.write(bytes);
@@ -209,6 +248,9 @@
     const { retryAfterMs } = refused;
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
     if (retryAfterMs !== undefined) headers.push('Retry-After', dialect.retryAfter(retryAfterMs));
+    if (readForwarded(res.req.rawHeaders)) {
+      headers.push(...outcomeHeaders(refused.ran, retryAfterMs));
+    }
     res.writeHead(statusFor(refused), headers);
     res.end(body);
   }
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -14,10 +14,14 @@
 /** Servers queue a health check for a slot like any other request. */
 const HEALTH_TIMEOUT_MS = 250;
 
-/** `reached`: the server accepts connections but doesn't report an id. */
+/**
+ * `reached`: the server responds but doesn't report an id, or its service has no health check.
+ * `silent`: it accepts connections and doesn't respond in time.
+ */
 export type Identity =
   | { readonly kind: 'unreached' }
   | { readonly kind: 'reached' }
+  | { readonly kind: 'silent' }
   | { readonly kind: 'known'; readonly id: string };
 
 export interface IdentityContext {
@@ -58,5 +62,5 @@
     if (event.kind !== 'head') return { kind: 'unreached' };
     const { server: id } = dialect.readResponse(event.status, event.headers);
     return id === undefined ? { kind: 'reached' } : { kind: 'known', id };
-  }, () => ({ kind: 'reached' }));
+  }, () => ({ kind: 'silent' }));
 }
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -33,6 +33,8 @@
   | { readonly kind: 'taken_up'; readonly source: OriginSource | 'unknown' }
   /** A request for which every server was at its rate limit. */
   | { readonly kind: 'throttled' }
+  /** A request that was sent to another instance, and how that ended. */
+  | { readonly kind: 'forwarded'; readonly outcome: 'sent' | 'answered' | 'failed' }
   /** A request that was sent to another server. */
   | { readonly kind: 'retry' }
   /** A new connection to a server, for a request or for a check that it accepts connections. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -31,6 +31,8 @@
   readonly serverCopyAgeMs: () => number;
   /** Prompt parts, or groups of them, whose requests are refused because they crash engines. */
   readonly quarantines: () => number;
+  /** Services of which this instance reaches no server. */
+  readonly unreachedServices: () => number;
   /** Servers that name a rate limit. */
   readonly limitedServers: () => number;
   /** Retries that this instance may still send, for the service with the fewest left. */
@@ -80,6 +82,12 @@
     'Requests for which every server was at its rate limit',
   );
 
+  readonly #forwarded = this.#counter(
+    'forwarded_total',
+    'Requests sent to other instances, answered by them, or not',
+    ['outcome'],
+  );
+
   readonly #retries = this.#counter('retries_total', 'Requests sent to one more server');
 
   readonly #connections = this.#counter(
@@ -130,6 +138,11 @@
     this.#gauge('server_copy_age_seconds', 'Since the servers\' entries were confirmed', () => (
       gauges.serverCopyAgeMs() / MILLISECONDS_PER_SECOND));
     this.#gauge('quarantines', 'Prompt parts refused as they crash engines', gauges.quarantines);
+    this.#gauge(
+      'services_unreached',
+      'Services without a server that is reached', (
+        gauges.unreachedServices),
+    );
     this.#gauge('servers_limited', 'Backend servers that name a rate limit', gauges.limitedServers);
     this.#gauge('retries_left', 'Retries that may still be sent now', gauges.retriesLeft);
     this.#gauge('log_lines_left_out', 'Lines left out for a slow reader', gauges.droppedLogLines);
@@ -206,6 +219,9 @@
       case 'throttled':
         this.#throttled.inc();
         break;
+      case 'forwarded':
+        this.#forwarded.inc({ outcome: measurement.outcome });
+        break;
       case 'retry':
         this.#retries.inc();
         break;
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -8,6 +8,7 @@
 import type { Fleet } from './fleet.js';
 import { Peers } from './peers.js';
 import type { Quarantines } from './quarantine.js';
+import type { Reach } from './reach.js';
 import type { RelaySettings } from './settings.js';
 import type { StoreFeed } from './storefeed.js';
 import type { StreamOrigins } from './streamorigins.js';
@@ -27,6 +28,7 @@
   readonly throttles: Throttles;
   readonly quarantines: Quarantines;
   readonly origins: StreamOrigins;
+  readonly reach: Reach;
   readonly retries: RetryWindows;
   readonly storeFeed: () => StoreFeed;
 }
@@ -54,7 +56,7 @@
 export function createPeers(context: PeerExchangeContext): Peers {
   const {
     settings, scheduler, random, log, activeConfiguration, fleet, limits, throttles, quarantines,
-    origins, retries, storeFeed,
+    origins, reach, retries, storeFeed,
   } = context;
   const requestSnapshot = snapshotRequest(context);
   return Peers.of({
@@ -90,6 +92,8 @@
       limits: throttles.reports,
       origins: origins.reports,
       sought: origins.sought,
+      unreached: reach.unreached,
+      isSilent: (service) => reach.isSilent(service),
     }),
   });
 }
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -58,6 +58,8 @@
   instances: COUNT.default(0),
   /** Rate limits of servers; empty from daemons that don't report them. */
   limits: z.array(LIMIT).default([]),
+  /** Services of which the sender reaches no server. */
+  unreached: z.array(z.string()).default([]),
   /** Where streams began; empty from daemons that don't report it. */
   origins: z.array(ORIGIN).default([]),
   /** Streams of which the sender wants to know where they began. */
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -79,6 +79,10 @@
     readonly limits: readonly ThrottleReport[];
     readonly origins: readonly OriginReport[];
     readonly sought: readonly string[];
+    /** Services of which this instance reaches no server. */
+    readonly unreached: readonly string[];
+    /** Whether nothing that this instance believes of a service's servers should be told. */
+    readonly isSilent: (service: string) => boolean;
   };
 }
 
@@ -147,6 +151,12 @@
       .map(([ip]) => ip);
   }
 
+  /** IP addresses of the live peers that reach servers of a service, as far as they say. */
+  reaching(service: string): readonly string[] {
+    return this.#recentMessages(this.#context.scheduler.now())
+      .filter(([, { unreached }]) => !unreached.includes(service)).map(([ip]) => ip);
+  }
+
   /** IP addresses of the live peers. */
   get alive(): readonly string[] {
     return this.#aliveAt(this.#context.scheduler.now());
@@ -181,12 +191,14 @@
   #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
     const {
-      configuration, copies, servers, successors, crashes, limits, origins, sought,
+      configuration, copies, servers, successors, crashes, limits, origins, sought, unreached,
+      isSilent: isServiceSilent,
     } = localState();
-    const busy = servers.filter((server) => (
+    const told = servers.filter(({ entry }) => !isServiceSilent(entry.service));
+    const busy = told.filter((server) => (
       server.ownLoad.running > 0 || server.ownLoad.standby > 0));
     const leaving = servers.filter((server) => server.entry.state === 'leaving');
-    const suspect = servers.filter((server) => (
+    const suspect = told.filter((server) => (
       server.health.kind === 'suspect' && server.expiresAt === undefined));
     return {
       ip,
@@ -205,6 +217,7 @@
       limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
       origins: origins.map(encodeOrigin),
       sought: [...sought],
+      unreached: [...unreached],
     };
   }
 
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -2,15 +2,20 @@
  * Lets a daemon that gets no response from the store copy the configuration and the servers from
  * another daemon. Imported on first use, since most daemons never need it.
  */
-import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
-import { createHTTPServer } from '@trpc/server/adapters/standalone';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { readForwarded } from './forwardedrequest.js';
 import type { Listing } from '../store/objects.js';
 
 /** Twice the time to transfer a large configuration between two zones. */
 const TIMEOUT_MS = 500;
 
+/** More than the heads of callers' requests, of which forwarded ones have some more. */
+const MAX_HEADER_BYTES = 131_072;
+
 export interface Snapshot {
   /** The objects as the store holds them, with their versions. */
   readonly copies: { readonly configuration: Listing; readonly servers: Listing };
@@ -26,9 +31,13 @@
 
 type SnapshotRouter = ReturnType<typeof createRouter>;
 
-export function snapshotServer(snapshot: () => Snapshot): Server {
-  const server: Server = createHTTPServer({ router: createRouter(snapshot) });
-  return server;
+/** Serves other daemons: snapshots, and the requests that they forward. */
+export function peerServer(snapshot: () => Snapshot, onForwarded: RequestListener): Server {
+  const onSnapshot = createHTTPHandler({ router: createRouter(snapshot) });
+  return createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (req, res) => {
+    if (readForwarded(req.rawHeaders)) onForwarded(req, res);
+    else onSnapshot(req, res);
+  });
 }
 
 /** @param address `host:port` of the other daemon */
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -71,7 +71,8 @@
 function hasCrashed(server: ServerEntry, identity: Identity): boolean {
   switch (identity.kind) {
     case 'unreached': return true;
-    case 'reached': return false;
+    case 'reached':
+    case 'silent': return false;
     case 'known': return identity.id !== server.id;
   }
 }
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -2,7 +2,9 @@
 import type { LogFields } from '../common/log.js';
 import type { AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
+import { remainingMs } from './context.js';
 import type { RelayContext } from './context.js';
+import type { EngineChoice } from './enginechoice.js';
 import type { Rejection } from './quarantine.js';
 import type { EngineCapacity } from './routes.js';
 import type { Candidate } from './selection.js';
@@ -46,6 +48,7 @@
     zone: server.entry.zone,
     software: server.entry.software,
     resumes: call.fields.resumes,
+    forwarded_by: call.forwardedBy,
     copy: plan.resumesFromCopy,
     standby: plan.standby?.id,
     running: load.running,
@@ -56,6 +59,48 @@
   };
 }
 
+/** The inputs to the choice of a server for a plain call. */
+export function callRouteFields(
+  call: Call,
+  { server, load }: Candidate,
+  context: RelayContext,
+): LogFields {
+  const { entry, meanDurationMs } = server;
+  return {
+    request: call.id,
+    service: call.service.name,
+    server: entry.id,
+    zone: entry.zone,
+    forwarded_by: call.forwardedBy,
+    ...listingFields(server, context),
+    ...context.throttles.fields(entry),
+    running: load.running,
+    mean_ms: Math.round(meanDurationMs),
+    heard_ms_ago: heardMsAgo(entry.id, context),
+    configuration: call.version,
+    left_ms: Math.round(remainingMs(call, context)),
+  };
+}
+
+/** The inputs to the choice of an engine for an attempt of a stream. */
+export function streamRouteFields(
+  call: Call,
+  { plan, chosen, candidates }: Extract<EngineChoice, { kind: 'chosen' }>,
+  attempt: { readonly attempt: number; readonly held_tokens: number; readonly from: number },
+  context: RelayContext,
+): LogFields {
+  const { entry } = chosen.server;
+  return {
+    ...routeFields(call, plan, chosen),
+    ...listingFields(chosen.server, context),
+    ...context.throttles.fields(entry),
+    ...attempt,
+    heard_ms_ago: heardMsAgo(entry.id, context),
+    candidates,
+    left_ms: Math.round(remainingMs(call, context)),
+  };
+}
+
 /** The candidates' capacity, for a run that needs `demandTokens`. */
 export function capacityFields(
   candidates: readonly Candidate[],
--- a/src/relay/silence.ts
+++ b/src/relay/silence.ts
@@ -26,10 +26,15 @@
   readonly hasStandby: boolean;
 }
 
+/** Time after which a stream's first event is overdue. */
+export function overdueMs(expectedFirstMs: number): number {
+  return expectedFirstMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+}
+
 /** Whether a stream should move to another engine although its server can be reached. */
 export function isOverdue(stream: StreamActivity, now: number): boolean {
   if (stream.eventAt === undefined) {
-    return now - stream.startedAt > stream.expectedFirstMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+    return now - stream.startedAt > overdueMs(stream.expectedFirstMs);
   }
   if (!stream.hasStandby || stream.pauseObjectiveMs === undefined) return false;
   return now - stream.eventAt > stream.pauseObjectiveMs * MIGRATION_SHARE;
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -15,6 +15,7 @@
 import { requiredMemory } from './selection.js';
 import { serverRequest } from './serverrequest.js';
 import type { ServerEntry } from './serverentry.js';
+import { overdueMs } from './silence.js';
 import { NO_LOAD } from './serverstate.js';
 
 /** Id of a stream's first event. */
@@ -115,7 +116,7 @@
 
   start(): void {
     const {
-      fleet, throttles, scheduler, silence,
+      fleet, throttles, scheduler, silence, reach,
     } = this.#context;
     const {
       server, standby, resumesFromCopy, prefillTokens,
@@ -147,6 +148,9 @@
         if (this.#options.canMigrate()) this.#fail('unknown', reason);
       },
     }));
+    const dueAt = this.#startedAt + overdueMs(this.#plan.expectedFirstMs);
+    const { service } = server;
+    this.#subscriptions.add(reach.watch({ service, startedAt: this.#startedAt, dueAt }));
     this.#subscriptions.add(exchange(outgoing, scheduler)
       .subscribe((event) => this.#onExchangeEvent(event)));
   }
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -8,7 +8,6 @@
 import type { LogFields } from '../common/log.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { GenerationEffect, GenerationEvent } from '../generation/event.js';
-import { generationState } from '../generation/state.js';
 import type { Attempt, GenerationState } from '../generation/state.js';
 import { transaction } from '../generation/transaction.js';
 import type { AttemptPlan } from './attemptplan.js';
@@ -18,20 +17,17 @@
 import { quarantineRefusal } from './crashguard.js';
 import { chooseEngines, RETRY_AFTER_MS } from './enginechoice.js';
 import type { EngineChoice } from './enginechoice.js';
+import { Handover } from './handover.js';
 import { attemptDenialReason, countAttempts, mayMigrate } from './migration.js';
 import type { AttemptCounts } from './migration.js';
-import {
-  heardMsAgo, listingFields, routeFields, unplacedFields,
-} from './routefields.js';
+import { streamRouteFields, unplacedFields } from './routefields.js';
 import type { RunDemand } from './selection.js';
-import { FIRST_EVENT_ID, StreamAttempt } from './streamattempt.js';
+import { StreamAttempt } from './streamattempt.js';
 import { StreamRecorder } from './streamrecorder.js';
 import { StreamRelease } from './streamrelease.js';
+import { lastWritten, streamState } from './streamstate.js';
 import { prepareTakeUp } from './takeup.js';
 
-/** Limit on consecutive attempts without an event, most of which reach no engine at all. */
-const MAX_ATTEMPTS_WITHOUT_EVENT = 12;
-
 const UNKNOWN_ORIGIN_MESSAGE = 'the software version that began the stream is not known';
 
 const noCachedTokens = () => 0;
@@ -62,30 +58,28 @@
 
   #headSent = false;
 
+  readonly #handover: Handover;
+
   #state: GenerationState;
 
   private constructor(call: Call, caller: Caller, context: RelayContext) {
     this.#call = call;
     this.#caller = caller;
     this.#context = context;
+    this.#handover = Handover.of(call, caller, context);
     this.#recorder = StreamRecorder.of(call, context);
     this.#release = StreamRelease.of(call, context.origins);
-    const { lastEvent } = call.fields;
-    this.#state = generationState({
-      repeatable: call.route.repeat === 'safe',
-      // #assign enforces the route's own limit, which doesn't count attempts that reach no engine.
-      maxAttempts: MAX_ATTEMPTS_WITHOUT_EVENT,
-      hedges: false,
-      maxTokens: Infinity,
-      from: lastEvent === undefined ? 0 : lastEvent + 1 - FIRST_EVENT_ID,
-    });
+    this.#state = streamState(call);
   }
 
   /** Starts relaying; the returned function cancels the call when its caller disconnects. */
   static start(call: Call, caller: Caller, context: RelayContext): () => void {
     const relay = new StreamRelay(call, caller, context);
     relay.#begin();
-    return () => relay.#apply({ kind: 'caller_gone' });
+    return () => {
+      relay.#handover.cancel();
+      relay.#apply({ kind: 'caller_gone' });
+    };
   }
 
   get #counts(): AttemptCounts {
@@ -186,7 +180,7 @@
       this.#unassignable('the service has no engines');
       return;
     }
-    if (this.#rejectQuarantined()) return;
+    if (this.#rejectQuarantined() || this.#handOver()) return;
     const reason = attemptDenialReason(this.#call, this.#counts, this.#context)
       ?? (this.#release.isAmbiguous ? UNKNOWN_ORIGIN_MESSAGE : undefined);
     if (reason !== undefined) {
@@ -210,22 +204,27 @@
     }
   }
 
-  #assigned({ plan, chosen, candidates }: Extract<EngineChoice, { kind: 'chosen' }>): void {
-    const { throttles, log } = this.#context;
-    const { entry } = chosen.server;
+  /** Returns whether another instance continues the stream. */
+  #handOver(): boolean {
+    const taken = this.#handover.start({
+      attempts: this.#counts.sent,
+      lastEvent: lastWritten(this.#state),
+      software: this.#release.required(this.#state.version)?.software,
+      headSent: this.#headSent,
+    });
+    if (taken) this.#apply({ kind: 'caller_gone' });
+    return taken;
+  }
+
+  #assigned(choice: Extract<EngineChoice, { kind: 'chosen' }>): void {
+    const { plan, chosen: { server: { entry } } } = choice;
     if (this.#counts.arrived > 0) countRetry(this.#call, this.#context);
     this.#plan = plan;
-    log.event('info', 'route', {
-      ...routeFields(this.#call, plan, chosen),
-      ...listingFields(chosen.server, this.#context),
-      ...throttles.fields(entry),
+    this.#context.log.event('info', 'route', streamRouteFields(this.#call, choice, {
       attempt: this.#state.attempts + 1,
       held_tokens: this.#cachedTokens(entry.id),
-      heard_ms_ago: heardMsAgo(entry.id, this.#context),
-      candidates,
       from: this.#state.accepted.tokens,
-      left_ms: Math.round(remainingMs(this.#call, this.#context)),
-    });
+    }, this.#context));
     this.#apply({ kind: 'assigned', server: entry.id, version: String(entry.weights ?? 0) });
   }
 
--- a/test/fakes/serverproxy.ts
+++ b/test/fakes/serverproxy.ts
@@ -5,6 +5,8 @@
 /** `stale`: open connections live on while new ones are refused. */
 export type Cut = 'silent' | 'refused' | 'stale';
 
+const RETRY_MS = 50;
+
 export class ServerProxy {
   readonly #target: string;
 
@@ -20,14 +22,17 @@
     this.#target = target;
   }
 
+  /** Listens, and tries again while another socket has the port that it had. */
   start(): Promise<void> {
     const server = createServer((socket) => this.#accept(socket));
     this.#server = server;
     return new Promise((resolve) => {
-      server.listen(this.port, '127.0.0.1', () => {
+      server.on('error', () => setTimeout(() => server.listen(this.port, '127.0.0.1'), RETRY_MS));
+      server.once('listening', () => {
         this.port = (server.address() as AddressInfo).port;
         resolve();
       });
+      server.listen(this.port, '127.0.0.1');
     });
   }
 
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -47,6 +47,8 @@
       limits: [],
       origins: [],
       sought: [],
+      unreached: [],
+      isSilent: () => false,
     }),
     ...change,
   };
@@ -128,6 +130,8 @@
       limits: [],
       origins: [],
       sought: [],
+      unreached: [],
+      isSilent: () => false,
     }),
   });
   const running = Peers.of({
