Give brittle servers no more than they have slots

Cause: what servers say of being brittle was not read; at twice the load that they bear each was sent far more than it had room for, and ended by turning it away. Class: load shedding that kills the server which sheds, retry storms. Change: while a service's servers say that they are brittle, one whose load over all instances fills its slots admits nothing, and one that turned a request away gets nothing for a second, or longer with many instances. Callers are refused at once with Retry-After.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -205,7 +205,7 @@
         fleet.markHeard(server);
         const { status, headers } = event;
         const responseClass = classifyResponse(status, headers, this.#call.id, dialect);
-        this.#context.limits.observe(live.entry, responseClass);
+        this.#context.notices.observe(live.entry, responseClass);
         live.head = { response: { status, headers }, responseClass };
         if (responseClass.kind === 'foreign') {
           this.#onFailure(number, { ran: 'unknown', message: responseClass.message });
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -3,7 +3,6 @@
 import type { Log } from '../common/log.js';
 import type { Refusal } from '../common/refusal.js';
 import type { RetryWindows } from '../limits/retrywindow.js';
-import type { AdvertisedLimits } from './advertisedlimits.js';
 import type { CachedPrompts } from './cachedprompts.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
 import type { Connections } from './connections.js';
@@ -14,6 +13,7 @@
 import type { Quarantines } from './quarantine.js';
 import type { Reach } from './reach.js';
 import type { RetrySchedules } from './retryafter.js';
+import type { ServerNotices } from './servernotices.js';
 import type { SilenceWatch } from './silencewatch.js';
 import type { StreamOrigins } from './streamorigins.js';
 import type { Throttles } from './throttles.js';
@@ -25,7 +25,7 @@
   readonly meter: Meter;
   readonly dialect: Dialect;
   readonly fleet: Fleet;
-  readonly limits: AdvertisedLimits;
+  readonly notices: ServerNotices;
   readonly throttles: Throttles;
   /** Version and age of this instance's copy of the servers' entries. */
   readonly serverCopy: () => { readonly version: number; readonly ageMs: number };
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -30,6 +30,7 @@
 import { RetrySchedules } from './retryafter.js';
 import type { RelayConfiguration } from './routes.js';
 import type { RelaySettings } from './settings.js';
+import { ServerNotices } from './servernotices.js';
 import { SilenceWatch } from './silencewatch.js';
 import { StoreFeed } from './storefeed.js';
 import { StreamOrigins } from './streamorigins.js';
@@ -66,6 +67,8 @@
 
   readonly #limits: AdvertisedLimits;
 
+  readonly #notices: ServerNotices;
+
   readonly #throttles: Throttles;
 
   readonly #peers: Peers;
@@ -119,11 +122,15 @@
       ...shared,
       ...identity,
       peerLoads: (server) => this.#peers.loads(server),
-      admission: (server) => this.#throttles.admission(server),
+      admission: (server, load) => (
+        this.#notices.admission(server, load, this.#throttles.admission(server))),
       reuseAfterMs: settings.reuseAfterMs,
       onRestart: (previous, restarted) => this.#origins.markRestarted(previous, restarted),
     });
     this.#limits = AdvertisedLimits.of({ ...shared, server: (id) => this.#fleet.server(id) });
+    this.#notices = ServerNotices.of({
+      ...shared, limits: this.#limits, instances: () => this.#peers.alive.length + 1,
+    });
     this.#throttles = Throttles.of({
       ...shared,
       limits: this.#limits,
@@ -165,7 +172,7 @@
       log,
       dialect,
       fleet: this.#fleet,
-      limits: this.#limits,
+      notices: this.#notices,
       throttles: this.#throttles,
       serverCopy: () => this.#storeFeed.serverCopy,
       connections: this.#connections,
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -63,6 +63,11 @@
   /** The server that responded, if it names itself. */
   readonly server: string | undefined;
   readonly limit: AdvertisedLimit;
+  /**
+   * Requests that the servers of its service can turn away in a second without ending; undefined if
+   * any number.
+   */
+  readonly brittle: number | undefined;
 }
 
 export interface Dialect {
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -74,12 +74,15 @@
     const usable = this.servers.filter((server) => server.entry.service === service
       && isUsable(server, now) && !exclude.includes(server.entry.id));
     const { random, peerLoads, admission } = this.#context;
-    return random.shuffled(usable).map((server) => ({
-      server,
-      load: totalLoad(server.ownLoad, peerLoads(server.entry.id)),
-      zoneSuspect: this.#zoneFailures.suspects(server.entry, this.heardAt(server.entry.id), now),
-      ...admission(server.entry),
-    }));
+    return random.shuffled(usable).map((server) => {
+      const { entry } = server;
+      const load = totalLoad(server.ownLoad, peerLoads(entry.id));
+      const zoneSuspect = this.#zoneFailures.suspects(entry, this.heardAt(entry.id), now);
+      const admitted = admission(entry, load);
+      return {
+        server, load, zoneSuspect, ...admitted,
+      };
+    });
   }
 
   /** Adds or updates a server from its entry. */
--- a/src/relay/fleetcontext.ts
+++ b/src/relay/fleetcontext.ts
@@ -15,8 +15,8 @@
   /** How long the platform keeps a stopped server's address from being reused by other services. */
   readonly reuseAfterMs: number;
   readonly peerLoads: PeerLoads;
-  /** Whether a server's rate limit admits a request. */
-  readonly admission: (server: ServerEntry) => Admission;
+  /** Whether a server that carries a load admits a request. */
+  readonly admission: (server: ServerEntry, load: Load) => Admission;
   /** Called when a server runs another process than before. */
   readonly onRestart: (previous: ServerState, restarted: ServerEntry) => void;
   /** Called on an assignment or a change of servers that other instances should learn of soon. */
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -205,10 +205,10 @@
   }
 
   #onHead(head: ResponseHead): void {
-    const { dialect, fleet, limits } = this.#context;
+    const { dialect, fleet, notices } = this.#context;
     const { server } = this.#plan;
     const responseClass = classifyResponse(head.status, head.headers, this.#call.id, dialect);
-    limits.observe(server, responseClass);
+    notices.observe(server, responseClass);
     switch (responseClass.kind) {
       case 'not_run':
         if (responseClass.misdirected) {
--- a/src/relay/throttles.ts
+++ b/src/relay/throttles.ts
@@ -136,6 +136,8 @@
     if (!Number.isFinite(delayMs)) return NO_SHARE_RETRY_AFTER_MS;
     const perSecond = candidates.reduce((sum, { server }) => (
       sum + (this.#uses.get(server.entry.id)?.throttle.share ?? 0)), 0);
+    // Servers that are held back for another reason name no limit.
+    if (perSecond === 0) return Math.ceil(delayMs);
     const next = (this.#lastRetryAt.get(service) ?? 0) + MILLISECONDS_PER_SECOND / perSecond;
     const retryAt = Math.max(now + delayMs, next);
     if (retryAt <= now + remainingMs) this.#lastRetryAt.set(service, retryAt);
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -58,6 +58,7 @@
     notRun: status === 421 || headerOf(raw, 'x-not-run') !== undefined,
     server: headerOf(raw, 'x-server'),
     limit: limitOf(raw),
+    brittle: numberOf(raw, 'x-brittle'),
   }),
   retryAfter: (ms) => (ms / 1_000).toFixed(2),
 };
--- a/test/fakes/throttlefleet.ts
+++ b/test/fakes/throttlefleet.ts
@@ -127,7 +127,12 @@
     timer(RESPONSE_MS, this.clock).subscribe(() => limits.observe(entry, {
       kind: 'answer',
       response: {
-        id: 'r', signature: 's', notRun: false, server: undefined, limit,
+        id: 'r',
+        signature: 's',
+        notRun: false,
+        server: undefined,
+        limit,
+        brittle: undefined,
       },
     }));
     return undefined;
