Leave a server alone for the time that it asks for with Retry-After

Cause: a server's own Retry-After was passed over, and it was chosen again at once: 141 calls within its 4 s as measured before. Class: back-pressure that is ignored. Change: after 503 with Retry-After the instance that got it sends that process of the server nothing for so long, up to five minutes; with all servers paused, callers are refused at once with the time that is left.

--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -63,6 +63,8 @@
   /** The server that responded, if it names itself. */
   readonly server: string | undefined;
   readonly limit: AdvertisedLimit;
+  /** How long a server that turned the request away wants nothing from this instance. */
+  readonly pauseMs: number | undefined;
   /**
    * Requests that the servers of its service can turn away in a second without ending; undefined if
    * any number.
--- a/src/relay/servernotices.ts
+++ b/src/relay/servernotices.ts
@@ -17,7 +17,9 @@
 const MAX_SERVERS = 1_024;
 /** How long a full brittle server is expected to stay full: about one short request. */
 const FULL_RETRY_MS = 100;
-/** Share of what a server can turn away that instances use up while they don't know of each other. */
+/** Limit on the pause that a server can ask for. */
+const MAX_PAUSE_MS = 300_000;
+/** Share of what a server can turn away that instances may use up at once. */
 const HOLD_SHARE = 0.5;
 
 interface Hold {
@@ -61,6 +63,8 @@
     if (response.kind === 'foreign' || isOther) return;
     this.#observeBrittle(entry, response.response.brittle);
     if (response.kind === 'not_run') this.#holdTurnedAway(entry);
+    const { pauseMs } = response.response;
+    if (pauseMs !== undefined) this.#hold(entry, Math.min(pauseMs, MAX_PAUSE_MS), 'retry_after');
   }
 
   #observeBrittle({ service }: ServerEntry, limit: number | undefined): void {
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -58,6 +58,8 @@
     notRun: status === 421 || headerOf(raw, 'x-not-run') !== undefined,
     server: headerOf(raw, 'x-server'),
     limit: limitOf(raw),
+    pauseMs: status === 503 && headerOf(raw, 'retry-after') !== undefined
+      ? Number(headerOf(raw, 'retry-after')) * 1_000 : undefined,
     brittle: numberOf(raw, 'x-brittle'),
   }),
   retryAfter: (ms) => (ms / 1_000).toFixed(2),
--- a/test/fakes/throttlefleet.ts
+++ b/test/fakes/throttlefleet.ts
@@ -132,6 +132,7 @@
         notRun: false,
         server: undefined,
         limit,
+        pauseMs: undefined,
         brittle: undefined,
       },
     }));
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -173,6 +173,14 @@
     'Kv-Backup', '10.0.0.2:80', 'Kv-From', '10.0.0.3:80/r']);
 });
 
+test('headers: Retry-After of a server is read with status 503 only', (t) => {
+  const pauseOf = (status: number, text: string) => (
+    platformDialect.readResponse(status, ['Retry-After', text]).pauseMs);
+  t.is(pauseOf(503, '1.5'), 1_500);
+  t.is(pauseOf(503, 'Fri, 04 Dec 2026 12:00:00 GMT'), undefined);
+  t.is(pauseOf(200, '4'), undefined);
+});
+
 test('headers: status 421 and Not-Executed mean that a request has not run', (t) => {
   t.true(platformDialect.readResponse(421, []).notRun);
   t.true(platformDialect.readResponse(503, ['Not-Executed', '1']).notRun);
