Take a server's word in its answers that it leaves

Cause: only the store's entry said that a server leaves; one that says so in its answers, with its entry still ready, got 30 streams later than 2.2 s as measured before. Class: a fact that is read from one source only. Change: an answer that says so marks the server's process as leaving, as its entry would; the other instances are told as of any leaving server.

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -129,7 +129,10 @@
     });
     this.#limits = AdvertisedLimits.of({ ...shared, server: (id) => this.#fleet.server(id) });
     this.#notices = ServerNotices.of({
-      ...shared, limits: this.#limits, instances: () => this.#peers.alive.length + 1,
+      ...shared,
+      limits: this.#limits,
+      markLeaving: ({ id, startedAt }) => this.#fleet.markLeaving(id, startedAt, 'response'),
+      instances: () => this.#peers.alive.length + 1,
     });
     this.#throttles = Throttles.of({
       ...shared,
@@ -147,9 +150,8 @@
     });
     this.#reach = Reach.of({ ...shared, fleet: this.#fleet, identity });
     this.#forwarding = Forwarding.of({
-      ip: settings.ip,
-      port: settings.peerPort,
-      random: context.random,
+      ...shared,
+      settings,
       reach: this.#reach,
       instancesReaching: (service) => this.#peers.reaching(service),
     });
@@ -190,8 +192,7 @@
     };
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
-      // A refused connection goes to another instance; a request accepted now might not complete
-      // in time.
+      // A refused connection goes elsewhere; a request accepted now might not complete in time.
       this.#callers?.close();
       this.#callers?.closeIdleConnections();
     });
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -63,6 +63,8 @@
   /** The server that responded, if it names itself. */
   readonly server: string | undefined;
   readonly limit: AdvertisedLimit;
+  /** The server says that it leaves. */
+  readonly leaving: boolean;
   /** How long a server that turned the request away wants nothing from this instance. */
   readonly pauseMs: number | undefined;
   /**
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -78,10 +78,8 @@
       const { entry } = server;
       const load = totalLoad(server.ownLoad, peerLoads(entry.id));
       const zoneSuspect = this.#zoneFailures.suspects(entry, this.heardAt(entry.id), now);
-      const admitted = admission(entry, load);
-      return {
-        server, load, zoneSuspect, ...admitted,
-      };
+      const seen = { server, load, zoneSuspect };
+      return { ...seen, ...admission(entry, load) };
     });
   }
 
--- a/src/relay/forwarding.ts
+++ b/src/relay/forwarding.ts
@@ -8,10 +8,10 @@
 import { ForwardedCall } from './forwardedcall.js';
 import type { Progress } from './forwardedcall.js';
 import type { Reach } from './reach.js';
+import type { RelaySettings } from './settings.js';
 
 export interface ForwardingContext {
-  readonly ip: string;
-  readonly port: number;
+  readonly settings: RelaySettings;
   readonly random: Random;
   readonly reach: Reach;
   /** IP addresses of the live instances that reach servers of a service. */
@@ -47,7 +47,7 @@
     progress: Progress,
   ): (() => void) | undefined {
     const {
-      ip, port, random, reach, instancesReaching,
+      settings: { ip, peerPort: port }, random, reach, instancesReaching,
     } = this.#context;
     const service = call.service.name;
     if (call.forwardedBy !== undefined || !reach.isUnreached(service)) return undefined;
--- a/src/relay/servernotices.ts
+++ b/src/relay/servernotices.ts
@@ -32,6 +32,8 @@
   readonly scheduler: SchedulerLike;
   readonly log: Log;
   readonly limits: AdvertisedLimits;
+  /** Called when a server says that it leaves. */
+  readonly markLeaving: (entry: ServerEntry) => void;
   /** The number of live instances, this one included. */
   readonly instances: () => number;
 }
@@ -63,7 +65,8 @@
     if (response.kind === 'foreign' || isOther) return;
     this.#observeBrittle(entry, response.response.brittle);
     if (response.kind === 'not_run') this.#holdTurnedAway(entry);
-    const { pauseMs } = response.response;
+    const { pauseMs, leaving } = response.response;
+    if (leaving) this.#context.markLeaving(entry);
     if (pauseMs !== undefined) this.#hold(entry, Math.min(pauseMs, MAX_PAUSE_MS), 'retry_after');
   }
 
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -58,6 +58,7 @@
     notRun: status === 421 || headerOf(raw, 'x-not-run') !== undefined,
     server: headerOf(raw, 'x-server'),
     limit: limitOf(raw),
+    leaving: headerOf(raw, 'x-leaving') === '1',
     pauseMs: status === 503 && headerOf(raw, 'retry-after') !== undefined
       ? Number(headerOf(raw, 'retry-after')) * 1_000 : undefined,
     brittle: numberOf(raw, 'x-brittle'),
--- a/test/fakes/throttlefleet.ts
+++ b/test/fakes/throttlefleet.ts
@@ -132,6 +132,7 @@
         notRun: false,
         server: undefined,
         limit,
+        leaving: false,
         pauseMs: undefined,
         brittle: undefined,
       },
