--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -85,7 +85,6 @@
 
   readonly #relayContext: RelayContext;
 
-  /** The listener for callers. */
   #callers: Server | undefined;
 
   readonly #reach: Reach;
