Don't send requests whose deadline has passed or whose caller has left

Cause: an instance whose processor is used up reads and sends requests long after they arrived. Deadlines counted from the time of reading; a request was written as soon as a connection opened, however late, and before the caller's end, already received, was read. Ruled out: the exchange between instances as such; it is why the process is late, not why it sends what is overdue.

Change: how long input may have waited is bounded from late timers (InputDelay), and deadlines count from the earliest arrival; the deadline is checked before each assignment and when the connection is open; the request is written only after the event loop has polled once more, so that the caller's end or the server's close is known; a kept connection that the server has closed leaves a request unsent (not run, no doubt about the server). An instance that was paused doesn't take what it has not read yet for silence of the servers (Reach, health checks).

--- a/src/common/time.ts
+++ b/src/common/time.ts
@@ -2,7 +2,9 @@
  * The daemon's rxjs scheduler, with a monotonic clock in milliseconds. Modules take a scheduler as
  * an argument, so that tests can pass one with virtual time.
  */
-import { asyncScheduler, Subscription, timer } from 'rxjs';
+import {
+  asyncScheduler, Observable, Subscription, timer,
+} from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 
 export const MILLISECONDS_PER_SECOND = 1_000;
@@ -29,3 +31,22 @@
   }));
   return subscription;
 }
+
+/** Emits after a delay, once pending input has been read. */
+export function pendingInput(ms: number, scheduler: SchedulerLike): Observable<void> {
+  return new Observable((subscriber) => afterPendingInput(ms, scheduler, () => subscriber.next()));
+}
+
+/**
+ * Calls `callback` once the event loop has polled for I/O again, so that all input that has arrived
+ * by now has been handled. The first immediate still runs before that poll.
+ */
+export function afterNextPoll(callback: () => void): Subscription {
+  const subscription = new Subscription();
+  const first = setImmediate(() => {
+    const second = setImmediate(callback);
+    subscription.add(() => clearImmediate(second));
+  });
+  subscription.add(() => clearImmediate(first));
+  return subscription;
+}
--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -1,9 +1,11 @@
 /** An attempt of a call whose response is buffered. */
 import type { Subscription } from 'rxjs';
+import type { LogFields } from '../common/log.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { Assignment } from './assignment.js';
-import type { BufferedResponse, ResponseHead } from './call.js';
+import type { BufferedResponse, Call, ResponseHead } from './call.js';
 import type { CallAttempt } from './callstate.js';
+import { fingerprintOf } from './fingerprint.js';
 import type { ResponseClass } from './responseclass.js';
 import { NO_LOAD } from './serverstate.js';
 import type { ServerEntry } from './serverentry.js';
@@ -33,6 +35,23 @@
   readonly misdirected?: boolean;
 }
 
+/** Log fields of an attempt that has failed. */
+export function failureFields(
+  call: Call,
+  { attempt }: LiveAttempt,
+  { ran, message }: AttemptFailure,
+): LogFields {
+  return {
+    request: call.id,
+    service: call.service.name,
+    server: attempt.server,
+    attempt: attempt.number,
+    ran,
+    reason: message,
+    fingerprint: ran === 'unknown' ? fingerprintOf(call) : undefined,
+  };
+}
+
 /** The whole response of an attempt that has ended. */
 export function bufferedResponse(
   { status, headers }: ResponseHead,
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -1,7 +1,7 @@
 /** Relays a call whose response is buffered: performs the effects of its state transitions. */
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
-import { bufferedResponse, ONE_REQUEST } from './bufferedattempt.js';
+import { bufferedResponse, failureFields, ONE_REQUEST } from './bufferedattempt.js';
 import type { AttemptFailure, LiveAttempt } from './bufferedattempt.js';
 import type { Call } from './call.js';
 import { callState, callTransition } from './callstate.js';
@@ -11,7 +11,6 @@
 import { quarantineRefusal, recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
-import { fingerprintOf } from './fingerprint.js';
 import { Handover } from './handover.js';
 import { classifyResponse } from './responseclass.js';
 import {
@@ -111,6 +110,10 @@
     } = this.#context;
     const { service } = this.#call;
     const now = scheduler.now();
+    if (remainingMs(this.#call, this.#context) <= 0) {
+      this.#apply({ kind: 'expired' });
+      return;
+    }
     if (this.#rejectQuarantined()) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
@@ -218,6 +221,9 @@
       case 'end':
         if (live.head) this.#onResponseEnd(live, live.head);
         break;
+      case 'unsent':
+        this.#onFailure(number, { ran: 'no', message: event.message });
+        break;
       case 'failed':
         if (event.ran === 'no') fleet.markSuspect(server, event.message);
         else this.#recordBroken(live);
@@ -270,15 +276,7 @@
     this.#release(number);
     const { server } = live.attempt;
     if (ran === 'unknown') this.#context.fleet.recordOutcome(server, true);
-    this.#context.log.event('info', 'attempt_failed', {
-      request: this.#call.id,
-      service: this.#call.service.name,
-      server,
-      attempt: number,
-      ran,
-      reason: message,
-      fingerprint: ran === 'unknown' ? fingerprintOf(this.#call) : undefined,
-    });
+    this.#context.log.event('info', 'attempt_failed', failureFields(this.#call, live, failure));
     const arrival = failure.misdirected ? 'other_server' : 'server';
     this.#apply({
       kind: 'failed',
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -1,13 +1,11 @@
 /** The relay daemon: builds its supervisor tree from its settings and the platform's adapter. */
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
 import type { Observable, SchedulerLike } from 'rxjs';
 import { listenerOf } from '../common/listeners.js';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
 import { childOfSubscription, Supervisor } from '../common/supervisor.js';
 import type { Child } from '../common/supervisor.js';
-import { applyHeadLimits } from '../entry/httpserver.js';
 import { Drain } from '../entry/drain.js';
 import { RetryWindows } from '../limits/retrywindow.js';
 import { MeteredReader } from '../store/meteredreader.js';
@@ -85,8 +83,6 @@
 
   readonly #relayContext: RelayContext;
 
-  #callers: Server | undefined;
-
   readonly #reach: Reach;
 
   readonly #forwarding: Forwarding;
@@ -192,8 +188,7 @@
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
       // A refused connection goes elsewhere; a request accepted now might not complete in time.
-      this.#callers?.close();
-      this.#callers?.closeIdleConnections();
+      this.#frontend.close();
     });
     this.#storeFeed = this.#createStoreFeed();
     this.#frontend = Frontend.of({
@@ -227,15 +222,15 @@
     const children: Child[] = [
       childOfSubscription('store', () => this.#storeFeed.run.subscribe()),
       { name: 'peers', run: this.#peers.run },
+      childOfSubscription('frontend', () => this.#frontend.start()),
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
       childOfSubscription('origins', () => this.#origins.start()),
       childOfSubscription('reach', () => this.#reach.start()),
       childOfSubscription('quarantines', () => this.#quarantines.start()),
-      listenerOf('callers', settings.callers, () => this.#createCallers()),
-      listenerOf('readiness', settings.readiness, () => createServer((_, res) => {
-        res.writeHead(this.ready ? 200 : 503).end();
-      })),
+      listenerOf('callers', settings.callers, () => this.#frontend.createServer()),
+      listenerOf('readiness', settings.readiness, () => createServer((_, res) => (
+        res.writeHead(this.ready ? 200 : 503).end()))),
       deferredListeners({
         ...this.#context,
         meter: this.#meter,
@@ -266,20 +261,9 @@
     });
   }
 
-  #createCallers(): Server {
-    this.#callers = this.#frontend.createServer();
-    this.#applyHeadLimits();
-    return this.#callers;
-  }
-
   #applyConfiguration(configuration: RelayConfiguration, from: string): void {
     this.#activeConfiguration.adopt(configuration, from);
-    this.#applyHeadLimits();
-  }
-
-  #applyHeadLimits(): void {
-    const heads = this.#activeConfiguration.routes?.configuration.heads;
-    if (this.#callers && heads) applyHeadLimits(this.#callers, heads);
+    this.#frontend.applyHeadLimits();
   }
 
   #gauges(): RelayGauges {
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -9,7 +9,7 @@
 import { Observable, Subscription } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
-import { afterPendingInput } from '../common/time.js';
+import { afterNextPoll, afterPendingInput } from '../common/time.js';
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
 import type { RawHeaders } from './dialect.js';
 import type { KeepAliveAgent } from './keepaliveagent.js';
@@ -33,17 +33,21 @@
   readonly reuse: boolean;
   /** Limit on the length of the response's body; undefined if it has none. */
   readonly maxBodyBytes?: number | undefined;
+  /** When the request is no longer worth sending, by the scheduler's clock; never by default. */
+  readonly expiresAt?: number | undefined;
 }
 
 /**
- * `failed` with `ran: 'no'` means that no byte of the request was sent. No event follows `end` or
- * `failed`.
+ * `failed` with `ran: 'no'` means that no byte of the request was sent. `unsent` means the same and
+ * says nothing of the server: the deadline passed first, or a kept connection had been closed. No
+ * event follows `end`, `failed` or `unsent`.
  */
 export type ExchangeEvent =
   | { readonly kind: 'sent'; readonly reused: boolean }
   | { readonly kind: 'head'; readonly status: number; readonly headers: RawHeaders }
   | { readonly kind: 'piece'; readonly bytes: Buffer }
   | { readonly kind: 'end' }
+  | { readonly kind: 'unsent'; readonly message: string }
   | { readonly kind: 'failed'; readonly ran: 'no' | 'unknown'; readonly message: string };
 
 interface ResponseListener {
@@ -84,11 +88,12 @@
 ): Observable<ExchangeEvent> {
   return new Observable((subscriber) => {
     const timers = new Subscription();
-    const { maxBodyBytes = Infinity } = outgoing;
+    const { maxBodyBytes = Infinity, expiresAt = Infinity } = outgoing;
     let sent = false;
     let ended = false;
     let bodyLength = 0;
     let stopCounting: () => void = () => undefined;
+    let reading = Subscription.EMPTY;
     const options = {
       ...parseHostPort(outgoing.address),
       method: outgoing.method,
@@ -101,19 +106,30 @@
       : httpRequest({ ...options, agent: false });
     const emit = (event: ExchangeEvent) => {
       if (ended) return;
-      ended = event.kind === 'end' || event.kind === 'failed';
+      ended = event.kind === 'end' || event.kind === 'failed' || event.kind === 'unsent';
       subscriber.next(event);
       if (ended) subscriber.complete();
     };
     const fail = (message: string) => {
-      emit({ kind: 'failed', ran: sent ? 'unknown' : 'no', message });
+      if (!sent && request.reusedSocket) emit({ kind: 'unsent', message });
+      else emit({ kind: 'failed', ran: sent ? 'unknown' : 'no', message });
       request.destroy();
     };
-    const onConnected = () => {
+    const sendRequest = () => {
+      if (scheduler.now() >= expiresAt) {
+        emit({ kind: 'unsent', message: 'the deadline passed before the request was sent' });
+        request.destroy();
+        return;
+      }
       sent = true;
+      emit({ kind: 'sent', reused: request.reusedSocket });
+      request.end(outgoing.body);
+    };
+    const onConnected = () => {
       timers.unsubscribe();
       if (!request.reusedSocket) outgoing.agent.connectionOpened();
-      emit({ kind: 'sent', reused: request.reusedSocket });
+      // That the caller has left, or the server has closed the connection, may not be read yet.
+      reading = afterNextPoll(sendRequest);
     };
     timers.add(afterPendingInput(CONNECT_TIMEOUT_MS, scheduler, () => (
       fail('the connection attempt timed out'))));
@@ -140,9 +156,9 @@
         fail,
       });
     });
-    request.end(outgoing.body);
     return () => {
       timers.unsubscribe();
+      reading.unsubscribe();
       if (!ended) request.destroy();
       ended = true;
     };
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -118,6 +118,7 @@
       body: this.#call.body,
       // An instance that restarts closes connections on which a call that may run once would wait.
       reuse: this.#call.route.repeat === 'safe',
+      expiresAt: this.#call.deadlineAt,
     }, scheduler).subscribe((event) => this.#onEvent(event));
   }
 
@@ -133,6 +134,9 @@
       case 'end':
         if (this.#head) this.#onEnd(this.#head);
         break;
+      case 'unsent':
+        this.#onFailure('no', event.message);
+        break;
       case 'failed':
         this.#onFailure(event.ran, event.message);
         break;
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -2,10 +2,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { Subscription } from 'rxjs';
 import type { Drain } from '../entry/drain.js';
 import { logAnswer } from '../entry/accesslog.js';
 import { readBody } from '../entry/body.js';
-import { createCallerServer } from '../entry/httpserver.js';
+import { applyHeadLimits, createCallerServer } from '../entry/httpserver.js';
 import { bodyOf, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
 import { BufferedRelay } from './bufferedrelay.js';
@@ -16,6 +17,7 @@
   outcomeHeaders, readForwarded, withoutForwardHeaders,
 } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
+import { InputDelay } from './inputdelay.js';
 import { RouteTable } from './routes.js';
 import type { Target } from './routes.js';
 import { StreamRelay } from './streamrelay.js';
@@ -77,17 +79,42 @@
 export class Frontend {
   readonly #context: FrontendContext;
 
+  readonly #inputDelay: InputDelay;
+
+  #server: Server | undefined;
+
   private constructor(context: FrontendContext) {
     this.#context = context;
+    this.#inputDelay = InputDelay.of(context.scheduler);
   }
 
   static of(context: FrontendContext): Frontend {
     return new Frontend(context);
   }
 
+  /** Measures how late requests are read until the subscription ends. */
+  start(): Subscription {
+    return this.#inputDelay.start();
+  }
+
   /** The server for callers. */
   createServer(): Server {
-    return createCallerServer((req, res) => this.#onRequest(req, res, undefined));
+    this.#server = createCallerServer((req, res) => this.#onRequest(req, res, undefined))
+      .on('connection', (socket) => this.#inputDelay.accepted(socket));
+    this.applyHeadLimits();
+    return this.#server;
+  }
+
+  /** Applies the limits of the configuration in force to new connections and open ones. */
+  applyHeadLimits(): void {
+    const heads = this.#context.routes()?.configuration.heads;
+    if (this.#server && heads) applyHeadLimits(this.#server, heads);
+  }
+
+  /** Accepts no more connections, and closes those without a request. */
+  close(): void {
+    this.#server?.close();
+    this.#server?.closeIdleConnections();
   }
 
   /** Handles a request that another instance forwards. */
@@ -100,7 +127,7 @@
     res: ServerResponse,
     forwarded: ForwardedRequest | undefined,
   ): void {
-    const receivedAt = this.#context.scheduler.now();
+    const receivedAt = this.#inputDelay.arrivedAt(req.socket);
     // `close` reports a broken connection; an `error` without a listener would end the process.
     req.on('error', () => undefined);
     res.on('error', () => undefined);
@@ -216,8 +243,12 @@
     const onCallerGone = call.route.delivery === 'events'
       ? StreamRelay.start(call, caller, this.#context)
       : BufferedRelay.start(call, caller, this.#context);
+    // The response closes some rounds of the event loop after its caller's end has been read.
+    const { socket } = res.req;
+    socket.once('end', onCallerGone);
     const answered = { request: call.id, route: call.route.name, receivedAt: call.receivedAt };
     logAnswer(res, answered, this.#context, ({ status, whole, ms }) => {
+      socket.off('end', onCallerGone);
       if (!whole) onCallerGone();
       const { delivery } = call.route;
       meter.record({
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -2,8 +2,9 @@
  * Identifies a server that could not be reached, once it accepts connections again: after a restart
  * it counts as another server, even at the same address.
  */
-import { firstValueFrom, filter, timeout } from 'rxjs';
+import { firstValueFrom, filter, takeUntil } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { pendingInput } from '../common/time.js';
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import { exchange } from './exchange.js';
@@ -56,7 +57,7 @@
     reuse: false,
   }, scheduler).pipe(
     filter((event) => event.kind === 'head' || event.kind === 'failed'),
-    timeout({ first: HEALTH_TIMEOUT_MS, scheduler }),
+    takeUntil(pendingInput(HEALTH_TIMEOUT_MS, scheduler)),
   );
   return firstValueFrom(response).then((event): Identity => {
     if (event.kind !== 'head') return { kind: 'unreached' };
--- a/src/relay/reach.ts
+++ b/src/relay/reach.ts
@@ -13,6 +13,8 @@
 import type { ServerState } from './serverstate.js';
 
 const TICK_MS = 100;
+/** A longer gap means that this process was paused, and has not read what servers sent since. */
+const MAX_TICK_GAP_MS = 200;
 /** Servers asked at once: more than one, as one alone may be silent for reasons of its own. */
 const PROBED_SERVERS = 3;
 /** Shortest time between two questions; health checks take a slot of a server. */
@@ -59,7 +61,13 @@
 
   /** Checks the requests that wait until the subscription ends. */
   start(): Subscription {
-    return interval(TICK_MS, this.#context.scheduler).subscribe(() => this.#check());
+    const { scheduler } = this.#context;
+    let tickedAt = scheduler.now();
+    return interval(TICK_MS, scheduler).subscribe(() => {
+      const gapMs = scheduler.now() - tickedAt;
+      tickedAt = scheduler.now();
+      if (gapMs <= MAX_TICK_GAP_MS) this.#check();
+    });
   }
 
   /** Watches a request until the returned function is called. */
--- a/src/relay/serverrequest.ts
+++ b/src/relay/serverrequest.ts
@@ -1,5 +1,6 @@
 /** Builds the request to a backend server for one attempt of a call. */
 import { endToEnd } from '../entry/upstream.js';
+import type { AttemptOptions, AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
 import { remainingMs } from './context.js';
@@ -7,6 +8,9 @@
 import type { OutgoingRequest } from './exchange.js';
 import type { ServerEntry } from './serverentry.js';
 
+/** Id of a stream's first event. */
+export const FIRST_EVENT_ID = 1;
+
 const BODY_HEADERS: readonly string[] = ['content-length'];
 
 export interface AttemptTarget {
@@ -16,6 +20,20 @@
   readonly goOnFrom?: ForwardedFields['goOnFrom'];
 }
 
+/** What an attempt of a stream asks of its engine. */
+export function streamTarget(
+  { id }: Call,
+  { server, standby, resumesFromCopy }: AttemptPlan,
+  { from, reconnecting }: AttemptOptions,
+): AttemptTarget {
+  return {
+    server,
+    lastEvent: from > 0 || reconnecting ? from - 1 + FIRST_EVENT_ID : undefined,
+    standby: standby?.address,
+    goOnFrom: resumesFromCopy ? { address: server.address, run: id } : undefined,
+  };
+}
+
 export function serverRequest(
   call: Call,
   target: AttemptTarget,
@@ -40,5 +58,6 @@
     headers: empty ? headers : [...headers, 'Content-Length', String(call.body.length)],
     body: call.body,
     reuse: true,
+    expiresAt: call.deadlineAt,
   };
 }
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -13,14 +13,11 @@
 import type { ExchangeEvent } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
 import { requiredMemory } from './selection.js';
-import { serverRequest } from './serverrequest.js';
+import { FIRST_EVENT_ID, serverRequest, streamTarget } from './serverrequest.js';
 import type { ServerEntry } from './serverentry.js';
 import { overdueMs } from './silence.js';
 import { NO_LOAD } from './serverstate.js';
 
-/** Id of a stream's first event. */
-export const FIRST_EVENT_ID = 1;
-
 /** The rest of a failure's body is not waited for. */
 const MAX_FAILURE_BYTES = 65_536;
 
@@ -118,10 +115,8 @@
     const {
       fleet, throttles, scheduler, silence, reach,
     } = this.#context;
-    const {
-      server, standby, resumesFromCopy, prefillTokens,
-    } = this.#plan;
-    const { from, demand } = this.#options;
+    const { server, standby, prefillTokens } = this.#plan;
+    const { demand } = this.#options;
     const memory = requiredMemory(demand);
     this.#startedAt = scheduler.now();
     this.#assignments.push(fleet.assign(server.id, {
@@ -129,12 +124,8 @@
     }));
     if (standby) this.#assignments.push(fleet.assign(standby.id, { ...NO_LOAD, standby: memory }));
     throttles.take(server);
-    const outgoing = serverRequest(this.#call, {
-      server,
-      lastEvent: from > 0 || this.#options.reconnecting ? from - 1 + FIRST_EVENT_ID : undefined,
-      standby: standby?.address,
-      goOnFrom: resumesFromCopy ? { address: server.address, run: this.#call.id } : undefined,
-    }, this.#context);
+    const target = streamTarget(this.#call, this.#plan, this.#options);
+    const outgoing = serverRequest(this.#call, target, this.#context);
     this.#subscriptions.add(silence.watch({
       server: server.id,
       activity: () => ({
@@ -181,6 +172,9 @@
       case 'end':
         this.#onEnd();
         break;
+      case 'unsent':
+        this.#fail('no', event.message);
+        break;
       case 'failed':
         if (event.ran === 'unknown') this.#recordBroken();
         fleet.markSuspect(server.id, event.message);
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -26,9 +26,7 @@
 import { StreamRecorder } from './streamrecorder.js';
 import { StreamRelease } from './streamrelease.js';
 import { lastWritten, streamState } from './streamstate.js';
-import { prepareTakeUp } from './takeup.js';
-
-const UNKNOWN_ORIGIN_MESSAGE = 'the software version that began the stream is not known';
+import { prepareTakeUp, UNKNOWN_ORIGIN_MESSAGE } from './takeup.js';
 
 const noCachedTokens = () => 0;
 
@@ -176,6 +174,10 @@
 
   #assign(exclude: readonly string[]): void {
     const { service } = this.#call;
+    if (remainingMs(this.#call, this.#context) <= 0) {
+      this.#apply({ kind: 'expired', message: 'the deadline has passed' });
+      return;
+    }
     if (!service.engine) {
       this.#unassignable('the service has no engines');
       return;
--- a/src/relay/streamstate.ts
+++ b/src/relay/streamstate.ts
@@ -2,7 +2,7 @@
 import { generationState } from '../generation/state.js';
 import type { GenerationState } from '../generation/state.js';
 import type { Call } from './call.js';
-import { FIRST_EVENT_ID } from './streamattempt.js';
+import { FIRST_EVENT_ID } from './serverrequest.js';
 
 /** Limit on consecutive attempts without an event, most of which reach no engine at all. */
 const MAX_ATTEMPTS_WITHOUT_EVENT = 12;
--- a/src/relay/takeup.ts
+++ b/src/relay/takeup.ts
@@ -12,6 +12,8 @@
 import type { Origin } from './streamorigins.js';
 import { VERSION_MEMORY_MS } from './versionhistory.js';
 
+export const UNKNOWN_ORIGIN_MESSAGE = 'the software version that began the stream is not known';
+
 /** Who told the version: an instance's record, the engines, or the lack of any other version. */
 export type OriginSource = 'record' | 'engines' | 'sole_version';
 
