Don't take connections that a partition resets for crashes of servers

Cause: a broken connection to a server that then couldn't be reached counted as a crash.

Requests kept for an unconfirmed crash are bounded (32).

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -14,6 +14,7 @@
 import { CachedPrompts } from './cachedprompts.js';
 import { Connections } from './connections.js';
 import type { RelayContext } from './context.js';
+import { CrashCheck } from './crashcheck.js';
 import { deferredListeners } from './deferredlisteners.js';
 import { Fleet } from './fleet.js';
 import { Forwarding } from './forwarding.js';
@@ -136,7 +137,9 @@
       hasSeeds: settings.seeds.some((ip) => ip !== settings.ip && ip !== ''),
       peers: () => ({ heard: this.#peers.alive, idle: (entry) => this.#peers.idle(entry) }),
     });
-    this.#quarantines = Quarantines.of({ ...shared, identity });
+    this.#quarantines = Quarantines.of({
+      ...shared, crashCheck: CrashCheck.of({ ...shared, fleet: this.#fleet, identity }),
+    });
     this.#origins = StreamOrigins.of({
       ...shared,
       servers: () => this.#fleet.servers,
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -19,17 +19,18 @@
 import type { Quarantine } from '../limits/quarantine.js';
 import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
+import type { CrashCheck } from './crashcheck.js';
 import { CrashNews } from './crashnews.js';
 import type { CrashReport } from './crashnews.js';
 import type { RequestFields } from './dialect.js';
 import { fingerprintOf } from './fingerprint.js';
-import { identify } from './identity.js';
-import type { Identity, IdentityContext } from './identity.js';
 import type { ServerEntry } from './serverentry.js';
 
 const EXPIRY_INTERVAL_MS = 1_000;
 /** Parts, and requests, whose last answer is remembered. */
 const MAX_ANSWERED = 4_096;
+/** Requests that are kept for a server whose crash is not confirmed yet. */
+const MAX_UNCONFIRMED = 32;
 /** Why a request must not be sent to an engine, and the inputs of that decision for the log. */
 export interface Rejection { readonly refusal: Refusal; readonly inputs: LogFields }
 
@@ -42,7 +43,7 @@
   readonly scheduler: SchedulerLike;
   readonly random: Random;
   readonly log: Log;
-  readonly identity: IdentityContext;
+  readonly crashCheck: Pick<CrashCheck, 'hasCrashed'>;
   /** Called when other instances should learn of a change soon. */
   readonly onUrgentChange: () => void;
 }
@@ -67,16 +68,6 @@
   }
 }
 
-/** Whether a server whose connection broke is down, or another process has taken its place. */
-function hasCrashed(server: ServerEntry, identity: Identity): boolean {
-  switch (identity.kind) {
-    case 'unreached': return true;
-    case 'reached':
-    case 'silent': return false;
-    case 'known': return identity.id !== server.id;
-  }
-}
-
 export class Quarantines {
   readonly #context: QuarantineContext;
 
@@ -182,12 +173,12 @@
     };
     const unconfirmed = this.#unconfirmed.get(server.id);
     if (unconfirmed) {
-      unconfirmed.push(lost);
+      if (unconfirmed.length < MAX_UNCONFIRMED) unconfirmed.push(lost);
       return;
     }
     this.#unconfirmed.set(server.id, [lost]);
-    identify(server, this.#context.identity).then((identity) => {
-      if (hasCrashed(server, identity)) this.#recordCrash(server.id);
+    this.#context.crashCheck.hasCrashed(server).then((crashed) => {
+      if (crashed) this.#recordCrash(server.id);
     }, (error: unknown) => {
       const reason = String(error);
       this.#context.log.event('error', 'probe_failed', { server: server.id, reason });
--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -95,6 +95,12 @@
     }, ms);
   }
 
+  /** Listens again after a crash, as a process with another id. */
+  async restartAs(id: string): Promise<void> {
+    (this.options as { id: string }).id = id;
+    await this.start();
+  }
+
   /** Crashes and doesn't start again. */
   end(): void {
     this.#hasEnded = true;
