Tests: sound servers that are silent for a second

Played now: four servers of which one or all accept connections and send nothing for 1.2 s, beside 40 plain calls or 20 streams.

TCP_USER_TIMEOUT, from a trace of the system calls of Node 20.20.2 (libuv 1.46): an HTTP agent with keep-alive sets SO_KEEPALIVE with TCP_KEEPIDLE 1 s, TCP_KEEPINTVL 1 s and TCP_KEEPCNT 10, nothing sets TCP_USER_TIMEOUT. Probes that nobody answers reset a connection after 11 s, so they decide nothing within a silence of a second.

--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { buffer } from 'node:stream/consumers';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 export interface RelayEngineOptions {
   readonly id: string;
@@ -52,6 +53,8 @@
 
   #hasEnded = false;
 
+  #silentUntil = 0;
+
   private constructor(options: RelayEngineOptions, peers: readonly RelayEngine[]) {
     this.options = options;
     this.#peers = peers;
@@ -95,6 +98,16 @@
     }, ms);
   }
 
+  /** Accepts connections and sends nothing for a while, then goes on. */
+  silence(ms: number): void {
+    this.#silentUntil = performance.now() + ms;
+  }
+
+  async #untilAudible(): Promise<void> {
+    const ms = this.#silentUntil - performance.now();
+    if (ms > 0) await sleep(ms);
+  }
+
   /** Listens again after a crash, as a process with another id. */
   async restartAs(id: string): Promise<void> {
     (this.options as { id: string }).id = id;
@@ -123,6 +136,7 @@
   async #handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { id } = this.options;
     this.requests.push(req);
+    await this.#untilAudible();
     if (req.url === '/health') {
       res.writeHead(200, { 'x-server': id }).end();
       return;
@@ -160,7 +174,9 @@
     const standby = this.#peers.find(({ address }) => address === req.headers['x-standby']);
     let event = Number(req.headers['x-last'] ?? 0) + 1;
     this.runs.push(`${run}@${event}${copyLocation === undefined ? '' : ' copy'}`);
-    const sendEvent = () => {
+    const sendEvent = async () => {
+      await sleep(stepMs);
+      await this.#untilAudible();
       if (res.destroyed) {
         this.cancelled.push(run);
         return;
@@ -173,8 +189,8 @@
       standby?.storeCopy(run);
       event += 1;
       if (event > events) res.end();
-      else setTimeout(sendEvent, stepMs);
+      else await sendEvent();
     };
-    setTimeout(sendEvent, stepMs);
+    sendEvent().catch(() => res.destroy());
   }
 }
