--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -164,6 +164,7 @@
       origins: this.#origins,
       reach: this.#reach,
       retries: this.#retries,
+      meter: this.#meter,
       storeFeed: () => this.#storeFeed,
     });
     this.#relayContext = {
--- a/src/relay/forwardedrequest.ts
+++ b/src/relay/forwardedrequest.ts
@@ -3,9 +3,11 @@
 import type { Refusal } from '../common/refusal.js';
 import type { Call } from './call.js';
 import type { RawHeaders } from './dialect.js';
+import { PROTOCOL } from './protocol.js';
 
 const PREFIX = 'shallotshunt-forward-';
 const BY = `${PREFIX}by`;
+const VERSION = `${PREFIX}protocol`;
 const LEFT_MS = `${PREFIX}left-ms`;
 const ATTEMPTS = `${PREFIX}attempts`;
 const LAST_EVENT = `${PREFIX}last-event`;
@@ -70,6 +72,7 @@
     ...withoutForwardHeaders(endToEnd(headers, ['content-length'])),
     'Content-Length', String(body.length),
     BY, by,
+    VERSION, String(PROTOCOL),
     LEFT_MS, String(Math.max(1, Math.floor(leftMs))),
     ATTEMPTS, String(attempts),
     ...lastEvent === undefined ? [] : [LAST_EVENT, String(lastEvent)],
--- /dev/null
+++ b/src/relay/localmessage.ts
@@ -0,0 +1,87 @@
+/** Builds the message in which this instance tells the others what it knows. */
+import type { Random } from '../common/random.js';
+import type { CrashReport } from './crashnews.js';
+import {
+  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin,
+} from './peermessage.js';
+import type { PeerMessage } from './peermessage.js';
+import { PROTOCOL } from './protocol.js';
+import type { ServerState } from './serverstate.js';
+import type { OriginReport } from './streamorigins.js';
+import type { ThrottleReport } from './throttles.js';
+
+/** Maximum number of entries in each list of servers in a message. */
+const MAX_LISTED = 16;
+/** Maximum number of peers in a message. */
+const MAX_PEERS_LISTED = 12;
+
+/** The state of this instance that its messages carry. */
+export interface LocalState {
+  readonly configuration: number;
+  readonly copies: PeerMessage['copies'];
+  readonly servers: readonly ServerState[];
+  readonly successors: readonly (readonly [string, string])[];
+  readonly crashes: readonly CrashReport[];
+  readonly limits: readonly ThrottleReport[];
+  readonly origins: readonly OriginReport[];
+  readonly sought: readonly string[];
+  /** Services of which this instance reaches no server. */
+  readonly unreached: readonly string[];
+  /** Whether nothing that this instance believes of a service's servers should be told. */
+  readonly isSilent: (service: string) => boolean;
+}
+
+/**
+ * Up to `count` consecutive items from a random start, so that several messages together carry a
+ * list that is too long for one.
+ */
+function randomWindow<Item>(
+  items: readonly Item[],
+  count: number,
+  random: Random,
+): readonly Item[] {
+  if (items.length <= count) return items;
+  const start = random.integer(0, items.length - 1);
+  return [...items.slice(start), ...items.slice(0, start)].slice(0, count);
+}
+
+function processes(servers: readonly ServerState[], random: Random): PeerMessage['gone'] {
+  return randomWindow(servers, MAX_LISTED, random)
+    .map(({ entry }) => [entry.id, entry.startedAt]);
+}
+
+/** @param alive IP addresses of the live peers */
+export function localMessage(
+  ip: string,
+  {
+    configuration, copies, servers, successors, crashes, limits, origins, sought, unreached,
+    isSilent,
+  }: LocalState,
+  alive: readonly string[],
+  random: Random,
+): PeerMessage {
+  const told = servers.filter(({ entry }) => !isSilent(entry.service));
+  const busy = told.filter((server) => (
+    server.ownLoad.running > 0 || server.ownLoad.standby > 0));
+  const leaving = servers.filter((server) => server.entry.state === 'leaving');
+  const suspect = told.filter((server) => (
+    server.health.kind === 'suspect' && server.expiresAt === undefined));
+  return {
+    ip,
+    protocol: PROTOCOL,
+    configuration,
+    copies,
+    loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
+    gone: processes(leaving, random),
+    suspect: processes(suspect, random),
+    successors: randomWindow(successors, MAX_LISTED, random)
+      .map(([previousId, id]) => [previousId, id]),
+    peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
+    ...encodeCrashes(crashes),
+    instances: alive.length + 1,
+    limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
+    origins: origins.map(encodeOrigin),
+    sought: [...sought],
+    unreached: [...unreached],
+  };
+}
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -35,6 +35,8 @@
   | { readonly kind: 'throttled' }
   /** A request that was sent to another instance, and how that ended. */
   | { readonly kind: 'forwarded'; readonly outcome: 'sent' | 'answered' | 'failed' }
+  /** A message of another instance, or a field of one, that can't be read. */
+  | { readonly kind: 'peer_unread'; readonly part: 'message' | 'field' }
   /** A request that was sent to another server. */
   | { readonly kind: 'retry' }
   /** A new connection to a server, for a request or for a check that it accepts connections. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -82,6 +82,12 @@
     'Requests for which every server was at its rate limit',
   );
 
+  readonly #peerUnread = this.#counter(
+    'peer_messages_unread_total',
+    'Messages of other instances, or fields of them, that could not be read',
+    ['part'],
+  );
+
   readonly #forwarded = this.#counter(
     'forwarded_total',
     'Requests sent to other instances, answered by them, or not',
@@ -219,6 +225,9 @@
       case 'throttled':
         this.#throttled.inc();
         break;
+      case 'peer_unread':
+        this.#peerUnread.inc({ part: measurement.part });
+        break;
       case 'forwarded':
         this.#forwarded.inc({ outcome: measurement.outcome });
         break;
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -7,6 +7,7 @@
 import type { AdvertisedLimits } from './advertisedlimits.js';
 import type { Fleet } from './fleet.js';
 import { Peers } from './peers.js';
+import type { Meter } from './meter.js';
 import type { Quarantines } from './quarantine.js';
 import type { Reach } from './reach.js';
 import type { RelaySettings } from './settings.js';
@@ -30,6 +31,7 @@
   readonly origins: StreamOrigins;
   readonly reach: Reach;
   readonly retries: RetryWindows;
+  readonly meter: Meter;
   readonly storeFeed: () => StoreFeed;
 }
 
@@ -56,7 +58,7 @@
 export function createPeers(context: PeerExchangeContext): Peers {
   const {
     settings, scheduler, random, log, activeConfiguration, fleet, limits, throttles, quarantines,
-    origins, reach, retries, storeFeed,
+    origins, reach, retries, storeFeed, meter,
   } = context;
   const requestSnapshot = snapshotRequest(context);
   return Peers.of({
@@ -82,6 +84,7 @@
         throttles.countInstances(count);
       },
       onReportedCount: (count) => throttles.adoptCount(count),
+      onUnread: (part) => meter.record({ kind: 'peer_unread', part }),
     },
     localState: () => ({
       configuration: activeConfiguration.version,
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -3,6 +3,9 @@
  * load that the sender has assigned to backend servers, the servers it knows to be leaving or can't
  * reach, how current its copies of the store's objects are, and the other daemons it knows. A lost
  * or late message only delays the receiver's view of the load.
+ *
+ * Builds of different ages read each other's messages: unknown fields and further values in an
+ * entry are ignored, and a field that can't be read is left out alone.
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -10,6 +13,7 @@
 import { IPV4 } from '../common/address.js';
 import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
+import { OLDEST_PROTOCOL } from './protocol.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
 
@@ -19,37 +23,38 @@
 const COUNT = z.number().min(0);
 const REPORT = z.object({ newestChange: COUNT, ageMs: COUNT }).optional();
 /** A crash as instances tell it, in the order of `CrashReport`; null for a part without answer. */
+const ANSWER = z.tuple([z.string(), COUNT.nullable()], z.unknown());
 const CRASH = z.tuple([
-  z.string(), COUNT, z.boolean(), z.array(z.tuple([z.string(), COUNT.nullable()])),
-  z.array(z.string()),
-]);
+  z.string(), COUNT, z.boolean(), z.array(ANSWER), z.array(z.string()),
+], z.unknown());
 /**
  * The requests of the crash at the same place in `crashes`, each with the age of its last answer,
  * and the time since the server was last seen to run before it.
  */
-const CRASH_REQUESTS = z.tuple([
-  COUNT.nullable(), z.array(z.tuple([z.string(), COUNT.nullable()])),
-]);
+const CRASH_REQUESTS = z.tuple([COUNT.nullable(), z.array(ANSWER)], z.unknown());
 /** A rate limit in the order of `ThrottleReport`; null for a server that names none any more. */
-const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()]);
+const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()], z.unknown());
 /** A stream and the software version that began it; null if that is ambiguous. */
-const ORIGIN = z.tuple([z.string(), z.string().nullable()]);
+const ORIGIN = z.tuple([z.string(), z.string().nullable()], z.unknown());
+/** A server and the start time of its process. */
+const PROCESS = z.tuple([z.string(), z.number()], z.unknown());
 const MESSAGE = z.object({
   /** The sender's IP address. */
   ip: z.string().regex(IPV4),
+  protocol: z.number().int().min(OLDEST_PROTOCOL).default(OLDEST_PROTOCOL),
   /** Version of the active configuration; 0 before one is known. */
-  configuration: z.number(),
+  configuration: z.number().default(0),
   /** The sender's copies of the store's objects; empty from daemons that don't report them. */
   copies: z.object({ configuration: REPORT, servers: REPORT }).default({}),
   /** By server: runs, prompt tokens to prefill, memory tokens, standby tokens. */
-  loads: z.record(z.string(), z.tuple([COUNT, COUNT, COUNT, COUNT])),
-  /** Leaving servers, each with the start time of its process. */
-  gone: z.array(z.tuple([z.string(), z.number()])),
-  /** Servers that the sender can't reach, each with the start time of its process. */
-  suspect: z.array(z.tuple([z.string(), z.number()])),
+  loads: z.record(z.string(), z.tuple([COUNT, COUNT, COUNT, COUNT], z.unknown())).default({}),
+  /** Leaving servers. */
+  gone: z.array(PROCESS).default([]),
+  /** Servers that the sender can't reach. */
+  suspect: z.array(PROCESS).default([]),
   /** Restarted servers, each with its previous and its new id. */
-  successors: z.array(z.tuple([z.string(), z.string()])),
-  peers: z.array(z.string()),
+  successors: z.array(z.tuple([z.string(), z.string()], z.unknown())).default([]),
+  peers: z.array(z.string()).default([]),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
   crashes: z.array(CRASH).default([]),
   /** Empty from daemons that don't report them. */
@@ -68,6 +73,12 @@
 
 export type PeerMessage = z.infer<typeof MESSAGE>;
 
+export interface DecodedMessage {
+  readonly message: PeerMessage;
+  /** Fields that can't be read, and are left out. */
+  readonly unread: readonly string[];
+}
+
 export function encodeLoad({
   running, prefillTokens, memoryTokens, standby,
 }: Load): [number, number, number, number] {
@@ -80,17 +91,14 @@
 }
 
 export function decodeLoad(
-  [running, prefillTokens, memoryTokens, standby]: readonly number[],
+  [running, prefillTokens, memoryTokens, standby]: PeerMessage['loads'][string],
 ): Load {
   return {
-    running: running ?? 0,
-    prefillTokens: prefillTokens ?? 0,
-    memoryTokens: memoryTokens ?? 0,
-    standby: standby ?? 0,
+    running, prefillTokens, memoryTokens, standby,
   };
 }
 
-type EncodedAnswers = [string, number | null][];
+type EncodedAnswers = z.infer<typeof ANSWER>[];
 
 function encodeAnswers(answers: readonly AnswerReport[]): EncodedAnswers {
   return answers.map(({ subject, answerAgeMs }) => [subject, answerAgeMs ?? null]);
@@ -193,13 +201,18 @@
   return shorter ? encodeMessage(shorter) : bytes;
 }
 
-export function decodeMessage(bytes: Buffer): Result<PeerMessage, string> {
+export function decodeMessage(bytes: Buffer): Result<DecodedMessage, string> {
   let value: unknown;
   try {
     value = JSON.parse(bytes.toString('utf8'));
   } catch (error) {
     return err(String(error));
   }
-  const parsed = MESSAGE.safeParse(value);
-  return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
+  const whole = MESSAGE.safeParse(value);
+  if (whole.success) return ok({ message: whole.data, unread: [] });
+  const unread = [...new Set(whole.error.issues.map(({ path }) => String(path[0])))];
+  const rest = MESSAGE.safeParse(Object.fromEntries(
+    Object.entries(value ?? {}).filter(([field]) => !unread.includes(field)),
+  ));
+  return rest.success ? ok({ message: rest.data, unread }) : err(z.prettifyError(whole.error));
 }
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -7,14 +7,16 @@
 import type { SchedulerLike, Subscription } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
+import { localMessage } from './localmessage.js';
+import type { LocalState } from './localmessage.js';
 import {
-  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, encodeCrashes, encodeLimit,
-  encodeLoad, encodeMessage, encodeOrigin,
+  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, encodeMessage, encodeOrigin,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
 import type { CrashReport } from './crashnews.js';
 import type { ServerEntry } from './serverentry.js';
-import type { Load, ServerState } from './serverstate.js';
+import type { Load } from './serverstate.js';
+import { PROTOCOL } from './protocol.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
 
@@ -28,14 +30,12 @@
 const PEER_TIMEOUT_MS = 1_500;
 /** Peers other than seeds are removed after this time without a message. */
 const PEER_EVICTION_MS = 30_000;
-/** Maximum number of entries in each list of servers in a message. */
-const MAX_LISTED = 16;
-/** Maximum number of peers in a message. */
-const MAX_PEERS_LISTED = 12;
 
 interface Peer {
   readonly heardAt: number;
   readonly message: PeerMessage | undefined;
+  /** What could not be read of its last message, so that it is logged once. */
+  readonly unread?: string | undefined;
 }
 
 export interface PeerListener {
@@ -59,6 +59,8 @@
   onInstanceCount(count: number): void;
   /** The number of live instances as another instance counts them. */
   onReportedCount(count: number): void;
+  /** A message, or some fields of one, can't be read. */
+  onUnread(part: 'message' | 'field'): void;
 }
 
 export interface PeersContext {
@@ -69,35 +71,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly listener: PeerListener;
-  /** The state of this instance that its messages carry. */
-  readonly localState: () => {
-    readonly configuration: number;
-    readonly copies: PeerMessage['copies'];
-    readonly servers: readonly ServerState[];
-    readonly successors: readonly (readonly [string, string])[];
-    readonly crashes: readonly CrashReport[];
-    readonly limits: readonly ThrottleReport[];
-    readonly origins: readonly OriginReport[];
-    readonly sought: readonly string[];
-    /** Services of which this instance reaches no server. */
-    readonly unreached: readonly string[];
-    /** Whether nothing that this instance believes of a service's servers should be told. */
-    readonly isSilent: (service: string) => boolean;
-  };
-}
-
-/**
- * Up to `count` consecutive items from a random start, so that several messages together carry a
- * list that is too long for one.
- */
-function randomWindow<Item>(
-  items: readonly Item[],
-  count: number,
-  random: Random,
-): readonly Item[] {
-  if (items.length <= count) return items;
-  const start = random.integer(0, items.length - 1);
-  return [...items.slice(start), ...items.slice(0, start)].slice(0, count);
+  readonly localState: () => LocalState;
 }
 
 /** Whether a peer counts as lost, as judged by every use of its last message. */
@@ -190,35 +164,7 @@
 
   #message(alive: readonly string[]): PeerMessage {
     const { ip, localState, random } = this.#context;
-    const {
-      configuration, copies, servers, successors, crashes, limits, origins, sought, unreached,
-      isSilent: isServiceSilent,
-    } = localState();
-    const told = servers.filter(({ entry }) => !isServiceSilent(entry.service));
-    const busy = told.filter((server) => (
-      server.ownLoad.running > 0 || server.ownLoad.standby > 0));
-    const leaving = servers.filter((server) => server.entry.state === 'leaving');
-    const suspect = told.filter((server) => (
-      server.health.kind === 'suspect' && server.expiresAt === undefined));
-    return {
-      ip,
-      configuration,
-      copies,
-      loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
-      gone: randomWindow(leaving, MAX_LISTED, random)
-        .map(({ entry }) => [entry.id, entry.startedAt]),
-      suspect: randomWindow(suspect, MAX_LISTED, random)
-        .map(({ entry }) => [entry.id, entry.startedAt]),
-      successors: randomWindow(successors, MAX_LISTED, random)
-        .map(([previousId, id]) => [previousId, id]),
-      peers: [ip, ...randomWindow(alive, MAX_PEERS_LISTED, random)],
-      ...encodeCrashes(crashes),
-      instances: alive.length + 1,
-      limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
-      origins: origins.map(encodeOrigin),
-      sought: [...sought],
-      unreached: [...unreached],
-    };
+    return localMessage(ip, localState(), alive, random);
   }
 
   /** Drops the messages of silent peers and, unless they are seeds, the peers themselves. */
@@ -263,21 +209,37 @@
     this.#sendTo(socket, address, encodeMessage(message));
   }
 
+  /** A peer whose messages can't be read is not silent; what it said last holds on. */
+  #noteUnread(address: string, part: 'message' | 'field', reason: string): void {
+    const { scheduler, log, listener } = this.#context;
+    const peer = this.#peers.get(address);
+    listener.onUnread(part);
+    if (peer?.unread !== reason) {
+      log.event('warn', 'peer_message_unreadable', { from: address, part, reason });
+    }
+    if (peer) this.#peers.set(address, { ...peer, heardAt: scheduler.now(), unread: reason });
+  }
+
   #receive(bytes: Buffer, address: string, socket: Socket): void {
     const {
       ip, scheduler, log, listener,
     } = this.#context;
+    const previous = this.#peers.get(address);
     const decoded = decodeMessage(bytes);
     if (decoded.isErr()) {
-      log.event('warn', 'peer_message_unreadable', { from: address, reason: decoded.error });
+      this.#noteUnread(address, 'message', decoded.error);
       return;
     }
-    const message = decoded.value;
-    const previous = this.#peers.get(address);
+    const { message, unread } = decoded.value;
     if (!previous?.message) {
       log.event('info', 'peer_reached', { peer: address, configuration: message.configuration });
     }
-    this.#peers.set(address, { heardAt: scheduler.now(), message });
+    if (message.protocol !== (previous?.message?.protocol ?? PROTOCOL)) {
+      const { protocol } = message;
+      log.event('info', 'peer_protocol', { peer: address, protocol, own: PROTOCOL });
+    }
+    this.#peers.set(address, { ...previous, heardAt: scheduler.now(), message });
+    if (unread.length > 0) this.#noteUnread(address, 'field', unread.join(','));
     message.peers.filter((other) => other !== ip && !this.#peers.has(other))
       .forEach((other) => {
         this.#peers.set(other, { heardAt: scheduler.now(), message: undefined });
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -7,6 +7,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { z } from 'zod';
 import { readForwarded } from './forwardedrequest.js';
 import type { Listing } from '../store/objects.js';
 
@@ -23,6 +24,15 @@
   readonly renewalMs: number;
 }
 
+const LISTING = z.object({
+  version: z.number(),
+  objects: z.array(z.object({ name: z.string(), version: z.number(), value: z.string() })),
+});
+const SNAPSHOT = z.object({
+  copies: z.object({ configuration: LISTING, servers: LISTING }),
+  renewalMs: z.number().min(0),
+});
+
 const trpc = initTRPC.create();
 
 function createRouter(snapshot: () => Snapshot) {
@@ -40,13 +50,18 @@
   });
 }
 
-/** @param address `host:port` of the other daemon */
-export function fetchSnapshot(address: string): Promise<Snapshot> {
+/**
+ * Rejects if the snapshot can't be read.
+ * @param address `host:port` of the other daemon
+ */
+export async function fetchSnapshot(address: string): Promise<Snapshot> {
   const client = createTRPCClient<SnapshotRouter>({
     links: [httpLink({ url: `http://${address}` })],
   });
   const response: unknown = client.snapshot.query(undefined, {
     signal: AbortSignal.timeout(TIMEOUT_MS),
   });
-  return response as Promise<Snapshot>;
+  const read = SNAPSHOT.safeParse(await response);
+  if (!read.success) throw new Error(`the snapshot is unreadable: ${read.error.message}`);
+  return read.data;
 }
--- /dev/null
+++ b/src/relay/protocol.ts
@@ -0,0 +1,10 @@
+/**
+ * The protocol that instances of different builds speak with each other: messages, snapshots and
+ * forwarded requests. docs/decisions/compatibility.md says what may change with a new number.
+ */
+
+/** What this build writes. */
+export const PROTOCOL = 2;
+
+/** The oldest protocol that is read; its messages carry no number. */
+export const OLDEST_PROTOCOL = 1;
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -382,13 +382,14 @@
 
 testProp('peer messages: any bytes decode or give an error', [fc.uint8Array()], (t, bytes) => {
   const decoded = decodeMessage(Buffer.from(bytes));
-  t.true(decoded.isErr() || typeof decoded.value.ip === 'string');
+  t.true(decoded.isErr() || typeof decoded.value.message.ip === 'string');
 }, { numRuns: 200, seed: 45 });
 
 test('peer messages: lists are truncated so that a message fits one packet', (t) => {
   const ids = Array.from({ length: 100 }, (_, index) => `server-${index}`);
   const bytes = encodeMessage({
     ip: '10.0.0.1',
+    protocol: 1,
     configuration: 3,
     copies: {},
     loads: {},
@@ -405,9 +406,10 @@
     unreached: [],
   });
   t.true(bytes.length <= MAX_MESSAGE_BYTES);
-  const message = decodeMessage(bytes);
-  t.is(message.map(({ configuration }) => configuration).unwrapOr(0), 3);
-  t.is(message.map(({ crashes }) => crashes.at(-1)?.[0]).unwrapOr(undefined), 'server-99');
+  const decoded = decodeMessage(bytes);
+  t.is(decoded.map(({ message }) => message.configuration).unwrapOr(0), 3);
+  const last = decoded.map(({ message: { crashes } }) => crashes.at(-1)?.[0]);
+  t.is(last.unwrapOr(undefined), 'server-99');
 });
 
 function callCandidate(id: string, meanDurationMs: number, change: Partial<Candidate> = {}) {
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -37,6 +37,7 @@
       originsOf: () => [],
       onInstanceCount,
       onReportedCount: () => undefined,
+      onUnread: () => undefined,
     },
     localState: () => ({
       configuration: 3,
