Confirm a crash by a fresh connection to its zone, also later

Cause, found beside busy processes: bytes of another server that were read after a cut, but had come before it, counted as proof that its zone was reached, and a cut was told as crashes; a witness that did not accept in 80 ms left a real crash undecided for good when the server did not come back.

Change: only a new connection to a usable server of the zone counts, the lost one has to be unreached before and after it, and the question is asked again every 0.5 s; a server that accepts and doesn't answer its health check is asked again too.

--- a/src/relay/crashcheck.ts
+++ b/src/relay/crashcheck.ts
@@ -10,7 +10,7 @@
 import { identify, isReachable } from './identity.js';
 import type { IdentityContext } from './identity.js';
 import type { ServerEntry } from './serverentry.js';
-import { sameProcess } from './serverstate.js';
+import { isUsable, sameProcess } from './serverstate.js';
 
 /** Servers of the zone that are asked whether they accept connections. */
 const MAX_WITNESSES = 3;
@@ -19,6 +19,9 @@
 /** A server that is away for longer is no longer compared with the one that was lost. */
 const RECHECK_LIMIT_MS = 30_000;
 
+/** What is found at a server's address: nothing, no answer, the server, or another process. */
+type Sight = 'unreached' | 'silent' | 'alive' | 'replaced';
+
 export interface CrashCheckContext {
   readonly fleet: Fleet;
   readonly identity: IdentityContext;
@@ -40,40 +43,49 @@
   /** Whether a server whose connection has just broken has crashed; resolves once that is known. */
   async hasCrashed(server: ServerEntry): Promise<boolean> {
     const { scheduler } = this.#context;
-    const lostAt = scheduler.now();
-    let verdict = await this.#ask(server);
-    if (verdict === undefined && await this.#reachesZone(server, lostAt)) return true;
-    while (verdict === undefined && scheduler.now() - lostAt < RECHECK_LIMIT_MS) {
+    const until = scheduler.now() + RECHECK_LIMIT_MS;
+    let sight = await this.#lookBesideZone(server);
+    while ((sight === 'unreached' || sight === 'silent') && scheduler.now() < until) {
       // eslint-disable-next-line no-await-in-loop -- asked again after each pause
       await firstValueFrom(timer(RECHECK_MS, scheduler));
       // eslint-disable-next-line no-await-in-loop -- one question after the other
-      verdict = await this.#ask(server);
+      sight = await this.#lookBesideZone(server);
     }
-    return verdict ?? false;
+    return sight === 'replaced' || sight === 'down';
+  }
+
+  /** `down` if the server is not reached before and after another one of its zone is. */
+  async #lookBesideZone(server: ServerEntry): Promise<Sight | 'down'> {
+    const sight = await this.#look(server);
+    if (sight !== 'unreached' || !await this.#reachesZone(server)) return sight;
+    const again = await this.#look(server);
+    return again === 'unreached' ? 'down' : again;
   }
 
-  /** Whether another process has taken the server's place; undefined if nothing is reached. */
-  async #ask(server: ServerEntry): Promise<boolean | undefined> {
+  async #look(server: ServerEntry): Promise<Sight> {
     const listed = this.#context.fleet.server(server.id)?.entry;
-    if (listed && !sameProcess(listed, server)) return true;
+    if (listed && !sameProcess(listed, server)) return 'replaced';
     const identity = await identify(server, this.#context.identity);
     switch (identity.kind) {
-      case 'unreached': return undefined;
-      case 'reached':
-      case 'silent': return false;
-      case 'known': return identity.id !== server.id;
+      case 'unreached':
+      case 'silent': return identity.kind;
+      case 'reached': return 'alive';
+      case 'known': return identity.id === server.id ? 'alive' : 'replaced';
     }
   }
 
-  /** Whether any other server of a server's zone has sent something since, or can be reached. */
-  async #reachesZone({ id, zone }: ServerEntry, since: number): Promise<boolean> {
-    const { fleet, random, identity: { connections } } = this.#context;
-    const others = fleet.servers.filter(({ entry, expiresAt }) => (
-      entry.zone === zone && entry.id !== id && expiresAt === undefined));
-    if (others.some(({ entry }) => fleet.heardAt(entry.id) > since)) return true;
-    const witnesses = random.shuffled(others).slice(0, MAX_WITNESSES);
-    const reached = await Promise.all(witnesses.map(({ entry }) => (
-      isReachable(entry, connections))));
+  /**
+   * Whether another server of a server's zone accepts a connection now. That bytes of one have just
+   * been read proves nothing, as they may have come before the loss.
+   */
+  async #reachesZone({ id, zone }: ServerEntry): Promise<boolean> {
+    const {
+      fleet, random, scheduler, identity: { connections },
+    } = this.#context;
+    const others = fleet.servers.filter((state) => (
+      state.entry.zone === zone && state.entry.id !== id && isUsable(state, scheduler.now())));
+    const reached = await Promise.all(random.shuffled(others).slice(0, MAX_WITNESSES)
+      .map(({ entry }) => isReachable(entry, connections)));
     return reached.includes(true);
   }
 }
--- a/test/relay-partition.test.ts
+++ b/test/relay-partition.test.ts
@@ -60,10 +60,13 @@
   const relays = [cutOff, other];
   t.true(await eventually(() => relays.every(({ daemon, log }) => (
     daemon.ready && log.of('server_listed').length >= servers.length
-      && log.of('peer_reached').length > 0))));
+      && log.of('peer_reached').length > 0))), 'ready');
   // Listeners that serving callers doesn't need start later.
-  t.true(await eventually(async () => (
-    (await Promise.all(relays.map((relay) => relay.metrics()))).every((text) => text !== ''))));
+  t.true(
+    await eventually(async () => (
+      (await Promise.all(relays.map((relay) => relay.metrics()))).every((text) => text !== ''))),
+    JSON.stringify(relays.map(({ log }) => log.of('child_failed'))),
+  );
   return {
     cutOff, other, cutOffPaths, otherPaths, engines, plain,
   };
@@ -181,7 +184,10 @@
       'x-id': id, 'x-prompt': '100', 'x-deadline': '60000', 'x-parts': `shared,own-${id}`,
     }, `body of ${id}`);
     const waiting = Array.from({ length: 12 }, (_, index) => stream(cutOff, `cut-${index}`));
-    t.true(await eventually(() => engines.every(({ runs }) => runs.length > 0)));
+    t.true(
+      await eventually(() => engines.every(({ runs }) => runs.length > 0)),
+      JSON.stringify(engines.map(({ runs }) => runs)),
+    );
     await cutOffPaths.cutWhere('refused', ({ zone }) => zones.includes(zone));
     await pause(NOTICE_MS);
     const replies = await Promise.all([1, 2, 3].map((index) => stream(other, `sound-${index}`)));
@@ -202,14 +208,15 @@
     'x-id': `r${index}`, 'x-prompt': '100', 'x-deadline': '60000', 'x-parts': `bad,own-${index}`,
   }, `body ${index}`));
   const ofZone = engines.filter(({ options: { zone } }) => zone === 'a');
-  t.true(await eventually(() => ofZone.every(({ runs }) => runs.length > 0)));
+  t.true(await eventually(() => ofZone.every(({ runs }) => runs.length > 0)), 'running');
   const back = ofZone.map((engine) => ({ engine, id: `${engine.options.id}-again` }));
   [...ofZone, ...plain.filter(({ options: { zone } }) => zone === 'a')]
     .forEach((server) => server.crash());
   await pause(NOTICE_MS / 2);
   await Promise.all(back.map(({ engine, id }) => engine.restartAs(id)));
   t.true(await eventually(() => (
-    new Set(first.log.of('crash_recorded').map(({ server }) => server)).size === ofZone.length)));
+    new Set(first.log.of('crash_recorded').map(({ server }) => server)).size === ofZone.length
+  )), JSON.stringify(first.log.of('crash_recorded')));
   t.true(other.daemon.ready);
   await Promise.all(waiting);
 });
