Share engines' room by workspace, so that one that floods leaves the others theirs

Cause: nothing in the relay looked at a workspace when it admitted or placed a stream; one workspace with 12 times its usual traffic filled the engines, and all were refused alike.

A new stream of a workspace over its share is refused at once (503, not run) with a Retry-After from the rate at which its own runs end. Streams that have begun go on. Log lines name the workspace, over_share_total counts. Plain calls have no shares (open).

--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -17,6 +17,7 @@
 import type { SilenceWatch } from './silencewatch.js';
 import type { StreamOrigins } from './streamorigins.js';
 import type { Throttles } from './throttles.js';
+import type { WorkspaceUses } from './workspaceuses.js';
 
 export interface RelayContext {
   readonly zone: string;
@@ -36,6 +37,7 @@
   readonly quarantines: Quarantines;
   readonly cachedPrompts: CachedPrompts;
   readonly origins: StreamOrigins;
+  readonly uses: WorkspaceUses;
   readonly reach: Reach;
   readonly forwarding: Forwarding;
 }
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -34,6 +34,7 @@
 import { StoreFeed } from './storefeed.js';
 import { StreamOrigins } from './streamorigins.js';
 import { Throttles } from './throttles.js';
+import { WorkspaceUses } from './workspaceuses.js';
 
 /** The load balancer probes once a second and removes an instance after two failures. */
 const BALANCER_LAG_MS = 2_500;
@@ -153,6 +154,7 @@
       reach: this.#reach,
       instancesReaching: (service) => this.#peers.reaching(service),
     });
+    const uses = WorkspaceUses.of(() => this.#peers.uses);
     this.#peers = createPeers({
       settings,
       ...shared,
@@ -165,6 +167,7 @@
       reach: this.#reach,
       retries: this.#retries,
       meter: this.#meter,
+      uses,
       storeFeed: () => this.#storeFeed,
     });
     this.#relayContext = {
@@ -186,6 +189,7 @@
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
       origins: this.#origins,
+      uses,
       reach: this.#reach,
       forwarding: this.#forwarding,
     };
--- a/src/relay/enginechoice.ts
+++ b/src/relay/enginechoice.ts
@@ -6,10 +6,12 @@
 import type { RelayContext } from './context.js';
 import { releaseOf, runsRelease } from './release.js';
 import type { Release } from './release.js';
+import { scheduleOf } from './retryafter.js';
 import type { EngineCapacity } from './routes.js';
 import { capacityFields, THROTTLED_MESSAGE, throttledFields } from './routefields.js';
 import {
-  areAllThrottled, firstEventMs, requiredMemory, selectEngine, selectStandby, uncachedTokens,
+  areAllThrottled, firstEventMs, requiredMemory, requiredRoom, roomOf, selectEngine, selectStandby,
+  uncachedTokens,
 } from './selection.js';
 import type { Candidate, RunDemand } from './selection.js';
 
@@ -24,6 +26,8 @@
   readonly copyHolder: string | undefined;
   /** What the engine has to run; undefined for a stream that has not begun. */
   readonly release: Release | undefined;
+  /** Whether no engine has been given the stream yet, by its caller's earlier tries either. */
+  readonly isNew: boolean;
 }
 
 export type EngineChoice =
@@ -78,6 +82,38 @@
   };
 }
 
+/** Refuses a new stream of a workspace that uses more than its share of the engines' room. */
+function refuseOverShare(
+  { service: { name }, workspace }: Call,
+  candidates: readonly Candidate[],
+  run: RunDemand,
+  engine: EngineCapacity,
+  {
+    uses, retrySchedules, scheduler, meter,
+  }: RelayContext,
+): EngineChoice | undefined {
+  if (!workspace || candidates.length === 0) return undefined;
+  const share = uses.share({
+    service: name,
+    workspace: workspace.name,
+    tokens: requiredRoom(run, engine),
+    ...roomOf(candidates, run, engine),
+  });
+  if (share.isWithin) return undefined;
+  meter.record({ kind: 'over_share' });
+  return {
+    kind: 'unplaced',
+    message: 'the workspace uses its share of the engines',
+    inputs: {
+      workspace: workspace.name,
+      used_tokens: Math.round(share.used),
+      share_tokens: Math.round(share.most),
+      workspaces: share.workspaces,
+    },
+    retryAfterMs: retrySchedules.next(scheduleOf(name, workspace.name), scheduler.now()),
+  };
+}
+
 export function chooseEngines(
   call: Call,
   demand: AttemptDemand,
@@ -90,6 +126,9 @@
   } = demand;
   const candidates = fleet.candidates(call.service.name, [])
     .filter(({ server }) => runsRelease(server.entry, release));
+  const overShare = demand.isNew
+    ? refuseOverShare(call, candidates, run, engine, context) : undefined;
+  if (overShare) return overShare;
   const allowed = candidates.filter(({ server }) => !exclude.includes(server.entry.id));
   const holder = allowed.find(({ server, delayMs }) => (
     server.entry.id === copyHolder && delayMs === 0));
--- a/src/relay/localmessage.ts
+++ b/src/relay/localmessage.ts
@@ -2,13 +2,14 @@
 import type { Random } from '../common/random.js';
 import type { CrashReport } from './crashnews.js';
 import {
-  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin,
+  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin, encodeUse,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
 import { PROTOCOL } from './protocol.js';
 import type { ServerState } from './serverstate.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
+import type { UseReport } from './workspaceuses.js';
 
 /** Maximum number of entries in each list of servers in a message. */
 const MAX_LISTED = 16;
@@ -25,6 +26,8 @@
   readonly limits: readonly ThrottleReport[];
   readonly origins: readonly OriginReport[];
   readonly sought: readonly string[];
+  /** The largest first. */
+  readonly uses: readonly UseReport[];
   /** Services of which this instance reaches no server. */
   readonly unreached: readonly string[];
   /** Whether nothing that this instance believes of a service's servers should be told. */
@@ -55,7 +58,7 @@
   ip: string,
   {
     configuration, copies, servers, successors, crashes, limits, origins, sought, unreached,
-    isSilent,
+    uses, isSilent,
   }: LocalState,
   alive: readonly string[],
   random: Random,
@@ -82,6 +85,7 @@
     limits: randomWindow(limits, MAX_LISTED, random).map(encodeLimit),
     origins: origins.map(encodeOrigin),
     sought: [...sought],
+    uses: uses.slice(0, MAX_LISTED).map(encodeUse),
     unreached: [...unreached],
   };
 }
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -31,6 +31,8 @@
   | { readonly kind: 'attempt_failed'; readonly stage: AttemptStage }
   /** A stream that a caller took up, by who told the version that began it. */
   | { readonly kind: 'taken_up'; readonly source: OriginSource | 'unknown' }
+  /** A stream of a workspace that uses its share of the engines. */
+  | { readonly kind: 'over_share' }
   /** A request for which every server was at its rate limit. */
   | { readonly kind: 'throttled' }
   /** A request that was sent to another instance, and how that ended. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -82,6 +82,11 @@
     'Requests for which every server was at its rate limit',
   );
 
+  readonly #overShare = this.#counter(
+    'over_share_total',
+    'Streams refused since their workspace uses its share of the engines',
+  );
+
   readonly #peerUnread = this.#counter(
     'peer_messages_unread_total',
     'Messages of other instances, or fields of them, that could not be read',
@@ -225,6 +230,9 @@
       case 'throttled':
         this.#throttled.inc();
         break;
+      case 'over_share':
+        this.#overShare.inc();
+        break;
       case 'peer_unread':
         this.#peerUnread.inc({ part: measurement.part });
         break;
--- a/src/relay/migration.ts
+++ b/src/relay/migration.ts
@@ -41,7 +41,7 @@
 export function mayMigrate(
   call: Call,
   counts: AttemptCounts,
-  { run, exclude, release }: Omit<AttemptDemand, 'copyHolder'>,
+  { run, exclude, release }: Omit<AttemptDemand, 'copyHolder' | 'isNew'>,
   context: RelayContext,
 ): boolean {
   const { engine, name } = call.service;
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -14,6 +14,7 @@
 import type { StoreFeed } from './storefeed.js';
 import type { StreamOrigins } from './streamorigins.js';
 import type { Throttles } from './throttles.js';
+import type { WorkspaceUses } from './workspaceuses.js';
 
 /** Shortest time between two requests for another daemon's snapshot. */
 const SNAPSHOT_INTERVAL_MS = 500;
@@ -32,6 +33,7 @@
   readonly reach: Reach;
   readonly retries: RetryWindows;
   readonly meter: Meter;
+  readonly uses: WorkspaceUses;
   readonly storeFeed: () => StoreFeed;
 }
 
@@ -58,7 +60,7 @@
 export function createPeers(context: PeerExchangeContext): Peers {
   const {
     settings, scheduler, random, log, activeConfiguration, fleet, limits, throttles, quarantines,
-    origins, reach, retries, storeFeed, meter,
+    origins, reach, retries, storeFeed, meter, uses,
   } = context;
   const requestSnapshot = snapshotRequest(context);
   return Peers.of({
@@ -95,6 +97,7 @@
       limits: throttles.reports,
       origins: origins.reports,
       sought: origins.sought,
+      uses: uses.reports,
       unreached: reach.unreached,
       isSilent: (service) => reach.isSilent(service),
     }),
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -16,6 +16,7 @@
 import { OLDEST_PROTOCOL } from './protocol.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
+import type { UseReport } from './workspaceuses.js';
 
 /** Keeps datagrams below the size at which networks fragment them. */
 export const MAX_MESSAGE_BYTES = 1_400;
@@ -36,6 +37,8 @@
 const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()], z.unknown());
 /** A stream and the software version that began it; null if that is ambiguous. */
 const ORIGIN = z.tuple([z.string(), z.string().nullable()], z.unknown());
+/** A service, a workspace, and the tokens of memory that it uses there. */
+const USE = z.tuple([z.string(), z.string(), COUNT], z.unknown());
 /** A server and the start time of its process. */
 const PROCESS = z.tuple([z.string(), z.number()], z.unknown());
 const MESSAGE = z.object({
@@ -67,6 +70,8 @@
   unreached: z.array(z.string()).default([]),
   /** Where streams began; empty from daemons that don't report it. */
   origins: z.array(ORIGIN).default([]),
+  /** Room that workspaces use by way of the sender; empty from daemons that don't report it. */
+  uses: z.array(USE).default([]),
   /** Streams of which the sender wants to know where they began. */
   sought: z.array(z.string()).default([]),
 });
@@ -163,6 +168,18 @@
   };
 }
 
+export function encodeUse({ service, workspace, tokens }: UseReport): PeerMessage['uses'][number] {
+  return [service, workspace, Math.round(tokens)];
+}
+
+export function decodeUse([service, workspace, tokens]: PeerMessage['uses'][number]): UseReport {
+  return { service, workspace, tokens };
+}
+
+function firstHalf<Item>(items: readonly Item[]): Item[] {
+  return items.slice(0, Math.floor(items.length / 2));
+}
+
 function secondHalf<Item>(items: readonly Item[]): Item[] {
   return items.slice(Math.ceil(items.length / 2));
 }
@@ -170,9 +187,9 @@
 /** A shorter message; undefined if there is nothing left that it can do without. */
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
-    gone, suspect, successors, peers, crashes, crashRequests, limits, origins, sought,
+    gone, suspect, successors, peers, crashes, crashRequests, limits, origins, sought, uses,
   } = message;
-  const lists = [gone, suspect, successors, peers, limits, origins, sought];
+  const lists = [gone, suspect, successors, peers, limits, origins, sought, uses];
   if (lists.some(({ length }) => length > 0)) {
     return {
       ...message,
@@ -183,6 +200,8 @@
       limits: secondHalf(limits),
       origins: secondHalf(origins),
       sought: secondHalf(sought),
+      // The largest uses come first.
+      uses: firstHalf(uses),
     };
   }
   if (crashes.length <= 1) return undefined;
--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -10,7 +10,8 @@
 import { localMessage } from './localmessage.js';
 import type { LocalState } from './localmessage.js';
 import {
-  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, encodeMessage, encodeOrigin,
+  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, decodeUse, encodeMessage,
+  encodeOrigin,
 } from './peermessage.js';
 import type { PeerMessage } from './peermessage.js';
 import type { CrashReport } from './crashnews.js';
@@ -19,6 +20,7 @@
 import { PROTOCOL } from './protocol.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
+import type { UseReport } from './workspaceuses.js';
 
 /** A tenth of a prompt's prefill; with older loads, instances would pick the same engine. */
 const INTERVAL_MS = 100;
@@ -117,6 +119,12 @@
     });
   }
 
+  /** Room that workspaces use by way of the other instances. */
+  get uses(): readonly UseReport[] {
+    return this.#recentMessages(this.#context.scheduler.now())
+      .flatMap(([, { uses }]) => uses.map(decodeUse));
+  }
+
   /** IP addresses of the live peers that say that they don't use a limited server. */
   idle({ id, startedAt }: ServerEntry): readonly string[] {
     return this.#recentMessages(this.#context.scheduler.now())
--- a/src/relay/retryafter.ts
+++ b/src/relay/retryafter.ts
@@ -4,7 +4,9 @@
  * give. This spreads out bursts: if all callers retried together and soon, most would find no
  * capacity freed yet, or all of it taken by the first of them.
  */
+import { LRUCache } from 'lru-cache';
 import { since } from '../limits/retrywindow.js';
+import type { Call } from './call.js';
 
 /** Window of the ended runs that give the rate: about the duration of a run. */
 const WINDOW_MS = 8_000;
@@ -46,16 +48,29 @@
   return { schedule: { ...schedule, lastRetryAt }, retryAfterMs: Math.ceil(lastRetryAt - now) };
 }
 
-/** The retry schedules of all services, for the callers of this instance. */
+/** Schedules that are kept; one that has not been used for long is empty anyway. */
+const MAX_SCHEDULES = 1_024;
+
+/** The schedule of the callers of one workspace, who wait for its own runs to end. */
+export function scheduleOf(service: string, workspace: string): string {
+  return `${service}\n${workspace}`;
+}
+
+/** The retry schedules of services, and of workspaces there, for the callers of this instance. */
 export class RetrySchedules {
-  readonly #services = new Map<string, RetrySchedule>();
+  readonly #services = new LRUCache<string, RetrySchedule>({ max: MAX_SCHEDULES });
 
   static of(): RetrySchedules {
     return new RetrySchedules();
   }
 
-  runEnded(service: string, now: number): void {
-    this.#services.set(service, recordRunEnd(this.#of(service), now));
+  /** Records that a run of a call has ended. */
+  runEnded(
+    { service: { name }, workspace }: Pick<Call, 'service' | 'workspace'>,
+    now: number,
+  ): void {
+    const schedules = workspace ? [name, scheduleOf(name, workspace.name)] : [name];
+    schedules.forEach((key) => this.#services.set(key, recordRunEnd(this.#of(key), now)));
   }
 
   /** Delay until the next caller of a service may retry, in milliseconds. */
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -43,6 +43,7 @@
 export function routeFields(call: Call, plan: AttemptPlan, { server, load }: Candidate): LogFields {
   return {
     request: call.id,
+    workspace: call.workspace?.name,
     service: call.service.name,
     server: server.entry.id,
     zone: server.entry.zone,
@@ -68,6 +69,7 @@
   const { entry, meanDurationMs } = server;
   return {
     request: call.id,
+    workspace: call.workspace?.name,
     service: call.service.name,
     server: entry.id,
     zone: entry.zone,
@@ -133,13 +135,14 @@
 /** Why no server was chosen. */
 export function unplacedFields(
   {
-    id, service, version, fields: { resumes },
+    id, service, workspace, version, fields: { resumes },
   }: Call,
   reason: string,
   { retries, scheduler }: RelayContext,
 ): LogFields {
   return {
     request: id,
+    workspace: workspace?.name,
     service: service.name,
     reason,
     resumes,
--- a/src/relay/selection.ts
+++ b/src/relay/selection.ts
@@ -54,13 +54,32 @@
   readonly outputTokens: number;
   readonly zone: string;
   /** Prompt tokens that an engine, given by its id, has cached. */
-  readonly cachedTokens?: (server: string) => number;
+  readonly cachedTokens?: ((server: string) => number) | undefined;
 }
 
 export function requiredMemory({ promptTokens, outputTokens }: RunDemand): number {
   return promptTokens + outputTokens;
 }
 
+/** Room for a run and, if engines keep them, its standby copy. */
+export function requiredRoom(demand: RunDemand, { standby }: EngineCapacity): number {
+  return requiredMemory(demand) * (standby ? 2 : 1);
+}
+
+/** Room of engines together, and how much of it is in use. */
+export function roomOf(
+  candidates: readonly Candidate[],
+  demand: RunDemand,
+  { memoryTokens }: EngineCapacity,
+): { readonly capacity: number; readonly inUse: number } {
+  const run = Math.max(1, requiredMemory(demand));
+  return {
+    // What is left of an engine beside whole runs is of no use.
+    capacity: candidates.length * run * Math.floor((memoryTokens * MAX_MEMORY_SHARE) / run),
+    inUse: candidates.reduce((sum, { load }) => sum + load.memoryTokens + load.standby, 0),
+  };
+}
+
 /** Whether the engine has a free slot and enough memory for the run. */
 export function hasCapacity(
   { load }: Candidate,
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -123,6 +123,11 @@
       ...NO_LOAD, running: 1, memoryTokens: memory, prefillTokens,
     }));
     if (standby) this.#assignments.push(fleet.assign(standby.id, { ...NO_LOAD, standby: memory }));
+    const { workspace } = this.#call;
+    if (workspace) {
+      const room = memory * (standby ? 2 : 1);
+      this.#subscriptions.add(this.#context.uses.take(server.service, workspace.name, room));
+    }
     throttles.take(server);
     const target = streamTarget(this.#call, this.#plan, this.#options);
     const outgoing = serverRequest(this.#call, target, this.#context);
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -28,8 +28,6 @@
 import { lastWritten, streamState } from './streamstate.js';
 import { prepareTakeUp, UNKNOWN_ORIGIN_MESSAGE } from './takeup.js';
 
-const noCachedTokens = () => 0;
-
 export class StreamRelay {
   readonly #call: Call;
 
@@ -47,7 +45,7 @@
   #plan: AttemptPlan | undefined;
 
   /** Prompt tokens in an engine's KV cache; queried only for a reconnecting caller. */
-  #cachedTokens: (engine: string) => number = noCachedTokens;
+  #cachedTokens: ((engine: string) => number) | undefined;
 
   readonly #release: StreamRelease;
 
@@ -129,7 +127,7 @@
     this.#timers.unsubscribe();
     this.#recorder.streamEnded(state.accepted.tokens);
     const { retrySchedules, scheduler } = this.#context;
-    if (this.#counts.sent > 0) retrySchedules.runEnded(this.#call.service.name, scheduler.now());
+    if (this.#counts.sent > 0) retrySchedules.runEnded(this.#call, scheduler.now());
   }
 
   #perform(effect: GenerationEffect): void {
@@ -194,6 +192,7 @@
       exclude,
       copyHolder: this.#copyHolder,
       release: this.#release.required(this.#state.version),
+      isNew: this.#counts.sent === 0 && this.#state.accepted.tokens === 0,
     };
     const choice = chooseEngines(this.#call, demand, service.engine, this.#context);
     switch (choice.kind) {
@@ -224,7 +223,7 @@
     this.#plan = plan;
     this.#context.log.event('info', 'route', streamRouteFields(this.#call, choice, {
       attempt: this.#state.attempts + 1,
-      held_tokens: this.#cachedTokens(entry.id),
+      held_tokens: this.#cachedTokens?.(entry.id) ?? 0,
       from: this.#state.accepted.tokens,
     }, this.#context));
     this.#apply({ kind: 'assigned', server: entry.id, version: String(entry.weights ?? 0) });
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -403,6 +403,7 @@
     limits: ids.map((id) => [id, 1, 0.5, 20, true]),
     origins: ids.map((id) => [id, 'v1']),
     sought: ids,
+    uses: ids.map((id) => ['engines', id, 8_330]),
     unreached: [],
   });
   t.true(bytes.length <= MAX_MESSAGE_BYTES);
