Log a peer's unreadable messages once, whatever their text

Cause, found on reading: the reason of a message that can't be parsed quotes its text, so each one was logged anew. Change: a peer's unreadable messages count as one reason.

--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -222,10 +222,12 @@
     const { scheduler, log, listener } = this.#context;
     const peer = this.#peers.get(address);
     listener.onUnread(part);
-    if (peer?.unread !== reason) {
+    // The text of a message that can't be parsed differs from one to the next.
+    const unread = part === 'message' ? part : reason;
+    if (peer?.unread !== unread) {
       log.event('warn', 'peer_message_unreadable', { from: address, part, reason });
     }
-    if (peer) this.#peers.set(address, { ...peer, heardAt: scheduler.now(), unread: reason });
+    if (peer) this.#peers.set(address, { ...peer, heardAt: scheduler.now(), unread });
   }
 
   #receive(bytes: Buffer, address: string, socket: Socket): void {
--- a/test/relay-compatibility.test.ts
+++ b/test/relay-compatibility.test.ts
@@ -184,7 +184,7 @@
   t.like(relay.log.of('peer_protocol'), [{ peer: sender, protocol: PROTOCOL + 1, own: PROTOCOL }]);
   const until = performance.now() + 2_500;
   while (performance.now() < until) {
-    send(Buffer.from('another form'));
+    send(Buffer.from(`another form ${performance.now()}`));
     // eslint-disable-next-line no-await-in-loop -- one message after the other
     await new Promise((resolve) => {
       setTimeout(resolve, 100);
