--- a/src/limits/workspaceshare.ts
+++ b/src/limits/workspaceshare.ts
@@ -4,15 +4,15 @@
  * answers is one workspace that sends many times its usual: without shares it fills the room, and
  * all workspaces are refused alike.
  *
- * Pure functions over what is in use at all instances; what is not in use is nobody's. A workspace
- * that uses more than the others is stopped before the room is full, so that the next runs of the
- * others find some.
+ * Pure functions over what is in use at all instances; room that is not in use is reserved for
+ * nobody. A workspace that uses more than the others is refused before the room is full, so that
+ * the next runs of the others find some.
  */
 
 /** Room in use by workspace, in tokens of memory. */
 export type WorkspaceUse = ReadonlyMap<string, number>;
 
-/** By how much the use of the other workspaces may grow before a run of the largest one ends. */
+/** Factor by which the other workspaces' use may grow before a run of the largest one ends. */
 const GROWTH_FACTOR = 1.25;
 
 export interface ShareDemand {
--- a/src/relay/crashcheck.ts
+++ b/src/relay/crashcheck.ts
@@ -20,7 +20,7 @@
 const RECHECK_LIMIT_MS = 30_000;
 
 /** What is found at a server's address: nothing, no answer, the server, or another process. */
-type Sight = 'unreached' | 'silent' | 'alive' | 'replaced';
+type Presence = 'unreached' | 'silent' | 'alive' | 'replaced';
 
 export interface CrashCheckContext {
   readonly fleet: Fleet;
@@ -44,25 +44,25 @@
   async hasCrashed(server: ServerEntry): Promise<boolean> {
     const { scheduler } = this.#context;
     const until = scheduler.now() + RECHECK_LIMIT_MS;
-    let sight = await this.#lookBesideZone(server);
-    while ((sight === 'unreached' || sight === 'silent') && scheduler.now() < until) {
+    let presence = await this.#probeWithZone(server);
+    while ((presence === 'unreached' || presence === 'silent') && scheduler.now() < until) {
       // eslint-disable-next-line no-await-in-loop -- asked again after each pause
       await firstValueFrom(timer(RECHECK_MS, scheduler));
       // eslint-disable-next-line no-await-in-loop -- one question after the other
-      sight = await this.#lookBesideZone(server);
+      presence = await this.#probeWithZone(server);
     }
-    return sight === 'replaced' || sight === 'down';
+    return presence === 'replaced' || presence === 'down';
   }
 
   /** `down` if the server is not reached before and after another one of its zone is. */
-  async #lookBesideZone(server: ServerEntry): Promise<Sight | 'down'> {
-    const sight = await this.#look(server);
-    if (sight !== 'unreached' || !await this.#reachesZone(server)) return sight;
-    const again = await this.#look(server);
+  async #probeWithZone(server: ServerEntry): Promise<Presence | 'down'> {
+    const presence = await this.#probe(server);
+    if (presence !== 'unreached' || !await this.#reachesZone(server)) return presence;
+    const again = await this.#probe(server);
     return again === 'unreached' ? 'down' : again;
   }
 
-  async #look(server: ServerEntry): Promise<Sight> {
+  async #probe(server: ServerEntry): Promise<Presence> {
     const listed = this.#context.fleet.server(server.id)?.entry;
     if (listed && !sameProcess(listed, server)) return 'replaced';
     const identity = await identify(server, this.#context.identity);
--- a/src/relay/enginechoice.ts
+++ b/src/relay/enginechoice.ts
@@ -26,7 +26,7 @@
   readonly copyHolder: string | undefined;
   /** What the engine has to run; undefined for a stream that has not begun. */
   readonly release: Release | undefined;
-  /** Whether no engine has been given the stream yet, by its caller's earlier tries either. */
+  /** Whether the call was sent to no engine yet, and its caller has no event of the stream. */
   readonly isNew: boolean;
 }
 
