Log which answers are open when a stop changes its state, and whether an answer was flushed

What the log could not tell: the record of the incident has ten lines state=expired open=1..9 that name no request, and an answer whose connection was closed with part of it unsent was logged as whole=true (Node reports a response as finished also when its connection was destroyed; seen with 6 MB of which 3.9 MB arrived).

At the signal, at each change of the state and at the limit there is now a line for each open answer (the 32 oldest): id, stage, server, age, bytes written, bytes unsent. whole is told by whether all bytes were handed to the operating system while the connection lived; the line has bytes and stage as well. explain shows the lines and a new end: cut off at the limit of the stop. The product's own interface logs the same. The check of a request's head moved to requesthead.ts unchanged.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -22,6 +22,7 @@
   forward_failed: 'no other instance served it',
   parts_quarantined: 'requests with these parts are refused from now on',
   parts_released: 'requests with these parts are no longer refused',
+  open_answer: 'open when the instance\'s stop changed its state',
   paused: 'the process stood still',
   peer_lost: 'another instance fell silent',
   peer_reached: 'another instance was heard of',
@@ -43,7 +44,7 @@
   service_reached: 'a server of the service answered again',
   service_unreached: 'no server of the service answered',
   started: 'the instance started',
-  stop: 'the instance began to stop',
+  stop: 'the instance\'s stop changed its state',
   store_lost: 'the store was lost',
   store_regained: 'the store answered again',
   store_restored: 'the store came back from a backup',
@@ -61,6 +62,8 @@
       return ending.status === 0
         ? `the caller left, or was cut off, before an answer began, after ${ending.ms} ms`
         : `the answer with ${ending.status} broke off after ${ending.ms} ms`;
+    case 'cut':
+      return `cut off at the limit of the stop after ${ending.ageMs} ms, ${ending.stage}`;
     case 'refused': {
       const retryText = ending.retryAfterMs === undefined ? ''
         : `; the caller may come back after ${ending.retryAfterMs} ms`;
--- a/src/cli/timeline.ts
+++ b/src/cli/timeline.ts
@@ -31,10 +31,11 @@
   readonly own: boolean;
 }
 
-/** `open`: no line records the end. */
+/** `cut`: the instance's stop ended it at its limit. `open`: no line records the end. */
 export type Ending =
   | { readonly kind: 'answered'; readonly status: number; readonly ms: number }
   | { readonly kind: 'broken_off'; readonly status: number; readonly ms: number }
+  | { readonly kind: 'cut'; readonly stage: string; readonly ageMs: number }
   | {
     readonly kind: 'refused';
     readonly code: string;
@@ -86,7 +87,12 @@
       retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter),
     };
   }
-  if (!answered) return { kind: 'open' };
+  const cut = lines.findLast(({ event, fields }) => (
+    event === 'open_answer' && fields.state === 'expired'));
+  if (!answered && !cut) return { kind: 'open' };
+  if (!answered) {
+    return { kind: 'cut', stage: cut!.fields.stage ?? '', ageMs: Number(cut!.fields.age_ms) };
+  }
   const { status, ms, whole } = answered.fields;
   return {
     kind: whole === 'true' ? 'answered' : 'broken_off', status: Number(status), ms: Number(ms),
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -6,7 +6,7 @@
   BehaviorSubject, Observable, distinctUntilChanged, filter, map, timer,
 } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
-import type { Log } from '../common/log.js';
+import type { Log, LogFields } from '../common/log.js';
 
 /** `lagging`: new requests may still arrive. `finishing`: only open answers are served. */
 export type DrainState = 'serving' | 'lagging' | 'finishing' | 'done' | 'expired';
@@ -20,6 +20,9 @@
 
 const DEFAULT_OPTIONS: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
 
+/** Open answers that are listed at each change of the state, the oldest first. */
+const MAX_LISTED = 32;
+
 /** Last part of the lag; a running process reads requests that arrived in time within it. */
 const FINAL_READ_MS = 100;
 /** A timer that fires later than this shows that the process was paused. */
@@ -34,7 +37,8 @@
 
   readonly #state = new BehaviorSubject<DrainState>('serving');
 
-  #open = 0;
+  /** Descriptions of the answers that have not ended. */
+  readonly #answers = new Set<() => LogFields>();
 
   private constructor(scheduler: SchedulerLike, log: Log, options: DrainOptions) {
     this.#scheduler = scheduler;
@@ -52,7 +56,7 @@
 
   /** Number of answers that have not ended. */
   get open(): number {
-    return this.#open;
+    return this.#answers.size;
   }
 
   readonly states: Observable<DrainState> = new Observable((subscriber) => (
@@ -68,22 +72,23 @@
       subscriber.complete();
     })));
 
-  /** Counts an answer as open until the returned function is called. */
-  enter(): () => void {
-    this.#open += 1;
-    let closed = false;
+  /**
+   * Counts an answer as open until the returned function is called.
+   *
+   * @param describe what the log tells of the answer while it is open
+   */
+  enter(describe: () => LogFields = () => ({})): () => void {
+    const answer = () => describe();
+    this.#answers.add(answer);
     return () => {
-      if (closed) return;
-      closed = true;
-      this.#open -= 1;
-      this.#settle();
+      if (this.#answers.delete(answer)) this.#settle();
     };
   }
 
   /** Starts the shutdown; further calls are only logged. */
   begin(): void {
     if (this.state !== 'serving') {
-      this.#log.event('info', 'stop_repeated', { state: this.state, open: this.#open });
+      this.#log.event('info', 'stop_repeated', { state: this.state, open: this.open });
       return;
     }
     const { lagMs, limitMs } = this.#options;
@@ -108,11 +113,15 @@
   }
 
   #settle(): void {
-    if (this.state === 'finishing' && this.#open === 0) this.#move('done');
+    if (this.state === 'finishing' && this.open === 0) this.#move('done');
   }
 
   #move(state: DrainState): void {
-    this.#log.event('info', 'stop', { state, open: this.#open });
+    const listed = [...this.#answers].slice(0, MAX_LISTED);
+    const unlisted = this.open - listed.length;
+    this.#log.event('info', 'stop', { state, open: this.open, unlisted: unlisted || undefined });
+    listed.forEach((describe) => (
+      this.#log.event('info', 'open_answer', { state, ...describe() })));
     this.#state.next(state);
   }
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -14,6 +14,7 @@
 import { AnswerStream, CURSOR_HEADER, sendCompletion } from './answer.js';
 import { logAnswer } from './accesslog.js';
 import { readBody, sendRefusal } from './body.js';
+import { Delivery } from './delivery.js';
 import { createCallerServer } from './httpserver.js';
 import { findModel, parseBody, requestOf } from './completion.js';
 import type { Endpoint } from './completion.js';
@@ -41,6 +42,9 @@
   readonly wallClock?: () => number;
 }
 
+/** When a request's head was received, and how far its response has got. */
+interface Arrival { readonly receivedAt: number; readonly delivery: Delivery }
+
 function refusal(code: RefusalCode, message: string): Refusal {
   return { code, message, ran: 'no' };
 }
@@ -123,7 +127,13 @@
       return;
     }
     if (this.#serveStatus(req, res, pathname)) return;
-    const leave = this.#drain.enter();
+    const arrival = { receivedAt, delivery: Delivery.of(res) };
+    const leave = this.#drain.enter(() => ({
+      request: res.getHeader(REQUEST_ID_HEADER)?.toString(),
+      route: pathname,
+      stage: arrival.delivery.stage,
+      ...arrival.delivery.logFields,
+    }));
     const countResponse = this.#options.metrics?.request(this.#routeLabel(pathname));
     res.on('close', () => {
       leave();
@@ -131,7 +141,7 @@
     });
     // While the instance stops, the balancer's keep-alive connections close after their response.
     if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
-    this.#handle(req, res, pathname, receivedAt).catch((error: unknown) => {
+    this.#handle(req, res, pathname, arrival).catch((error: unknown) => {
       this.#gateway.log.event('error', 'request_failed', { path: pathname, reason: String(error) });
       sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran: 'unknown' });
     });
@@ -170,13 +180,13 @@
     req: IncomingMessage,
     res: ServerResponse,
     pathname: string,
-    receivedAt: number,
+    arrival: Arrival,
   ): Promise<void> {
     const workspace = this.#authenticate(req);
     if (pathname.startsWith('/services/')) {
       if (workspace.isErr()) return sendRefusal(res, workspace.error);
       const id = this.#random.identifier();
-      this.#logAnswer(res, id, pathname, receivedAt);
+      this.#logAnswer(res, id, pathname, arrival);
       return this.#services.relay(req, res, workspace.value, id);
     }
     const endpoints: Readonly<Record<string, Endpoint>> = {
@@ -194,14 +204,14 @@
     if (workspace.isErr()) return sendRefusal(res, workspace.error);
     if (!endpoint) return this.#listModels(res, workspace.value);
     const id = this.#random.identifier();
-    this.#logAnswer(res, id, pathname, receivedAt);
+    this.#logAnswer(res, id, pathname, arrival);
     return this.#generate(endpoint, req, res, workspace.value, id);
   }
 
   /** Sets the request id header, and logs the response when it ends. */
-  #logAnswer(res: ServerResponse, request: string, route: string, receivedAt: number): void {
+  #logAnswer(res: ServerResponse, request: string, route: string, arrival: Arrival): void {
     res.setHeader(REQUEST_ID_HEADER, request);
-    logAnswer(res, { request, route, receivedAt }, {
+    logAnswer(res, { request, route, ...arrival }, {
       log: this.#gateway.log, scheduler: this.#scheduler,
     });
   }
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -189,6 +189,7 @@
       dueAt: scheduler.now() + this.#call.route.objectiveMs,
     }));
     throttles.take(server.entry);
+    this.#caller.sending(attempt.server);
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
     subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
       .subscribe((event) => this.#onExchangeEvent(number, event)));
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -44,6 +44,8 @@
 
 /** Writes the response to the caller. */
 export interface Caller {
+  /** Called before the request is sent to a server, or to an instance that forwards it. */
+  sending(server: string): void;
   respond(response: BufferedResponse): void;
   refuse(refusal: Refusal): void;
   /** Begins a streamed response. */
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -109,6 +109,7 @@
       left_ms: Math.round(leftMs),
     });
     meter.record({ kind: 'forwarded', outcome: 'sent' });
+    this.#caller.sending(target);
     this.#exchange = exchange({
       agent: connections.agent(`instance ${target}`),
       address: `${target}:${port}`,
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -1,11 +1,10 @@
 /** The HTTP server for callers: validates each request and starts its relay. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
 import type { Subscription } from 'rxjs';
 import type { Drain } from '../entry/drain.js';
 import { logAnswer } from '../entry/accesslog.js';
 import { readBody } from '../entry/body.js';
+import { Delivery } from '../entry/delivery.js';
 import { applyHeadLimits, createCallerServer } from '../entry/httpserver.js';
 import { bodyOf, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
@@ -13,19 +12,15 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import type { RequestFields } from './dialect.js';
-import {
-  outcomeHeaders, readForwarded, withoutForwardHeaders,
-} from './forwardedrequest.js';
+import { outcomeHeaders, readForwarded } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
 import { InputDelay } from './inputdelay.js';
-import { RouteTable } from './routes.js';
-import type { Target } from './routes.js';
+import { OpenAnswer } from './openanswer.js';
+import { readHead } from './requesthead.js';
+import type { ReceivedHead } from './requesthead.js';
+import type { RouteTable } from './routes.js';
 import { StreamRelay } from './streamrelay.js';
 
-/** `Retry-After` of an instance that has no configuration yet. */
-const STARTING_RETRY_AFTER_MS = 500;
-const MAX_PRIORITY = 9;
-
 export interface FrontendContext extends RelayContext {
   readonly drain: Drain;
   readonly random: () => number;
@@ -46,25 +41,10 @@
   return NOT_RUN_STATUSES.includes(status) ? BAD_GATEWAY : status;
 }
 
-function refusal(code: Refusal['code'], message: string): Refusal {
-  return { code, message, ran: 'no' };
-}
-
-/** Picks a target with a probability in proportion to its weight; `fraction` is random. */
-export function pickTarget(targets: readonly Target[], fraction: number): Target | undefined {
-  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
-  let remaining = fraction * total;
-  return targets.find(({ weight }) => {
-    remaining -= weight;
-    return weight > 0 && remaining < 0;
-  }) ?? targets[0];
-}
-
-/** What is known of a request before its body is read. */
-interface ReceivedHead {
-  readonly fields: RequestFields;
-  readonly receivedAt: number;
-  readonly forwarded: ForwardedRequest | undefined;
+/** A request before its body is read, and its answer. */
+interface Arrival extends ReceivedHead {
+  readonly delivery: Delivery;
+  readonly answer: OpenAnswer;
 }
 
 /** The fields of a request, as they are after what the forwarding instance has done of it. */
@@ -131,16 +111,23 @@
     // `close` reports a broken connection; an `error` without a listener would end the process.
     req.on('error', () => undefined);
     res.on('error', () => undefined);
-    const { dialect, drain, log } = this.#context;
+    const {
+      dialect, drain, log, scheduler,
+    } = this.#context;
     const fields = withForwarded(dialect.readRequest(req.rawHeaders), forwarded);
-    const leave = drain.enter();
+    const delivery = Delivery.of(res);
+    const answer = OpenAnswer.of(fields.id, receivedAt, delivery);
+    const leave = drain.enter(() => answer.describe(scheduler.now()));
     res.on('close', () => {
       leave();
       // The head of a response that began before the drain said that the connection stays open.
       if (drain.state !== 'serving') req.socket.destroySoon();
     });
     if (drain.state !== 'serving') res.setHeader('Connection', 'close');
-    this.#handle(req, res, { fields, receivedAt, forwarded }).catch((error: unknown) => {
+    const head = {
+      fields, receivedAt, forwarded, delivery, answer,
+    };
+    this.#handle(req, res, head).catch((error: unknown) => {
       log.event('error', 'request_failed', { target: req.url, reason: String(error) });
       const ran = 'unknown';
       this.#sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran }, fields);
@@ -150,10 +137,10 @@
   async #handle(
     req: IncomingMessage,
     res: ServerResponse,
-    head: ReceivedHead,
+    head: Arrival,
   ): Promise<void> {
     const { fields, forwarded } = head;
-    const checked = this.#validateHead(req, head);
+    const checked = readHead(req, head, this.#context);
     if (checked.isErr()) {
       req.resume();
       this.#sendRefusal(res, checked.error, fields);
@@ -166,66 +153,20 @@
       return;
     }
     if (res.closed || res.destroyed) return;
+    head.answer.markRead();
     if (forwarded?.software !== undefined) {
       this.#context.origins.record(fields.resumes ?? checked.value.id, forwarded.software);
     }
-    this.#startRelay({ ...checked.value, body: body.value }, res);
+    this.#startRelay({ ...checked.value, body: body.value }, res, head);
   }
 
-  /** Validates a request by its head and builds the call except for its body. */
-  #validateHead(
-    req: IncomingMessage,
-    { fields, receivedAt, forwarded }: ReceivedHead,
-  ): Result<Omit<Call, 'body'>, Refusal> {
-    const { random } = this.#context;
-    const table = this.#context.routes();
-    if (!table) {
-      return err({
-        code: 'not_ready',
-        message: 'no configuration is known yet',
-        ran: 'no',
-        retryAfterMs: STARTING_RETRY_AFTER_MS,
-      });
-    }
-    const { configuration } = table;
-    const target = req.url ?? '';
-    const host = req.headers.host ?? '';
-    if (!target.startsWith('/')) return err(refusal('bad_request', 'the target is not a path'));
-    const route = table.route(host.replace(/:\d+$/, ''), target.replace(/[?#].*$/s, ''));
-    if (!route) return err(refusal('not_found', 'no route matches host and path'));
-    const workspace = fields.key === undefined ? undefined : table.workspace(fields.key);
-    if (configuration.workspaces && !route.open && !workspace) {
-      return err(refusal('unauthorized', 'unknown workspace key'));
-    }
-    if (fields.id === undefined) return err(refusal('bad_request', 'the request has no id'));
-    const serviceName = pickTarget(route.targets, random())?.service ?? '';
-    const callerMs = fields.deadlineMs ?? Infinity;
-    const waitMs = Math.min(route.timeoutMs, callerMs, forwarded?.leftMs ?? Infinity);
-    return ok({
-      id: fields.id,
-      method: req.method ?? 'GET',
-      target,
-      headers: withoutForwardHeaders(req.rawHeaders),
-      fields,
-      route: { ...route, maxAttempts: Math.max(1, route.maxAttempts - (forwarded?.attempts ?? 0)) },
-      service: configuration.services[serviceName] ?? {
-        name: serviceName, engine: undefined, healthPath: undefined,
-      },
-      workspace,
-      priority: Math.min(MAX_PRIORITY, Math.max(0, workspace?.priority ?? route.priority)),
-      receivedAt,
-      deadlineAt: receivedAt + waitMs,
-      version: configuration.version,
-      forwardedBy: forwarded?.by,
-    });
-  }
-
-  #startRelay(call: Call, res: ServerResponse): void {
+  #startRelay(call: Call, res: ServerResponse, { delivery: sent, answer }: Arrival): void {
     const { retries, scheduler, meter } = this.#context;
     // The instance that forwards a request has counted it.
     if (call.forwardedBy === undefined) retries.request(call.service.name, scheduler.now());
     const outcome = call.forwardedBy === undefined ? [] : outcomeHeaders('answered');
     const caller: Caller = {
+      sending: (server) => answer.markSent(server),
       respond: ({ status, headers, body }) => {
         res.writeHead(status, [...headers, ...outcome]);
         res.end(body);
@@ -246,7 +187,10 @@
     // The response closes some rounds of the event loop after its caller's end has been read.
     const { socket } = res.req;
     socket.once('end', onCallerGone);
-    const answered = { request: call.id, route: call.route.name, receivedAt: call.receivedAt };
+    const { id: request, receivedAt, route: { name: route } } = call;
+    const answered = {
+      request, route, receivedAt, delivery: sent,
+    };
     logAnswer(res, answered, this.#context, ({ status, whole, ms }) => {
       socket.off('end', onCallerGone);
       if (!whole) onCallerGone();
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -255,6 +255,7 @@
       }, this.#context),
     }, this.#context, (event) => this.#onAttemptEvent(attempt, event));
     this.#attempts.set(attempt.number, streamAttempt);
+    this.#caller.sending(attempt.server);
     streamAttempt.start();
   }
 
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -136,6 +136,14 @@
       request: 'r1', status: 200, whole: false, ms: 80,
     }),
   ], { kind: 'broken_off', status: 200, ms: 80 }],
+  ['cut at the limit of a stop', [
+    line('a-1', 0, 'open_answer', {
+      state: 'finishing', request: 'r1', stage: 'running', age_ms: 10,
+    }),
+    line('a-1', 4_000, 'open_answer', {
+      state: 'expired', request: 'r1', stage: 'answering', age_ms: 4_010,
+    }),
+  ], { kind: 'cut', stage: 'answering', ageMs: 4_010 }],
   ['open', [line('a-1', 0, 'route', { request: 'r1', server: 'e-1' })], { kind: 'open' }],
 ];
 
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -19,7 +19,7 @@
 import { decodeMessage, encodeMessage, MAX_MESSAGE_BYTES } from '../src/relay/peermessage.js';
 import { classifyResponse } from '../src/relay/responseclass.js';
 import type { ResponseClass } from '../src/relay/responseclass.js';
-import { pickTarget } from '../src/relay/frontend.js';
+import { pickTarget } from '../src/relay/requesthead.js';
 import { RouteTable } from '../src/relay/routes.js';
 import {
   isUsable, markReached, markSuspect, NO_LOAD, serverState, withEntry, withOutcome,
