--- a/test/relay-stop.test.ts
+++ b/test/relay-stop.test.ts
@@ -68,3 +68,162 @@
   t.like(atSignal.find(({ request }) => request === 'call'), { stage: 'running', server: 'p1' });
   t.like(atSignal.find(({ request }) => request === 'upload'), { stage: 'reading' });
 });
+
+/** A stream of 4.6 s; the limit of a stop is at 4.85 s. */
+const LONG_STREAM = {
+  id: 'e1', zone: 'a', stepMs: 230, events: 20,
+};
+/** After the balancer's lag, with more time left than a plain call takes. */
+const LATE_MS = 3_100;
+
+interface LateRequest {
+  readonly name: string;
+  readonly before: string;
+  /** Sent this long after the signal. */
+  readonly atMs: number;
+  readonly early?: string;
+  readonly after: string;
+}
+
+const LATE_REQUESTS: readonly LateRequest[] = (() => {
+  const head = headText({ id: 'late', path: '/stream/a' });
+  const upload = headText({
+    id: 'late', path: '/stream/a', method: 'POST', fields: ['transfer-encoding: chunked'],
+  });
+  return [
+    {
+      name: 'on a connection that had sent nothing', before: '', atMs: LATE_MS, after: head,
+    },
+    {
+      name: 'with half of its head sent before',
+      before: head.slice(0, 20),
+      atMs: LATE_MS,
+      after: head.slice(20),
+    },
+    {
+      name: 'with a body in chunks that ends late',
+      before: '',
+      early: `${upload}3\r\nabc\r\n`,
+      atMs: LATE_MS,
+      after: '0\r\n\r\n',
+    },
+    {
+      name: 'in the lag of the balancer', before: '', atMs: 1_000, after: head,
+    },
+  ];
+})();
+
+LATE_REQUESTS.forEach(({
+  name, before, early = '', atMs, after,
+}) => {
+  test(`a stream that can't end before the limit of a stop is not begun: ${name}`, async (t) => {
+    const relay = await servingRelay(t, { engines: [LONG_STREAM] });
+    const caller = await callerOf(relay);
+    caller.send(before);
+    await pause(50);
+    relay.daemon.startDrain();
+    await pause(500);
+    caller.send(early);
+    await pause(atMs - 500);
+    caller.send(after);
+    await caller.closed;
+    t.is(caller.status, 503, caller.text.slice(0, 200));
+    t.regex(caller.text, /\r\nretry-after: /i);
+    t.deepEqual(relay.engines[0]!.runs, []);
+  });
+});
+
+test('a stream that fits into the time of a stop is served in the balancer\'s lag', async (t) => {
+  const relay = await servingRelay(t, { engines: [{ id: 'e1', zone: 'a' }] });
+  t.true((await relay.call('/stream/a', { 'x-id': 'before' })).whole);
+  relay.daemon.startDrain();
+  const reply = await relay.call('/stream/a', { 'x-id': 'during' });
+  t.deepEqual([reply.status, reply.whole], [200, true]);
+});
+
+test('a stream whose engine fails in a stop is not begun again without the time', async (t) => {
+  const relay = await servingRelay(t, {
+    engines: [
+      {
+        id: 'e1',
+        zone: 'a',
+        respond: (_, res) => {
+          setTimeout(() => res.destroy(), 2_000);
+          return true;
+        },
+      },
+      { ...LONG_STREAM, id: 'e2', zone: 'b' },
+    ],
+  });
+  const caller = await callerOf(relay);
+  caller.send(headText({ id: 'repeated', path: '/stream/a' }));
+  t.true(await eventually(() => relay.engines[0]!.requests.length > 0
+    || relay.engines[1]!.runs.length > 0));
+  // The engine is chosen at random; the other one serves the stream within the time.
+  const failsFirst = relay.engines[0]!.requests.length > 0;
+  relay.daemon.startDrain();
+  await caller.closed;
+  if (failsFirst) {
+    t.deepEqual(relay.engines[1]!.runs, []);
+    t.is(caller.status, 502);
+  } else t.regex(caller.text, /\r\n0\r\n\r\n$/);
+});
+
+test('an answer that ended before the listener closes arrives whole', async (t) => {
+  const relay = await servingRelay(t, {
+    plain: [{
+      id: 'p1',
+      zone: 'a',
+      respond: (req, res, engine) => {
+        res.writeHead(200, engine.responseHeaders(req)).end(Buffer.alloc(LARGE_BYTES));
+        return true;
+      },
+    }],
+  });
+  const caller = await callerOf(relay);
+  caller.pause();
+  caller.send(headText({ id: 'large', path: '/safe/a' }));
+  t.true(await eventually(() => relay.plain[0]!.requests.length === 1));
+  relay.daemon.startDrain();
+  t.true(await eventually(() => relay.daemon.drain.state === 'finishing'));
+  await pause(300);
+  caller.resume();
+  t.true(await eventually(() => caller.bytes > LARGE_BYTES));
+  t.true(await eventually(() => relay.daemon.drain.state === 'done'));
+  t.like(relay.log.of('answered')[0], { request: 'large', whole: true });
+});
+
+test('a call that no server has answered at the limit of a stop is told so', async (t) => {
+  const relay = await servingRelay(t, { plain: [{ id: 'p1', zone: 'a', respond: () => true }] });
+  const call = await callerOf(relay);
+  call.send(headText({ id: 'call', path: '/unsafe/a' }));
+  const upload = await callerOf(relay);
+  upload.send(headText({
+    id: 'upload', path: '/unsafe/a', method: 'POST', fields: ['content-length: 9'],
+  }));
+  t.true(await eventually(() => relay.daemon.drain.open === 2));
+  relay.daemon.startDrain();
+  await Promise.all([call.closed, upload.closed]);
+  t.is(call.status, 502, call.text);
+  t.is(upload.status, 503, upload.text);
+  t.true(await eventually(() => relay.daemon.drain.state === 'expired'));
+});
+
+test('the refusal of a body that goes on is not lost to a reset', async (t) => {
+  const relay = await servingRelay(t, { engines: [LONG_STREAM] });
+  relay.daemon.startDrain();
+  const caller = await callerOf(relay);
+  caller.pause();
+  const chunk = `1000\r\n${'x'.repeat(0x1000)}\r\n`;
+  caller.send(headText({
+    id: 'late', path: '/stream/a', method: 'POST', fields: ['transfer-encoding: chunked'],
+  }));
+  caller.send(chunk);
+  await pause(300);
+  // Sent after the refusal, which the caller has not read yet.
+  caller.send(chunk);
+  await pause(300);
+  caller.resume();
+  t.is(await caller.closed, '');
+  t.is(caller.status, 503, caller.text);
+});
