Don't close connections as idle while an answer on them is unsent

Callers saw: an answer that broke off 2.5 s after the signal, although its server had given all of it. Cause: when the listener closes, Node's closeIdleConnections destroys every connection whose request was read and whose response has ended, also with bytes still in the process. A small answer on a connection whose client has stopped reading for a moment goes the same way.

The server for callers now knows what each connection is used for and closes only kept ones that wait for their next request: no open answer, and nothing read since the last one closed. Connections with half of a next head are spared as well. Both interfaces use this server. Test: 6 MB arrive, and the stop ends as done after them.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -1,6 +1,9 @@
-/** Creates HTTP servers for callers, with limits on request heads and connection times. */
-import { createServer } from 'node:http';
-import type { RequestListener, Server } from 'node:http';
+/**
+ * Creates HTTP servers for callers, with limits on request heads and connection times. A server
+ * that closes spares connections with an answer that is not flushed yet.
+ */
+import { Server } from 'node:http';
+import type { RequestListener, ServerOptions, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
@@ -57,9 +60,49 @@
   ].join('\r\n'));
 }
 
+/** What a connection has been used for. */
+interface ConnectionUse {
+  openAnswers: number;
+  /** Bytes read when its last answer closed; more show that another request has begun to arrive. */
+  bytesAnswered: number;
+}
+
+/** Node's own server closes connections as idle whose answers have ended and are partly unsent. */
+class CallerServer extends Server {
+  readonly #connections = new Map<Socket, ConnectionUse>();
+
+  constructor(options: ServerOptions, listener: RequestListener) {
+    super(options, listener);
+    this.on('connection', (socket: Socket) => {
+      this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0 });
+      socket.once('close', () => this.#connections.delete(socket));
+    });
+    this.prependListener('request', (_, res: ServerResponse) => this.#track(res));
+  }
+
+  /** Closes kept connections that wait for their next request; `close` calls it as well. */
+  override closeIdleConnections(): void {
+    this.#connections.forEach(({ openAnswers, bytesAnswered }, socket) => {
+      const isKept = openAnswers === 0 && bytesAnswered > 0;
+      if (isKept && socket.bytesRead === bytesAnswered) socket.destroySoon();
+    });
+  }
+
+  #track(res: ServerResponse): void {
+    const { socket } = res.req;
+    const use = this.#connections.get(socket);
+    if (!use) return;
+    use.openAnswers += 1;
+    res.once('close', () => {
+      use.openAnswers -= 1;
+      use.bytesAnswered = socket.bytesRead;
+    });
+  }
+}
+
 /** Creates a server with the default limits, which `applyHeadLimits` changes. */
 export function createCallerServer(listener: RequestListener): Server {
-  const server = createServer({
+  const server = new CallerServer({
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     noDelay: true,
