Begin nothing in a stop that isn't expected to end before its limit

Callers saw: a stream with a status that closed without the rest. Cause: a stopping instance compared the time that is left with nothing. Whatever was read whole in the stop was passed on to an engine and cut off at the limit: the first request of a connection opened before (Node spares such connections when the listener closes), the second half of a head, the last chunk of a body, a stream in the balancer's lag, a stream repeated after its engine failed. Class: work is begun that can't end in the time that is left.

Now the time left is compared with the time that the call needs, when its head is read, and again before each attempt after a whole body, a failure or a take-up. What is needed is the longest of the last minute at that service: to the first event and per requested token, or a plain service's whole answer, a quarter more; without any, the route's objective for plain calls, and for streams their deadline. What doesn't fit is refused at once (stopping, 503, not run unless an engine had it, Retry-After 0.1 s), so that the caller goes to another instance; a stream that has begun and doesn't fit any more ends at once, and its caller takes it up elsewhere. Readiness, the lag and what it serves otherwise stay as they are.

Weighed: refusing everything after the lag (plain calls of 20 ms would be refused with 5 s left); forwarding to another instance (the answer would still pass through this one); the deadline alone (streams have 25 s, none would be served in the lag).

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -45,6 +45,7 @@
   service_unreached: 'no server of the service answered',
   started: 'the instance started',
   stop: 'the instance\'s stop changed its state',
+  stop_refused: 'it was not expected to end before the limit of the stop',
   store_lost: 'the store was lost',
   store_regained: 'the store answered again',
   store_restored: 'the store came back from a backup',
--- a/src/common/refusal.ts
+++ b/src/common/refusal.ts
@@ -29,6 +29,7 @@
   backend_timeout: 504,
   interrupted: 502,
   not_ready: 503,
+  stopping: 503,
   store_unavailable: 503,
 } as const;
 
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -37,6 +37,9 @@
 
   readonly #state = new BehaviorSubject<DrainState>('serving');
 
+  /** When open answers are cut off, by the scheduler's clock. */
+  #limitAt = Infinity;
+
   /** Descriptions of the answers that have not ended. */
   readonly #answers = new Set<() => LogFields>();
 
@@ -59,6 +62,15 @@
     return this.#answers.size;
   }
 
+  /** Time until open answers are cut off; `Infinity` while the instance serves. */
+  get leftMs(): number {
+    return this.#hasEnded ? 0 : Math.max(0, this.#limitAt - this.#scheduler.now());
+  }
+
+  get #hasEnded(): boolean {
+    return this.state === 'done' || this.state === 'expired';
+  }
+
   readonly states: Observable<DrainState> = new Observable((subscriber) => (
     this.#state.pipe(distinctUntilChanged()).subscribe(subscriber)));
 
@@ -92,6 +104,7 @@
       return;
     }
     const { lagMs, limitMs } = this.#options;
+    this.#limitAt = this.#scheduler.now() + limitMs;
     this.#move('lagging');
     timer(Math.max(0, lagMs - FINAL_READ_MS), this.#scheduler).subscribe(() => this.#readLast());
     timer(limitMs, this.#scheduler).subscribe(() => {
--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -26,6 +26,15 @@
   chunks: Buffer[];
 }
 
+/** An attempt of which nothing has been sent. */
+export function liveAttempt(
+  start: Pick<LiveAttempt, 'attempt' | 'entry' | 'assignment' | 'subscription' | 'startedAt'>,
+): LiveAttempt {
+  return {
+    ...start, sent: false, connectedAt: 0, head: undefined, chunks: [],
+  };
+}
+
 export interface AttemptFailure {
   readonly ran: 'no' | 'unknown';
   readonly message: string;
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -1,7 +1,10 @@
 /** Relays a call whose response is buffered: performs the effects of its state transitions. */
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
-import { bufferedResponse, failureFields, ONE_REQUEST } from './bufferedattempt.js';
+import type { Refusal } from '../common/refusal.js';
+import {
+  bufferedResponse, failureFields, liveAttempt, ONE_REQUEST,
+} from './bufferedattempt.js';
 import type { AttemptFailure, LiveAttempt } from './bufferedattempt.js';
 import type { Call } from './call.js';
 import { callState, callTransition } from './callstate.js';
@@ -14,11 +17,12 @@
 import { Handover } from './handover.js';
 import { classifyResponse } from './responseclass.js';
 import {
-  callRouteFields, THROTTLED_MESSAGE, throttledFields, unplacedFields,
+  callRouteFields, logUnplaced, THROTTLED_MESSAGE, throttledFields,
 } from './routefields.js';
 import { areAllThrottled, selectServer } from './selection.js';
 import type { Candidate } from './selection.js';
 import { serverRequest } from './serverrequest.js';
+import { stopRefusal } from './stopping.js';
 
 /** Share of the route's latency objective after which a repeatable call is hedged. */
 const HEDGE_AFTER_SHARE = 0.5;
@@ -66,13 +70,13 @@
       .subscribe(() => this.#apply({ kind: 'expired' })));
     this.#timers.add(timer(this.#call.route.objectiveMs * HEDGE_AFTER_SHARE, scheduler)
       .subscribe(() => this.#apply({ kind: 'slow' })));
-    this.#timers.add(this.#context.quarantines.changes.subscribe(() => this.#rejectQuarantined()));
+    this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
+      this.#reject(quarantineRefusal(this.#call, this.#context)))));
     this.#apply({ kind: 'begin' });
   }
 
-  /** Ends the call if it is known to crash servers; returns whether it is. */
-  #rejectQuarantined(): boolean {
-    const refusal = quarantineRefusal(this.#call, this.#context);
+  /** Ends the call if there is a refusal; returns whether there is. */
+  #reject(refusal: Refusal | undefined): boolean {
     if (refusal) this.#apply({ kind: 'rejected', refusal });
     return refusal !== undefined;
   }
@@ -96,6 +100,7 @@
         this.#release(effect.attempt.number);
         break;
       case 'answer':
+        this.#context.stopping.durations.recordAnswer(this.#call, this.#context.scheduler.now());
         this.#caller.respond(effect.response);
         break;
       case 'refuse':
@@ -114,7 +119,10 @@
       this.#apply({ kind: 'expired' });
       return;
     }
-    if (this.#rejectQuarantined()) return;
+    if (this.#reject(quarantineRefusal(this.#call, this.#context))) return;
+    // A hedge may come too late without harm.
+    const isHedge = this.#state.phase.kind === 'running';
+    if (!isHedge && this.#reject(stopRefusal(this.#call, this.#context))) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
@@ -150,8 +158,7 @@
     inputs: LogFields = {},
     retryAfterMs = NO_SERVER_RETRY_AFTER_MS,
   ): void {
-    const fields = unplacedFields(this.#call, message, this.#context);
-    this.#context.log.event('info', 'unplaced', { ...fields, ...inputs, tried: this.#state.tried });
+    logUnplaced(this.#call, message, { ...inputs, tried: this.#state.tried }, this.#context);
     this.#apply({ kind: 'unassignable', message, retryAfterMs });
   }
 
@@ -172,17 +179,13 @@
       return;
     }
     const subscription = new Subscription();
-    this.#liveAttempts.set(number, {
+    this.#liveAttempts.set(number, liveAttempt({
       attempt,
       entry: server.entry,
       assignment: fleet.assign(attempt.server, ONE_REQUEST),
       subscription,
       startedAt: scheduler.now(),
-      sent: false,
-      connectedAt: 0,
-      head: undefined,
-      chunks: [],
-    });
+    }));
     subscription.add(reach.watch({
       service: server.entry.service,
       startedAt: scheduler.now(),
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -15,6 +15,7 @@
 import type { RetrySchedules } from './retryafter.js';
 import type { ServerNotices } from './servernotices.js';
 import type { SilenceWatch } from './silencewatch.js';
+import type { Stopping } from './stopping.js';
 import type { StreamOrigins } from './streamorigins.js';
 import type { Throttles } from './throttles.js';
 import type { WorkspaceUses } from './workspaceuses.js';
@@ -40,6 +41,7 @@
   readonly uses: WorkspaceUses;
   readonly reach: Reach;
   readonly forwarding: Forwarding;
+  readonly stopping: Stopping;
 }
 
 /** Writes the response to the caller. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -31,6 +31,7 @@
 import type { RelaySettings } from './settings.js';
 import { ServerNotices } from './servernotices.js';
 import { SilenceWatch } from './silencewatch.js';
+import { Stopping } from './stopping.js';
 import { StoreFeed } from './storefeed.js';
 import { StreamOrigins } from './streamorigins.js';
 import { Throttles } from './throttles.js';
@@ -192,6 +193,7 @@
       uses,
       reach: this.#reach,
       forwarding: this.#forwarding,
+      stopping: Stopping.of(this.drain, scheduler),
     };
     this.drain.states.subscribe((state) => {
       if (state !== 'finishing') return;
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -19,6 +19,7 @@
 import { readHead } from './requesthead.js';
 import type { ReceivedHead } from './requesthead.js';
 import type { RouteTable } from './routes.js';
+import { stopRefusal } from './stopping.js';
 import { StreamRelay } from './streamrelay.js';
 
 export interface FrontendContext extends RelayContext {
@@ -146,6 +147,12 @@
       this.#sendRefusal(res, checked.error, fields);
       return;
     }
+    const stopped = stopRefusal(checked.value, this.#context);
+    if (stopped) {
+      req.resume();
+      this.#sendRefusal(res, stopped, fields);
+      return;
+    }
     const maxBytes = this.#context.routes()?.configuration.maxBodyBytes;
     const body = await readBody(req, this.#context.scheduler, maxBytes);
     if (body.isErr()) {
--- a/src/relay/routefields.ts
+++ b/src/relay/routefields.ts
@@ -133,7 +133,7 @@
 }
 
 /** Why no server was chosen. */
-export function unplacedFields(
+function unplacedFields(
   {
     id, service, workspace, version, fields: { resumes },
   }: Call,
@@ -151,6 +151,17 @@
   };
 }
 
+/** Logs that no server takes a call, with what was weighed. */
+export function logUnplaced(
+  call: Call,
+  reason: string,
+  inputs: LogFields,
+  context: RelayContext,
+): void {
+  const fields = unplacedFields(call, reason, context);
+  context.log.event('info', 'unplaced', { ...fields, ...inputs });
+}
+
 /** Why a call must not be sent to any engine. */
 export function rejectionFields(
   call: Call,
--- /dev/null
+++ b/src/relay/stopping.ts
@@ -0,0 +1,70 @@
+/**
+ * What a stopping instance still begins: only what is expected to end before the limit of its stop.
+ * Anything else is refused at once, as not run, so that its caller can go to another instance.
+ */
+import type { SchedulerLike } from 'rxjs';
+import type { Refusal } from '../common/refusal.js';
+import type { Drain } from '../entry/drain.js';
+import type { Call } from './call.js';
+import type { RelayContext } from './context.js';
+import { Durations } from './durations.js';
+
+/** Other instances serve meanwhile, so there is nothing to wait for. */
+const RETRY_AFTER_MS = 100;
+/** Servers slow down as they fill, and a retry of a server's may be needed. */
+const SPARE = 1.25;
+
+/** Times that decide whether a call may begin. */
+interface StopTimes { readonly leftMs: number; readonly expectedMs: number }
+
+export class Stopping {
+  readonly durations = Durations.of();
+
+  readonly #drain: Drain;
+
+  readonly #scheduler: SchedulerLike;
+
+  private constructor(drain: Drain, scheduler: SchedulerLike) {
+    this.#drain = drain;
+    this.#scheduler = scheduler;
+  }
+
+  static of(drain: Drain, scheduler: SchedulerLike): Stopping {
+    return new Stopping(drain, scheduler);
+  }
+
+  /**
+   * The times of a call that isn't expected to end before the limit; undefined if it may begin.
+   *
+   * @param streamedMs how long its stream has run since the first event
+   */
+  lacking(call: Omit<Call, 'body'>, streamedMs: number): StopTimes | undefined {
+    const { leftMs } = this.#drain;
+    const now = this.#scheduler.now();
+    if (call.deadlineAt - now < leftMs) return undefined;
+    const expectedMs = this.durations.expectedMs(call, streamedMs, now)
+      ?? (call.route.delivery === 'whole' ? call.route.objectiveMs : Infinity);
+    return expectedMs * SPARE < leftMs ? undefined : { leftMs, expectedMs };
+  }
+}
+
+/** Refuses a call that a stopping instance can't complete; undefined if it may begin. */
+export function stopRefusal(
+  call: Omit<Call, 'body'>,
+  context: Pick<RelayContext, 'stopping' | 'log'>,
+  streamedMs = 0,
+): Refusal | undefined {
+  const times = context.stopping.lacking(call, streamedMs);
+  if (!times) return undefined;
+  const { leftMs, expectedMs } = times;
+  context.log.event('info', 'stop_refused', {
+    request: call.id,
+    service: call.service.name,
+    left_ms: Math.round(leftMs),
+    expected_ms: expectedMs === Infinity ? undefined : Math.round(expectedMs),
+    streamed_ms: Math.round(streamedMs) || undefined,
+  });
+  return {
+    code: 'stopping', message: 'the instance is stopping', ran: 'no', retryAfterMs: RETRY_AFTER_MS,
+  };
+}
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -38,6 +38,20 @@
     return new StreamRecorder(call, context);
   }
 
+  /** How long the stream has run since its first event. */
+  get streamedMs(): number {
+    const { scheduler } = this.#context;
+    if (this.#firstEventMs === undefined) return 0;
+    return scheduler.now() - this.#call.receivedAt - this.#firstEventMs;
+  }
+
+  /** Records how long the stream took, which its engines have completed. */
+  recordDurations(): void {
+    const { stopping: { durations }, scheduler } = this.#context;
+    if (this.#firstEventMs === undefined || this.#call.fields.lastEvent !== undefined) return;
+    durations.recordStream(this.#call, this.#firstEventMs, this.streamedMs, scheduler.now());
+  }
+
   /** Records that a caller takes a stream up; without an origin it is refused. */
   takenUp(origin: FoundOrigin | undefined): void {
     const { log, meter } = this.#context;
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -6,6 +6,7 @@
  */
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
+import type { Refusal } from '../common/refusal.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { GenerationEffect, GenerationEvent } from '../generation/event.js';
 import type { Attempt, GenerationState } from '../generation/state.js';
@@ -20,8 +21,9 @@
 import { Handover } from './handover.js';
 import { attemptDenialReason, countAttempts, mayMigrate } from './migration.js';
 import type { AttemptCounts } from './migration.js';
-import { streamRouteFields, unplacedFields } from './routefields.js';
+import { logUnplaced, streamRouteFields } from './routefields.js';
 import type { RunDemand } from './selection.js';
+import { stopRefusal } from './stopping.js';
 import { StreamAttempt } from './streamattempt.js';
 import { StreamRecorder } from './streamrecorder.js';
 import { StreamRelease } from './streamrelease.js';
@@ -92,10 +94,10 @@
   #begin(): void {
     this.#timers.add(timer(remainingMs(this.#call, this.#context), this.#context.scheduler)
       .subscribe(() => this.#apply({ kind: 'expired', message: 'the deadline has passed' })));
-    this.#timers.add(this.#context.quarantines.changes.subscribe(() => {
-      // A stream that runs may be sound; what crashes engines has lost its own.
-      if (this.#state.accepted.tokens === 0) this.#rejectQuarantined();
-    }));
+    // A stream that runs may be sound; what crashes engines has lost its own.
+    this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
+      this.#state.accepted.tokens === 0
+        && this.#reject(quarantineRefusal(this.#call, this.#context)))));
     if (this.#state.accepted.tokens === 0) this.#apply({ kind: 'begin' });
     else this.#takeUp();
   }
@@ -112,9 +114,8 @@
     }, (error: unknown) => this.#unassignable(`${UNKNOWN_ORIGIN_MESSAGE}: ${String(error)}`));
   }
 
-  /** Ends the call if it is known to crash engines; returns whether it is. */
-  #rejectQuarantined(): boolean {
-    const refusal = quarantineRefusal(this.#call, this.#context);
+  /** Ends the call if there is a refusal; returns whether there is. */
+  #reject(refusal: Refusal | undefined): boolean {
     if (refusal) this.#apply({ kind: 'rejected', refusal });
     return refusal !== undefined;
   }
@@ -137,6 +138,7 @@
         break;
       case 'finish':
         this.#writeHead();
+        this.#recorder.recordDurations();
         this.#caller.end();
         break;
       case 'refuse':
@@ -180,7 +182,9 @@
       this.#unassignable('the service has no engines');
       return;
     }
-    if (this.#rejectQuarantined() || this.#handOver()) return;
+    const refusal = quarantineRefusal(this.#call, this.#context)
+      ?? stopRefusal(this.#call, this.#context, this.#recorder.streamedMs);
+    if (this.#reject(refusal) || this.#handOver()) return;
     const reason = attemptDenialReason(this.#call, this.#counts, this.#context)
       ?? (this.#release.isAmbiguous ? UNKNOWN_ORIGIN_MESSAGE : undefined);
     if (reason !== undefined) {
@@ -230,8 +234,7 @@
   }
 
   #unassignable(message: string, inputs: LogFields = {}, retryAfterMs = RETRY_AFTER_MS): void {
-    const fields = unplacedFields(this.#call, message, this.#context);
-    this.#context.log.event('info', 'unplaced', { ...fields, ...inputs });
+    logUnplaced(this.#call, message, inputs, this.#context);
     this.#apply({
       kind: 'unassignable',
       refusal: {
@@ -270,10 +273,9 @@
         pendingTokens: streamAttempt?.pendingTokens ?? 0,
         stage: streamAttempt?.stage ?? 'waiting',
       }, this.#state.accepted.tokens);
-      const copyHolder = streamAttempt?.copyHolder;
-      if (copyHolder !== undefined) this.#copyHolder = copyHolder;
       // A copy can be used only once, and an engine that refuses to use one doesn't have it.
-      else if (this.#copyHolder === attempt.server) this.#copyHolder = undefined;
+      const unused = this.#copyHolder === attempt.server ? undefined : this.#copyHolder;
+      this.#copyHolder = streamAttempt?.copyHolder ?? unused;
     }
     const unrepeatable = this.#call.route.repeat === 'never';
     if (unrepeatable && event.kind === 'failed' && event.failure.ran !== 'no') {
