End open answers honestly at the limit of a stop

Callers saw: a connection that closes without a word at the limit, for calls that a server had and for requests whose body was not complete. Cause: the process ended with its answers open, and the kernel closed them. The test waits for a status and got none from the stop (504 later, since the daemon of the test doesn't exit).

At the limit each open call is ended by its own state machine: not run (503, Retry-After) if no server can have it, otherwise of unknown fate (502); a stream that has begun breaks off as before, never as if it were complete. The process ends when these answers are flushed, at the latest 75 ms later, half of the margin before the platform's own limit.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -28,7 +28,7 @@
   const daemon = Daemon.of(settings, Random.of(randomInt(MAX_SEED)), log);
   const running = daemon.run.subscribe();
   log.event('info', 'started', { zone: settings.zone, callers: settings.listen.callers });
-  daemon.instance.drain.ended.subscribe((whole) => {
+  daemon.instance.drain.exit.subscribe((whole) => {
     log.event('info', 'stopped', { whole });
     running.unsubscribe();
     log.whenFlushed(() => process.exit(whole ? 0 : EXIT_CUT_OFF));
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -3,23 +3,30 @@
  * balancer still sends until it has noticed, and is done when every open answer has ended.
  */
 import {
-  BehaviorSubject, Observable, distinctUntilChanged, filter, map, timer,
+  BehaviorSubject, Observable, Subject, delayWhen, distinctUntilChanged, filter, map, of, race,
+  startWith, take, timer,
 } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Log, LogFields } from '../common/log.js';
 
-/** `lagging`: new requests may still arrive. `finishing`: only open answers are served. */
+/**
+ * `lagging`: new requests may still arrive. `finishing`: only open answers are served. `expired`:
+ * the limit is reached, and open answers are ended.
+ */
 export type DrainState = 'serving' | 'lagging' | 'finishing' | 'done' | 'expired';
 
 export interface DrainOptions {
   /** How long the balancer may still send requests once the instance is not ready. */
   readonly lagMs: number;
-  /** Time after which open answers are cut off. */
+  /** Time after which open answers are ended. */
   readonly limitMs: number;
 }
 
 const DEFAULT_OPTIONS: DrainOptions = { lagMs: 5_000, limitMs: 15 * 60 * 1_000 };
 
+/** How long answers that are ended at the limit may take to be flushed. */
+const FINAL_FLUSH_MS = 75;
+
 /** Open answers that are listed at each change of the state, the oldest first. */
 const MAX_LISTED = 32;
 
@@ -37,6 +44,8 @@
 
   readonly #state = new BehaviorSubject<DrainState>('serving');
 
+  readonly #closed = new Subject<void>();
+
   /** When open answers are cut off, by the scheduler's clock. */
   #limitAt = Infinity;
 
@@ -84,6 +93,14 @@
       subscriber.complete();
     })));
 
+  /**
+   * Emits once when the process may end: after `ended`, and after the answers that were ended at
+   * the limit have been flushed, or were not in time.
+   */
+  readonly exit: Observable<boolean> = this.ended.pipe(
+    delayWhen((whole) => (whole ? of(undefined) : this.#flushed())),
+  );
+
   /**
    * Counts an answer as open until the returned function is called.
    *
@@ -93,7 +110,9 @@
     const answer = () => describe();
     this.#answers.add(answer);
     return () => {
-      if (this.#answers.delete(answer)) this.#settle();
+      if (!this.#answers.delete(answer)) return;
+      this.#settle();
+      this.#closed.next();
     };
   }
 
@@ -125,6 +144,14 @@
     });
   }
 
+  /** Emits when no answer is open any more, or after a time. */
+  #flushed(): Observable<unknown> {
+    return race(
+      this.#closed.pipe(startWith(undefined), filter(() => this.open === 0)),
+      timer(FINAL_FLUSH_MS, this.#scheduler),
+    ).pipe(take(1));
+  }
+
   #settle(): void {
     if (this.state === 'finishing' && this.open === 0) this.#move('done');
   }
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -72,6 +72,7 @@
       .subscribe(() => this.#apply({ kind: 'slow' })));
     this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
       this.#reject(quarantineRefusal(this.#call, this.#context)))));
+    this.#timers.add(this.#context.stopping.limit.subscribe((refusal) => this.#reject(refusal)));
     this.#apply({ kind: 'begin' });
   }
 
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -73,6 +73,8 @@
     const forwarded = new ForwardedCall(call, caller, context, options);
     forwarded.#timers.add(timer(remainingMs(call, context), context.scheduler)
       .subscribe(() => forwarded.#giveUp('unknown', 'the deadline has passed')));
+    forwarded.#timers.add(context.stopping.limit.subscribe(({ message }) => (
+      forwarded.#giveUp('unknown', message))));
     forwarded.#sendNext('no', 'no instance reaches a backend server');
     return () => forwarded.#stop();
   }
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -154,7 +154,11 @@
       return;
     }
     const maxBytes = this.#context.routes()?.configuration.maxBodyBytes;
+    const limit = this.#context.stopping.limit
+      .subscribe((refusal) => this.#sendRefusal(res, refusal, fields));
     const body = await readBody(req, this.#context.scheduler, maxBytes);
+    limit.unsubscribe();
+    if (res.writableEnded) return;
     if (body.isErr()) {
       this.#sendRefusal(res, body.error, fields);
       return;
--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -2,6 +2,7 @@
  * What a stopping instance still begins: only what is expected to end before the limit of its stop.
  * Anything else is refused at once, as not run, so that its caller can go to another instance.
  */
+import { Subject } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Refusal } from '../common/refusal.js';
 import type { Drain } from '../entry/drain.js';
@@ -14,12 +15,22 @@
 /** Servers slow down as they fill, and a retry of a server's may be needed. */
 const SPARE = 1.25;
 
+const STOPPED: Refusal = {
+  code: 'stopping',
+  message: 'the instance stopped before the answer was complete',
+  ran: 'no',
+  retryAfterMs: RETRY_AFTER_MS,
+};
+
 /** Times that decide whether a call may begin. */
 interface StopTimes { readonly leftMs: number; readonly expectedMs: number }
 
 export class Stopping {
   readonly durations = Durations.of();
 
+  /** Emits the refusal that ends open calls, at the limit. */
+  readonly limit = new Subject<Refusal>();
+
   readonly #drain: Drain;
 
   readonly #scheduler: SchedulerLike;
@@ -27,6 +38,9 @@
   private constructor(drain: Drain, scheduler: SchedulerLike) {
     this.#drain = drain;
     this.#scheduler = scheduler;
+    drain.states.subscribe((state) => {
+      if (state === 'expired') this.limit.next(STOPPED);
+    });
   }
 
   static of(drain: Drain, scheduler: SchedulerLike): Stopping {
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -98,6 +98,7 @@
     this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
       this.#state.accepted.tokens === 0
         && this.#reject(quarantineRefusal(this.#call, this.#context)))));
+    this.#timers.add(this.#context.stopping.limit.subscribe((refusal) => this.#reject(refusal)));
     if (this.#state.accepted.tokens === 0) this.#apply({ kind: 'begin' });
     else this.#takeUp();
   }
