--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,8 +1,13 @@
 // Bundles the programs, so that a daemon loads only what it uses. What is imported when it is
 // needed, such as the demonstration, is a file of its own. With `--platform` the relaying daemon is
-// built for the users' platform, under `target/`.
+// built for the users' platform, under `target/` or in the folder that `--outdir` names.
+import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
 
+const { values: options } = parseArgs({
+  options: { platform: { type: 'boolean' }, outdir: { type: 'string' } },
+});
+
 const REQUIRE = `import { createRequire } from 'node:module';
 const require = createRequire(import.meta.url);`;
 
@@ -20,10 +25,12 @@
   entryPoints: { shallotshuntd: 'src/daemon/main.ts', shallotshunt: 'src/cli/main.ts' },
   outdir: 'dist',
 };
-const PLATFORM = { entryPoints: { shallotshuntd: 'platform/main.ts' }, outdir: 'target' };
+const PLATFORM = {
+  entryPoints: { shallotshuntd: 'platform/main.ts' }, outdir: options.outdir ?? 'target',
+};
 
 await build({
-  ...(process.argv.includes('--platform') ? PLATFORM : OWN),
+  ...(options.platform ? PLATFORM : OWN),
   outExtension: { '.js': '.mjs' },
   bundle: true,
   splitting: true,
