--- a/test/fakes/rawconnection.ts
+++ b/test/fakes/rawconnection.ts
@@ -109,6 +109,14 @@
     this.#socket.resume();
   }
 
+  /** Pauses after each part that is read. */
+  readSlowly(pauseMs: number): void {
+    this.#socket.on('data', () => {
+      this.#socket.pause();
+      setTimeout(() => this.#socket.resume(), pauseMs);
+    });
+  }
+
   /** Resolves once the next answer is complete or the connection has ended. */
   answer(): Promise<RawAnswer> {
     this.#requests += 1;
--- a/test/fakes/scriptedengine.ts
+++ b/test/fakes/scriptedengine.ts
@@ -34,6 +34,9 @@
 
   readonly #sockets = new Map<string, Set<Socket>>();
 
+  /** Connections that it has reset. */
+  readonly #reset = new WeakSet<Socket>();
+
   private constructor(id: string, service: string, record: EngineRecord) {
     this.id = id;
     this.service = service;
@@ -73,6 +76,7 @@
     this.#servers.get(ip)?.close();
     this.#servers.delete(ip);
     this.#sockets.get(ip)?.forEach((socket) => {
+      this.#reset.add(socket);
       if (socket.writable) socket.resetAndDestroy();
       else socket.destroy();
     });
@@ -135,7 +139,10 @@
       endedAt: Infinity,
     });
     res.on('close', () => {
-      if (run.end === 'open') run.end = res.writableFinished ? 'whole' : 'cut';
+      if (run.end === 'open') {
+        const aborted = this.#reset.has(req.socket) ? 'broken' : 'cut';
+        run.end = res.writableFinished ? 'whole' : aborted;
+      }
       run.endedAt = performance.now();
     });
     const brokenAfter = isFirst ? asks('broken', Infinity) : Infinity;
