Hold a plain call of unknown length against its deadline in a stop

Callers saw: 502 of unknown fate at the limit for calls of 4.6 s that came 2.35 s after the signal, at an instance that had seen no such call. Cause: without a measured time the route's objective was taken for the time that a call needs. Three tests with processes (a connection that sent nothing, half a head, a body in chunks) failed before: given out, cut, 502; they get 503, not run.

--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -56,8 +56,7 @@
     const { leftMs } = this.#drain;
     const now = this.#scheduler.now();
     if (call.deadlineAt - now < leftMs) return undefined;
-    const expectedMs = this.durations.expectedMs(call, streamedMs, now)
-      ?? (call.route.delivery === 'whole' ? call.route.objectiveMs : Infinity);
+    const expectedMs = this.durations.expectedMs(call, streamedMs, now) ?? Infinity;
     return expectedMs * SPARE < leftMs ? undefined : { leftMs, expectedMs };
   }
 }
