End a stopped process also if nobody reads its log

Seen: a process whose standard output is a full pipe has to be killed at the end of the grace period, with whatever is open then. Two causes: the exit waited for the log without a bound, and Node's exit joins the thread that is blocked in the write (a script of ten lines hangs in process.exit until it is killed).

Files are written as before. The product's daemon ends in the same way.

--- a/src/common/logwriter.ts
+++ b/src/common/logwriter.ts
@@ -3,7 +3,8 @@
  * during a write are buffered. When the buffer is full, whole lines are dropped, and a line with
  * their number is written once there is space again.
  */
-import { write } from 'node:fs';
+import { fstatSync, write } from 'node:fs';
+import { Socket } from 'node:net';
 
 /** Some thousand lines, which a busy instance logs in a second or two. */
 const MAX_BUFFERED_BYTES = 512 * 1024;
@@ -12,6 +13,24 @@
 type Write = (bytes: Buffer, done: (error: NodeJS.ErrnoException | null, count: number) => void)
 => void;
 
+/**
+ * Writes to a descriptor. A pipe or socket is made non-blocking: a thread that waits for its reader
+ * in a blocking write would keep the process from ending.
+ */
+function writeTo(descriptor: number): Write {
+  const stat = fstatSync(descriptor);
+  if (!stat.isFIFO() && !stat.isSocket()) {
+    return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
+  }
+  const socket = new Socket({ fd: descriptor, readable: false, writable: true });
+  // Each write reports its error; without a listener one would end the process.
+  socket.on('error', () => undefined);
+  socket.unref();
+  return (bytes, done) => {
+    socket.write(bytes, (error) => done(error ?? null, bytes.length));
+  };
+}
+
 export class LogWriter {
   readonly #write: Write;
 
@@ -37,10 +56,7 @@
 
   /** @param formatDropped formats the report of dropped lines, without its newline */
   static of(target: number | Write, formatDropped: (count: number) => string): LogWriter {
-    const writeTo: Write = typeof target === 'number'
-      ? (bytes, done) => write(target, bytes, 0, bytes.length, null, done)
-      : target;
-    return new LogWriter(writeTo, formatDropped);
+    return new LogWriter(typeof target === 'number' ? writeTo(target) : target, formatDropped);
   }
 
   /** Number of lines dropped since the start. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -13,6 +13,7 @@
 import { parseArgs } from 'node:util';
 import { formatFinding } from '../common/finding.js';
 import { ConsoleLog } from '../common/log.js';
+import { endProcess } from '../common/processend.js';
 import { MAX_SEED, Random } from '../common/random.js';
 import { Daemon } from './daemon.js';
 import { readSettings } from './settings.js';
@@ -31,7 +32,7 @@
   daemon.instance.drain.exit.subscribe((whole) => {
     log.event('info', 'stopped', { whole });
     running.unsubscribe();
-    log.whenFlushed(() => process.exit(whole ? 0 : EXIT_CUT_OFF));
+    endProcess(log, whole ? 0 : EXIT_CUT_OFF);
   });
   STOP_SIGNALS.forEach((signal) => process.on(signal, () => daemon.instance.leave()));
   // An error that no supervisor caught must not end the process, which would cut off open answers.
