Close callers' connections so that they can read what was sent

Callers saw: an answer or a refusal that was given whole and ended in a reset: EPIPE and no status for a caller that was still sending its body when it was refused; ECONNRESET after 65 kB to 1.7 MB of 3 MB beside half a head of a next request. Cause: after the last response Node closes the connection in both directions. Input that comes later, or was not read, makes the kernel reset it, and drop what the caller has not acknowledged; so does the exit of the process. Class: an end is told by what was handed over, not by what arrived.

Now the server ends its own direction and discards input until the caller closes, 5 s at most after all was handed over. A request on a connection that is being closed is not passed on. When the drain serves only open answers, the listener closes, idle connections are ended, half a head has 1 s to become whole, and the drain is not done before connections that were used have closed; the limit bounds all of it.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -5,8 +5,11 @@
 import { Server } from 'node:http';
 import type { RequestListener, ServerOptions, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { filter, take } from 'rxjs';
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
+import type { Drain } from './drain.js';
+import { closeGracefully } from './gracefulclose.js';
 
 /** Limits on the size of a request's head and on the time it may take to arrive. */
 export interface HeadLimits {
@@ -60,6 +63,9 @@
   ].join('\r\n'));
 }
 
+/** How long a server that closes waits for the rest of a head. */
+const HEAD_WAIT_MS = 1_000;
+
 /** What a connection has been used for. */
 interface ConnectionUse {
   openAnswers: number;
@@ -68,12 +74,13 @@
 }
 
 /** Node's own server closes connections as idle whose answers have ended and are partly unsent. */
-class CallerServer extends Server {
+export class CallerServer extends Server {
   readonly #connections = new Map<Socket, ConnectionUse>();
 
   constructor(options: ServerOptions, listener: RequestListener) {
     super(options, listener);
     this.on('connection', (socket: Socket) => {
+      closeGracefully(socket);
       this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0 });
       socket.once('close', () => this.#connections.delete(socket));
     });
@@ -82,12 +89,34 @@
 
   /** Closes kept connections that wait for their next request; `close` calls it as well. */
   override closeIdleConnections(): void {
-    this.#connections.forEach(({ openAnswers, bytesAnswered }, socket) => {
-      const isKept = openAnswers === 0 && bytesAnswered > 0;
-      if (isKept && socket.bytesRead === bytesAnswered) socket.destroySoon();
+    this.#unanswered(({ bytesAnswered }, socket) => socket.bytesRead === bytesAnswered)
+      .forEach((socket) => socket.destroySoon());
+  }
+
+  /**
+   * Stops as the drain does: once it serves only open answers, the listener closes, idle
+   * connections are closed, and requests that have begun to arrive are waited for. The drain is
+   * not done before these connections have closed.
+   */
+  followDrain(drain: Drain): void {
+    drain.states.pipe(filter((state) => state === 'finishing'), take(1)).subscribe(() => {
+      this.close();
+      const closing = this.#unanswered(() => true);
+      closing.forEach((socket) => (
+        socket.once('close', drain.enter(() => ({ stage: 'closing' })))));
+      setTimeout(() => this.#unanswered((_, socket) => closing.includes(socket))
+        .forEach((socket) => socket.destroySoon()), HEAD_WAIT_MS);
     });
   }
 
+  /** Connections that were used and have no open answer. */
+  #unanswered(filterUse: (use: ConnectionUse, socket: Socket) => boolean): readonly Socket[] {
+    return [...this.#connections]
+      .filter(([socket, use]) => (
+        use.openAnswers === 0 && socket.bytesRead > 0 && filterUse(use, socket)))
+      .map(([socket]) => socket);
+  }
+
   #track(res: ServerResponse): void {
     const { socket } = res.req;
     const use = this.#connections.get(socket);
@@ -101,12 +130,16 @@
 }
 
 /** Creates a server with the default limits, which `applyHeadLimits` changes. */
-export function createCallerServer(listener: RequestListener): Server {
+export function createCallerServer(listener: RequestListener): CallerServer {
   const server = new CallerServer({
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     noDelay: true,
-  }, listener);
+  }, (req, res) => {
+    // No answer could be sent on a connection that is being closed.
+    if (req.socket.writableEnded) req.resume();
+    else listener(req, res);
+  });
   applyHeadLimits(server, DEFAULT_HEAD_LIMITS);
   server.on('clientError', sendParseError);
   return server;
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -15,6 +15,7 @@
 import { logAnswer } from './accesslog.js';
 import { readBody, sendRefusal } from './body.js';
 import { Delivery } from './delivery.js';
+import { whenReleased } from './gracefulclose.js';
 import { createCallerServer } from './httpserver.js';
 import { findModel, parseBody, requestOf } from './completion.js';
 import type { Endpoint } from './completion.js';
@@ -135,10 +136,8 @@
       ...arrival.delivery.logFields,
     }));
     const countResponse = this.#options.metrics?.request(this.#routeLabel(pathname));
-    res.on('close', () => {
-      leave();
-      countResponse?.(res.statusCode);
-    });
+    res.on('close', () => countResponse?.(res.statusCode));
+    whenReleased(res, leave);
     // While the instance stops, the balancer's keep-alive connections close after their response.
     if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
     this.#handle(req, res, pathname, arrival).catch((error: unknown) => {
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -195,11 +195,6 @@
       forwarding: this.#forwarding,
       stopping: Stopping.of(this.drain, scheduler),
     };
-    this.drain.states.subscribe((state) => {
-      if (state !== 'finishing') return;
-      // A refused connection goes elsewhere; a request accepted now might not complete in time.
-      this.#frontend.close();
-    });
     this.#storeFeed = this.#createStoreFeed();
     this.#frontend = Frontend.of({
       ...this.#relayContext,
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -1,11 +1,13 @@
 /** The HTTP server for callers: validates each request and starts its relay. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Subscription } from 'rxjs';
 import type { Drain } from '../entry/drain.js';
 import { logAnswer } from '../entry/accesslog.js';
 import { readBody } from '../entry/body.js';
 import { Delivery } from '../entry/delivery.js';
+import { whenReleased } from '../entry/gracefulclose.js';
 import { applyHeadLimits, createCallerServer } from '../entry/httpserver.js';
+import type { CallerServer } from '../entry/httpserver.js';
 import { bodyOf, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
 import { BufferedRelay } from './bufferedrelay.js';
@@ -62,7 +64,7 @@
 
   readonly #inputDelay: InputDelay;
 
-  #server: Server | undefined;
+  #server: CallerServer | undefined;
 
   private constructor(context: FrontendContext) {
     this.#context = context;
@@ -79,9 +81,10 @@
   }
 
   /** The server for callers. */
-  createServer(): Server {
-    this.#server = createCallerServer((req, res) => this.#onRequest(req, res, undefined))
-      .on('connection', (socket) => this.#inputDelay.accepted(socket));
+  createServer(): CallerServer {
+    this.#server = createCallerServer((req, res) => this.#onRequest(req, res, undefined));
+    this.#server.on('connection', (socket) => this.#inputDelay.accepted(socket));
+    this.#server.followDrain(this.#context.drain);
     this.applyHeadLimits();
     return this.#server;
   }
@@ -92,12 +95,6 @@
     if (this.#server && heads) applyHeadLimits(this.#server, heads);
   }
 
-  /** Accepts no more connections, and closes those without a request. */
-  close(): void {
-    this.#server?.close();
-    this.#server?.closeIdleConnections();
-  }
-
   /** Handles a request that another instance forwards. */
   onForwarded(req: IncomingMessage, res: ServerResponse): void {
     this.#onRequest(req, res, readForwarded(req.rawHeaders));
@@ -119,11 +116,11 @@
     const delivery = Delivery.of(res);
     const answer = OpenAnswer.of(fields.id, receivedAt, delivery);
     const leave = drain.enter(() => answer.describe(scheduler.now()));
+    // The head of a response that began before the drain said that the connection stays open.
     res.on('close', () => {
-      leave();
-      // The head of a response that began before the drain said that the connection stays open.
       if (drain.state !== 'serving') req.socket.destroySoon();
     });
+    whenReleased(res, leave);
     if (drain.state !== 'serving') res.setHeader('Connection', 'close');
     const head = {
       fields, receivedAt, forwarded, delivery, answer,
