The product's own interface: nothing begun after the lag, an end at the limit

The same cause in the product's daemon: a request read after the balancer's lag (on a connection opened before) was begun and cut at the limit without a word, and so was whatever was open then.

After the lag such a request is refused as not run (stopping, Retry-After); generations may take minutes, and nothing here tells how long one will. At the limit what is open ends with interrupted, of unknown fate, or breaks off if it has begun. The listener closes after the lag as the relay's does; before, it stayed open to the end. Callers' headers are read in a module of their own, unchanged.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -76,6 +76,11 @@
     return this.#hasEnded ? 0 : Math.max(0, this.#limitAt - this.#scheduler.now());
   }
 
+  /** Whether the balancer sends no more requests. */
+  get hasLagPassed(): boolean {
+    return this.state === 'finishing' || this.#hasEnded;
+  }
+
   get #hasEnded(): boolean {
     return this.state === 'done' || this.state === 'expired';
   }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { filter } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { Batcher } from '../common/batcher.js';
 import { sha256 } from '../common/hash.js';
@@ -11,16 +12,17 @@
 import type { Refusal, RefusalCode } from '../common/refusal.js';
 import { MILLISECONDS_PER_SECOND, monotonicScheduler } from '../common/time.js';
 import type { Workspace } from '../configuration/configuration.js';
-import { AnswerStream, CURSOR_HEADER, sendCompletion } from './answer.js';
+import { AnswerStream, sendCompletion } from './answer.js';
 import { logAnswer } from './accesslog.js';
 import { readBody, sendRefusal } from './body.js';
 import { Delivery } from './delivery.js';
 import { whenReleased } from './gracefulclose.js';
+import { idempotencyKeyOf, returningCallerOf } from './callerheaders.js';
 import { createCallerServer } from './httpserver.js';
 import { findModel, parseBody, requestOf } from './completion.js';
 import type { Endpoint } from './completion.js';
 import { Drain } from './drain.js';
-import type { Gateway, ReturningCaller } from './gateway.js';
+import type { Gateway } from './gateway.js';
 import type { RequestMetrics } from './metrics.js';
 import { ServiceRelay } from './service.js';
 
@@ -28,8 +30,13 @@
 const REQUEST_ID_HEADER = 'x-request-id';
 /** `Retry-After` of an instance that has no configuration yet. */
 const STARTING_RETRY_AFTER_MS = 1_000;
-const MAX_KEY_CHARACTERS = 255;
-const MAX_POSITION_DIGITS = 9;
+/** Refuses what is read after the balancer has noticed the stop: it might not end in time. */
+const STOPPING: Refusal = {
+  code: 'stopping', message: 'the instance is stopping', ran: 'no', retryAfterMs: 1_000,
+};
+const STOPPED: Refusal = {
+  code: 'interrupted', message: 'the instance stopped before the answer ended', ran: 'unknown',
+};
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
 export interface EntryOptions {
@@ -50,40 +57,6 @@
   return { code, message, ran: 'no' };
 }
 
-function header(req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
-
-/** The caller's idempotency key, if it sent one. */
-function idempotencyKeyOf(req: IncomingMessage): Result<string | undefined, Refusal> {
-  const key = header(req, 'idempotency-key');
-  if (key === undefined) return ok(undefined);
-  if (key.length > 0 && key.length <= MAX_KEY_CHARACTERS) return ok(key);
-  return err(refusal('bad_request', `Idempotency-Key: 1 to ${MAX_KEY_CHARACTERS} characters`));
-}
-
-/** The position at which a returning caller resumes; undefined for a new request. */
-function returningCallerOf(
-  req: IncomingMessage,
-  text: string | undefined,
-): Result<ReturningCaller | undefined, Refusal> {
-  const cursor = header(req, CURSOR_HEADER);
-  const lastEventId = header(req, 'last-event-id');
-  if (cursor === undefined) return ok(undefined);
-  if (lastEventId === undefined) return ok({ cursor, tokens: 0, text: '' });
-  const position = new RegExp(`^[^.]*\\.(\\d{1,${MAX_POSITION_DIGITS}})$`).exec(lastEventId)?.[1];
-  if (position === undefined) {
-    return err({
-      code: 'bad_request',
-      message: 'Last-Event-ID: not an event id of this deployment',
-      // The request of a caller that has a cursor may have run.
-      ran: 'unknown',
-    });
-  }
-  return ok({ cursor, tokens: Number(position) + 1, text: text === '' ? undefined : text });
-}
-
 export class EntryServer {
   readonly #gateway: Gateway;
 
@@ -99,6 +72,8 @@
 
   readonly #batcher: Batcher;
 
+  readonly #open = new Set<ServerResponse>();
+
   private constructor(gateway: Gateway, random: Random, options: EntryOptions) {
     this.#gateway = gateway;
     this.#random = random;
@@ -112,7 +87,11 @@
   /** Creates the server, which the daemon starts and closes. */
   static of(gateway: Gateway, random: Random, options: EntryOptions = {}): Server {
     const entry = new EntryServer(gateway, random, options);
-    return createCallerServer((req, res) => entry.#onRequest(req, res));
+    const server = createCallerServer((req, res) => entry.#onRequest(req, res));
+    server.followDrain(entry.#drain);
+    entry.#drain.states.pipe(filter((state) => state === 'expired'))
+      .subscribe(() => entry.#open.forEach((res) => sendRefusal(res, STOPPED)));
+    return server;
   }
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -136,10 +115,18 @@
       ...arrival.delivery.logFields,
     }));
     const countResponse = this.#options.metrics?.request(this.#routeLabel(pathname));
-    res.on('close', () => countResponse?.(res.statusCode));
+    this.#open.add(res);
+    res.on('close', () => {
+      this.#open.delete(res);
+      countResponse?.(res.statusCode);
+    });
     whenReleased(res, leave);
     // While the instance stops, the balancer's keep-alive connections close after their response.
     if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
+    if (this.#drain.hasLagPassed) {
+      sendRefusal(res, STOPPING);
+      return;
+    }
     this.#handle(req, res, pathname, arrival).catch((error: unknown) => {
       this.#gateway.log.event('error', 'request_failed', { path: pathname, reason: String(error) });
       sendRefusal(res, { code: 'backend_failed', message: 'internal error', ran: 'unknown' });
