Check addresses in one place, with the ranges of their numbers

Callers whose request was placed on a server listed with port 70000 waited for the route's timeout; the log had an uncaught RangeError (ERR_SOCKET_BAD_PORT) out of the place that connects. The pattern of addresses took any five digits as a port, and 0 to 999 in a host. src/common/address.ts now holds the only checks, by net.isIP and 1 to 65535; the servers' entries, peers' messages, both kinds of settings and the configuration use them. An entry with such an address names no server.

--- a/src/configuration/fields.ts
+++ b/src/configuration/fields.ts
@@ -3,8 +3,8 @@
  * checks and the page have one source. Durations and sizes are strings with a unit; the key of a
  * rate names its unit.
  */
-import { isIP } from 'node:net';
 import { z } from 'zod';
+import { isHostPort } from '../common/address.js';
 
 /** The description of one setting on the operators' page. */
 export interface Description {
@@ -19,7 +19,6 @@
 
 export const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 const MAX_TEXT = 256;
-const MAX_PORT = 65_535;
 
 const DURATION_PATTERN = /^(\d{1,9}(?:\.\d{1,3})?)(ms|s|m|h)$/;
 const DURATION_UNITS: Readonly<Record<string, number>> = {
@@ -175,15 +174,7 @@
   return schema;
 }
 
-function isAddress(input: unknown): input is string {
-  if (!isText(input)) return false;
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(input);
-  if (!match) return false;
-  const port = Number(match[3]);
-  return isIP(match[1] ?? match[2]!) !== 0 && port > 0 && port <= MAX_PORT;
-}
-
 export function address(doc: string): z.ZodType<string> {
   return setting(doc, 'an IP address and port, such as "10.0.0.7:8000"', undefined, (input) => (
-    isAddress(input) ? input : undefined));
+    isText(input) && isHostPort(input) ? input : undefined));
 }
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -10,7 +10,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
-import { IPV4 } from '../common/address.js';
+import { isIpv4 } from '../common/address.js';
 import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
 import { OLDEST_PROTOCOL } from './protocol.js';
@@ -43,7 +43,7 @@
 const PROCESS = z.tuple([z.string(), z.number()], z.unknown());
 const MESSAGE = z.object({
   /** The sender's IP address. */
-  ip: z.string().regex(IPV4),
+  ip: z.string().refine(isIpv4),
   protocol: z.number().int().min(OLDEST_PROTOCOL).default(OLDEST_PROTOCOL),
   /** Version of the active configuration; 0 before one is known. */
   configuration: z.number().default(0),
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -9,6 +9,7 @@
 import { monotonicScheduler } from '../../src/common/time.js';
 import { DEFAULT_HEAD_LIMITS } from '../../src/entry/httpserver.js';
 import { RelayDaemon } from '../../src/relay/daemon.js';
+import type { Platform } from '../../src/relay/platform.js';
 import type { RelayConfiguration, RelayRoute } from '../../src/relay/routes.js';
 import type { ServerEntry } from '../../src/relay/serverentry.js';
 import { MemoryObjects } from '../../src/standin/objects.js';
@@ -93,6 +94,8 @@
   readonly clock?: SchedulerLike;
   /** Whether the store is down at first. */
   readonly outage?: boolean;
+  /** Replaces parts of the test's platform, such as the store. */
+  readonly platform?: Partial<Platform>;
 }
 
 /** Where a relay's daemon listens, and which peer it starts with. */
@@ -169,7 +172,7 @@
     engines: readonly RelayEngine[],
     plain: readonly RelayEngine[],
     endpoint: Endpoint,
-    { clock = monotonicScheduler, lookupScheduler }: RelayFixture,
+    { clock = monotonicScheduler, lookupScheduler, platform = {} }: RelayFixture,
   ) {
     this.objects = objects;
     this.engines = engines;
@@ -212,6 +215,7 @@
           if (entry?.address === undefined) return undefined;
           return { ...entry as ServerEntry, id: name };
         },
+        ...platform,
       },
       scheduler: clock,
       lookupScheduler,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -51,6 +51,14 @@
   ]);
 });
 
+test('settings: addresses and ports out of range are refused', (t) => {
+  const wrong = SETTINGS.replace('Ip=10.1.0.19', 'Ip=10.1.0.256').replace(':8740', ':70000')
+    .replace('7200,7215', '7200,70000');
+  t.deepEqual(readPlatformSettings('s', wrong).findings.map(({ path }) => path), [
+    'PortRange', 'Ip', 'Listen.Front',
+  ]);
+});
+
 function valueOf<Value>(result: Result<Value, unknown>): Value {
   if (result.isErr()) throw new Error(JSON.stringify(result.error));
   return result.value;
@@ -134,6 +142,10 @@
   { name: 'with an unknown state', change: { State: 'asleep' }, read: undefined },
   { name: 'without an address', change: { Address: undefined }, read: undefined },
   { name: 'with an address of another type', change: { Address: 7 }, read: undefined },
+  { name: 'with port 0', change: { Address: '10.0.0.1:0' }, read: undefined },
+  { name: 'with the highest port', change: { Address: '10.0.0.1:65535' }, read: {} },
+  { name: 'with a port out of range', change: { Address: '10.0.0.1:65536' }, read: undefined },
+  { name: 'with a host out of range', change: { Address: '10.0.0.256:80' }, read: undefined },
   { name: 'with a fractional start time', change: { born: 1.5 }, read: undefined },
 ];
 ENTRIES.forEach(({ name, change, read }) => {
