Let a connection attempt that Node.js refuses fail the attempt

A request whose connection could not even be begun stayed without answer until its deadline: Node.js throws at once for a port out of range or a header with a control character, out of exchange(), accepts() or forward(), and the error passed every event that the caller waits for. Opening is now a value (src/common/outgoing.ts). A refused address is "failed, not run"; what is wrong with the request itself is "unsent", as it says nothing of the server. Engines' streams end with a failure. Before: relay-exchange, both new tests: RangeError ERR_SOCKET_BAD_PORT and TypeError ERR_INVALID_CHAR thrown out of the observable. After: 20 passed, and the tests of the entry, the parsers and the relay's daemon.

--- a/src/common/reachable.ts
+++ b/src/common/reachable.ts
@@ -1,12 +1,17 @@
 /** Whether something listens at an address. */
-import { connect } from 'node:net';
 import { parseHostPort } from './address.js';
+import { openConnection } from './outgoing.js';
 import { afterPendingInput, monotonicScheduler } from './time.js';
 
 /** Whether an address, `host:port`, accepts a connection within `timeoutMs`. */
 export function accepts(address: string, timeoutMs: number): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect(parseHostPort(address));
+    const opened = openConnection(parseHostPort(address));
+    if (opened.isErr()) {
+      resolve(false);
+      return;
+    }
+    const socket = opened.value;
     const settle = (accepted: boolean) => {
       deadline.unsubscribe(); // eslint-disable-line @typescript-eslint/no-use-before-define
       socket.destroy();
--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -5,6 +5,7 @@
 import { Observable, Subscription } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
 import type { HostPort } from '../common/address.js';
+import { openRequest } from '../common/outgoing.js';
 import type {
   AttemptFailure, AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder,
   LoadReport, OrderOutcome,
@@ -181,7 +182,13 @@
   ): Observable<EngineEvent> {
     return new Observable((subscriber) => {
       // A new connection: a reset of a reused one would not tell whether the attempt started.
-      const req = httpRequest({ ...this.#options(method, path), agent: false });
+      const opened = openRequest({ ...this.#options(method, path), agent: false });
+      if (opened.isErr()) {
+        subscriber.next(connectionFailure(opened.error, false));
+        subscriber.complete();
+        return undefined;
+      }
+      const req = opened.value;
       const teardown = new Subscription(() => req.destroy());
       let connected = false;
       const next = (event: EngineEvent) => {
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -1,10 +1,10 @@
 /** Forwards a call to a backend server, and its response to the caller. */
-import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 import { Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
+import { openRequest } from '../common/outgoing.js';
 import { isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
 
 const HOP_BY_HOP: readonly string[] = [
@@ -89,15 +89,20 @@
     let connected = false;
     let responseStarted = false;
     let timeout = Subscription.EMPTY;
-    const upstream = httpRequest({
+    const opened = openRequest({
       ...parseHostPort(address),
       method: req.method,
       path: target,
-      headers: requestHeaders(request) as unknown as Record<string, string>,
+      headers: requestHeaders(request),
       // A new connection, since a reset on a reused one does not show whether the call ran.
       agent: false,
       setHost: false,
     });
+    if (opened.isErr()) {
+      resolve({ kind: 'failed', ran: 'no', message: opened.error.message });
+      return;
+    }
+    const upstream = opened.value;
     let removeCloseListener = () => {};
     const settle = (outcome: ForwardResult) => {
       timeout.unsubscribe();
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -3,12 +3,12 @@
  * length that its head announced, or if it announced none and the connection closed without an
  * error.
  */
-import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { Observable, Subscription } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
+import { isOfRequest, openRequest } from '../common/outgoing.js';
 import { afterNextPoll, afterPendingInput } from '../common/time.js';
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
 import type { RawHeaders } from './dialect.js';
@@ -39,8 +39,8 @@
 
 /**
  * `failed` with `ran: 'no'` means that no byte of the request was sent. `unsent` means the same and
- * says nothing of the server: the deadline passed first, or a kept connection had been closed. No
- * event follows `end`, `failed` or `unsent`.
+ * says nothing of the server: the deadline passed first, a kept connection had been closed, or the
+ * request can't be sent anywhere. No event follows `end`, `failed` or `unsent`.
  */
 export type ExchangeEvent =
   | { readonly kind: 'sent'; readonly reused: boolean }
@@ -101,9 +101,15 @@
       headers: outgoing.headers as unknown as Record<string, string>,
       setHost: false,
     };
-    const request: ClientRequest = outgoing.reuse
-      ? httpRequest({ ...options, agent: outgoing.agent })
-      : httpRequest({ ...options, agent: false });
+    const opened = openRequest({ ...options, agent: outgoing.reuse ? outgoing.agent : false });
+    if (opened.isErr()) {
+      const { message } = opened.error;
+      subscriber.next(isOfRequest(opened.error)
+        ? { kind: 'unsent', message } : { kind: 'failed', ran: 'no', message });
+      subscriber.complete();
+      return undefined;
+    }
+    const request: ClientRequest = opened.value;
     const emit = (event: ExchangeEvent) => {
       if (ended) return;
       ended = event.kind === 'end' || event.kind === 'failed' || event.kind === 'unsent';
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -4,6 +4,7 @@
 import type { ExecutionContext } from 'ava';
 import { lastValueFrom, toArray } from 'rxjs';
 import { monotonicScheduler } from '../src/common/time.js';
+import { HttpEngineClient } from '../src/engines/client.js';
 import { Connections } from '../src/relay/connections.js';
 import { Meter } from '../src/relay/meter.js';
 import { exchange } from '../src/relay/exchange.js';
@@ -46,13 +47,17 @@
 
 const MAX_BODY_BYTES = 100_000;
 
-function send(address: string, connections: Connections): Promise<ExchangeEvent[]> {
+function send(
+  address: string,
+  connections: Connections,
+  headers = ['Host', 'h'],
+): Promise<ExchangeEvent[]> {
   return lastValueFrom(exchange({
     agent: connections.agent('s'),
     address,
     method: 'GET',
     target: '/',
-    headers: ['Host', 'h'],
+    headers,
     body: Buffer.alloc(0),
     reuse: true,
     maxBodyBytes: MAX_BODY_BYTES,
@@ -177,6 +182,19 @@
   t.is(lastKind(await send('127.0.0.1:1', connections)), 'failed no');
 });
 
+test('an address that Node.js refuses fails the attempt, and no code around it', async (t) => {
+  const connections = Connections.of(Meter.of());
+  t.is(lastKind(await send('127.0.0.1:70000', connections)), 'failed no');
+  t.false(await connections.accepts('127.0.0.1:70000', 50));
+  const events = lastValueFrom(HttpEngineClient.of('127.0.0.1:70000').join('g', 1, 0));
+  t.like(await events, { kind: 'failed', ran: 'no' });
+});
+
+test('a header that Node.js refuses says nothing of the server', async (t) => {
+  const connections = Connections.of(Meter.of());
+  t.is(lastKind(await send('127.0.0.1:1', connections, ['Host', 'h', 'X', '\n'])), 'unsent');
+});
+
 /** Blocks the event loop, as a busy instance does. */
 function blockEventLoop(ms: number): void {
   const until = performance.now() + ms;
