--- a/test/fakes/rawstore.ts
+++ b/test/fakes/rawstore.ts
@@ -60,6 +60,11 @@
     return store;
   }
 
+  /** The store's revision. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   put(kind: string, key: string, item: RawItem): void {
     this.#change(kind, key, item, false);
   }
--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -1,10 +1,13 @@
 /** An entry that another writer left among those of the servers. */
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { firstValueFrom, takeWhile, toArray } from 'rxjs';
 import { readServer } from '../platform/servers.js';
 import { PlatformStore } from '../platform/store.js';
 import { monotonicScheduler } from '../src/common/time.js';
+import type { StoredObject } from '../src/store/objects.js';
 import { eventually } from './fakes/eventually.js';
+import { expectOk } from './fakes/objects.js';
 import { itemOf, RawStore } from './fakes/rawstore.js';
 import type { RawItem } from './fakes/rawstore.js';
 import { RecordedLog } from './fakes/recordedlog.js';
@@ -13,7 +16,9 @@
 
 const KIND = 'servers';
 /** Enough that each server would be picked. */
-const CALLS = 12;
+const CALLS = 6;
+/** A copy of the store's objects may be 2 s old, and is confirmed at half of that. */
+const MIN_LIST_INTERVAL_MS = 1_000;
 
 function specOf(address: string, change: object = {}): object {
   return {
@@ -45,69 +50,130 @@
   };
 }
 
-type Started = Awaited<ReturnType<typeof startRelay>>;
-
-async function statuses({ relay }: Started): Promise<Set<number>> {
-  const replies = await Promise.all(Array.from({ length: CALLS }, (_, index) => (
-    relay.call(`/safe/${index}`, { 'x-id': `r${index}` }))));
-  return new Set(replies.map(({ status }) => status));
+interface OddEntry {
+  readonly name: string;
+  /** Its name in the store. */
+  readonly key?: string;
+  readonly item: RawItem;
+  /** Whether it names a server, where nothing listens. */
+  readonly names?: boolean;
 }
 
-/** Lists the first sound server, then the odd entry, then the second sound server. */
-function listAll(started: Started, key: string, item: RawItem): void {
-  const { store, relay, list } = started;
-  list(relay.plain[0]);
-  store.put(KIND, key, item);
-  list(relay.plain[1]);
+const DEPTH = 100_000;
+const DEEP = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
+/** Where nothing listens. */
+const NOWHERE = '127.0.0.1:1';
+
+/** An object whose specification is a text of any kind. */
+function rawItem(spec: string | Buffer, name = '"m"', revision?: string): RawItem {
+  return (current) => Buffer.concat([
+    Buffer.from(`{"Metadata":{"Name":${name},"Revision":${revision ?? current}},"Spec":`),
+    Buffer.from(spec), Buffer.from('}'),
+  ]);
 }
 
-function isListed({ relay }: Started, server: string): boolean {
-  return relay.log.of('server_listed').some((fields) => fields.server === server);
+/** A sound specification with one field that is given as a text. */
+function fieldItem(field: string, value: string | Buffer): RawItem {
+  const spec = JSON.stringify(specOf(NOWHERE)).slice(0, -1);
+  return rawItem(Buffer.concat([
+    Buffer.from(`${spec},"${field}":`), Buffer.from(value), Buffer.from('}'),
+  ]));
 }
 
-function isRemoved({ relay }: Started, server: string): boolean {
-  return relay.log.of('server_removed').some((fields) => fields.server === server);
+const ENTRIES: readonly OddEntry[] = [
+  { name: 'with a port out of range', item: itemOf('m', specOf('127.0.0.1:70000')) },
+  { name: 'that is nested deeply', item: rawItem(DEEP) },
+  { name: 'with a field that is nested deeply', item: fieldItem('Models', DEEP) },
+  { name: 'with a number of slots that overflows', item: fieldItem('Slots', '1e999') },
+  { name: 'with a huge number of slots', item: fieldItem('Slots', '1e300'), names: true },
+  { name: 'with a start time that overflows', item: fieldItem('born', '1e999') },
+  { name: 'with a start time of another type', item: fieldItem('born', '"soon"') },
+  { name: 'without a specification', item: rawItem('null') },
+  { name: 'of an unknown service', item: fieldItem('Service', '"unknown"'), names: true },
+  { name: 'in an unknown state', item: fieldItem('State', '"asleep"') },
+];
+
+type Started = Awaited<ReturnType<typeof startRelay>>;
+
+async function checkServed(t: ExecutionContext, { relay }: Started, name: string): Promise<void> {
+  const replies = await Promise.all(Array.from({ length: CALLS }, (_, index) => (
+    relay.call(`/safe/${index}`, { 'x-id': `r${index}` }))));
+  t.deepEqual(new Set(replies.map(({ status }) => status)), new Set([200]), name);
 }
 
-/** Sound servers are served on, and what changes beside the odd entry is followed. */
-async function checkFollows(t: ExecutionContext, started: Started): Promise<void> {
-  const { store, relay, list } = started;
-  t.true(await eventually(() => relay.daemon.ready), 'ready');
-  t.true(await eventually(() => isListed(started, 'a-1') && isListed(started, 'z-2')), 'listed');
-  t.deepEqual([...await statuses(started)], [200]);
-  t.deepEqual(relay.plain.map(({ runs }) => runs.length > 0), [true, true]);
-  list(relay.plain[0], { State: 'draining' });
-  t.true(await eventually(() => (
-    relay.log.of('server_listed').some(({ server, state }) => (
-      server === 'a-1' && state === 'leaving')))), 'leaving');
-  store.remove(KIND, 'a-1');
-  t.true(await eventually(() => isRemoved(started, 'a-1')), 'removed');
-  t.deepEqual([...await statuses(started)], [200]);
+/** A change that is made beside the odd entry arrives. */
+async function checkFollowed(t: ExecutionContext, started: Started, at: number, name: string) {
+  const { relay, list } = started;
+  list(relay.plain[0], { born: at });
+  t.true(await eventually(() => relay.log.of('server_listed').some((fields) => (
+    fields.server === 'a-1' && fields.started_at === at))), name);
 }
 
-interface OddEntry {
-  readonly name: string;
-  readonly key?: string;
-  readonly item: RawItem;
+/** The store is not taken for lost, and not read over and over; no version is made up. */
+function checkStore(t: ExecutionContext, { relay, store }: Started, ms: number): void {
+  const lost = relay.log.of('store_lost').filter(({ reason }) => (
+    !String(reason).includes('no answer')));
+  t.deepEqual(lost, []);
+  t.true(relay.log.of('store_read').every(({ version }) => Number(version) <= store.revision));
+  const lists = store.calls.filter((call) => call === `/objects/${KIND}`).length;
+  t.true(lists <= 2 + ms / MIN_LIST_INTERVAL_MS, `${lists} lists in ${ms} ms`);
 }
 
-const ENTRIES: readonly OddEntry[] = [
-  { name: 'with a port out of range', item: itemOf('m-odd', specOf('127.0.0.1:70000')) },
-];
+test('sound servers are served on, and followed, after each odd entry', async (t) => {
+  const started = await startRelay(t);
+  const { relay, store, list } = started;
+  const at = performance.now();
+  relay.plain.forEach((engine) => list(engine));
+  store.put('config', 'main', itemOf('main', relayConfiguration()));
+  t.true(await eventually(() => relay.daemon.ready));
+  await [...ENTRIES.entries()].reduce(async (previous, [index, odd]) => {
+    const { name, key = 'm', item } = odd;
+    await previous;
+    store.put(KIND, key, item);
+    await checkFollowed(t, started, index + 1, name);
+    await checkServed(t, started, name);
+  }, Promise.resolve());
+  t.true(relay.plain.every(({ runs }) => runs.length > 0));
+  checkStore(t, started, performance.now() - at);
+});
 
-ENTRIES.forEach(({ name, key = 'm-odd', item }) => {
-  test(`an entry ${name}, found in the list, names no server and hides none`, async (t) => {
-    const started = await startRelay(t);
-    listAll(started, key, item);
-    started.store.put('config', 'main', itemOf('main', relayConfiguration()));
-    await checkFollows(t, started);
-  });
+test('an instance that starts among odd entries serves, and follows changes', async (t) => {
+  const started = await startRelay(t);
+  const { relay, store, list } = started;
+  const at = performance.now();
+  ENTRIES.forEach(({ key, item }, index) => store.put(KIND, key ?? `m-${index}`, item));
+  relay.plain.forEach((engine) => list(engine));
+  store.put('config', 'main', itemOf('main', relayConfiguration()));
+  t.true(await eventually(() => relay.daemon.ready));
+  await checkFollowed(t, started, 1, 'changed');
+  await checkServed(t, started, 'served');
+  t.true(relay.plain.every(({ runs }) => runs.length > 0));
+  checkStore(t, started, performance.now() - at);
+});
+
+/** The servers that objects name. */
+function serversIn(objects: readonly StoredObject[]): readonly string[] {
+  return objects.flatMap(({ name, value }) => readServer(name, JSON.parse(value))?.id ?? []);
+}
 
-  test(`an entry ${name}, found by the watch, names no server and hides none`, async (t) => {
-    const started = await startRelay(t);
-    started.store.put('config', 'main', itemOf('main', relayConfiguration()));
-    t.true(await eventually(() => started.store.calls.some((call) => call.includes('Watch'))));
-    listAll(started, key, item);
-    await checkFollows(t, started);
+ENTRIES.forEach(({
+  name, key = 'm', item, names = false,
+}) => {
+  test(`store: an entry ${name} hides no other`, async (t) => {
+    const store = await RawStore.of(t, 1);
+    const reader = PlatformStore.of(store.address, monotonicScheduler, new RecordedLog());
+    store.put(KIND, 'a', itemOf('a', specOf(NOWHERE)));
+    store.put(KIND, key, item);
+    store.put(KIND, 'z', itemOf('z', specOf(NOWHERE)));
+    const listing = expectOk(await reader.list(KIND));
+    t.is(listing.version, store.revision);
+    t.is(serversIn(listing.objects).length, names ? 3 : 2);
+    const events = await firstValueFrom(reader.watch(KIND, 0).pipe(
+      takeWhile((event) => event.kind !== 'put' || event.object.name !== 'z', true),
+      toArray(),
+    ));
+    const objects = events.flatMap((event) => (event.kind === 'put' ? [event.object] : []));
+    t.is(serversIn(objects).length, names ? 3 : 2);
+    t.true([...listing.objects, ...objects].every(({ version }) => version <= store.revision));
   });
 });
