--- a/src/store/epoch.ts
+++ b/src/store/epoch.ts
@@ -5,10 +5,13 @@
  */
 
 /** Above every revision: eight years of 400 writes a second. */
-const EPOCH_STRIDE = 1e11;
+export const EPOCH_STRIDE = 1e11;
 /** Up to here versions are exact integers. */
 export const MAX_EPOCH = 90_000;
 
+/** Above every version. */
+export const VERSION_LIMIT = (MAX_EPOCH + 1) * EPOCH_STRIDE;
+
 export function versionOf(epoch: number, revision: number): number {
   return epoch * EPOCH_STRIDE + revision;
 }
--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -80,6 +80,8 @@
   ]));
 }
 
+const SOUND = JSON.stringify(specOf(NOWHERE));
+
 const ENTRIES: readonly OddEntry[] = [
   { name: 'with a port out of range', item: itemOf('m', specOf('127.0.0.1:70000')) },
   { name: 'that is nested deeply', item: rawItem(DEEP) },
@@ -91,6 +93,10 @@
   { name: 'without a specification', item: rawItem('null') },
   { name: 'of an unknown service', item: fieldItem('Service', '"unknown"'), names: true },
   { name: 'in an unknown state', item: fieldItem('State', '"asleep"') },
+  { name: 'with a revision that overflows', item: rawItem(SOUND, undefined, '1e999') },
+  { name: 'with a huge revision', item: rawItem(SOUND, undefined, '1e300') },
+  { name: 'with a revision to come', item: rawItem(SOUND, undefined, '99999999999'), names: true },
+  { name: 'with a negative revision', item: rawItem(SOUND, undefined, '-1') },
 ];
 
 type Started = Awaited<ReturnType<typeof startRelay>>;
@@ -160,7 +166,7 @@
   name, key = 'm', item, names = false,
 }) => {
   test(`store: an entry ${name} hides no other`, async (t) => {
-    const store = await RawStore.of(t, 1);
+    const store = await RawStore.of(t, 2);
     const reader = PlatformStore.of(store.address, monotonicScheduler, new RecordedLog());
     store.put(KIND, 'a', itemOf('a', specOf(NOWHERE)));
     store.put(KIND, key, item);
