Let no odd item or event of the store hide those beside it

A page whose last item had no readable name ended the listing there though more pages followed, so every server on them counted as gone; one odd event made the whole answer of a watch unreadable, and the watch then failed at the same place until a poll; a name of half a character made every listing fail with a URIError; a page given again was read without end.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -271,6 +271,55 @@
   t.like(log.of('store_object_unreadable'), [{ kind: 'servers' }]);
 });
 
+test('store: a page of objects without names does not end the listing', async (t) => {
+  const { reader } = await store(t, [
+    [200, { Items: [item('a', 3)], MorePages: true, CurrentRev: 9 }],
+    [200, { Items: [null, { Spec: 1 }], MorePages: true, CurrentRev: 9 }],
+  ]);
+  t.like(await reader.list('servers').then((listing) => listing.isErr() && listing.error), {
+    code: 'unavailable',
+  });
+});
+
+test('store: a page that comes again ends the listing with an error', async (t) => {
+  const page: [number, unknown] = [200, { Items: [item('a', 3)], MorePages: true, CurrentRev: 9 }];
+  const { requests, reader } = await store(t, [page, page, page, page]);
+  t.like(await reader.list('servers').then((listing) => listing.isErr() && listing.error), {
+    code: 'unavailable',
+  });
+  t.is(requests.length, 2);
+});
+
+test('store: a name that is half a character does not end the listing', async (t) => {
+  const { requests, reader } = await store(t, [
+    [200, { Items: [item('a\ud800', 3)], MorePages: true, CurrentRev: 9 }],
+    [200, { Items: [item('b', 4)], CurrentRev: 9 }],
+  ]);
+  t.is(valueOf(await reader.list('servers')).objects.length, 2);
+  t.is(requests[1], '/objects/servers?After=a%EF%BF%BD');
+});
+
+test('store: an odd object at the end of a page hides none of the next', async (t) => {
+  const { requests, reader } = await store(t, [
+    [200, { Items: [item('a', 3), { Metadata: { Name: 'b' } }], MorePages: true, CurrentRev: 9 }],
+    [200, { Items: [item('c', 4)], CurrentRev: 9 }],
+  ]);
+  const { objects } = valueOf(await reader.list('servers'));
+  t.deepEqual(objects.map(({ name, value }) => [name, value]), [
+    ['a', '{"n":"a"}'], ['b', 'null'], ['c', '{"n":"c"}'],
+  ]);
+  t.is(requests[1], '/objects/servers?After=b');
+});
+
+test('store: an odd event hides no other change', async (t) => {
+  const { reader } = await store(t, [[200, {
+    events: [null, 7, { Object: item('b', 10), Removed: 'yes' }, {}, { Object: item('a', 10) }],
+    CurrentRev: 12,
+  }]]);
+  const events = await firstValueFrom(reader.watch('servers', 9).pipe(take(2), toArray()));
+  t.like(events[1], { kind: 'put', object: { name: 'a' } });
+});
+
 test('store: a listing does not use a kept connection, which may be silent', async (t) => {
   const page: [number, unknown] = [200, { Items: [], CurrentRev: 9 }];
   const { ports, reader } = await store(t, [[200, { CurrentRev: 9 }], [404, {}], page, page]);
--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -97,6 +97,11 @@
   { name: 'with a huge revision', item: rawItem(SOUND, undefined, '1e300') },
   { name: 'with a revision to come', item: rawItem(SOUND, undefined, '99999999999'), names: true },
   { name: 'with a negative revision', item: rawItem(SOUND, undefined, '-1') },
+  { name: 'nested deeply without a name', item: () => DEEP },
+  { name: 'without Metadata', item: () => `{"Spec":${SOUND}}` },
+  { name: 'that is null', item: () => 'null' },
+  { name: 'that is a number', item: () => '1e999' },
+  { name: 'with a name of another type', item: rawItem(SOUND, '7') },
 ];
 
 type Started = Awaited<ReturnType<typeof startRelay>>;
