--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -102,6 +102,10 @@
   { name: 'that is null', item: () => 'null' },
   { name: 'that is a number', item: () => '1e999' },
   { name: 'with a name of another type', item: rawItem(SOUND, '7') },
+  { name: 'with a number that is none', item: fieldItem('Slots', 'NaN') },
+  { name: 'with a revision that is none', item: rawItem(SOUND, undefined, 'NaN') },
+  { name: 'with bytes that are no JSON', item: fieldItem('Zone', Buffer.from([0xff, 0x00, 0xfe])) },
+  { name: 'with control characters', item: fieldItem('Zone', '"\x00\x07"') },
 ];
 
 type Started = Awaited<ReturnType<typeof startRelay>>;
