Take no server from an entry whose id or texts can't be sent on

An entry may be named by anything. An id with a line break, or a letter that no header carries, was listed as a server, and each request placed on it failed before it was sent; half a character in the version made forwarding a stream throw (URIError), and invalid UTF-8 arrived as replacement characters and was used as a zone. An id of 2,000 characters does not fit into a message to the other instances.

--- a/src/relay/serverentry.ts
+++ b/src/relay/serverentry.ts
@@ -1,5 +1,12 @@
 /** A backend server's entry in the platform's store, decoded. */
 
+/** Ids are sent in a header and in messages between instances; no longer than a host's name. */
+const ID = /^[!-~]{1,253}$/;
+
+export function isServerId(text: string): boolean {
+  return ID.test(text);
+}
+
 /** `leaving` servers finish their requests and get no new ones. */
 export type EntryState = 'ready' | 'leaving';
 
--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -80,6 +80,8 @@
   ]));
 }
 
+/** Longer than any name of a host. */
+const LONG = 'm'.repeat(2_000);
 const SOUND = JSON.stringify(specOf(NOWHERE));
 
 const ENTRIES: readonly OddEntry[] = [
@@ -106,6 +108,23 @@
   { name: 'with a revision that is none', item: rawItem(SOUND, undefined, 'NaN') },
   { name: 'with bytes that are no JSON', item: fieldItem('Zone', Buffer.from([0xff, 0x00, 0xfe])) },
   { name: 'with control characters', item: fieldItem('Zone', '"\x00\x07"') },
+  { name: 'with invalid UTF-8', item: fieldItem('Zone', Buffer.from([0x22, 0xff, 0xc3, 0x22])) },
+  { name: 'with an empty name', key: '', item: rawItem(SOUND, '""') },
+  { name: 'with a name of half a character', key: 'm\ud800', item: rawItem(SOUND, '"m\\ud800"') },
+  { name: 'with a line break in its name', key: 'm\n-odd', item: rawItem(SOUND, '"m\\n-odd"') },
+  { name: 'with a name that headers can\'t carry', key: 'm-ł', item: rawItem(SOUND, '"m-\u0142"') },
+  { name: 'with a very long name', key: LONG, item: rawItem(SOUND, `"${LONG}"`) },
+  {
+    name: 'named as a property of objects',
+    key: 'constructor',
+    item: rawItem(SOUND, '"constructor"'),
+    names: true,
+  },
+  {
+    name: 'named __proto__', key: '__proto__', item: rawItem(SOUND, '"__proto__"'), names: true,
+  },
+  { name: 'of a service named so', item: fieldItem('Service', '"constructor"'), names: true },
+  { name: 'with half a character in its version', item: fieldItem('Version', '"v\\ud800"') },
 ];
 
 type Started = Awaited<ReturnType<typeof startRelay>>;
