Find no load of a server that is named as a property of objects

With an entry named "constructor" or "toString", and one other instance alive, choosing a server for any request of that service threw: the loads that another instance tells are looked up in an object by the server's id, and the property that every object has is no load. Only an own property is a load now. Before: relay-peers, "TypeError: function is not iterable". After: 4 passed.

--- a/src/relay/peers.ts
+++ b/src/relay/peers.ts
@@ -114,7 +114,8 @@
   /** Loads that the other instances have assigned to a server. */
   loads(server: string): readonly Load[] {
     return this.#recentMessages(this.#context.scheduler.now()).flatMap(([, { loads }]) => {
-      const load = loads[server];
+      // A server may be named as a property that every object has.
+      const load = Object.hasOwn(loads, server) ? loads[server] : undefined;
       return load ? [decodeLoad(load)] : [];
     });
   }
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -107,6 +107,16 @@
   t.deepEqual(unexplained, []);
 });
 
+test('a server named as a property of objects has no load that nobody told', async (t) => {
+  const port = await freePort();
+  const first = Peers.of(contextOf(FIRST, port, new RecordedLog(), () => undefined));
+  const second = Peers.of(contextOf(SECOND, port, new RecordedLog(), () => undefined));
+  const running = [first, second].map((peers) => peers.run.subscribe());
+  t.teardown(() => running.forEach((subscription) => subscription.unsubscribe()));
+  t.true(await eventually(() => first.alive.length > 0));
+  ['constructor', '__proto__', 'toString'].forEach((id) => t.deepEqual(first.loads(id), []));
+});
+
 test('more leaving servers than fit in a message are all told', async (t) => {
   const port = await freePort();
   const servers = Array.from({ length: 60 }, (_, index) => serverState({
