Leave out the odd entries of a peer's message, not the whole field

One entry of a list that could not be read, such as a leaving server whose start time was 1e300, emptied the field: the receiver missed all leaving servers in it. Numbers had no upper bound, so that a change with version 1e300 would count as missing for good, and any text was taken for the address of an instance and looked up by name. What can't be read is left out entry by entry; crashes go with their requests. Counts are at most the largest safe integer, versions below the store's limit, peers are IPv4 addresses, successors have ids that can be sent. The field is still reported as unread.

--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -5,15 +5,17 @@
  * or late message only delays the receiver's view of the load.
  *
  * Builds of different ages read each other's messages: unknown fields and further values in an
- * entry are ignored, and a field that can't be read is left out alone.
+ * entry are ignored, and an entry or a field that can't be read is left out alone.
  */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import { isIpv4 } from '../common/address.js';
+import { VERSION_LIMIT } from '../store/epoch.js';
 import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
 import { OLDEST_PROTOCOL } from './protocol.js';
+import { isServerId } from './serverentry.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
 import type { UseReport } from './workspaceuses.js';
@@ -21,8 +23,14 @@
 /** Keeps datagrams below the size at which networks fragment them. */
 export const MAX_MESSAGE_BYTES = 1_400;
 
-const COUNT = z.number().min(0);
-const REPORT = z.object({ newestChange: COUNT, ageMs: COUNT }).optional();
+/** Up to the largest that can still be counted on by one. */
+const COUNT = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+const ADDRESS = z.string().refine(isIpv4);
+const SERVER = z.string().refine(isServerId);
+/** A change that no store can have made would be missing for good. */
+const REPORT = z.object({
+  newestChange: z.number().int().min(0).lt(VERSION_LIMIT), ageMs: COUNT,
+}).optional();
 /** A crash as instances tell it, in the order of `CrashReport`; null for a part without answer. */
 const ANSWER = z.tuple([z.string(), COUNT.nullable()], z.unknown());
 const CRASH = z.tuple([
@@ -40,10 +48,10 @@
 /** A service, a workspace, and the tokens of memory that it uses there. */
 const USE = z.tuple([z.string(), z.string(), COUNT], z.unknown());
 /** A server and the start time of its process. */
-const PROCESS = z.tuple([z.string(), z.number()], z.unknown());
+const PROCESS = z.tuple([z.string(), COUNT], z.unknown());
 const MESSAGE = z.object({
   /** The sender's IP address. */
-  ip: z.string().refine(isIpv4),
+  ip: ADDRESS,
   protocol: z.number().int().min(OLDEST_PROTOCOL).default(OLDEST_PROTOCOL),
   /** Version of the active configuration; 0 before one is known. */
   configuration: z.number().default(0),
@@ -56,8 +64,8 @@
   /** Servers that the sender can't reach. */
   suspect: z.array(PROCESS).default([]),
   /** Restarted servers, each with its previous and its new id. */
-  successors: z.array(z.tuple([z.string(), z.string()], z.unknown())).default([]),
-  peers: z.array(z.string()).default([]),
+  successors: z.array(z.tuple([SERVER, SERVER], z.unknown())).default([]),
+  peers: z.array(ADDRESS).default([]),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
   crashes: z.array(CRASH).default([]),
   /** Empty from daemons that don't report them. */
@@ -80,7 +88,7 @@
 
 export interface DecodedMessage {
   readonly message: PeerMessage;
-  /** Fields that can't be read, and are left out. */
+  /** Fields that can't be read, or not whole; what can't be read of them is left out. */
   readonly unread: readonly string[];
 }
 
@@ -220,6 +228,38 @@
   return shorter ? encodeMessage(shorter) : bytes;
 }
 
+/** Fields whose entries belong together by their place. */
+const PAIRED: readonly string[] = ['crashes', 'crashRequests'];
+
+function entriesOf(value: unknown): ReadonlyMap<string, unknown> {
+  return new Map(typeof value === 'object' && value !== null ? Object.entries(value) : []);
+}
+
+/** A field without the entries that can't be read; undefined if it is no list or record of any. */
+function withoutEntries(value: unknown, odd: ReadonlySet<string>): unknown {
+  const kept = [...entriesOf(value)].filter(([key]) => !odd.has(key));
+  if (Array.isArray(value)) return kept.map(([, entry]) => entry);
+  return typeof value === 'object' ? Object.fromEntries(kept) : undefined;
+}
+
+/** A message without what `issues` name. */
+function withoutIssues(value: unknown, issues: readonly z.core.$ZodIssue[]): unknown {
+  const odd = new Map<string, Set<string> | 'field'>();
+  issues.forEach(({ path: [field, entry] }) => {
+    const name = String(field);
+    (PAIRED.includes(name) ? PAIRED : [name]).forEach((each) => {
+      const entries = odd.get(each) ?? new Set();
+      const isWhole = entry === undefined || entries === 'field';
+      odd.set(each, isWhole ? 'field' : entries.add(String(entry)));
+    });
+  });
+  return Object.fromEntries([...entriesOf(value)].flatMap(([name, field]) => {
+    const entries = odd.get(name);
+    if (entries === 'field') return [];
+    return [[name, entries ? withoutEntries(field, entries) : field]];
+  }));
+}
+
 export function decodeMessage(bytes: Buffer): Result<DecodedMessage, string> {
   let value: unknown;
   try {
@@ -230,8 +270,6 @@
   const whole = MESSAGE.safeParse(value);
   if (whole.success) return ok({ message: whole.data, unread: [] });
   const unread = [...new Set(whole.error.issues.map(({ path }) => String(path[0])))];
-  const rest = MESSAGE.safeParse(Object.fromEntries(
-    Object.entries(value ?? {}).filter(([field]) => !unread.includes(field)),
-  ));
+  const rest = MESSAGE.safeParse(withoutIssues(value, whole.error.issues));
   return rest.success ? ok({ message: rest.data, unread }) : err(z.prettifyError(whole.error));
 }
--- a/test/relay-compatibility.test.ts
+++ b/test/relay-compatibility.test.ts
@@ -104,6 +104,61 @@
   });
 });
 
+const [CRASH] = MESSAGE.crashes;
+const [CRASH_REQUEST] = MESSAGE.crashRequests;
+interface OddPart { readonly name: string; readonly text: string; readonly read: object }
+const ODD_PARTS: readonly OddPart[] = [
+  {
+    name: 'processes',
+    text: '"gone":[["s-2",1],[7,1],null,["s-3",1e300],["s-4",2]]',
+    read: { gone: [['s-2', 1], ['s-4', 2]] },
+  },
+  {
+    name: 'successors',
+    text: '"successors":[["s-4","s\\n5"],["","s-5"],["s-4","s-5"]]',
+    read: { successors: [['s-4', 's-5']] },
+  },
+  {
+    name: 'peers',
+    text: '"peers":["127.0.0.256","host","",7,"127.0.0.8"]',
+    read: { peers: ['127.0.0.8'] },
+  },
+  {
+    name: 'loads',
+    text: '"loads":{"s-1":[1,2,3,1e999],"s-2":[1,2,3,1e300],"s-3":[-1,2,3,4],"s-4":[1,2,3,4]}',
+    read: { loads: { 's-4': [1, 2, 3, 4] } },
+  },
+  {
+    name: 'copies',
+    text: '"copies":{"servers":{"newestChange":1e300,"ageMs":1},'
+      + '"configuration":{"newestChange":4,"ageMs":1}}',
+    read: { copies: { configuration: { newestChange: 4, ageMs: 1 } } },
+  },
+  {
+    name: 'crashes, each with its requests',
+    text: `"crashes":${JSON.stringify([7, CRASH, CRASH])},`
+      + `"crashRequests":${JSON.stringify([CRASH_REQUEST, [-1, []], CRASH_REQUEST])}`,
+    read: { crashes: [CRASH], crashRequests: [CRASH_REQUEST] },
+  },
+  {
+    name: 'limits nested deeply',
+    text: `"limits":[${'['.repeat(20_000)}${']'.repeat(20_000)},["s-8",1,2.5,300,true]]`,
+    read: { limits: [['s-8', 1, 2.5, 300, true]] },
+  },
+];
+ODD_PARTS.forEach(({ name, text, read: expected }) => {
+  test(`a message with odd entries keeps the others: ${name}`, (t) => {
+    const whole = `${JSON.stringify(MESSAGE).slice(0, -1)},${text}}`;
+    const decoded = decodeMessage(Buffer.from(whole));
+    if (decoded.isErr()) throw new Error(decoded.error);
+    const { message, unread } = decoded.value;
+    t.true(unread.length > 0);
+    const parts = message as unknown as Readonly<Record<string, unknown>>;
+    Object.entries(expected).forEach(([field, value]) => t.deepEqual(parts[field], value));
+    t.deepEqual(message.origins, MESSAGE.origins);
+  });
+});
+
 ['configuration', 'loads', 'gone', 'suspect', 'successors', 'peers'].forEach((field) => {
   test(`a message of a later build without ${field} is read`, (t) => {
     const rest = Object.fromEntries(Object.entries(MESSAGE).filter(([key]) => key !== field));
