--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -158,7 +158,7 @@
 
   /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
   awaitRenewals(ms = REGISTRATION_MS): void {
-    this.#graceUntil = Math.max(this.#graceUntil, this.#now() + ms);
+    this.#graceUntil = Math.max(this.#graceUntil, this.#now() + Math.min(ms, REGISTRATION_MS));
   }
 
   /** How much longer servers whose entries disappear stay usable. */
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -8,8 +8,9 @@
 import { initTRPC } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { z } from 'zod';
+import { VERSION_LIMIT } from '../store/epoch.js';
+import type { Listing, StoredObject } from '../store/objects.js';
 import { readForwarded } from './forwardedrequest.js';
-import type { Listing } from '../store/objects.js';
 
 /** Twice the time to transfer a large configuration between two zones. */
 const TIMEOUT_MS = 500;
@@ -24,10 +25,21 @@
   readonly renewalMs: number;
 }
 
-const LISTING = z.object({
-  version: z.number(),
-  objects: z.array(z.object({ name: z.string(), version: z.number(), value: z.string() })),
-});
+const VERSION = z.number().int().min(0).lt(VERSION_LIMIT);
+const OBJECT = z.object({ name: z.string(), version: VERSION, value: z.string() });
+const NAMED = z.object({ name: z.string() });
+
+/** As in the store's own answers, one that can't be read keeps its name and has no other value. */
+function readObject(item: unknown, version: number): readonly StoredObject[] {
+  const object = OBJECT.safeParse(item);
+  if (object.success) return [object.data];
+  const named = NAMED.safeParse(item);
+  return named.success ? [{ name: named.data.name, version, value: 'null' }] : [];
+}
+
+const LISTING = z.object({ version: VERSION, objects: z.array(z.unknown()) })
+  .transform(({ version, objects }): Listing => (
+    { version, objects: objects.flatMap((item) => readObject(item, version)) }));
 const SNAPSHOT = z.object({
   copies: z.object({ configuration: LISTING, servers: LISTING }),
   renewalMs: z.number().min(0),
--- a/test/relay-compatibility.test.ts
+++ b/test/relay-compatibility.test.ts
@@ -196,6 +196,31 @@
   t.like(formOf(await response.json()), formOf(recorded('snapshot')) as object);
 });
 
+test('an odd object in a snapshot hides no other', async (t) => {
+  const { copies, renewalMs } = SNAPSHOT;
+  const [sound] = copies.servers.objects;
+  const odd = [null, 7, { name: 's-2' }, { ...sound, version: 1e300 }, { ...sound, name: 7 }];
+  const objects = [...odd, { ...sound, name: 's-4', value: {} }, sound];
+  const data = { renewalMs, copies: { ...copies, servers: { ...copies.servers, objects } } };
+  const address = await listen(t, createServer((_, res) => {
+    res.setHeader('content-type', 'application/json').end(bytesOf({ result: { data } }));
+  }));
+  const { version } = copies.servers;
+  const unreadable = (name: string) => ({ name, version, value: 'null' });
+  t.deepEqual((await fetchSnapshot(address)).copies.servers.objects, [
+    unreadable('s-2'), unreadable('s-1'), unreadable('s-4'), sound,
+  ]);
+});
+
+test('a snapshot at a version that no store can reach is an error', async (t) => {
+  const servers = { ...SNAPSHOT.copies.servers, version: 1e300 };
+  const data = { ...SNAPSHOT, copies: { ...SNAPSHOT.copies, servers } };
+  const address = await listen(t, createServer((_, res) => {
+    res.setHeader('content-type', 'application/json').end(bytesOf({ result: { data } }));
+  }));
+  await t.throwsAsync(fetchSnapshot(address), { message: /snapshot/ });
+});
+
 [{ copies: {} }, { renewalMs: 'soon' }, null].forEach((data) => {
   test(`a snapshot that can't be read is an error: ${JSON.stringify(data)}`, async (t) => {
     const address = await listen(t, createServer((_, res) => {
