Refuse a forwarded request whose version can't be decoded

A header of another instance with a broken escape threw a URIError inside the listener of the server for instances, which is an uncaught exception. Such a request is no forwarded one now, and gets the 404 of that server, from which the sender can't conclude that it has not run. Before: the new test of relay-compatibility, "URI malformed".

--- a/src/relay/forwardedrequest.ts
+++ b/src/relay/forwardedrequest.ts
@@ -1,4 +1,5 @@
 /** The headers with which instances forward callers' requests to each other, and their answers. */
+import { Result } from 'neverthrow';
 import { endToEnd } from '../entry/upstream.js';
 import type { Refusal } from '../common/refusal.js';
 import type { Call } from './call.js';
@@ -47,18 +48,23 @@
     index % 2 === 0 && !name.toLowerCase().startsWith(PREFIX) ? [name, raw[index + 1] ?? ''] : []));
 }
 
-/** Undefined if the request does not come from another instance. */
+const decodeText = Result.fromThrowable(decodeURIComponent);
+
+/**
+ * Undefined if the request does not come from another instance, or can't be read: a stream whose
+ * version is not known must not go on.
+ */
 export function readForwarded(raw: RawHeaders): ForwardedRequest | undefined {
   const by = headerOf(raw, BY);
   const leftMs = integerOf(raw, LEFT_MS);
-  if (by === undefined || leftMs === undefined) return undefined;
-  const software = headerOf(raw, SOFTWARE);
+  const software = decodeText(headerOf(raw, SOFTWARE) ?? '');
+  if (by === undefined || leftMs === undefined || software.isErr()) return undefined;
   return {
     by,
     leftMs,
     attempts: integerOf(raw, ATTEMPTS) ?? 0,
     lastEvent: integerOf(raw, LAST_EVENT),
-    software: software === undefined ? undefined : decodeURIComponent(software),
+    software: headerOf(raw, SOFTWARE) === undefined ? undefined : software.value,
   };
 }
 
--- a/test/relay-compatibility.test.ts
+++ b/test/relay-compatibility.test.ts
@@ -243,6 +243,17 @@
   t.deepEqual(pairs(headers).filter((pair) => !pairs(written).includes(pair)), []);
 });
 
+test('a forwarded request whose version can\'t be read is not taken for another', async (t) => {
+  const headers = (recorded('forwarded') as string[])
+    .map((text) => (text === 'v%202' ? 'v%E0' : text));
+  t.true(headers.includes('v%E0'));
+  t.is(readForwarded(headers), undefined);
+  const address = await listen(t, peerServer(() => SNAPSHOT, () => t.fail()));
+  const pairs = headers.flatMap((name, index): [string, string][] => (
+    index % 2 === 0 && name.startsWith('shallotshunt') ? [[name, headers[index + 1]!]] : []));
+  t.is((await fetch(`http://${address}/x`, { headers: pairs })).status, 404);
+});
+
 test('the outcome of a forwarded request keeps its form', (t) => {
   const headers = recorded('outcome') as string[];
   t.deepEqual(readOutcome(headers), { outcome: 'no', retryAfterMs: 300 });
