Bound the idle time that a server announces by what timers measure

A Keep-Alive header with a timeout of 400 digits threw out of the agent when the connection became idle: an uncaught RangeError (ERR_OUT_OF_RANGE, "Received Infinity") with each answer of that server. The time is at most the longest that a timer measures (2^31 - 1 ms). Before: relay-exchange ends with the uncaught error. After: 21 passed.

--- a/src/relay/keepaliveagent.ts
+++ b/src/relay/keepaliveagent.ts
@@ -11,13 +11,15 @@
 const DEFAULT_IDLE_MS = 900;
 /** A request sent this long before the server's own timeout still reaches it in time. */
 const IDLE_MARGIN_MS = 1_000;
+/** The longest time that timers measure. */
+const MAX_IDLE_MS = 2_147_483_647;
 const KEEP_ALIVE_TIMEOUT = /^timeout=(\d+)/;
 
 /** How long a connection may stay idle, by the last response's `Keep-Alive` header. */
 function idleMs(keepAlive: string | undefined): number {
   const seconds = KEEP_ALIVE_TIMEOUT.exec(keepAlive ?? '')?.[1];
   return seconds === undefined ? DEFAULT_IDLE_MS
-    : Number(seconds) * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MS;
+    : Math.min(Number(seconds) * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MS, MAX_IDLE_MS);
 }
 
 /** Closes an idle connection on which bytes arrive, since they belong to no request. */
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -161,6 +161,16 @@
   connections.closeAll();
 });
 
+test('an idle timeout that no timer measures is no error', async (t) => {
+  const long = WHOLE.replace('timeout=10', `timeout=${'9'.repeat(400)}`);
+  const server = await startServer(t, (socket) => socket.write(long));
+  const connections = Connections.of(Meter.of());
+  await send(server.address, connections);
+  t.is(lastKind(await send(server.address, connections)), 'end');
+  t.is(server.connections(), 1);
+  connections.closeAll();
+});
+
 test('a connection with unsolicited bytes is not reused', async (t) => {
   const server = await startServer(t, (socket, request) => {
     // The idle timeout outlasts the test, so that it can't be what closes the connection.
