Follow the store on after a change that can't be applied

An error while one entry was applied ended the following of all of them: the feed was subscribed to without an error handler, so that the supervisor was not told, and nothing restarted it. With it went the checks of the copies' ages, so the instance never noticed. Each change is now applied by itself, from the store and from a peer's copy; the error is logged as store_change_failed. An error that ends the feed all the same reaches the supervisor, which restarts it.

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -225,7 +225,7 @@
       settings, scheduler, random, log,
     } = this.#context;
     const children: Child[] = [
-      childOfSubscription('store', () => this.#storeFeed.run.subscribe()),
+      { name: 'store', run: this.#storeFeed.run },
       { name: 'peers', run: this.#peers.run },
       childOfSubscription('frontend', () => this.#frontend.start()),
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -1,9 +1,13 @@
 /**
  * Follows the configuration and the servers' entries in the platform's store. Both may also come
  * from another instance's copy; its objects are admitted by their versions like those from the
- * store, so that an older copy can't bring back what was changed or removed.
+ * store, so that an older copy can't bring back what was changed or removed. A change that can't be
+ * applied fails alone: the others are followed on.
  */
-import { interval, merge, tap } from 'rxjs';
+import { Result } from 'neverthrow';
+import {
+  ignoreElements, interval, merge, tap,
+} from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import { parseJson } from '../store/calls.js';
 import type { Log } from '../common/log.js';
@@ -79,13 +83,13 @@
     return new StoreFeed(context);
   }
 
-  /** Follows both kinds while subscribed. */
-  get run(): Observable<unknown> {
+  /** Follows both kinds while subscribed; emits nothing but an error that ends it. */
+  get run(): Observable<never> {
     const { platform, scheduler } = this.#context;
     const configuration = this.#follow(platform.configurationKind, this.#configuration).pipe(
       tap((event) => {
         this.#configuration.recordEvent(event);
-        if (event.kind === 'put') this.#onConfigurationChange(event, 'store');
+        if (event.kind === 'put') this.#applyConfiguration(event, 'store');
       }),
     );
     const servers = this.#follow(platform.serverKind, this.#servers).pipe(
@@ -96,9 +100,9 @@
       this.#servers.checkAge();
       this.#removeUnlisted();
       this.#restored.release(scheduler.now())
-        .forEach((change) => this.#onServerChange(change, 'store'));
+        .forEach((change) => this.#applyServer(change, 'store'));
     }));
-    return merge(configuration, servers, ages);
+    return merge(configuration, servers, ages).pipe(ignoreElements());
   }
 
   /** Time since the store last answered, for the kind for which that is longest ago. */
@@ -141,10 +145,10 @@
     const { fleet } = this.#context;
     fleet.awaitRenewals(renewalMs);
     this.#configuration.adopt(copies.configuration)
-      .forEach((change) => this.#onConfigurationChange(change, from));
+      .forEach((change) => this.#applyConfiguration(change, from));
     const changes = this.#servers.adopt(copies.servers);
     this.#checkEpoch(from);
-    changes.forEach((change) => this.#onServerChange(change, from));
+    changes.forEach((change) => this.#applyServer(change, from));
     if (copies.servers.version > 0) fleet.markLoaded();
   }
 
@@ -162,6 +166,22 @@
     });
   }
 
+  #applyConfiguration(change: StoreChange, from: string): void {
+    this.#try(change, () => this.#onConfigurationChange(change, from));
+  }
+
+  #applyServer(change: StoreChange, from: string): void {
+    this.#try(change, () => this.#onServerChange(change, from));
+  }
+
+  #try(change: StoreChange, apply: () => void): void {
+    Result.fromThrowable(apply, String)().mapErr((reason) => {
+      const name = change.kind === 'put' ? change.object.name : change.name;
+      this.#context.log.event('error', 'store_change_failed', { object: name, reason });
+      return reason;
+    });
+  }
+
   #onConfigurationChange(change: StoreChange, from: string): void {
     const { platform, log, adopt } = this.#context;
     if (change.kind !== 'put' || change.object.name !== platform.configurationName) return;
@@ -199,7 +219,7 @@
         break;
       case 'put':
       case 'delete':
-        this.#onServerChange(event, 'store');
+        this.#applyServer(event, 'store');
         break;
     }
   }
--- a/test/relay-storefeed.test.ts
+++ b/test/relay-storefeed.test.ts
@@ -53,7 +53,10 @@
       configurationName: 'configuration',
       serverKind: 'server/',
       readConfiguration: (value) => ok(value as RelayConfiguration),
-      readServer: (id, value) => ({ ...value as ServerEntry, id }),
+      readServer: (id, value) => {
+        if (id === 'odd') throw new RangeError('odd entry');
+        return { ...value as ServerEntry, id };
+      },
     },
     heartbeatMs: 1_000,
     configurationDelayMs: BOUND_MS,
@@ -78,6 +81,23 @@
   };
 }
 
+test('a change that can\'t be applied does not end the following', async (t) => {
+  const {
+    clock, objects, fleet, feed, put,
+  } = await startFeed(t);
+  await put('server/odd', ENTRY);
+  await put('server/e1', { ...ENTRY, state: 'leaving' });
+  await clock.advance(1_000);
+  t.is(fleet.server('e1')?.entry.state, 'leaving');
+  const { version } = expectOk(await objects.get('server/e1', 'status'));
+  const object = (name: string, from: number) => ({
+    name, version: version + from, value: JSON.stringify(ENTRY),
+  });
+  const servers = { version: version + 2, objects: [object('odd', 1), object('e4', 2)] };
+  feed.adopt({ copies: { ...feed.snapshot.copies, servers }, renewalMs: 0 }, 'peer');
+  t.is(fleet.server('e4')?.entry.state, 'ready');
+});
+
 test('a server that leaves is known within the bound while the watch is silent', async (t) => {
   const {
     clock, objects, fleet, put,
