Let no entry take a sound server's address away for good

An entry of another writer with the address of a sound server expired that server as superseded: with an unknown service, or as leaving, nothing was sent to the address any more; with the same service the first answer was a 421, and the sound server stayed away all the same, also after the odd entry was removed, until its own entry changed. An entry now replaces only servers of its own service, and only if it is ready, so that its answers show whether it is right. Once it is found misdirected, leaves or is removed, the servers before it are listed again, unless they have left the store. An id from a health check that can't be sent on is none. Candidates are chosen in a file of their own, for size. Before: 3 of 3 new tests of relay-oddentries fail (503 instead of 200). After: 99 passed with relay-daemon, -misdirected, -restore, -partition.

--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -3,19 +3,20 @@
 import type { Subscription } from 'rxjs';
 import { trackAssignment } from './assignment.js';
 import type { Assignment } from './assignment.js';
+import { candidatesOf } from './candidates.js';
 import type { FleetContext } from './fleetcontext.js';
 import { isReachable } from './identity.js';
 import type { Identity } from './identity.js';
 import { Probes } from './probes.js';
-import { unknownSoftware } from './release.js';
+import { successorOf } from './release.js';
 import type { Candidate } from './selection.js';
-import { totalLoad } from './selection.js';
 import type { ServerEntry } from './serverentry.js';
 import {
-  addLoad, isUsable, listedFields, markReached, markSuspect, sameProcess, serverState, withEntry,
+  addLoad, listedFields, markReached, markSuspect, sameProcess, serverState, withEntry,
   withOutcome,
 } from './serverstate.js';
 import type { Load, ServerState } from './serverstate.js';
+import { replacedBy, SupersededServers } from './superseded.js';
 import { ZoneFailures } from './zonefailures.js';
 
 const SWEEP_MS = 500;
@@ -37,6 +38,8 @@
 
   readonly #zoneFailures = ZoneFailures.of();
 
+  readonly #superseded = SupersededServers.of();
+
   /** Entries that disappear before this time may have expired during an outage of the store. */
   #graceUntil = 0;
 
@@ -68,19 +71,14 @@
     return this.#context.scheduler.now();
   }
 
-  /** The usable servers of a service, shuffled so that instances don't all pick the same one. */
+  /** The usable servers of a service, in no order. */
   candidates(service: string, exclude: readonly string[]): readonly Candidate[] {
     const now = this.#now();
-    const usable = this.servers.filter((server) => server.entry.service === service
-      && isUsable(server, now) && !exclude.includes(server.entry.id));
-    const { random, peerLoads, admission } = this.#context;
-    return random.shuffled(usable).map((server) => {
-      const { entry } = server;
-      const load = totalLoad(server.ownLoad, peerLoads(entry.id));
-      const zoneSuspect = this.#zoneFailures.suspects(entry, this.heardAt(entry.id), now);
-      const seen = { server, load, zoneSuspect };
-      return { ...seen, ...admission(entry, load) };
-    });
+    const zoneSuspect = (entry: ServerEntry) => (
+      this.#zoneFailures.suspects(entry, this.heardAt(entry.id), now));
+    return candidatesOf({
+      service, exclude, servers: this.servers, now, zoneSuspect,
+    }, this.#context);
   }
 
   /** Adds or updates a server from its entry. */
@@ -91,7 +89,9 @@
     const state = prior ? withEntry(prior, entry, listed) : serverState(entry, listed);
     if (state === prior) return;
     this.#servers.set(entry.id, state);
+    this.#superseded.forget(entry.id);
     if (!prior) this.#supersede(entry);
+    if (entry.state === 'leaving') this.#listSuperseded(entry.id);
     if (prior && sameProcess(prior.entry, state.entry) && prior.entry.state === entry.state
       && prior.expiresAt === undefined) return;
     if (prior && !sameProcess(prior.entry, state.entry)) {
@@ -101,13 +101,19 @@
     this.#context.log.event('info', 'server_listed', listedFields(state));
   }
 
-  /** Expires a server that had the same address before. */
+  /** Expires servers that had the same address before. */
   #supersede(entry: ServerEntry): void {
-    this.#servers.forEach(({ entry: { id, address } }) => {
-      if (address === entry.address && id !== entry.id) this.#expire(id, 'superseded');
+    replacedBy(entry, this.servers).forEach((replaced) => {
+      if (replaced.expiresAt === undefined) this.#superseded.record(replaced.entry, entry.id);
+      this.#expire(replaced.entry.id, 'superseded');
     });
   }
 
+  /** Lists the servers again in whose place one stood that gets no requests any more. */
+  #listSuperseded(by: string): void {
+    this.#superseded.take(by).forEach((entry) => this.upsert(entry, 'superseded'));
+  }
+
   /** Called once the store has been read; every entry in it has been passed to `upsert`. */
   markLoaded(): void {
     this.#loaded = true;
@@ -115,11 +121,12 @@
 
   /** Called when an entry is no longer in the store. */
   remove(id: string): void {
+    this.#superseded.forget(id);
+    this.#listSuperseded(id);
     const state = this.#servers.get(id);
     if (!state) return;
-    const now = this.#now();
-    const lapsed = now < this.#graceUntil && state.entry.state === 'ready';
-    this.#expire(id, 'entry_gone', lapsed ? this.#graceUntil : now);
+    const lapsed = this.#now() < this.#graceUntil && state.entry.state === 'ready';
+    this.#expire(id, 'entry_gone', lapsed ? this.#graceUntil : undefined);
   }
 
   /** Called when another server answers at this server's address; other instances are told. */
@@ -134,9 +141,8 @@
     const state = this.#servers.get(id);
     if (!state || (state.expiresAt ?? Infinity) <= until) return;
     this.#servers.set(id, { ...state, expiresAt: until });
-    this.#context.log.event('info', 'server_removed', {
-      server: id, cause, usable_ms: Math.round(until - this.#now()),
-    });
+    const usableMs = Math.round(until - this.#now());
+    this.#context.log.event('info', 'server_removed', { server: id, cause, usable_ms: usableMs });
   }
 
   /** Called when another instance reports that a server is leaving or has left. */
@@ -150,10 +156,8 @@
   verifySuspect(id: string, startedAt: number, from: string): void {
     const state = this.#servers.get(id);
     if (!state || state.entry.startedAt !== startedAt || state.health.kind === 'suspect') return;
-    this.#probes.verify(state.entry, (accepted) => {
-      if (accepted) this.markHeard(id);
-      else this.markSuspect(id, `reported unreachable by ${from}`);
-    });
+    this.#probes.verify(state.entry, (accepted) => (accepted
+      ? this.markHeard(id) : this.markSuspect(id, `reported unreachable by ${from}`)));
   }
 
   /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
@@ -179,8 +183,7 @@
   #sweep(): void {
     const now = this.#now();
     this.#servers.forEach((state, id) => {
-      const gone = state.expiresAt !== undefined && now >= state.expiresAt;
-      if (!gone || state.ownLoad.running > 0) return;
+      if (now < (state.expiresAt ?? Infinity) || state.ownLoad.running > 0) return;
       this.#servers.delete(id);
       this.#lastHeardAt.delete(id);
       this.#successors.delete(id);
@@ -268,9 +271,7 @@
   }
 
   #registerSuccessor(previous: ServerEntry, id: string, from: string): void {
-    this.upsert({
-      ...previous, id, software: unknownSoftware(id), state: 'ready',
-    }, from);
+    this.upsert(successorOf(previous, id), from);
     this.#successors.set(previous.id, id);
     this.#context.onUrgentChange();
   }
@@ -291,10 +292,8 @@
   #markReached(id: string, by: string): void {
     const state = this.#servers.get(id);
     if (!state || state.health.kind === 'up') return;
-    const { since } = state.health;
     this.#servers.set(id, markReached(state));
-    this.#context.log.event('info', 'server_reached', {
-      server: id, by, after_ms: Math.round(this.#now() - since),
-    });
+    const afterMs = Math.round(this.#now() - state.health.since);
+    this.#context.log.event('info', 'server_reached', { server: id, by, after_ms: afterMs });
   }
 }
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -8,6 +8,7 @@
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import { exchange } from './exchange.js';
+import { isServerId } from './serverentry.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Covers two round trips between zones and the delay of a busy server. */
@@ -16,7 +17,7 @@
 const HEALTH_TIMEOUT_MS = 250;
 
 /**
- * `reached`: the server responds but doesn't report an id, or its service has no health check.
+ * `reached`: the server responds but reports no usable id, or its service has no health check.
  * `silent`: it accepts connections and doesn't respond in time.
  */
 export type Identity =
@@ -62,6 +63,6 @@
   return firstValueFrom(response).then((event): Identity => {
     if (event.kind !== 'head') return { kind: 'unreached' };
     const { server: id } = dialect.readResponse(event.status, event.headers);
-    return id === undefined ? { kind: 'reached' } : { kind: 'known', id };
+    return id === undefined || !isServerId(id) ? { kind: 'reached' } : { kind: 'known', id };
   }, () => ({ kind: 'silent' }));
 }
--- a/src/relay/release.ts
+++ b/src/relay/release.ts
@@ -20,6 +20,13 @@
   return `unknown at ${server}`;
 }
 
+/** A server that was found in place of another, until its own entry is read. */
+export function successorOf(previous: ServerEntry, id: string): ServerEntry {
+  return {
+    ...previous, id, software: unknownSoftware(id), state: 'ready',
+  };
+}
+
 /** @param release undefined if any release will do */
 export function runsRelease(entry: ServerEntry, release: Release | undefined): boolean {
   if (!release) return true;
--- a/test/relay-oddentries.test.ts
+++ b/test/relay-oddentries.test.ts
@@ -185,6 +185,32 @@
   checkStore(t, started, performance.now() - at);
 });
 
+const COPIES: readonly { name: string; change: object }[] = [
+  { name: 'in its place', change: {} },
+  { name: 'of an unknown service', change: { Service: 'unknown' } },
+  { name: 'that is leaving', change: { State: 'draining' } },
+];
+COPIES.forEach(({ name, change }) => {
+  test(`an entry with the address of a sound server, ${name}, does not take it away`, async (t) => {
+    const started = await startRelay(t);
+    const { relay, store, list } = started;
+    const [sound] = relay.plain;
+    list(sound);
+    store.put('config', 'main', itemOf('main', relayConfiguration()));
+    t.true(await eventually(() => relay.daemon.ready));
+    await checkServed(t, started, 'before');
+    store.put(KIND, 'm', itemOf('m', specOf(sound!.address, change)));
+    t.true(await eventually(() => relay.log.of('server_listed').some(({ server }) => (
+      server === 'm'))));
+    t.true(await eventually(async () => (await relay.call('/safe/', {})).status === 200));
+    await checkServed(t, started, 'after');
+    store.remove(KIND, 'm');
+    t.true(await eventually(() => relay.log.of('server_removed').some(({ server }) => (
+      server === 'm'))));
+    await checkServed(t, started, 'once it is removed');
+  });
+});
+
 /** The servers that objects name. */
 function serversIn(objects: readonly StoredObject[]): readonly string[] {
   return objects.flatMap(({ name, value }) => readServer(name, JSON.parse(value))?.id ?? []);
