--- a/test/entrystop.test.ts
+++ b/test/entrystop.test.ts
@@ -5,7 +5,7 @@
 import { call, post, startEntry } from './fakes/entry.js';
 import type { EntryFixture } from './fakes/entry.js';
 import { eventually } from './fakes/eventually.js';
-import { RawCaller } from './fakes/rawcaller.js';
+import { CallerConnection } from './fakes/callerconnection.js';
 
 const LARGE_BYTES = 6_000_000;
 
@@ -17,7 +17,7 @@
   const entry = await startEntry(fixture);
   t.teardown(entry.stop);
   const [host = '', port] = entry.address.split(':');
-  return { ...entry, connect: () => RawCaller.of({ host, port: Number(port) }) };
+  return { ...entry, connect: () => CallerConnection.of({ host, port: Number(port) }) };
 }
 
 test('a request that is read after the lag of a stop is refused as not run', async (t) => {
--- a/test/fakes/rawcaller.ts
+++ b/test/fakes/callerconnection.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { HOST, KEY } from './relay.js';
 
-export interface RawHead {
+export interface RequestHead {
   readonly id: string;
   readonly path: string;
   readonly method?: string;
@@ -13,12 +13,12 @@
 /** The text of a request's head. */
 export function headText({
   id, path, method = 'GET', fields = [],
-}: RawHead): string {
+}: RequestHead): string {
   const first = [`${method} ${path} HTTP/1.1`, `host: ${HOST}`, `x-id: ${id}`, `x-key: ${KEY}`];
   return [...first, ...fields, '', ''].join('\r\n');
 }
 
-export class RawCaller {
+export class CallerConnection {
   readonly #socket: Socket;
 
   #chunks: Buffer[] = [];
@@ -38,9 +38,10 @@
     });
   }
 
-  static of(address: { readonly host: string; readonly port: number }): Promise<RawCaller> {
+  static of(address: { readonly host: string; readonly port: number }): Promise<CallerConnection> {
     return new Promise((resolve, reject) => {
-      const socket = connect({ ...address, noDelay: true }, () => resolve(new RawCaller(socket)));
+      const socket = connect({ ...address, noDelay: true });
+      socket.once('connect', () => resolve(new CallerConnection(socket)));
       socket.once('error', reject);
     });
   }
--- a/test/relay-stop.test.ts
+++ b/test/relay-stop.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
-import { RawCaller, headText } from './fakes/rawcaller.js';
+import { CallerConnection, headText } from './fakes/callerconnection.js';
 import { Relay } from './fakes/relay.js';
 import type { RelayFixture } from './fakes/relay.js';
 import type { RelayEngineOptions } from './fakes/relayengine.js';
@@ -33,8 +33,8 @@
   return { state, options };
 }
 
-function callerOf(relay: Relay): Promise<RawCaller> {
-  return RawCaller.of({ host: relay.endpoint.ip, port: relay.endpoint.callersPort });
+function callerOf(relay: Relay): Promise<CallerConnection> {
+  return CallerConnection.of({ host: relay.endpoint.ip, port: relay.endpoint.callersPort });
 }
 
 test('an answer that its caller could not read is not logged as whole', async (t) => {
