Streams: state in one place which answers begin, continue or end one

Callers got 3 events and then an end that looked complete when a stream had broken off and the next server answered 204. The same held for 201, 205, 206, 302, 304 and an empty 400, and 404, 206 or JSON responses with events in them went into the stream. Any signed answer below 500 counted as a stream, and its end as the stream's end. Now only a signed 200, of type text/event-stream or without a type, holds events; a signed failure is passed on whole while the caller has nothing of the stream, and all else is a failed attempt. That also repairs a signed 400 with a body, which was taken for half an event and answered with 502. The load of an attempt and the writing to the caller moved to modules of their own.

--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -2,24 +2,19 @@
 import { Subscription } from 'rxjs';
 import type { GenerationEvent } from '../generation/event.js';
 import { SoundRun } from '../limits/soundrun.js';
-import type { Assignment } from './assignment.js';
+import { AttemptLoad } from './attemptload.js';
 import type { AttemptOptions, AttemptPlan, AttemptStage } from './attemptplan.js';
-import type { Call, ResponseHead } from './call.js';
+import type { BufferedResponse, Call, ResponseHead } from './call.js';
 import type { RelayContext } from './context.js';
 import { recordBroken } from './crashguard.js';
-import { EventSplitter } from './eventsplitter.js';
-import type { ServerSentEvent } from './eventsplitter.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
-import { requiredMemory } from './selection.js';
-import { FIRST_EVENT_ID, serverRequest, streamTarget } from './serverrequest.js';
+import { serverRequest, streamTarget } from './serverrequest.js';
 import type { ServerEntry } from './serverentry.js';
 import { overdueMs } from './silence.js';
-import { NO_LOAD } from './serverstate.js';
-
-/** The rest of a failure's body is not waited for. */
-const MAX_FAILURE_BYTES = 65_536;
+import { StreamResponse } from './streamresponse.js';
+import type { StreamPart } from './streamresponse.js';
 
 export class StreamAttempt {
   readonly #call: Call;
@@ -32,11 +27,9 @@
 
   readonly #emit: (event: GenerationEvent) => void;
 
-  readonly #splitter = EventSplitter.of();
-
   readonly #subscriptions = new Subscription();
 
-  readonly #assignments: Assignment[] = [];
+  #load: AttemptLoad | undefined;
 
   /** Whether the engine may have received any of the request. */
   sent = false;
@@ -53,15 +46,9 @@
 
   readonly #soundRun = SoundRun.of();
 
-  #nextPosition: number;
-
   #head: ResponseHead | undefined;
 
-  /** Length of the body of a failure. */
-  #failureLength = 0;
-
-  /** Failure given by the response's head, reported once the response has ended. */
-  #failure: { readonly ran: 'no' | 'unknown'; readonly message: string } | undefined;
+  #response: StreamResponse | undefined;
 
   private constructor(
     call: Call,
@@ -75,7 +62,6 @@
     this.#options = options;
     this.#context = context;
     this.#emit = emit;
-    this.#nextPosition = options.from;
   }
 
   static of(
@@ -111,23 +97,23 @@
     return this.#head;
   }
 
+  /** The whole answer, if it is no stream. */
+  get answer(): BufferedResponse | undefined {
+    return this.#response?.answer;
+  }
+
+  /** Whether the caller has events of the stream. */
+  get #hasBegun(): boolean {
+    return this.#options.from > 0 || this.#options.reconnecting;
+  }
+
   start(): void {
     const {
-      fleet, throttles, scheduler, silence, reach,
+      throttles, scheduler, silence, reach,
     } = this.#context;
-    const { server, standby, prefillTokens } = this.#plan;
-    const { demand } = this.#options;
-    const memory = requiredMemory(demand);
+    const { server, standby } = this.#plan;
     this.#startedAt = scheduler.now();
-    this.#assignments.push(fleet.assign(server.id, {
-      ...NO_LOAD, running: 1, memoryTokens: memory, prefillTokens,
-    }));
-    if (standby) this.#assignments.push(fleet.assign(standby.id, { ...NO_LOAD, standby: memory }));
-    const { workspace } = this.#call;
-    if (workspace) {
-      const room = memory * (standby ? 2 : 1);
-      this.#subscriptions.add(this.#context.uses.take(server.service, workspace.name, room));
-    }
+    this.#load = AttemptLoad.assign(this.#call, this.#plan, this.#options.demand, this.#context);
     throttles.take(server);
     const target = streamTarget(this.#call, this.#plan, this.#options);
     const outgoing = serverRequest(this.#call, target, this.#context);
@@ -154,7 +140,7 @@
   /** Closes the connection, which makes the engine stop the run. */
   close(): void {
     this.#subscriptions.unsubscribe();
-    this.#assignments.forEach((assignment) => assignment.release());
+    this.#load?.release();
   }
 
   #onExchangeEvent(event: ExchangeEvent): void {
@@ -172,10 +158,10 @@
         break;
       case 'piece':
         fleet.markHeard(server.id);
-        this.#onBytes(event.bytes);
+        this.#response?.push(event.bytes).forEach((part) => this.#onPart(part));
         break;
       case 'end':
-        this.#onEnd();
+        if (this.#response) this.#onEnd(this.#response);
         break;
       case 'unsent':
         this.#fail('no', event.message);
@@ -194,11 +180,10 @@
    */
   #recordBroken(): void {
     if (this.#soundRun.isSound) return;
-    const { from, reconnecting, excluded } = this.#options;
     recordBroken(this.#call, {
       server: this.#plan.server.id,
-      stage: from > 0 || reconnecting ? 'streaming' : this.stage,
-      previous: excluded,
+      stage: this.#hasBegun ? 'streaming' : this.stage,
+      previous: this.#options.excluded,
       connectedAt: this.#connectedAt,
     }, this.#context);
   }
@@ -208,77 +193,57 @@
     const { server } = this.#plan;
     const responseClass = classifyResponse(head.status, head.headers, this.#call.id, dialect);
     notices.observe(server, responseClass);
-    switch (responseClass.kind) {
-      case 'not_run':
-        if (responseClass.misdirected) {
-          fleet.markMisdirected(server.id);
-          this.sent = false;
-        }
-        this.#failure = { ran: 'no', message: responseClass.message };
-        break;
-      case 'failed':
-        this.#failure = { ran: 'unknown', message: responseClass.message };
-        break;
-      case 'foreign':
-        this.#fail('unknown', responseClass.message);
-        break;
-      case 'answer':
-        this.#head = head;
-        this.#emit({ kind: 'opened', attempt: this.#options.number, incarnation: server.id });
-        break;
+    if (responseClass.kind === 'not_run' && responseClass.misdirected) {
+      fleet.markMisdirected(server.id);
+      this.sent = false;
     }
+    const { number, from } = this.#options;
+    this.#response = StreamResponse.of(head, responseClass, {
+      method: this.#call.method, from, hasBegun: this.#hasBegun,
+    });
+    const { headFailure } = this.#response;
+    if (headFailure) this.#fail(headFailure.ran, headFailure.message);
+    if (!this.#response.isStream) return;
+    this.#head = head;
+    this.#emit({ kind: 'opened', attempt: number, incarnation: server.id });
   }
 
-  #onBytes(bytes: Buffer): void {
-    if (this.#failure) {
-      this.#failureLength += bytes.length;
-      if (this.#failureLength > MAX_FAILURE_BYTES) {
-        this.#fail(this.#failure.ran, this.#failure.message);
-      }
-      return;
+  #onPart(part: StreamPart): void {
+    switch (part.kind) {
+      case 'failed':
+        this.#fail(part.ran, part.message);
+        break;
+      case 'event':
+        this.#onEvent(part.position, part.text);
+        break;
     }
-    this.#splitter.push(bytes).filter(({ isComment }) => !isComment)
-      .forEach((event) => this.#onEvent(event));
-    if (this.#splitter.isOverlong) this.#fail('unknown', 'an event of the stream is too long');
   }
 
-  #onEvent(event: ServerSentEvent): void {
-    const { demand, number } = this.#options;
-    if (event.id === undefined) {
-      this.#fail('unknown', 'an event of the stream has no id');
-      return;
-    }
+  #onEvent(position: number, text: string): void {
     if (this.#lastEventAt === undefined) {
       this.#context.quarantines.markStarted(this.#call);
-      this.#assignments[0]?.update({
-        ...NO_LOAD, running: 1, memoryTokens: requiredMemory(demand),
-      });
+      this.#load?.prefilled();
       if (this.#plan.resumesFromCopy) this.#context.meter.record({ kind: 'copy', outcome: 'used' });
     }
     this.#lastEventAt = this.#context.scheduler.now();
     if (this.#soundRun.record(this.#lastEventAt)) {
       this.#context.quarantines.markAnswered(this.#call);
     }
-    const position = event.id - FIRST_EVENT_ID;
-    this.#nextPosition = position + 1;
     this.#emit({
-      kind: 'token', attempt: number, position, text: event.text,
+      kind: 'token', attempt: this.#options.number, position, text,
     });
   }
 
-  #onEnd(): void {
-    if (this.#failure) {
-      this.#fail(this.#failure.ran, this.#failure.message);
-      return;
-    }
-    if (this.#splitter.hasPartialEvent) {
-      this.#fail('unknown', 'the stream ended in the middle of an event');
+  #onEnd(response: StreamResponse): void {
+    const { endFailure } = response;
+    if (endFailure) {
+      this.#fail(endFailure.ran, endFailure.message);
       return;
     }
     this.#context.fleet.recordOutcome(this.#plan.server.id, false);
     this.#context.quarantines.markAnswered(this.#call);
     this.#emit({
-      kind: 'finish', attempt: this.#options.number, position: this.#nextPosition, reason: 'stop',
+      kind: 'finish', attempt: this.#options.number, position: response.position, reason: 'stop',
     });
   }
 
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -7,7 +7,6 @@
 import { Subscription, timer } from 'rxjs';
 import type { LogFields } from '../common/log.js';
 import type { Refusal } from '../common/refusal.js';
-import { endToEnd } from '../entry/upstream.js';
 import type { GenerationEffect, GenerationEvent } from '../generation/event.js';
 import type { Attempt, GenerationState } from '../generation/state.js';
 import { transaction } from '../generation/transaction.js';
@@ -28,12 +27,13 @@
 import { StreamRecorder } from './streamrecorder.js';
 import { StreamRelease } from './streamrelease.js';
 import { lastWritten, streamState } from './streamstate.js';
+import { StreamWriter } from './streamwriter.js';
 import { prepareTakeUp, UNKNOWN_ORIGIN_MESSAGE } from './takeup.js';
 
 export class StreamRelay {
   readonly #call: Call;
 
-  readonly #caller: Caller;
+  readonly #writer: StreamWriter;
 
   readonly #context: RelayContext;
 
@@ -54,15 +54,13 @@
   /** The engine that holds a standby copy of the run's KV cache. */
   #copyHolder: string | undefined;
 
-  #headSent = false;
-
   readonly #handover: Handover;
 
   #state: GenerationState;
 
   private constructor(call: Call, caller: Caller, context: RelayContext) {
     this.#call = call;
-    this.#caller = caller;
+    this.#writer = StreamWriter.of(caller);
     this.#context = context;
     this.#handover = Handover.of(call, caller, context);
     this.#recorder = StreamRecorder.of(call, context);
@@ -84,6 +82,10 @@
     return countAttempts([...this.#attempts.values()]);
   }
 
+  get #lastAttempt(): StreamAttempt | undefined {
+    return [...this.#attempts.values()].at(-1);
+  }
+
   get #demand(): RunDemand {
     const { promptTokens, outputTokens } = this.#call.fields;
     return {
@@ -138,13 +140,11 @@
         this.#write(effect.text);
         break;
       case 'finish':
-        this.#writeHead();
         this.#recorder.recordDurations();
-        this.#caller.end();
+        this.#writer.finish(this.#lastAttempt);
         break;
       case 'refuse':
-        if (this.#headSent) this.#caller.abort();
-        else this.#caller.refuse(effect.refusal);
+        this.#writer.refuse(effect.refusal);
         break;
       case 'assign':
         this.#assign(effect.exclude);
@@ -216,7 +216,7 @@
       attempts: this.#counts.sent,
       lastEvent: lastWritten(this.#state),
       software: this.#release.required(this.#state.version)?.software,
-      headSent: this.#headSent,
+      headSent: this.#writer.headSent,
     });
     if (taken) this.#apply({ kind: 'caller_gone' });
     return taken;
@@ -259,7 +259,7 @@
       }, this.#context),
     }, this.#context, (event) => this.#onAttemptEvent(attempt, event));
     this.#attempts.set(attempt.number, streamAttempt);
-    this.#caller.sending(attempt.server);
+    this.#writer.sending(attempt.server);
     streamAttempt.start();
   }
 
@@ -287,17 +287,9 @@
   }
 
   #write(text: string): void {
-    this.#release.markWritten([...this.#attempts.values()].at(-1)!.server);
-    this.#writeHead();
+    const attempt = this.#lastAttempt!;
+    this.#release.markWritten(attempt.server);
     this.#recorder.eventWritten(this.#state.accepted.tokens);
-    this.#caller.write(Buffer.from(text, 'latin1'));
-  }
-
-  /** Sends the head of the first attempt that yields an event; later ones continue its response. */
-  #writeHead(): void {
-    if (this.#headSent) return;
-    this.#headSent = true;
-    const head = [...this.#attempts.values()].at(-1)?.head;
-    if (head) this.#caller.begin({ ...head, headers: endToEnd(head.headers, ['content-length']) });
+    this.#writer.write(text, attempt);
   }
 }
