Streams: believe an end without an event only from two servers

After 3 events, a next server that answered 200 and ended at once, without an event or with comments alone, gave callers an end that looked complete; a new stream was then complete with no event. An orderly end was taken for the stream's end whatever had come before it. Now such an end is a failed attempt, unless another server has ended the stream at that position. Two are asked because nothing else tells them apart: of a stream that broke off after its last event nothing is left, and a sound server ends it at once. The price is one more attempt in that case, and a stream is broken off there if no second server can be asked. Where that may not run again, the caller is told that it is not known whether the request ran.

--- a/src/relay/attemptplan.ts
+++ b/src/relay/attemptplan.ts
@@ -28,6 +28,8 @@
   readonly excluded: readonly string[];
   /** Whether the caller's own request named a last event. */
   readonly reconnecting: boolean;
+  /** Where another engine has ended the stream without an event; undefined if none has. */
+  readonly emptyEndAt: number | undefined;
   /** Whether another engine could take over the stream now. */
   readonly canMigrate: () => boolean;
 }
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -37,6 +37,9 @@
   /** Whether any server may have, also one that has taken over the engine's address. */
   arrived = false;
 
+  /** Whether the engine has ended the stream in order without an event. */
+  isEmptyEnd = false;
+
   #startedAt = 0;
 
   /** When the engine accepted the connection; 0 if it was open before. */
@@ -197,9 +200,9 @@
       fleet.markMisdirected(server.id);
       this.sent = false;
     }
-    const { number, from } = this.#options;
+    const { number, from, emptyEndAt } = this.#options;
     this.#response = StreamResponse.of(head, responseClass, {
-      method: this.#call.method, from, hasBegun: this.#hasBegun,
+      method: this.#call.method, from, hasBegun: this.#hasBegun, emptyEndAt,
     });
     const { headFailure } = this.#response;
     if (headFailure) this.#fail(headFailure.ran, headFailure.message);
@@ -236,6 +239,7 @@
 
   #onEnd(response: StreamResponse): void {
     const { endFailure } = response;
+    this.isEmptyEnd = response.isEmptyEnd;
     if (endFailure) {
       this.#fail(endFailure.ran, endFailure.message);
       return;
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -54,6 +54,9 @@
   /** The engine that holds a standby copy of the run's KV cache. */
   #copyHolder: string | undefined;
 
+  /** Where an engine has ended the stream without an event. */
+  #emptyEndAt: number | undefined;
+
   readonly #handover: Handover;
 
   #state: GenerationState;
@@ -252,6 +255,7 @@
       demand: this.#demand,
       excluded: this.#state.excluded,
       reconnecting: this.#call.fields.lastEvent !== undefined,
+      emptyEndAt: this.#emptyEndAt,
       canMigrate: () => mayMigrate(this.#call, this.#counts, {
         run: this.#demand,
         exclude: [...this.#state.excluded, attempt.server],
@@ -274,6 +278,7 @@
         pendingTokens: streamAttempt?.pendingTokens ?? 0,
         stage: streamAttempt?.stage ?? 'waiting',
       }, this.#state.accepted.tokens);
+      if (streamAttempt?.isEmptyEnd) this.#emptyEndAt = attempt.from;
       // A copy can be used only once, and an engine that refuses to use one doesn't have it.
       const unused = this.#copyHolder === attempt.server ? undefined : this.#copyHolder;
       this.#copyHolder = streamAttempt?.copyHolder ?? unused;
--- a/src/relay/streamresponse.ts
+++ b/src/relay/streamresponse.ts
@@ -1,8 +1,10 @@
 /**
  * States what a server may answer to an attempt of a stream. Only a signed 200 whose body is a
  * series of whole events begins or continues a stream, and only its orderly end completes one.
- * While the caller has nothing of the stream, a signed answer that is no success is passed on as
- * it is. Everything else is a failed attempt.
+ * An end without any event is believed if a second server ends the stream there too: nothing is
+ * left of a stream that broke off after its last event. While the caller has nothing of the
+ * stream, a signed answer that is no success is passed on as it is. Everything else is a failed
+ * attempt.
  */
 import { bufferedResponse } from './bufferedattempt.js';
 import type { BufferedResponse, ResponseHead } from './call.js';
@@ -18,6 +20,8 @@
   readonly from: number;
   /** Whether the caller has events of the stream, from this request or one before. */
   readonly hasBegun: boolean;
+  /** Where another server has ended the stream without an event; undefined if none has. */
+  readonly emptyEndAt: number | undefined;
 }
 
 export interface StreamFailure {
@@ -86,6 +90,8 @@
 export class StreamResponse {
   readonly #reading: Reading;
 
+  readonly #expected: ExpectedStream;
+
   readonly #splitter = EventSplitter.of();
 
   #position: number;
@@ -95,9 +101,10 @@
 
   #length = 0;
 
-  private constructor(reading: Reading, from: number) {
+  private constructor(reading: Reading, expected: ExpectedStream) {
     this.#reading = reading;
-    this.#position = from;
+    this.#expected = expected;
+    this.#position = expected.from;
   }
 
   static of(
@@ -105,7 +112,7 @@
     responseClass: ResponseClass,
     expected: ExpectedStream,
   ): StreamResponse {
-    return new StreamResponse(readHead(head, responseClass, expected), expected.from);
+    return new StreamResponse(readHead(head, responseClass, expected), expected);
   }
 
   get isStream(): boolean {
@@ -144,9 +151,22 @@
       case 'failed': return this.#reading;
       case 'refusal': return this.#reading.failure;
       case 'answer': return undefined;
-      case 'events': return this.#splitter.hasPartialEvent
-        ? failure('the stream ended in the middle of an event') : undefined;
+      case 'events': return this.#streamEndFailure;
+    }
+  }
+
+  /** Whether the response is a stream that has ended in order without an event. */
+  get isEmptyEnd(): boolean {
+    return this.isStream && this.#position === this.#expected.from
+      && !this.#splitter.hasPartialEvent;
+  }
+
+  get #streamEndFailure(): StreamFailure | undefined {
+    if (this.#splitter.hasPartialEvent) {
+      return failure('the stream ended in the middle of an event');
     }
+    return this.isEmptyEnd && this.#expected.emptyEndAt !== this.#position
+      ? failure('the stream ended without an event') : undefined;
   }
 
   #collect(bytes: Buffer, excess: StreamFailure): readonly StreamPart[] {
--- a/test/relay-streamanswers.test.ts
+++ b/test/relay-streamanswers.test.ts
@@ -159,6 +159,14 @@
   },
 ];
 
+/** Ends that look complete although events are owed. */
+const EMPTY_ENDS: readonly Answer[] = [
+  { name: '200 with a length of 0', respond: whole('200 OK', '', STREAM_HEADERS.slice(0, 1)) },
+  { name: '200 without an event', respond: inChunks('200 OK', '') },
+  { name: '200 with comments only', respond: inChunks('200 OK', ': one\n\n: two\n\n') },
+  { name: '200 that closes at once', respond: untilClosed('200 OK', '') },
+];
+
 interface Kind {
   readonly name: string;
   readonly id: string;
@@ -214,7 +222,7 @@
   ], `prompt of ${id}`);
 }
 
-ANSWERS.forEach(({ name: answer, respond, passed }) => {
+[...ANSWERS, ...EMPTY_ENDS].forEach(({ name: answer, respond, passed }) => {
   const kinds = KINDS.filter(({ hasBegun }) => hasBegun || passed === undefined);
   test.serial(`${answer}: a failed attempt, after which a sound server goes on`, async (t) => {
     const scripts = Object.fromEntries(kinds.map(({ id, before }) => [id, [...before, respond]]));
@@ -231,7 +239,10 @@
       t.is(attemptsOf(id).at(before.length)!.fromCopy, fromCopy, name);
     }));
   });
+});
 
+ANSWERS.forEach(({ name: answer, respond, passed }) => {
+  const kinds = KINDS.filter(({ hasBegun }) => hasBegun || passed === undefined);
   test.serial(`${answer}: no part of it reaches a caller if all servers answer so`, async (t) => {
     const scripts = Object.fromEntries(kinds.map(({ id, before }) => (
       [id, [...before, ...Array.from({ length: MAX_ATTEMPTS }, () => respond)]])));
@@ -261,3 +272,54 @@
     t.is(attemptsOf('new').length, 1);
   });
 });
+
+interface EmptyEnd {
+  readonly name: string;
+  readonly script: readonly Respond[];
+  readonly last?: number;
+  readonly count?: number;
+  readonly reply: Partial<RawReply>;
+}
+
+const EMPTY = inChunks('200 OK', '');
+const WHOLE_TEXT = eventsText(EVENTS);
+const ENDED: readonly EmptyEnd[] = [
+  {
+    name: 'a stream that broke off after its last event is complete if two servers end it there',
+    script: [breakAfter(WHOLE_TEXT), EMPTY, EMPTY],
+    reply: { status: 200, body: WHOLE_TEXT, whole: true },
+  },
+  {
+    name: 'a stream that one server ended without an event is broken off if no other can tell',
+    script: [breakAfter(WHOLE_TEXT), EMPTY],
+    count: 2,
+    reply: { status: 200, body: WHOLE_TEXT, whole: false },
+  },
+  {
+    name: 'ends without an event at two positions do not agree',
+    script: [BREAK, EMPTY, breakAfter(eventsText(HELD + 2, HELD + 1)), EMPTY],
+    count: 4,
+    reply: { status: 200, body: WHOLE_TEXT, whole: true },
+  },
+  {
+    name: 'a caller that lacks only the end gets it if two servers end the stream there',
+    script: [EMPTY, EMPTY],
+    last: EVENTS,
+    reply: { status: 200, body: '', whole: true },
+  },
+  {
+    name: 'a new stream has no events if two servers say so',
+    script: [EMPTY, EMPTY],
+    reply: { status: 200, body: '', whole: true },
+  },
+];
+ENDED.forEach(({
+  name, script, last, count, reply,
+}) => {
+  test.serial(name, async (t) => {
+    const { relay, attemptsOf } = await startSite(t, { r1: script }, count);
+    t.true((await request(relay, 'r0')).whole);
+    t.like(await request(relay, 'r1', last), reply);
+    t.true(attemptsOf('r1').length >= script.length);
+  });
+});
