Streams: run one that may run once only once if its events skip

A stream on a route whose requests may run once ran again at a second server when its server skipped an event, or sent events out of order, after its first event; callers got the two runs joined. The check that ends such a stream looked at failures that an attempt reports, while a gap is found by the state transaction, which then asked for another server. Now the relay refuses to assign a second server to such a stream once the request may have run, whatever found the failure; the check of reported failures is covered by that and is gone.

--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -186,6 +186,10 @@
       this.#unassignable('the service has no engines');
       return;
     }
+    if (this.#call.route.repeat === 'never' && this.#state.mayHaveRun) {
+      this.#apply({ kind: 'expired', message: 'the request may run only once' });
+      return;
+    }
     const refusal = quarantineRefusal(this.#call, this.#context)
       ?? stopRefusal(this.#call, this.#context, this.#recorder.streamedMs);
     if (this.#reject(refusal) || this.#handOver()) return;
@@ -283,11 +287,6 @@
       const unused = this.#copyHolder === attempt.server ? undefined : this.#copyHolder;
       this.#copyHolder = streamAttempt?.copyHolder ?? unused;
     }
-    const unrepeatable = this.#call.route.repeat === 'never';
-    if (unrepeatable && event.kind === 'failed' && event.failure.ran !== 'no') {
-      this.#apply({ kind: 'expired', message: event.failure.message });
-      return;
-    }
     this.#apply(event);
   }
 
--- /dev/null
+++ b/test/relay-streamevents.test.ts
@@ -0,0 +1,84 @@
+/** Streams whose events are not those that are due, or that break off at any byte. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { eventually } from './fakes/eventually.js';
+import { callRaw } from './fakes/rawcaller.js';
+import type { RawReply } from './fakes/rawcaller.js';
+import {
+  eventsText, HOST, KEY, Relay, relayConfiguration, ROUTES,
+} from './fakes/relay.js';
+import {
+  chunk, head, LAST_CHUNK, scriptedEngines, STREAM_HEADERS,
+} from './fakes/scriptedengines.js';
+import type { Attempt, Respond, Scripts } from './fakes/scriptedengines.js';
+
+/** Events that callers have before a stream breaks off. */
+const HELD = 3;
+
+interface Site {
+  readonly relay: Relay;
+  readonly attemptsOf: (id: string) => readonly Attempt[];
+}
+
+/** Streams at `/stream/` may go on at another server, those at `/streams-once/` may run once. */
+async function startSite(t: ExecutionContext, scripts: Scripts): Promise<Site> {
+  const { engines, attemptsOf } = scriptedEngines(scripts, 8);
+  const once = {
+    ...ROUTES.stream, name: 'once', prefix: '/streams-once/', repeat: 'never' as const,
+  };
+  const relay = await Relay.of(t, {
+    engines, configuration: relayConfiguration({ routes: [ROUTES.stream, once] }),
+  });
+  t.true(await eventually(() => (
+    relay.daemon.ready && relay.log.of('server_listed').length >= engines.length)));
+  return { relay, attemptsOf };
+}
+
+function request(relay: Relay, id: string, path = '/stream/'): Promise<RawReply> {
+  return callRaw(relay.endpoint, [
+    `POST ${path} HTTP/1.1`, `Host: ${HOST}`, `x-id: ${id}`, `x-key: ${KEY}`,
+    'x-prompt: 80', 'x-output: 20', 'x-deadline: 4000',
+  ], `prompt of ${id}`);
+}
+
+/** A stream that ends in order, and whose first events come some time before the rest. */
+function stream(text: string, first = ''): Respond {
+  return (socket, attempt) => {
+    socket.write(`${head(attempt, '200 OK', STREAM_HEADERS)}${chunk(first)}`);
+    setTimeout(() => socket.write(`${chunk(text)}${LAST_CHUNK}`), first === '' ? 0 : 30);
+  };
+}
+
+function events(ids: readonly (number | string)[], text = 'text'): string {
+  return ids.map((id) => `id: ${id}\ndata: ${text} ${id}\n\n`).join('');
+}
+
+interface Faulty {
+  readonly name: string;
+  /** What comes after the first events, from the same server or the next one. */
+  readonly text: string;
+}
+
+const FAULTY: readonly Faulty[] = [
+  { name: 'an event is skipped', text: events([5, 6, 7, 8], 'wrong') },
+  { name: 'an event is repeated', text: `${events([4])}${events([4, 5, 6, 7, 8], 'wrong')}` },
+  { name: 'the stream begins anew', text: events([1, 2, 3, 4, 5, 6, 7, 8], 'wrong') },
+  { name: 'events are out of order', text: `${events([4])}${events([6, 5, 7, 8], 'wrong')}` },
+  { name: 'an event has the id 0', text: events([0, 4, 5, 6, 7, 8], 'wrong') },
+  { name: 'an id is the largest that is read', text: events(['9'.repeat(15)], 'wrong') },
+  { name: 'an id is too large', text: events(['9'.repeat(16), '4', '5'], 'wrong') },
+  { name: 'an id is too large to count', text: events(['9'.repeat(400)], 'wrong') },
+  { name: 'an id is negative', text: events(['-4', '4'], 'wrong') },
+  { name: 'an id is no number', text: events(['0x4', '4'], 'wrong') },
+  { name: 'an event has no id', text: 'data: wrong\n\n' },
+  { name: 'the id is in the data only', text: 'data: id: 4 wrong\n\n' },
+  { name: 'the stream ends in an event', text: `${events([4])}id: 5\ndata: wrong\n` },
+];
+
+FAULTY.forEach(({ name, text }) => {
+  test.serial(`${name}: a stream that may run once does not run twice`, async (t) => {
+    const { relay, attemptsOf } = await startSite(t, { r1: [stream(text, eventsText(HELD))] });
+    t.is((await request(relay, 'r1', '/streams-once/')).status, 200);
+    t.is(attemptsOf('r1').length, 1);
+  });
+});
