Streams: take no events that come again, or that begin the stream anew

When the next server began a stream anew instead of going on after the last event, callers got events of two runs joined: those they had were dropped silently, and the rest came from another run. The same held for a server that sent an event twice with another content. An event in a position that had been filled was dropped, as it must be between attempts that race; the attempts of a relayed stream don't race, so such an event says that the server goes on elsewhere. Now an attempt fails at the first event that isn't the one that is due.

--- a/src/relay/streamresponse.ts
+++ b/src/relay/streamresponse.ts
@@ -1,10 +1,10 @@
 /**
  * States what a server may answer to an attempt of a stream. Only a signed 200 whose body is a
- * series of whole events begins or continues a stream, and only its orderly end completes one.
- * An end without any event is believed if a second server ends the stream there too: nothing is
- * left of a stream that broke off after its last event. While the caller has nothing of the
- * stream, a signed answer that is no success is passed on as it is. Everything else is a failed
- * attempt.
+ * series of whole events, which go on at the position that was asked for, begins or continues a
+ * stream, and only its orderly end completes one. An end without any event is believed if a second
+ * server ends the stream there too: nothing is left of a stream that broke off after its last
+ * event. While the caller has nothing of the stream, a signed answer that is no success is passed
+ * on as it is. Everything else is a failed attempt.
  */
 import { bufferedResponse } from './bufferedattempt.js';
 import type { BufferedResponse, ResponseHead } from './call.js';
@@ -182,9 +182,10 @@
     // eslint-disable-next-line no-restricted-syntax -- the first failure ends it
     for (const { id, text } of events) {
       if (id === undefined) return [...parts, failure('an event of the stream has no id')];
-      const position = id - FIRST_EVENT_ID;
-      parts.push({ kind: 'event', position, text });
-      this.#position = position + 1;
+      const due = this.#position + FIRST_EVENT_ID;
+      if (id !== due) return [...parts, failure(`event ${id} came in place of event ${due}`)];
+      parts.push({ kind: 'event', position: this.#position, text });
+      this.#position += 1;
     }
     return this.#splitter.isOverlong
       ? [...parts, failure('an event of the stream is too long')] : parts;
--- a/test/relay-streamevents.test.ts
+++ b/test/relay-streamevents.test.ts
@@ -8,12 +8,13 @@
   eventsText, HOST, KEY, Relay, relayConfiguration, ROUTES,
 } from './fakes/relay.js';
 import {
-  chunk, head, LAST_CHUNK, scriptedEngines, STREAM_HEADERS,
+  breakAfter, chunk, EVENTS, head, LAST_CHUNK, scriptedEngines, STREAM_HEADERS,
 } from './fakes/scriptedengines.js';
 import type { Attempt, Respond, Scripts } from './fakes/scriptedengines.js';
 
 /** Events that callers have before a stream breaks off. */
 const HELD = 3;
+const BREAK = breakAfter(eventsText(HELD));
 
 interface Site {
   readonly relay: Relay;
@@ -76,9 +77,23 @@
 ];
 
 FAULTY.forEach(({ name, text }) => {
-  test.serial(`${name}: a stream that may run once does not run twice`, async (t) => {
+  test.serial(`${name}: callers get each event once, from a server that goes on`, async (t) => {
+    const { relay, attemptsOf } = await startSite(t, {
+      same: [stream(text, eventsText(HELD))], next: [BREAK, stream(text)],
+    });
+    await Promise.all(['same', 'next'].map(async (id) => {
+      const reply = await request(relay, id);
+      t.like(reply, { status: 200, body: eventsText(EVENTS), whole: true }, id);
+    }));
+    t.is(attemptsOf('same').length, 2);
+    t.is(attemptsOf('next').length, 3);
+  });
+
+  test.serial(`${name}: a stream that may run once is broken off, and runs once`, async (t) => {
     const { relay, attemptsOf } = await startSite(t, { r1: [stream(text, eventsText(HELD))] });
-    t.is((await request(relay, 'r1', '/streams-once/')).status, 200);
+    const reply = await request(relay, 'r1', '/streams-once/');
+    t.like(reply, { status: 200, whole: false });
+    t.true(eventsText(EVENTS).startsWith(reply.body), reply.body);
     t.is(attemptsOf('r1').length, 1);
   });
 });
