Take no encoded body and no interim status for a server's answer

Callers got a signed 200 whose body had a Content-Encoding that nobody had asked for, and a signed 101 as the answer to their request, of calls and of streams alike; encoded events went into streams. A response was classified by its id, its signature and the range of its status alone. Now a response with a Content-Encoding, or with a status below 200, is no answer to the request: what may be repeated goes to another server, and the rest is told that it may have run.

--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -12,9 +12,15 @@
   | { readonly kind: 'not_run'; readonly message: string; readonly misdirected: boolean }
   | { readonly kind: 'foreign'; readonly message: string };
 
+const MIN_FINAL = 200;
 const MIN_SERVER_ERROR = 500;
 const MISDIRECTED = 421;
 
+/** Callers ask for bodies without encoding, so that an encoded one is not the server's own. */
+function isEncoded(headers: RawHeaders): boolean {
+  return headers.some((text, at) => at % 2 === 0 && text.toLowerCase() === 'content-encoding');
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
@@ -39,6 +45,12 @@
       response,
     };
   }
+  if (status < MIN_FINAL) {
+    return { kind: 'foreign', message: `status ${status} is not final`, response };
+  }
+  if (isEncoded(headers)) {
+    return { kind: 'foreign', message: 'the body of the response is encoded', response };
+  }
   if (isSuccess(status) && (response.signature === undefined || response.id === undefined)) {
     return { kind: 'foreign', message: 'the response is not signed', response };
   }
--- a/test/relay-daemon.test.ts
+++ b/test/relay-daemon.test.ts
@@ -137,6 +137,21 @@
       return true;
     },
   },
+  {
+    name: 'encodes its response',
+    respond: (req, res, engine) => {
+      res.writeHead(200, { ...engine.responseHeaders(req), 'content-encoding': 'gzip' });
+      res.end('encoded');
+      return true;
+    },
+  },
+  {
+    name: 'switches protocols',
+    respond: (req, _, { options: { id } }) => {
+      req.socket.write(`HTTP/1.1 101 Switching\r\nx-id: r1\r\nx-signature: ${id}\r\n\r\n`);
+      return true;
+    },
+  },
   {
     name: 'sends bytes that are not HTTP',
     respond: (req) => {
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -310,6 +310,21 @@
   {
     name: 'unsigned', status: 200, headers: ID, kind: 'foreign',
   },
+  {
+    name: 'an encoded body',
+    status: 200,
+    headers: [...ID, ...SIGNED, 'Content-Encoding', 'gzip'],
+    kind: 'foreign',
+  },
+  {
+    name: 'an encoded body of a failure',
+    status: 404,
+    headers: [...ID, ...SIGNED, 'content-encoding', ''],
+    kind: 'foreign',
+  },
+  {
+    name: 'a switch of protocols', status: 101, headers: [...ID, ...SIGNED], kind: 'foreign',
+  },
 ];
 RESPONSE_CLASSES.forEach(({
   name, status, headers, kind,
--- a/test/relay-streamanswers.test.ts
+++ b/test/relay-streamanswers.test.ts
@@ -121,6 +121,14 @@
     respond: (socket, attempt) => (
       whole('200 OK', nextEvents(attempt), JSON_TYPE)(socket, attempt)),
   },
+  {
+    name: '200 with encoded events',
+    respond: (socket, attempt) => inChunks(
+      '200 OK',
+      nextEvents(attempt),
+      [...STREAM_HEADERS, 'Content-Encoding: gzip'],
+    )(socket, attempt),
+  },
   {
     name: '200 with an event without an id',
     respond: inChunks('200 OK', `event: error\ndata: ${ERROR_TEXT}\n\n`),
