Streams: check what another instance sends of a stream that it continues

When a stream was handed over to another instance, its caller got whatever that one's server had answered: the text of a signed 400 in the middle of the stream, or an end that looked complete after a 204, a 304, an event without its end, or events out of place. The bytes were passed on unread once the other instance had said that a server answered. Now the same rule as for servers holds: a 200 that is a stream, whose whole events are passed on as they come due; all else breaks the stream off, or is refused while nothing has been sent.

--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -9,6 +9,9 @@
 import type { ExchangeEvent } from './exchange.js';
 import { forwardHeaders, readOutcome, withoutForwardHeaders } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
+import { FIRST_EVENT_ID } from './serverrequest.js';
+import { StreamResponse } from './streamresponse.js';
+import type { StreamPart } from './streamresponse.js';
 
 /** Instances that a call is offered to, one after the other. */
 const MAX_TARGETS = 2;
@@ -50,6 +53,9 @@
 
   #chunks: Buffer[] = [];
 
+  /** The answer that another instance got to a stream. */
+  #stream: StreamResponse | undefined;
+
   private constructor(
     call: Call,
     caller: Caller,
@@ -98,6 +104,7 @@
     this.#next += 1;
     this.#head = undefined;
     this.#chunks = [];
+    this.#stream = undefined;
     const {
       scheduler, connections, log, meter,
     } = this.#context;
@@ -129,7 +136,7 @@
     switch (event.kind) {
       case 'sent': break;
       case 'head':
-        this.#head = { status: event.status, headers: event.headers };
+        this.#onHead({ status: event.status, headers: event.headers });
         break;
       case 'piece':
         this.#onBytes(event.bytes);
@@ -146,32 +153,52 @@
     }
   }
 
+  #onHead(head: ResponseHead): void {
+    this.#head = head;
+    const { route: { delivery }, method, fields } = this.#call;
+    if (delivery !== 'events' || readOutcome(head.headers).outcome !== 'answered') return;
+    const lastEvent = this.#options.progress.lastEvent ?? fields.lastEvent;
+    const from = lastEvent === undefined ? 0 : lastEvent + 1 - FIRST_EVENT_ID;
+    this.#stream = StreamResponse.of(head, { kind: 'answer' }, {
+      method,
+      from,
+      hasBegun: this.#headSent || lastEvent !== undefined,
+      // The other instance has asked a second server.
+      emptyEndAt: from,
+    });
+    const { headFailure } = this.#stream;
+    if (headFailure) this.#giveUp('unknown', headFailure.message);
+  }
+
   #onBytes(bytes: Buffer): void {
-    const isStream = this.#call.route.delivery === 'events' && this.#head
-      && readOutcome(this.#head.headers).outcome === 'answered';
-    if (!isStream || !this.#head) {
-      this.#chunks.push(bytes);
-      return;
-    }
-    if (!this.#headSent) {
-      this.#headSent = true;
-      const headers = withoutForwardHeaders(endToEnd(this.#head.headers, ['content-length']));
-      this.#caller.begin({ ...this.#head, headers });
+    if (this.#stream) this.#stream.push(bytes).forEach((part) => this.#onPart(part));
+    else this.#chunks.push(bytes);
+  }
+
+  #onPart(part: StreamPart): void {
+    switch (part.kind) {
+      case 'failed':
+        this.#giveUp('unknown', part.message);
+        break;
+      case 'event':
+        this.#writeHead();
+        this.#caller.write(Buffer.from(part.text, 'latin1'));
+        break;
     }
-    this.#caller.write(bytes);
+  }
+
+  #writeHead(): void {
+    if (this.#headSent || !this.#head) return;
+    this.#headSent = true;
+    const headers = withoutForwardHeaders(endToEnd(this.#head.headers, ['content-length']));
+    this.#caller.begin({ ...this.#head, headers });
   }
 
   #onEnd(head: ResponseHead): void {
     const { outcome, retryAfterMs } = readOutcome(head.headers);
     switch (outcome) {
       case 'answered':
-        this.#stop();
-        this.#context.meter.record({ kind: 'forwarded', outcome: 'answered' });
-        if (this.#headSent) this.#caller.end();
-        else {
-          const headers = withoutForwardHeaders(head.headers);
-          this.#caller.respond(bufferedResponse({ ...head, headers }, this.#chunks));
-        }
+        this.#onAnswered(head);
         break;
       case 'no':
         this.#sendNext('no', 'the other instances can\'t serve it either', retryAfterMs);
@@ -183,6 +210,22 @@
     }
   }
 
+  #onAnswered(head: ResponseHead): void {
+    if (this.#stream?.endFailure) {
+      this.#giveUp('unknown', this.#stream.endFailure.message);
+      return;
+    }
+    this.#stop();
+    this.#context.meter.record({ kind: 'forwarded', outcome: 'answered' });
+    if (this.#stream?.isStream) {
+      this.#writeHead();
+      this.#caller.end();
+      return;
+    }
+    const answer = this.#stream?.answer ?? bufferedResponse(head, this.#chunks);
+    this.#caller.respond({ ...answer, headers: withoutForwardHeaders(answer.headers) });
+  }
+
   #onFailure(ran: 'no' | 'unknown', message: string): void {
     const { repeat, delivery } = this.#call.route;
     const isRepeatable = repeat === 'safe' && delivery === 'whole';
