Streams: pass no event on in which a head or a second id stands

A server that wrote the head of an error into a stream without length and chunks, in the middle of an event, had that head passed on to the caller within the event; so did a second event that was joined to one that had no end. The blank line that ends the head ended the event too, and an event needed an id and nothing else. Now an event has one id, and lines of the four fields of event streams and comments, after a first line that may be a field of the server's own, as the version of its weights is; any other event is a failed attempt, and the stream goes on elsewhere. A head of one line that ends a data line can't be told from text. Events with all fields, CRLF, comments, other scripts or a head in their data pass unchanged.

--- a/src/relay/eventsplitter.ts
+++ b/src/relay/eventsplitter.ts
@@ -10,6 +10,8 @@
   readonly id: number | undefined;
   /** Whether it is only a comment, as servers send to keep a connection open. */
   readonly isComment: boolean;
+  /** Whether it has one id at most, and only such lines as events consist of. */
+  readonly isWellFormed: boolean;
 }
 
 /** An event of some thousand tokens. */
@@ -17,6 +19,19 @@
 const EVENT_END = /\r?\n\r?\n/g;
 const COMMENT = /^(?::[^\n]*\n|\r?\n)*$/;
 const EVENT_ID = /^id: ?(\d{1,15})\r?$/m;
+const ID_LINE = /^id(?::|\r?$)/gm;
+/**
+ * Lines of the four fields and comments, after a first line in which servers may have a field of
+ * their own. A head that a server sends into an event that it has not ended has other lines.
+ */
+const WELL_FORMED = new RegExp([
+  '^(?:\\r?\\n)?(?:[a-z][a-z\\d-]*:[^\\n]*\\n)?',
+  '(?:(?:(?:id|data|event|retry)?:[^\\n]*|(?:id|data|event|retry)?\\r?)\\n)*$',
+].join(''));
+
+function isWellFormed(event: string): boolean {
+  return WELL_FORMED.test(event) && (event.match(ID_LINE)?.length ?? 0) <= 1;
+}
 
 export class EventSplitter {
   #pending = '';
@@ -48,6 +63,7 @@
         text: event,
         id: id === undefined ? undefined : Number(id),
         isComment: id === undefined && COMMENT.test(event),
+        isWellFormed: isWellFormed(event),
       });
       from = EVENT_END.lastIndex;
     }
--- a/src/relay/streamresponse.ts
+++ b/src/relay/streamresponse.ts
@@ -180,8 +180,9 @@
     const parts: StreamPart[] = [];
     const events = this.#splitter.push(bytes).filter(({ isComment }) => !isComment);
     // eslint-disable-next-line no-restricted-syntax -- the first failure ends it
-    for (const { id, text } of events) {
+    for (const { id, text, isWellFormed } of events) {
       if (id === undefined) return [...parts, failure('an event of the stream has no id')];
+      if (!isWellFormed) return [...parts, failure('an event has lines that are not its own')];
       const due = this.#position + FIRST_EVENT_ID;
       if (id !== due) return [...parts, failure(`event ${id} came in place of event ${due}`)];
       parts.push({ kind: 'event', position: this.#position, text });
--- a/test/relay-streamevents.test.ts
+++ b/test/relay-streamevents.test.ts
@@ -71,6 +71,20 @@
   { name: 'an id is too large to count', text: events(['9'.repeat(400)], 'wrong') },
   { name: 'an id is negative', text: events(['-4', '4'], 'wrong') },
   { name: 'an id is no number', text: events(['0x4', '4'], 'wrong') },
+  { name: 'an event has two ids', text: 'id: 4\ndata: wrong\nid: 5\ndata: text 5\n\n' },
+  { name: 'a head stands between events', text: 'HTTP/1.1 500 wrong\r\nid: 4\r\n\r\n' },
+  {
+    name: 'a head breaks off an event',
+    text: 'id: 4\ndata: teHTTP/1.1 500 wrong\r\nContent-Length: 5\r\n\r\nwrong',
+  },
+  {
+    name: 'a head with names in lowercase breaks off an event',
+    text: 'id: 4\ndata: teHTTP/1.1 500 wrong\r\ncontent-length: 5\r\n\r\nwrong',
+  },
+  {
+    name: 'a head breaks off a line of its own',
+    text: 'weight-verHTTP/1.1 500 wrong\r\nid: 4\r\n\r\n',
+  },
   { name: 'an event has no id', text: 'data: wrong\n\n' },
   { name: 'the id is in the data only', text: 'data: id: 4 wrong\n\n' },
   { name: 'the stream ends in an event', text: `${events([4])}id: 5\ndata: wrong\n` },
@@ -97,3 +111,28 @@
     t.is(attemptsOf('r1').length, 1);
   });
 });
+
+const SOUND: Readonly<Record<string, string>> = {
+  'with a line of the server\'s own first': 'weight-versions: 7\nid: 4\ndata: a\n\n',
+  'with such a line and CRLF': 'weight-versions: 7\r\nid: 4\r\ndata: a\r\n\r\n',
+  'with all fields': 'event: token\nid: 4\nretry: 10\ndata: a\ndata: b\ndata\n\n',
+  'with its id last and no space': 'data:a\nid:4\n\n',
+  'with comments': ': one\nid: 4\n:two\ndata: a\n\n',
+  'whose data is a head': 'id: 4\ndata: HTTP/1.1 500 Failed\ndata: Content-Length: 5\n\n',
+  'whose data has an id': 'id: 4\ndata: id: 9\n\n',
+  'in another script': 'id: 4\ndata: \u00e9\u4e16\u{1f9c5}\n\n',
+  'after an empty line': '\nid: 4\ndata: a\n\n',
+};
+Object.entries(SOUND).forEach(([name, text]) => {
+  test.serial(`an event ${name} reaches callers unchanged`, async (t) => {
+    const rest = events([5, 6, 7, 8]);
+    const { relay } = await startSite(t, {
+      same: [stream(text + rest, eventsText(HELD))], next: [BREAK, stream(text + rest)],
+    });
+    await Promise.all(['same', 'next'].map(async (id) => {
+      const { body, whole } = await request(relay, id);
+      t.true(whole);
+      t.is(Buffer.from(body, 'latin1').toString(), eventsText(HELD) + text + rest, id);
+    }));
+  });
+});
