Tests: streams that break off at any byte go on with the event that was not whole

A stream of events with LF and CRLF, comments, versions of the weights and characters of several bytes is cut at each of its bytes and goes on from another response, and is read in pieces of each size: each event comes once and whole. Ten of the cuts go through the relay, with chunks and without length and chunks; a stream that may run once is broken off there and doesn't look complete.

--- a/test/relay-streamevents.test.ts
+++ b/test/relay-streamevents.test.ts
@@ -1,6 +1,8 @@
 /** Streams whose events are not those that are due, or that break off at any byte. */
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { StreamResponse } from '../src/relay/streamresponse.js';
+import type { StreamPart } from '../src/relay/streamresponse.js';
 import { eventually } from './fakes/eventually.js';
 import { callRaw } from './fakes/rawcaller.js';
 import type { RawReply } from './fakes/rawcaller.js';
@@ -136,3 +138,100 @@
     }));
   });
 });
+
+/** Events of all forms: LF and CRLF, comments, versions of the weights, and long characters. */
+const FORMS: readonly string[] = [
+  'id: 1\ndata: a\n\n',
+  'weight-versions: 7\r\nid: 2\r\ndata: \u00e9\u4e16\u{1f9c5}\r\n\r\n',
+  ': kept open\n\n',
+  'weight-versions: 8\nid: 3\ndata: HTTP/1.1 500 Failed\n\n',
+  ':\r\n\r\n',
+  'id: 4\r\n: note\r\ndata: b\r\ndata:\r\n\r\n',
+  'event: token\nid: 5\ndata: \u{1f9c5}\n\n',
+];
+const BYTES = Buffer.from(FORMS.join(''));
+const EVENT_FORMS = FORMS.filter((text) => !text.startsWith(':'))
+  .map((text) => Buffer.from(text).toString('latin1'));
+
+function responseFrom(from: number): StreamResponse {
+  return StreamResponse.of({ status: 200, headers: [] }, { kind: 'answer' }, {
+    method: 'POST', from, hasBegun: from > 0, emptyEndAt: undefined,
+  });
+}
+
+function textOf(parts: readonly StreamPart[]): string {
+  return parts.map((part) => (part.kind === 'event' ? part.text : `<${part.message}>`)).join('');
+}
+
+test('a stream that breaks off at any byte goes on with the event that was not whole', (t) => {
+  Array.from({ length: BYTES.length + 1 }, (_, cut) => cut).forEach((cut) => {
+    const first = responseFrom(0);
+    const begun = textOf(first.push(BYTES.subarray(0, cut)));
+    const rest = EVENT_FORMS.slice(first.position).join('');
+    const isBoundary = FORMS.some((_, index) => (
+      Buffer.byteLength(FORMS.slice(0, index + 1).join('')) === cut));
+    t.is(first.endFailure === undefined, isBoundary, `${cut}`);
+    const second = responseFrom(first.position);
+    const continued = textOf(second.push(Buffer.from(rest, 'latin1')));
+    t.is(begun + continued, EVENT_FORMS.join(''), `${cut}`);
+    t.is(second.position, EVENT_FORMS.length, `${cut}`);
+  });
+});
+
+test('a stream reads the same however its bytes are divided', (t) => {
+  Array.from({ length: BYTES.length }, (_, index) => index + 1).forEach((size) => {
+    const response = responseFrom(0);
+    let text = '';
+    for (let at = 0; at < BYTES.length; at += size) {
+      text += textOf(response.push(BYTES.subarray(at, at + size)));
+    }
+    t.is(text, EVENT_FORMS.join(''), `${size}`);
+    t.is(response.endFailure, undefined, `${size}`);
+  });
+});
+
+/** Where a stream breaks off, by the last bytes that its server sends. */
+const CUTS: Readonly<Record<string, string>> = {
+  'before an event': '',
+  'in the line of an id': 'id',
+  'in an id': 'id: ',
+  'in the line of a version': 'weight-vers',
+  'after a version': 'weight-versions: 7\n',
+  'in the data': 'id: 4\ndata: te',
+  'in a character': 'id: 4\ndata: \u4e16',
+  'between CR and LF': 'id: 4\r\ndata: text 4\r',
+  'before the last LF': 'id: 4\r\ndata: text 4\r\n\r',
+  'in a comment': ': kept',
+};
+Object.entries(CUTS).forEach(([name, text]) => {
+  // The last byte of the character is not sent.
+  const bytes = Buffer.from(text).subarray(0, name === 'in a character' ? -1 : undefined);
+  const begin: Respond = (socket, attempt) => {
+    socket.write(`${head(attempt, '200 OK', STREAM_HEADERS)}${chunk(eventsText(HELD))}`);
+    setTimeout(() => {
+      socket.write(`${(bytes.length + 1).toString(16)}\r\n`);
+      socket.end(bytes);
+    }, 20);
+  };
+  /** Without length and chunks, the end of the connection looks like that of the stream. */
+  const beginUnframed: Respond = (socket, attempt) => {
+    socket.write(`${head(attempt, '200 OK')}${eventsText(HELD)}`);
+    setTimeout(() => socket.end(bytes), 20);
+  };
+  test.serial(`a stream that breaks off ${name} has each event once and whole`, async (t) => {
+    const { relay } = await startSite(t, { chunked: [begin], unframed: [beginUnframed] });
+    // Between events it can't be told from an orderly end.
+    const ids = text === '' ? ['chunked'] : ['chunked', 'unframed'];
+    await Promise.all(ids.map(async (id) => {
+      t.like(await request(relay, id), {
+        status: 200, body: eventsText(EVENTS), whole: true,
+      }, id);
+    }));
+  });
+  test.serial(`a stream that breaks off ${name} and may run once does not end`, async (t) => {
+    const { relay, attemptsOf } = await startSite(t, { r1: [begin] });
+    const reply = await request(relay, 'r1', '/streams-once/');
+    t.like(reply, { status: 200, body: eventsText(HELD), whole: false });
+    t.is(attemptsOf('r1').length, 1);
+  });
+});
