Engines: take no answer below 400 for a promise that a request has not run

A generation that may run once was sent to a second engine after the first one had answered 101, 201, 202, 204, 205, 206, 302 or 304, and could run twice. Every status but 200 below 500 counted as a refusal that says "not run"; only a client error does. Now a status below 400 leaves open whether the request has run: the caller is told so, and what may be repeated goes on at another engine. 400 to 499 and 503 count as before.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -18,6 +18,7 @@
 const MAX_EVENT_CHARACTERS = 1024 * 1024;
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 const OK = 200;
+const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 const UNAVAILABLE = 503;
 
@@ -77,10 +78,10 @@
   res.on('close', () => emit(failure('ended_early', 'unknown', 'stream ended without a finish')));
 }
 
-/** Failure for a status other than 200; the request may have run after a 5xx except 503. */
+/** Failure for a status other than 200; only a 4xx or 503 says that the request has not run. */
 function statusFailure(status: number): AttemptFailure {
-  const mayHaveRun = status >= SERVER_ERROR && status !== UNAVAILABLE;
-  return failure('refused', mayHaveRun ? 'unknown' : 'no', `the engine answered ${status}`);
+  const isRefused = (status >= CLIENT_ERROR && status < SERVER_ERROR) || status === UNAVAILABLE;
+  return failure('refused', isRefused ? 'no' : 'unknown', `the engine answered ${status}`);
 }
 
 async function readJson(res: IncomingMessage): Promise<unknown> {
