Engines: quote nothing of an unreadable event to callers

When an engine's event held a text or a head in place of JSON, and no engine could go on, the error event that ends the caller's answer quoted the beginning of that text. The parser's error, which quotes its input, was the failure's message, and that is part of refusals. Now the message says only that an event can't be read.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -50,8 +50,9 @@
       return value as EngineEvent;
     }
     return engineEvent.parse(value);
-  } catch (error) {
-    return failure('protocol', 'unknown', String(error));
+  } catch {
+    // The errors quote what the engine sent, which is not for the caller.
+    return failure('protocol', 'unknown', 'an event of the engine can\'t be read');
   }
 }
 
--- a/test/entrystreams.test.ts
+++ b/test/entrystreams.test.ts
@@ -100,6 +100,12 @@
     name: '200 with a head as its body',
     respond: inChunks('200 OK', () => `HTTP/1.1 500 Failed\r\n\r\n${ERROR_TEXT}\n\n`),
   },
+  { name: '200 with data that is a text', respond: stream(() => `data: ${ERROR_TEXT}\n\n`) },
+  { name: '200 with data that is a head', respond: stream(() => 'data: HTTP/1.1 500 Failed\n\n') },
+  {
+    name: '200 that reports an error',
+    respond: stream(() => `event: error\ndata: ${JSON_BODY}\n\n`),
+  },
   {
     name: 'a head inside a stream',
     respond: (socket) => {
