--- a/test/relay-forwardedstream.test.ts
+++ b/test/relay-forwardedstream.test.ts
@@ -94,6 +94,7 @@
       status, headers, text, end,
     });
     const caller: Caller = {
+      sending: () => undefined,
       respond: (response) => {
         status = response.status;
         headers = response.headers;
