Believe no unidentified answer on a kept connection

Callers were told "not run", or their request ran at a second server, though an engine was running it; others got a failure that belonged to another request. A faulty engine wrote an earlier answer once more without its request's id, and an answer without an id was taken for the one awaited. An answer on a connection that has served an earlier request now counts only if it names the request; otherwise it is of unknown meaning: repeated if that is allowed, else 502. On a new connection no earlier answer can come, so another service's 421 or a 400 without an id is still believed there. The fake engines' refusals now echo the id, as the protocol has it; they didn't, and a second refusal on a kept connection was believed without one.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -211,10 +211,9 @@
         break;
       case 'head': {
         fleet.markHeard(server);
-        const { status, headers } = event;
-        const responseClass = classifyResponse(status, headers, this.#call.id, dialect);
+        const responseClass = classifyResponse(event, this.#call.id, dialect);
         this.#context.notices.observe(live.entry, responseClass);
-        live.head = { response: { status, headers }, responseClass };
+        live.head = { response: event, responseClass };
         if (responseClass.kind === 'foreign') {
           this.#onFailure(number, { ran: 'unknown', message: responseClass.message });
         }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -11,6 +11,7 @@
 import { isOfRequest, openRequest } from '../common/outgoing.js';
 import { afterNextPoll, afterPendingInput } from '../common/time.js';
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
+import type { ResponseHead } from './call.js';
 import type { RawHeaders } from './dialect.js';
 import type { KeepAliveAgent } from './keepaliveagent.js';
 
@@ -37,6 +38,9 @@
   readonly expiresAt?: number | undefined;
 }
 
+/** @property kept whether the connection had served an earlier request, to which it may belong */
+export interface ReceivedHead extends ResponseHead { readonly kept: boolean }
+
 /**
  * `failed` with `ran: 'no'` means that no byte of the request was sent. `unsent` means the same and
  * says nothing of the server: the deadline passed first, a kept connection had been closed, or the
@@ -44,7 +48,7 @@
  */
 export type ExchangeEvent =
   | { readonly kind: 'sent'; readonly reused: boolean }
-  | { readonly kind: 'head'; readonly status: number; readonly headers: RawHeaders }
+  | ({ readonly kind: 'head' } & ReceivedHead)
   | { readonly kind: 'piece'; readonly bytes: Buffer }
   | { readonly kind: 'end' }
   | { readonly kind: 'unsent'; readonly message: string }
@@ -151,7 +155,10 @@
       if (!request.writableFinished) request.shouldKeepAlive = false;
       outgoing.agent.setIdleTimeout(response.socket, response.headers['keep-alive']);
       stopCounting();
-      emit({ kind: 'head', status: response.statusCode ?? 0, headers: response.rawHeaders });
+      const { statusCode: status = 0, rawHeaders: headers } = response;
+      emit({
+        kind: 'head', status, headers, kept: request.reusedSocket,
+      });
       readResponse(response, outgoing.method, {
         chunk: (bytes) => {
           bodyLength += bytes.length;
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -1,5 +1,6 @@
 /** Classifies a backend server's response to one attempt by its head. */
-import type { Dialect, RawHeaders, ResponseFields } from './dialect.js';
+import type { Dialect, ResponseFields } from './dialect.js';
+import type { ReceivedHead } from './exchange.js';
 
 /**
  * `answer`: the server's response to the request. `failed`: a server error; the request may have
@@ -27,8 +28,7 @@
 
 /** @param id the request that the response must belong to */
 export function classifyResponse(
-  status: number,
-  headers: RawHeaders,
+  { status, headers, kept }: ReceivedHead,
   id: string,
   dialect: Dialect,
 ): ResponseClass & { readonly response: ResponseFields } {
@@ -37,6 +37,10 @@
   if (response.id !== undefined && response.id !== id) {
     return { kind: 'foreign', message: 'the response belongs to another request', response };
   }
+  // On a new connection no earlier answer can come; another service's server names no id.
+  if (response.id === undefined && kept) {
+    return { kind: 'foreign', message: 'the response names no request', response };
+  }
   if (response.notRun) {
     return {
       kind: 'not_run',
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -8,7 +8,7 @@
 import type { RelayContext } from './context.js';
 import { recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
-import type { ExchangeEvent } from './exchange.js';
+import type { ExchangeEvent, ReceivedHead } from './exchange.js';
 import { classifyResponse } from './responseclass.js';
 import { serverRequest, streamTarget } from './serverrequest.js';
 import type { ServerEntry } from './serverentry.js';
@@ -157,7 +157,7 @@
         break;
       case 'head':
         fleet.markHeard(server.id);
-        this.#onHead({ status: event.status, headers: event.headers });
+        this.#onHead(event);
         break;
       case 'piece':
         fleet.markHeard(server.id);
@@ -191,10 +191,10 @@
     }, this.#context);
   }
 
-  #onHead(head: ResponseHead): void {
+  #onHead(head: ReceivedHead): void {
     const { dialect, fleet, notices } = this.#context;
     const { server } = this.#plan;
-    const responseClass = classifyResponse(head.status, head.headers, this.#call.id, dialect);
+    const responseClass = classifyResponse(head, this.#call.id, dialect);
     notices.observe(server, responseClass);
     if (responseClass.kind === 'not_run' && responseClass.misdirected) {
       fleet.markMisdirected(server.id);
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -152,6 +152,12 @@
   };
 }
 
+/** What a server's entry is made of. */
+interface ListedServer {
+  readonly address: string;
+  readonly options: Pick<RelayEngineOptions, 'id' | 'zone' | 'software'>;
+}
+
 export class Relay {
   readonly engines: readonly RelayEngine[];
 
@@ -245,7 +251,7 @@
   }
 
   async putEntry(
-    engine: RelayEngine,
+    engine: ListedServer,
     service: string,
     change: Partial<ServerEntry> = {},
   ): Promise<void> {
--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -147,7 +147,7 @@
     }
     const body = await buffer(req);
     if (req.headers['x-server'] !== id) {
-      res.writeHead(421, { 'x-server': id }).end();
+      res.writeHead(421, { ...this.responseHeaders(req), 'x-server': id }).end();
       return;
     }
     this.bodies.push(body.toString());
@@ -168,7 +168,7 @@
     const run = String(req.headers['x-id']);
     const copyLocation = req.headers['x-from'];
     if (copyLocation !== undefined && !this.#copies.delete(run)) {
-      res.writeHead(503, { 'x-not-run': '1' }).end();
+      res.writeHead(503, { ...this.responseHeaders(req), 'x-not-run': '1' }).end();
       return;
     }
     const standby = this.#peers.find(({ address }) => address === req.headers['x-standby']);
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -275,7 +275,7 @@
 const SIGNED = ['x-signature', 's'];
 const NOT_RUN = ['x-not-run', '1'];
 const RESPONSE_CLASSES: readonly {
-  name: string; status: number; headers: string[]; kind: ResponseClass['kind'];
+  name: string; status: number; headers: string[]; kind: ResponseClass['kind']; kept?: boolean;
 }[] = [
   {
     name: 'signed', status: 200, headers: [...ID, ...SIGNED], kind: 'answer',
@@ -304,6 +304,20 @@
   {
     name: 'a refusal without an id', status: 421, headers: [], kind: 'not_run',
   },
+  {
+    name: 'a refusal without an id on a kept connection',
+    status: 421,
+    headers: [],
+    kind: 'foreign',
+    kept: true,
+  },
+  {
+    name: 'a refusal on a kept connection',
+    status: 503,
+    headers: [...ID, ...NOT_RUN],
+    kind: 'not_run',
+    kept: true,
+  },
   {
     name: 'a failure', status: 500, headers: ID, kind: 'failed',
   },
@@ -327,10 +341,10 @@
   },
 ];
 RESPONSE_CLASSES.forEach(({
-  name, status, headers, kind,
+  name, status, headers, kind, kept = false,
 }) => {
   test(`response class: ${name} counts as ${kind}`, (t) => {
-    t.is(classifyResponse(status, headers, 'r1', testDialect).kind, kind);
+    t.is(classifyResponse({ status, headers, kept }, 'r1', testDialect).kind, kind);
   });
 });
 
--- /dev/null
+++ b/test/relay-extraanswers.test.ts
@@ -0,0 +1,102 @@
+/** Engines that write answers nobody waits for on connections that are kept. */
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { eventually } from './fakes/eventually.js';
+import { RawEngine, responseBytes } from './fakes/rawengine.js';
+import type { RawRequest } from './fakes/rawengine.js';
+import { Relay, relayConfiguration, ROUTES } from './fakes/relay.js';
+import type { Reply } from './fakes/relay.js';
+
+/** The time that an engine works on a request. */
+const RUN_MS = 60;
+type Kind = 'unsafe' | 'safe' | 'stream' | 'once';
+const KINDS: readonly Kind[] = ['unsafe', 'safe', 'stream', 'once'];
+
+const CONFIGURATION = relayConfiguration({
+  routes: [...Object.values(ROUTES), {
+    ...ROUTES.stream, name: 'once', prefix: '/stream/once/', repeat: 'never',
+  }],
+});
+
+function pathOf(kind: Kind): string {
+  return kind === 'once' ? '/stream/once/' : `/${kind}/`;
+}
+
+function send(relay: Relay, kind: Kind, id: string): Promise<Reply> {
+  return relay.call(pathOf(kind), { 'x-id': id, 'x-deadline': '5000' }, `body of ${id}`);
+}
+
+interface Site { readonly relay: Relay; readonly faulty: RawEngine; readonly sound: RawEngine }
+
+/**
+ * A relay that has sent a first request to a faulty engine. A sound engine is listed before the
+ * faulty one handles any later request.
+ */
+async function siteOf(
+  t: ExecutionContext,
+  kind: Kind,
+  respond: (request: RawRequest, engine: RawEngine) => void,
+): Promise<Site> {
+  const relay = await Relay.of(t, { configuration: CONFIGURATION });
+  const service = kind === 'safe' || kind === 'unsafe' ? 'plain' : 'engines';
+  const isListed = (count: number) => eventually(() => (
+    relay.daemon.ready && relay.log.of('server_listed').length === count));
+  const sound = await RawEngine.of({ id: 'sound', zone: 'a' });
+  const faulty = await RawEngine.of({
+    id: 'faulty',
+    zone: 'a',
+    respond: async (request, engine) => {
+      engine.runs.push(request.id);
+      if (request.id !== 'first') {
+        await relay.putEntry(sound, service);
+        await isListed(2);
+      }
+      respond(request, engine);
+    },
+  });
+  t.teardown(() => [faulty, sound].forEach((engine) => engine.end()));
+  await relay.putEntry(faulty, service);
+  t.true(await isListed(1), 'ready');
+  t.is((await send(relay, kind, 'first')).status, 200);
+  return { relay, faulty, sound };
+}
+
+const NOT_RUN = { 'X-Not-Run': '1' };
+const EARLIER = { 'X-Id': 'first' };
+
+interface Extra { readonly name: string; readonly bytes: string }
+
+const EXTRAS: readonly Extra[] = [
+  ...[503, 429, 421, 400].flatMap((status): readonly Extra[] => [
+    { name: `a refusal ${status} without an id`, bytes: responseBytes(status, NOT_RUN) },
+    {
+      name: `a refusal ${status} with an earlier id`,
+      bytes: responseBytes(status, { ...NOT_RUN, ...EARLIER }, 'busy'),
+    },
+  ]),
+  { name: 'a failure 500 without an id', bytes: responseBytes(500) },
+  {
+    name: 'a signed 404 without an id',
+    bytes: responseBytes(404, { 'X-Signature': 'faulty' }),
+  },
+  {
+    name: 'a success with an earlier id',
+    bytes: responseBytes(200, { ...EARLIER, 'X-Signature': 'faulty' }, 'faulty first'),
+  },
+];
+
+KINDS.forEach((kind) => EXTRAS.forEach(({ name, bytes }) => {
+  test(`${name} is not taken for the answer to a later request: ${kind}`, async (t) => {
+    const { relay, faulty, sound } = await siteOf(t, kind, (request, engine) => {
+      if (request.id !== 'first') request.socket.write(bytes);
+      setTimeout(() => request.socket.write(engine.sound(request)), RUN_MS);
+    });
+    const reply = await send(relay, kind, 'second');
+    const runsOnce = kind === 'unsafe' || kind === 'once';
+    t.is(reply.status, runsOnce ? 502 : 200, reply.text);
+    t.true(reply.whole);
+    t.deepEqual(faulty.runs, ['first', 'second']);
+    t.deepEqual(sound.runs, runsOnce ? [] : ['second']);
+    t.is(faulty.connections, 1);
+  });
+}));
--- a/test/relay-servernotices.test.ts
+++ b/test/relay-servernotices.test.ts
@@ -37,9 +37,11 @@
     const pausing: RelayEngineOptions = {
       id: 's0',
       zone: 'a',
-      respond: (_, res) => {
+      respond: (req, res, engine) => {
         arrivals.push(performance.now());
-        res.writeHead(503, { 'x-not-run': '1', 'retry-after': '4' }).end();
+        res.writeHead(503, {
+          ...engine.responseHeaders(req), 'x-not-run': '1', 'retry-after': '4',
+        }).end();
         return true;
       },
     };
@@ -107,7 +109,7 @@
         }
         const now = performance.now();
         this.#turnedAway = [...this.#turnedAway.filter((at) => at > now - 1_000), now];
-        res.writeHead(503, { 'x-not-run': '1', ...brittle }).end();
+        res.writeHead(503, { ...engine.responseHeaders(req), 'x-not-run': '1', ...brittle }).end();
         if (this.#turnedAway.length > BRITTLE_LIMIT) {
           this.ends += 1;
           this.#turnedAway = [];
