Count workspaces' room where their use is counted: on leaving engines too

Callers of a workspace that was alone got "the workspace uses its share of the engines" while engines had room. Its use was counted over all engines, those that leave or can't be reached for new connections included; the room that it may use only over the others. So the room seemed to shrink while long streams ended on engines that leave, or while new connections were refused. Room in use at engines that get no new runs now counts on both sides.

--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -8,6 +8,7 @@
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
 import type { Fleet } from './fleet.js';
+import type { PeerLoads } from './fleetcontext.js';
 import type { Forwarding } from './forwarding.js';
 import type { Meter } from './meter.js';
 import type { Quarantines } from './quarantine.js';
@@ -39,6 +40,7 @@
   readonly cachedPrompts: CachedPrompts;
   readonly origins: StreamOrigins;
   readonly uses: WorkspaceUses;
+  readonly peerLoads: PeerLoads;
   readonly reach: Reach;
   readonly forwarding: Forwarding;
   readonly stopping: Stopping;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -17,6 +17,7 @@
 import { CrashCheck } from './crashcheck.js';
 import { deferredListeners } from './deferredlisteners.js';
 import { Fleet } from './fleet.js';
+import type { PeerLoads } from './fleetcontext.js';
 import { Forwarding } from './forwarding.js';
 import { Frontend } from './frontend.js';
 import { Meter } from './meter.js';
@@ -116,10 +117,11 @@
       healthPath: (service: string) => (
         this.#activeConfiguration.routes?.configuration.services[service]?.healthPath),
     };
+    const peerLoads: PeerLoads = (server) => this.#peers.loads(server);
     this.#fleet = Fleet.of({
       ...shared,
       ...identity,
-      peerLoads: (server) => this.#peers.loads(server),
+      peerLoads,
       admission: (server, load) => (
         this.#notices.admission(server, load, this.#throttles.admission(server))),
       reuseAfterMs: settings.reuseAfterMs,
@@ -191,6 +193,7 @@
       quarantines: this.#quarantines,
       origins: this.#origins,
       uses,
+      peerLoads,
       reach: this.#reach,
       forwarding: this.#forwarding,
       stopping: Stopping.of(this.drain, scheduler),
--- a/src/relay/enginechoice.ts
+++ b/src/relay/enginechoice.ts
@@ -11,7 +11,7 @@
 import { capacityFields, THROTTLED_MESSAGE, throttledFields } from './routefields.js';
 import {
   areAllThrottled, firstEventMs, requiredMemory, requiredRoom, roomOf, selectEngine, selectStandby,
-  uncachedTokens,
+  uncachedTokens, unusableRoom,
 } from './selection.js';
 import type { Candidate, RunDemand } from './selection.js';
 
@@ -89,15 +89,19 @@
   run: RunDemand,
   engine: EngineCapacity,
   {
-    uses, retrySchedules, scheduler, meter,
+    uses, retrySchedules, scheduler, meter, fleet, peerLoads,
   }: RelayContext,
 ): EngineChoice | undefined {
   if (!workspace || candidates.length === 0) return undefined;
+  const { capacity, inUse } = roomOf(candidates, run, engine);
+  // Workspaces' use counts all runs, also those on engines that leave or can't be reached.
+  const elsewhere = unusableRoom(fleet.servers, name, peerLoads, scheduler.now());
   const share = uses.share({
     service: name,
     workspace: workspace.name,
     tokens: requiredRoom(run, engine),
-    ...roomOf(candidates, run, engine),
+    capacity: capacity + elsewhere,
+    inUse: inUse + elsewhere,
   });
   if (share.isWithin) return undefined;
   meter.record({ kind: 'over_share' });
--- a/src/relay/selection.ts
+++ b/src/relay/selection.ts
@@ -8,7 +8,7 @@
  * and on the server's recent durations and failures.
  */
 import type { EngineCapacity } from './routes.js';
-import { addLoad, failureRate } from './serverstate.js';
+import { addLoad, failureRate, isUsable } from './serverstate.js';
 import type { Load, ServerState } from './serverstate.js';
 
 /** Prompt tokens that an engine prefills per millisecond, from the deployments' data sheets. */
@@ -192,3 +192,15 @@
 export function totalLoad(own: Load, others: readonly Load[]): Load {
   return others.reduce(addLoad, own);
 }
+
+/** Room in use at a service's engines that get no new runs, such as those that leave. */
+export function unusableRoom(
+  servers: readonly ServerState[],
+  service: string,
+  peerLoads: (server: string) => readonly Load[],
+  now: number,
+): number {
+  return servers.filter((server) => server.entry.service === service && !isUsable(server, now))
+    .map(({ entry, ownLoad }) => totalLoad(ownLoad, peerLoads(entry.id)))
+    .reduce((sum, { memoryTokens, standby }) => sum + memoryTokens + standby, 0);
+}
--- a/test/relay-partition.test.ts
+++ b/test/relay-partition.test.ts
@@ -100,10 +100,15 @@
   return runs.filter((id, index) => runs.indexOf(id) !== index);
 }
 
-const CUTS: readonly Cut[] = ['silent', 'refused', 'stale'];
-CUTS.forEach((cut) => {
-  test(`callers of an instance that reaches no server are served: ${cut}`, async (t) => {
-    const site = await createSite(t);
+const CUTS: readonly { readonly cut: Cut; readonly name?: string; readonly stepMs?: number }[] = [
+  { cut: 'silent' },
+  { cut: 'refused' },
+  { cut: 'stale' },
+  { cut: 'stale', name: 'stale, while longer streams run', stepMs: 20 },
+];
+CUTS.forEach(({ cut, name = cut, stepMs }) => {
+  test(`callers of an instance that reaches no server are served: ${name}`, async (t) => {
+    const site = await createSite(t, {}, stepMs);
     const { cutOff, other, cutOffPaths } = site;
     await Promise.all(KINDS.map((kind) => load(cutOff, kind, 'before')));
     await cutOffPaths.cut(cut);
--- a/test/relay-workspaceshare.test.ts
+++ b/test/relay-workspaceshare.test.ts
@@ -81,6 +81,20 @@
   t.deepEqual([...first.log.of('unplaced'), ...second.log.of('unplaced')], []);
 });
 
+test('a workspace that is alone uses the engines that stay while others leave', async (t) => {
+  const [first, second] = await twoInstances(t);
+  const begun = [many(first, FLOODING_KEY, 'first', 3), many(second, FLOODING_KEY, 'second', 3)];
+  t.true(await eventually(() => first.engines.every(({ runs }) => runs.length > 0)), 'running');
+  await Promise.all([first, second].flatMap((relay) => first.engines.slice(0, 2).map((engine) => (
+    relay.putEntry(engine, 'engines', { state: 'leaving' })))));
+  const listed = (relay: Relay) => relay.log.of('server_listed');
+  t.true(await eventually(() => [first, second].every((relay) => (
+    listed(relay).filter(({ state }) => state === 'leaving').length === 2))), 'leaving');
+  const later = await many(first, FLOODING_KEY, 'later', 2);
+  t.deepEqual(later.map(({ status }) => status), [200, 200]);
+  t.true((await Promise.all(begun)).flat().every(({ status, whole }) => status === 200 && whole));
+});
+
 test('room is given back when streams end, fail or lose their callers', async (t) => {
   const [first] = await twoInstances(t);
   const leave = Array.from({ length: 10 }, (_, index) => first.call('/stream/', {
