Deliver a complete response though bytes that are none follow it

Callers got 502 for a complete, signed answer when an engine wrote further bytes in the same packet. The parser reports such bytes as an error before the end of the response is read, and the error was taken for a response cut off. An error after the parser has seen the whole response no longer ends the exchange; its end does, and the connection is closed. Before, relay-exchange: with a length and in chunks, "failed unknown" for bytes that are no response; another response, an interim one and a switch of protocols after it were sound. After: all eight pass.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -98,6 +98,7 @@
     let bodyLength = 0;
     let stopCounting: () => void = () => undefined;
     let reading = Subscription.EMPTY;
+    let isComplete = () => false;
     const options = {
       ...parseHostPort(outgoing.address),
       method: outgoing.method,
@@ -143,7 +144,10 @@
     };
     timers.add(afterPendingInput(CONNECT_TIMEOUT_MS, scheduler, () => (
       fail('the connection attempt timed out'))));
-    request.on('error', (error) => fail(error.message));
+    request.on('error', (error) => {
+      // Bytes after a complete response belong to no request, and its end is yet to be read.
+      if (!isComplete()) fail(error.message);
+    });
     request.once('socket', (socket) => {
       socket.setNoDelay(true);
       stopCounting = limitHead(socket, () => fail('the head of the response is too long'));
@@ -155,6 +159,7 @@
       if (!request.writableFinished) request.shouldKeepAlive = false;
       outgoing.agent.setIdleTimeout(response.socket, response.headers['keep-alive']);
       stopCounting();
+      isComplete = () => response.complete;
       const { statusCode: status = 0, rawHeaders: headers } = response;
       emit({
         kind: 'head', status, headers, kept: request.reusedSocket,
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -13,6 +13,7 @@
 
 const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n';
 const WHOLE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=10\r\n\r\nbody';
+const CHUNKED_WHOLE = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n';
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
 
 /** Starts a server that handles each request on each connection with `answer`. */
@@ -222,3 +223,26 @@
   t.true(await accepted);
   connections.closeAll();
 });
+
+/** What a server that wrote nothing wrong sends after a response, in the same packet. */
+const TRAILERS: readonly { name: string; bytes: string }[] = [
+  { name: 'another response', bytes: WHOLE },
+  { name: 'bytes that are no response', bytes: 'nonsense' },
+  { name: 'an interim response', bytes: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
+  { name: 'a switch of protocols', bytes: 'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n' },
+];
+
+TRAILERS.forEach(({ name, bytes }) => [WHOLE, CHUNKED_WHOLE].forEach((response) => {
+  test(`a response is delivered with ${name} after it: ${response.slice(17, 25)}`, async (t) => {
+    const { address, connections: opened } = await startServer(t, (socket) => (
+      socket.write(response + bytes)));
+    const connections = Connections.of(Meter.of());
+    const events = await send(address, connections);
+    t.is(lastKind(events), 'end', JSON.stringify(events));
+    const body = events.flatMap((event) => (event.kind === 'piece' ? [event.bytes] : []));
+    t.is(Buffer.concat(body).toString(), 'body');
+    t.is(lastKind(await send(address, connections)), 'end');
+    t.is(opened(), 2);
+    connections.closeAll();
+  });
+}));
