Service calls: forward a complete response though bytes that are none follow it

Callers of the product's own interface got "200" with an empty body, in chunks and so complete to the eye, where the service had sent a whole body and wrote further bytes in the same packet. The parser's error destroyed the request, which discards what is unread of its response, and the end that then came looked orderly. Once the response has begun, an error of the connection no longer destroys the request: Node has closed the connection already, a response that is cut off is reported by its own end, and one that is complete is read to its end.

--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -125,7 +125,10 @@
       connected = true;
       sendBody(request, upstream);
     }));
-    upstream.on('error', (error) => fail(error.message));
+    upstream.on('error', (error) => {
+      // Destroying the request would discard what is unread of a response that is complete.
+      if (!responseStarted) fail(error.message);
+    });
     upstream.on('response', (response) => {
       responseStarted = true;
       timeout.unsubscribe();
--- a/test/entryservice.test.ts
+++ b/test/entryservice.test.ts
@@ -233,3 +233,20 @@
     });
   });
 });
+
+const FRAMINGS: readonly { readonly framing: string; readonly head: string; body: string }[] = [
+  { framing: 'with a length', head: 'content-length: 4', body: 'body' },
+  { framing: 'in chunks', head: 'transfer-encoding: chunked', body: '4\r\nbody\r\n0\r\n\r\n' },
+];
+const TRAILERS = ['nonsense', 'HTTP/1.1 200 OK\r\n\r\n'];
+FRAMINGS.forEach(({ framing, head, body }) => TRAILERS.forEach((after) => {
+  test(`a response ${framing} is forwarded whole before ${after.slice(0, 8)}`, async (t) => {
+    await withEntry(t, {
+      services: [(req) => req.socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}${after}`)],
+    }, async ({ address }) => {
+      const reply = await call(address, '/services/stock/fryers', { method: 'POST', body: 'x' });
+      t.is(`${reply.status} ${reply.text}`, '200 body');
+      t.true(reply.whole);
+    });
+  });
+}));
