Take nothing for a request's response that came before the request was written

An extra answer that reached a connection after it had left the pool, and before the request was written to it, was read as the request's response; the request was then written all the same. The first bytes on a connection before its request is written now end the attempt as unsent, before the parser sees them: it goes to another server. Before, relay-exchange: a head and 2 bytes of the body from before the write and 2 from after it came as the response; after: unsent, and the server got one request.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -43,8 +43,9 @@
 
 /**
  * `failed` with `ran: 'no'` means that no byte of the request was sent. `unsent` means the same and
- * says nothing of the server: the deadline passed first, a kept connection had been closed, or the
- * request can't be sent anywhere. No event follows `end`, `failed` or `unsent`.
+ * says nothing of the server: the deadline passed first, a kept connection had been closed or
+ * carried bytes that belong to no request, or the request can't be sent anywhere. No event follows
+ * `end`, `failed` or `unsent`.
  */
 export type ExchangeEvent =
   | { readonly kind: 'sent'; readonly reused: boolean }
@@ -150,6 +151,10 @@
     });
     request.once('socket', (socket) => {
       socket.setNoDelay(true);
+      // Before the parser, which would take them for the response to the request.
+      socket.prependOnceListener('data', () => {
+        if (!sent) fail('bytes came before the request was sent');
+      });
       stopCounting = limitHead(socket, () => fail('the head of the response is too long'));
       if (socket.connecting) socket.once('connect', onConnected);
       else onConnected();
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -246,3 +246,22 @@
     connections.closeAll();
   });
 }));
+
+test('a response that comes before its request is written is not its own', async (t) => {
+  let kept: Socket | undefined;
+  let requests = 0;
+  const server = await startServer(t, (socket) => {
+    requests += 1;
+    kept = socket;
+    socket.write(WHOLE);
+  });
+  const connections = Connections.of(Meter.of());
+  await send(server.address, connections);
+  const events = send(server.address, connections);
+  // The connection has left the pool, and the request is written in a later round of the loop.
+  kept!.write(WHOLE.slice(0, -2));
+  setTimeout(() => kept!.write(WHOLE.slice(-2)), 20);
+  t.is(lastKind(await events), 'unsent', JSON.stringify(await events));
+  t.is(requests, 1);
+  connections.closeAll();
+});
