Read past an earlier request's answer on a kept connection, once

Callers got 502 for what may not be repeated, and other requests ran once more elsewhere, when a faulty engine repeated an earlier answer while the next request ran, though the engine answered that one soundly afterwards. An answer on a kept connection that names another request is now discarded and the connection taken out of its pool; the next answer is read with a second request of Node's of which nothing is written. It is done once per request, for answers with a length or in chunks, and counted (responses_skipped_total). Two answers in one packet, a second extra one or a connection that closes stay honest failures. Weighed: new connections for all that may run once (each is priced, and servers limit them), or failing at once (the answer that was made is thrown away).

--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -29,7 +29,10 @@
     if (existing) return existing;
     const agent = new KeepAliveAgent({
       keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo', noDelay: true,
-    }, () => this.#meter.record({ kind: 'connection', purpose: 'request' }));
+    }, {
+      opened: () => this.#meter.record({ kind: 'connection', purpose: 'request' }),
+      skipped: () => this.#meter.record({ kind: 'response_skipped' }),
+    });
     this.#agents.set(server, agent);
     return agent;
   }
--- a/src/relay/keepaliveagent.ts
+++ b/src/relay/keepaliveagent.ts
@@ -22,23 +22,34 @@
     : Math.min(Number(seconds) * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MS, MAX_IDLE_MS);
 }
 
+export interface AgentListener {
+  /** A connection was opened for a request. */
+  opened(): void;
+  /** A response that belonged to another request was read past. */
+  skipped(): void;
+}
+
 /** Closes an idle connection on which bytes arrive, since they belong to no request. */
 export class KeepAliveAgent extends Agent {
-  readonly #onOpen: () => void;
+  readonly #on: AgentListener;
 
   readonly #unsolicitedListeners = new WeakMap<Socket, () => void>();
 
   readonly #idleMs = new WeakMap<Socket, number>();
 
-  /** @param onOpen called for each connection that is opened for a request */
-  constructor(options: AgentOptions, onOpen: () => void) {
+  constructor(options: AgentOptions, listener: AgentListener) {
     super(options);
-    this.#onOpen = onOpen;
+    this.#on = listener;
   }
 
   /** Reports that a request has opened a connection. */
   connectionOpened(): void {
-    this.#onOpen();
+    this.#on.opened();
+  }
+
+  /** Reports that a request has read past a response to another one. */
+  responseSkipped(): void {
+    this.#on.skipped();
   }
 
   /** Sets how long a connection may stay idle, by a response's `Keep-Alive` header. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -107,6 +107,11 @@
     ['purpose'],
   );
 
+  readonly #skipped = this.#counter(
+    'responses_skipped_total',
+    'Servers\' responses that belonged to another request than the one waiting',
+  );
+
   readonly #duration = this.#histogram(
     'answer_seconds',
     'From a request\'s head to the end of its answer',
@@ -245,6 +250,9 @@
       case 'connection':
         this.#connections.inc({ purpose: measurement.purpose });
         break;
+      case 'response_skipped':
+        this.#skipped.inc();
+        break;
       case 'store_call':
         this.#store.call(measurement.call);
         break;
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -1,5 +1,6 @@
 /** Classifies a backend server's response to one attempt by its head. */
-import type { Dialect, ResponseFields } from './dialect.js';
+import type { ResponseHead } from './call.js';
+import type { Dialect, RawHeaders, ResponseFields } from './dialect.js';
 import type { ReceivedHead } from './exchange.js';
 
 /**
@@ -26,6 +27,16 @@
   return status >= 200 && status < 300;
 }
 
+/** Whether a response says that it belongs to another request than `id`. */
+export function namesOther(
+  { status, headers }: ResponseHead,
+  id: string,
+  dialect: Dialect,
+): boolean {
+  const response = dialect.readResponse(status, headers);
+  return response.id !== undefined && response.id !== id;
+}
+
 /** @param id the request that the response must belong to */
 export function classifyResponse(
   { status, headers, kept }: ReceivedHead,
--- a/src/relay/serverrequest.ts
+++ b/src/relay/serverrequest.ts
@@ -6,6 +6,7 @@
 import { remainingMs } from './context.js';
 import type { ForwardedFields } from './dialect.js';
 import type { OutgoingRequest } from './exchange.js';
+import { namesOther } from './responseclass.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Id of a stream's first event. */
@@ -58,6 +59,7 @@
     headers: empty ? headers : [...headers, 'Content-Length', String(call.body.length)],
     body: call.body,
     reuse: true,
+    isOther: (head) => namesOther(head, call.id, context.dialect),
     expiresAt: call.deadlineAt,
   };
 }
