Cancel attempts on new connections, where no earlier confirmation can come

An engine that repeated an earlier confirmation on a kept connection made an attempt count as cancelled, with that one's number of tokens, while it ran on. Cancellations shared kept connections with the load reports and name no attempt in their answers. They are rare, and now each has a connection of its own, as attempts and orders have. A repeated load report is as before: it names the engine's process and is replaced by the next one. Before, engineclient: "cancelled, made 3" for an attempt that the engine didn't find; after: not_found.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -129,14 +129,16 @@
   async cancel(generation: string, attempt: number): Promise<CancelOutcome> {
     try {
       const path = `/v1/attempts/${generation}/${attempt}`;
-      return cancelOutcome.parse(await this.#requestJson('DELETE', path, CANCEL_DEADLINE_MS));
+      // A new connection: on a kept one an earlier confirmation may come once more.
+      const outcome = await this.#requestJson('DELETE', path, CANCEL_DEADLINE_MS, false);
+      return cancelOutcome.parse(outcome);
     } catch {
       return { kind: 'unknown' };
     }
   }
 
   async load(deadlineMs: number): Promise<LoadReport> {
-    return loadReport.parse(await this.#requestJson('GET', '/v1/load', deadlineMs));
+    return loadReport.parse(await this.#requestJson('GET', '/v1/load', deadlineMs, this.#agent));
   }
 
   cacheEvents(): Observable<CacheEvent> {
@@ -240,16 +242,16 @@
     method: Method,
     path: string,
     deadlineMs: number,
-    body?: string,
+    agent: Agent | false,
   ): Promise<unknown> {
     return new Promise((resolve, reject) => {
-      const options = { ...this.#options(method, path), agent: this.#agent };
+      const options = { ...this.#options(method, path), agent };
       const req = httpRequest({ ...options, signal: AbortSignal.timeout(deadlineMs) });
       req.on('response', (res) => {
         readJson(res).then(resolve, reject);
       });
       req.on('error', reject);
-      req.end(body);
+      req.end();
     });
   }
 }
