Between instances: pass on no answer that names another request

A caller of an instance that reaches no server got the answer to another caller's call, when the instance that served it wrote an earlier answer once more on a kept connection: only the outcome was read there, not the request that it belongs to. On a kept connection, which only repeatable calls use, an answer has to name the call now: one that names another is read past, one that names none counts as of unknown outcome and the call goes to the next instance. The id is the server's, so answers of earlier releases pass; refusals of instances carry none and stay as they are, since the calls on these connections may be repeated. Before, relay-forwardedextra: '200 first' for the second call, with an earlier id and without; after: '200 second', and an honest failure.

--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -6,9 +6,10 @@
 import type { Caller, RelayContext } from './context.js';
 import { remainingMs } from './context.js';
 import { exchange } from './exchange.js';
-import type { ExchangeEvent } from './exchange.js';
+import type { ExchangeEvent, ReceivedHead } from './exchange.js';
 import { forwardHeaders, readOutcome, withoutForwardHeaders } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
+import { namesOther } from './responseclass.js';
 import { FIRST_EVENT_ID } from './serverrequest.js';
 import { StreamResponse } from './streamresponse.js';
 import type { StreamPart } from './streamresponse.js';
@@ -128,6 +129,7 @@
       body: this.#call.body,
       // An instance that restarts closes connections on which a call that may run once would wait.
       reuse: this.#call.route.repeat === 'safe',
+      isOther: (head) => namesOther(head, this.#call.id, this.#context.dialect),
       expiresAt: this.#call.deadlineAt,
     }, scheduler).subscribe((event) => this.#onEvent(event));
   }
@@ -136,7 +138,7 @@
     switch (event.kind) {
       case 'sent': break;
       case 'head':
-        this.#onHead({ status: event.status, headers: event.headers });
+        this.#onHead(event);
         break;
       case 'piece':
         this.#onBytes(event.bytes);
@@ -153,10 +155,20 @@
     }
   }
 
-  #onHead(head: ResponseHead): void {
-    this.#head = head;
-    const { route: { delivery }, method, fields } = this.#call;
-    if (delivery !== 'events' || readOutcome(head.headers).outcome !== 'answered') return;
+  #onHead(head: ReceivedHead): void {
+    const { id } = this.#context.dialect.readResponse(head.status, head.headers);
+    const isAnswer = readOutcome(head.headers).outcome === 'answered';
+    // An answer to an earlier call can come once more on a kept connection.
+    if (head.kept && isAnswer && id !== this.#call.id) {
+      this.#onFailure('unknown', 'another instance answered no request, or another one');
+      return;
+    }
+    this.#head = { status: head.status, headers: head.headers };
+    if (isAnswer && this.#call.route.delivery === 'events') this.#onStreamHead(this.#head);
+  }
+
+  #onStreamHead(head: ResponseHead): void {
+    const { method, fields } = this.#call;
     const lastEvent = this.#options.progress.lastEvent ?? fields.lastEvent;
     const from = lastEvent === undefined ? 0 : lastEvent + 1 - FIRST_EVENT_ID;
     this.#stream = StreamResponse.of(head, { kind: 'answer' }, {
--- /dev/null
+++ b/test/relay-forwardedextra.test.ts
@@ -0,0 +1,84 @@
+/** An instance that writes an earlier answer again on a connection between instances. */
+import test from 'ava';
+import { monotonicScheduler } from '../src/common/time.js';
+import type { Call } from '../src/relay/call.js';
+import { Connections } from '../src/relay/connections.js';
+import type { RelayContext } from '../src/relay/context.js';
+import { ForwardedCall } from '../src/relay/forwardedcall.js';
+import { outcomeHeaders } from '../src/relay/forwardedrequest.js';
+import { Meter } from '../src/relay/meter.js';
+import { RawEngine, responseBytes } from './fakes/rawengine.js';
+import { RecordedLog } from './fakes/recordedlog.js';
+import { testDialect } from './fakes/relaydialect.js';
+import { ROUTES } from './fakes/relay.js';
+
+const OWN_MS = 20;
+const [OUTCOME = '', ANSWERED = ''] = outcomeHeaders('answered');
+
+function answerTo(id: string | undefined, body: string): string {
+  return responseBytes(200, {
+    ...id === undefined ? {} : { 'X-Id': id }, 'X-Signature': 's', [OUTCOME]: ANSWERED,
+  }, body);
+}
+
+function callOf(id: string): Call {
+  return {
+    id,
+    method: 'POST',
+    target: '/safe/',
+    headers: ['Host', 'h', 'X-Id', id],
+    fields: testDialect.readRequest(['X-Id', id]),
+    body: Buffer.from('body'),
+    route: ROUTES.safe,
+    service: { name: 'plain', engine: undefined, healthPath: undefined },
+    workspace: undefined,
+    priority: 1,
+    receivedAt: monotonicScheduler.now(),
+    deadlineAt: monotonicScheduler.now() + 5_000,
+    version: 1,
+    forwardedBy: undefined,
+  };
+}
+
+const EXTRAS: readonly { readonly name: string; readonly id?: string; readonly seen: string }[] = [
+  { name: 'another request', id: 'first', seen: '200 second' },
+  { name: 'no request', seen: 'backend_failed unknown' },
+];
+EXTRAS.forEach(({ name, id: extraId, seen }) => {
+  test(`an answer of ${name} from another instance is not passed on`, async (t) => {
+    const instance = await RawEngine.of({
+      id: 'i',
+      zone: 'a',
+      respond: ({ id, number, socket }) => {
+        if (number > 1) socket.write(answerTo(extraId, 'first'));
+        setTimeout(() => socket.write(answerTo(id, id)), OWN_MS);
+      },
+    });
+    const connections = Connections.of(Meter.of());
+    t.teardown(() => instance.end());
+    t.teardown(() => connections.closeAll());
+    const context = {
+      scheduler: monotonicScheduler,
+      connections,
+      log: new RecordedLog(),
+      meter: Meter.of(),
+      dialect: testDialect,
+    } as unknown as RelayContext;
+    const [host = '', port] = instance.address.split(':');
+    const forward = (call: Call) => new Promise<string>((resolve) => {
+      ForwardedCall.start(call, {
+        respond: ({ status, body }) => resolve(`${status} ${body.toString()}`),
+        refuse: ({ code, ran }) => resolve(`${code} ${ran}`),
+        begin: () => undefined,
+        write: () => undefined,
+        end: () => undefined,
+        abort: () => undefined,
+      }, context, {
+        ip: '127.0.0.2', targets: [host], port: Number(port), progress: { attempts: 0 },
+      });
+    });
+    t.is(await forward(callOf('first')), '200 first');
+    t.is(await forward(callOf('second')), seen);
+    t.is(instance.connections.size, 1);
+  });
+});
