New connections for what may run once at a server that wrote extra answers

Callers got 502 again and again for requests that ran, from an engine that repeats refusals without their ids: on a kept connection such an answer is of unknown meaning, and each one cost the request that was waiting. For a minute after a server has written an answer that names no request, or another one, on a kept connection, requests that may run once get new connections there, on which no earlier answer can come. It is known per process of a server. Weighed: new connections for all that may run once everywhere (each is priced, and servers limit them), or waiting for a further answer (a server that never names requests would hold its callers until their deadline). Both answers that are read past and such ones are counted now, as extra_responses_total.

--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -31,7 +31,7 @@
       keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo', noDelay: true,
     }, {
       opened: () => this.#meter.record({ kind: 'connection', purpose: 'request' }),
-      skipped: () => this.#meter.record({ kind: 'response_skipped' }),
+      extra: () => this.#meter.record({ kind: 'extra_response' }),
     });
     this.#agents.set(server, agent);
     return agent;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -13,6 +13,7 @@
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
 import type { ResponseHead } from './call.js';
 import type { RawHeaders } from './dialect.js';
+import type { ResponseOwner } from './responseclass.js';
 import { canReadPast, readPast } from './extraresponse.js';
 import type { KeepAliveAgent } from './keepaliveagent.js';
 
@@ -35,8 +36,8 @@
   readonly reuse: boolean;
   /** Limit on the length of the response's body; undefined if it has none. */
   readonly maxBodyBytes?: number | undefined;
-  /** Whether a response names another request; a kept connection's next one is read then, once. */
-  readonly isOther?: ((head: ResponseHead) => boolean) | undefined;
+  /** Whom a response names; on a kept connection one to another request is read past, once. */
+  readonly ownerOf?: ((head: ResponseHead) => ResponseOwner) | undefined;
   /** When the request is no longer worth sending, by the scheduler's clock; never by default. */
   readonly expiresAt?: number | undefined;
 }
@@ -168,8 +169,9 @@
     const onResponse = (response: IncomingMessage) => {
       const { statusCode: status = 0, rawHeaders: headers } = response;
       const head: ReceivedHead = { status, headers, kept: request.reusedSocket };
-      if (head.kept && outgoing.isOther?.(head) && canReadPast(reader, response)) {
-        outgoing.agent.responseSkipped();
+      const owner = head.kept ? outgoing.ownerOf?.(head) ?? 'own' : 'own';
+      if (owner !== 'own') outgoing.agent.markExtra(scheduler.now());
+      if (owner === 'other' && canReadPast(reader, response)) {
         readPast(reader, response, (next) => {
           reader = next;
           reader.on('error', onError);
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -9,7 +9,8 @@
 import type { ExchangeEvent, ReceivedHead } from './exchange.js';
 import { forwardHeaders, readOutcome, withoutForwardHeaders } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
-import { namesOther } from './responseclass.js';
+import { ownerOf } from './responseclass.js';
+import type { ResponseOwner } from './responseclass.js';
 import { FIRST_EVENT_ID } from './serverrequest.js';
 import { StreamResponse } from './streamresponse.js';
 import type { StreamPart } from './streamresponse.js';
@@ -129,7 +130,7 @@
       body: this.#call.body,
       // An instance that restarts closes connections on which a call that may run once would wait.
       reuse: this.#call.route.repeat === 'safe',
-      isOther: (head) => namesOther(head, this.#call.id, this.#context.dialect),
+      ownerOf: (head) => this.#ownerOf(head),
       expiresAt: this.#call.deadlineAt,
     }, scheduler).subscribe((event) => this.#onEvent(event));
   }
@@ -155,15 +156,20 @@
     }
   }
 
+  /** Instances' own refusals name no request; calls on kept connections may be repeated. */
+  #ownerOf(head: ResponseHead): ResponseOwner {
+    return readOutcome(head.headers).outcome === 'answered'
+      ? ownerOf(head, this.#call.id, this.#context.dialect) : 'own';
+  }
+
   #onHead(head: ReceivedHead): void {
-    const { id } = this.#context.dialect.readResponse(head.status, head.headers);
-    const isAnswer = readOutcome(head.headers).outcome === 'answered';
     // An answer to an earlier call can come once more on a kept connection.
-    if (head.kept && isAnswer && id !== this.#call.id) {
+    if (head.kept && this.#ownerOf(head) !== 'own') {
       this.#onFailure('unknown', 'another instance answered no request, or another one');
       return;
     }
     this.#head = { status: head.status, headers: head.headers };
+    const isAnswer = readOutcome(head.headers).outcome === 'answered';
     if (isAnswer && this.#call.route.delivery === 'events') this.#onStreamHead(this.#head);
   }
 
--- a/src/relay/keepaliveagent.ts
+++ b/src/relay/keepaliveagent.ts
@@ -13,6 +13,8 @@
 const IDLE_MARGIN_MS = 1_000;
 /** The longest time that timers measure. */
 const MAX_IDLE_MS = 2_147_483_647;
+/** A process that writes extra responses does so until it ends; one a minute may cost a request. */
+const EXTRA_MEMORY_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT = /^timeout=(\d+)/;
 
 /** How long a connection may stay idle, by the last response's `Keep-Alive` header. */
@@ -25,14 +27,16 @@
 export interface AgentListener {
   /** A connection was opened for a request. */
   opened(): void;
-  /** A response that belonged to another request was read past. */
-  skipped(): void;
+  /** A response came that named another request than the one waiting, or none. */
+  extra(): void;
 }
 
 /** Closes an idle connection on which bytes arrive, since they belong to no request. */
 export class KeepAliveAgent extends Agent {
   readonly #on: AgentListener;
 
+  #extraAt = -Infinity;
+
   readonly #unsolicitedListeners = new WeakMap<Socket, () => void>();
 
   readonly #idleMs = new WeakMap<Socket, number>();
@@ -47,9 +51,15 @@
     this.#on.opened();
   }
 
-  /** Reports that a request has read past a response to another one. */
-  responseSkipped(): void {
-    this.#on.skipped();
+  /** Reports that a response named another request than the one waiting, or none. */
+  markExtra(now: number): void {
+    this.#extraAt = now;
+    this.#on.extra();
+  }
+
+  /** Whether the server has lately written responses that nobody waited for. */
+  hadExtra(now: number): boolean {
+    return now - this.#extraAt < EXTRA_MEMORY_MS;
   }
 
   /** Sets how long a connection may stay idle, by a response's `Keep-Alive` header. */
--- a/src/relay/meter.ts
+++ b/src/relay/meter.ts
@@ -43,8 +43,8 @@
   | { readonly kind: 'retry' }
   /** A new connection to a server, for a request or for a check that it accepts connections. */
   | { readonly kind: 'connection'; readonly purpose: 'request' | 'check' }
-  /** A server's response that belonged to another request than the one waiting. */
-  | { readonly kind: 'response_skipped' }
+  /** A response on a kept connection that named another request than the one waiting, or none. */
+  | { readonly kind: 'extra_response' }
   | { readonly kind: 'store_call'; readonly call: StoreCall };
 
 /** Enough for some seconds of a busy instance; the metrics are loaded sooner. */
--- a/src/relay/metrics.ts
+++ b/src/relay/metrics.ts
@@ -107,9 +107,9 @@
     ['purpose'],
   );
 
-  readonly #skipped = this.#counter(
-    'responses_skipped_total',
-    'Servers\' responses that belonged to another request than the one waiting',
+  readonly #extraResponses = this.#counter(
+    'extra_responses_total',
+    'Responses on kept connections that named another request than the one waiting, or none',
   );
 
   readonly #duration = this.#histogram(
@@ -250,8 +250,8 @@
       case 'connection':
         this.#connections.inc({ purpose: measurement.purpose });
         break;
-      case 'response_skipped':
-        this.#skipped.inc();
+      case 'extra_response':
+        this.#extraResponses.inc();
         break;
       case 'store_call':
         this.#store.call(measurement.call);
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -27,14 +27,17 @@
   return status >= 200 && status < 300;
 }
 
-/** Whether a response says that it belongs to another request than `id`. */
-export function namesOther(
+/** The request that a response names: the one waiting, another one, or none. */
+export type ResponseOwner = 'own' | 'other' | 'none';
+
+export function ownerOf(
   { status, headers }: ResponseHead,
   id: string,
   dialect: Dialect,
-): boolean {
+): ResponseOwner {
   const response = dialect.readResponse(status, headers);
-  return response.id !== undefined && response.id !== id;
+  if (response.id === undefined) return 'none';
+  return response.id === id ? 'own' : 'other';
 }
 
 /** @param id the request that the response must belong to */
--- a/src/relay/serverrequest.ts
+++ b/src/relay/serverrequest.ts
@@ -6,7 +6,7 @@
 import { remainingMs } from './context.js';
 import type { ForwardedFields } from './dialect.js';
 import type { OutgoingRequest } from './exchange.js';
-import { namesOther } from './responseclass.js';
+import { ownerOf } from './responseclass.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Id of a stream's first event. */
@@ -50,16 +50,18 @@
     standby: target.standby,
     goOnFrom: target.goOnFrom,
   });
+  const agent = context.connections.agent(server.id);
   const empty = call.body.length === 0 && (call.method === 'GET' || call.method === 'HEAD');
   return {
-    agent: context.connections.agent(server.id),
+    agent,
     address: server.address,
     method: call.method,
     target: call.target,
     headers: empty ? headers : [...headers, 'Content-Length', String(call.body.length)],
     body: call.body,
-    reuse: true,
-    isOther: (head) => namesOther(head, call.id, context.dialect),
+    // An answer that names no request can't be told from the server's own on a kept connection.
+    reuse: call.route.repeat === 'safe' || !agent.hadExtra(context.scheduler.now()),
+    ownerOf: (head) => ownerOf(head, call.id, context.dialect),
     expiresAt: call.deadlineAt,
   };
 }
--- a/test/relay-extraanswers.test.ts
+++ b/test/relay-extraanswers.test.ts
@@ -29,13 +29,14 @@
 interface Site { readonly relay: Relay; readonly faulty: RawEngine; readonly sound: RawEngine }
 
 /**
- * A relay that has sent a first request to a faulty engine. A sound engine is listed before the
- * faulty one handles any later request.
+ * A relay that has sent a first request to a faulty engine. Unless that one is to be alone, a sound
+ * engine is listed before it handles any later request.
  */
 async function siteOf(
   t: ExecutionContext,
   kind: Kind,
   respond: (request: RawRequest, engine: RawEngine) => void,
+  listsSound = true,
 ): Promise<Site> {
   const relay = await Relay.of(t, { configuration: CONFIGURATION });
   const service = kind === 'safe' || kind === 'unsafe' ? 'plain' : 'engines';
@@ -47,7 +48,7 @@
     zone: 'a',
     respond: async (request, engine) => {
       engine.runs.push(request.id);
-      if (request.id !== 'first') {
+      if (listsSound && request.id !== 'first') {
         await relay.putEntry(sound, service);
         await isListed(2);
       }
@@ -119,3 +120,23 @@
     t.deepEqual(sound.runs, runsOnce ? [] : ['second']);
   });
 }));
+
+const LATER = ['b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'];
+
+(['unsafe', 'once'] as const).forEach((kind) => {
+  test.serial(`an engine that repeats unidentified refusals costs one: ${kind}`, async (t) => {
+    const { relay, faulty, sound } = await siteOf(t, kind, (request, engine) => {
+      if (request.number > 1) request.socket.write(responseBytes(503, NOT_RUN));
+      setTimeout(() => request.socket.write(engine.sound(request)), RUN_MS);
+    }, false);
+    const statuses: number[] = [];
+    // eslint-disable-next-line no-restricted-syntax -- one request after the other
+    for (const id of LATER) {
+      // eslint-disable-next-line no-await-in-loop -- as above
+      statuses.push((await send(relay, kind, id)).status);
+    }
+    t.deepEqual(statuses, [502, ...LATER.slice(1).map(() => 200)]);
+    t.deepEqual([faulty.runs, sound.runs], [['first', ...LATER], []]);
+    t.true(await eventually(async () => /extra_responses_total 1/.test(await relay.metrics())));
+  });
+});
--- a/test/relay-extraresponse.test.ts
+++ b/test/relay-extraresponse.test.ts
@@ -8,7 +8,7 @@
 import { exchange } from '../src/relay/exchange.js';
 import type { ExchangeEvent } from '../src/relay/exchange.js';
 import { Meter } from '../src/relay/meter.js';
-import { namesOther } from '../src/relay/responseclass.js';
+import { ownerOf } from '../src/relay/responseclass.js';
 import { eventually } from './fakes/eventually.js';
 import { RawEngine, responseBytes } from './fakes/rawengine.js';
 import type { RawRequest } from './fakes/rawengine.js';
@@ -28,7 +28,7 @@
     headers: ['Host', 'h', 'X-Id', id],
     body: Buffer.alloc(0),
     reuse: true,
-    isOther: (head) => namesOther(head, id, testDialect),
+    ownerOf: (head) => ownerOf(head, id, testDialect),
   }, monotonicScheduler);
 }
 
--- a/test/relay-forwardedextra.test.ts
+++ b/test/relay-forwardedextra.test.ts
@@ -67,6 +67,7 @@
     const [host = '', port] = instance.address.split(':');
     const forward = (call: Call) => new Promise<string>((resolve) => {
       ForwardedCall.start(call, {
+        sending: () => undefined,
         respond: ({ status, body }) => resolve(`${status} ${body.toString()}`),
         refuse: ({ code, ran }) => resolve(`${code} ${ran}`),
         begin: () => undefined,
