Tests: extra answers for streams taken up, in a stream, and beside a long body

Looked at and found sound: streams that a caller takes up (11 kinds of extra answer on a kept connection); an extra answer in the middle of a stream in chunks or without a length breaks the stream off and reaches no caller; one that comes while a request's body is still being sent is not read past, and its connection closes.

--- a/test/fakes/rawengine.ts
+++ b/test/fakes/rawengine.ts
@@ -8,6 +8,8 @@
 export interface RawRequest {
   readonly id: string;
   readonly target: string;
+  /** The last event that its caller has; 0 if none. */
+  readonly lastEvent: number;
   readonly socket: Socket;
   /** Its number on its connection, from 1. */
   readonly number: number;
@@ -42,7 +44,7 @@
   /** The requests received, by id. */
   readonly received: string[] = [];
 
-  /** The connections on which requests came, other than health checks. */
+  /** The connections on which callers' requests came. */
   readonly connections = new Set<Socket>();
 
   address = '';
@@ -71,10 +73,11 @@
   }
 
   /** The bytes of its response to a request that it runs. */
-  sound({ id, target }: RawRequest): string {
+  sound({ id, target, lastEvent }: RawRequest): string {
     const headers = { 'X-Id': id, 'X-Signature': this.options.id };
+    const events = [1, 2].map((event) => `id: ${lastEvent + event}\ndata: ${id}\n\n`);
     return target.startsWith('/stream')
-      ? responseBytes(200, headers, 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n')
+      ? responseBytes(200, headers, events.join(''))
       : responseBytes(200, headers, `${this.options.id} ${id}`);
   }
 
@@ -98,6 +101,7 @@
       this.#handle({
         id: /^x-id: (.+)$/im.exec(head)?.[1] ?? '',
         target: head.split(' ')[1] ?? '',
+        lastEvent: Number(/^x-last: (\d+)/im.exec(head)?.[1] ?? 0),
         socket,
         number: count,
       });
@@ -105,7 +109,7 @@
   }
 
   #handle(request: RawRequest): void {
-    if (request.target === '/health') {
+    if (request.target === '/health' || request.target === '/held') {
       request.socket.write(responseBytes(200, { 'X-Server': this.options.id }));
       return;
     }
--- a/test/relay-extraanswers.test.ts
+++ b/test/relay-extraanswers.test.ts
@@ -9,8 +9,8 @@
 
 /** The time that an engine works on a request. */
 const RUN_MS = 60;
-type Kind = 'unsafe' | 'safe' | 'stream' | 'once';
-const KINDS: readonly Kind[] = ['unsafe', 'safe', 'stream', 'once'];
+type Kind = 'unsafe' | 'safe' | 'stream' | 'once' | 'taken up';
+const KINDS: readonly Kind[] = ['unsafe', 'safe', 'stream', 'once', 'taken up'];
 
 const CONFIGURATION = relayConfiguration({
   routes: [...Object.values(ROUTES), {
@@ -19,11 +19,14 @@
 });
 
 function pathOf(kind: Kind): string {
-  return kind === 'once' ? '/stream/once/' : `/${kind}/`;
+  if (kind === 'once') return '/stream/once/';
+  return kind === 'taken up' ? '/stream/' : `/${kind}/`;
 }
 
 function send(relay: Relay, kind: Kind, id: string): Promise<Reply> {
-  return relay.call(pathOf(kind), { 'x-id': id, 'x-deadline': '5000' }, `body of ${id}`);
+  const headers: Record<string, string> = { 'x-id': id, 'x-deadline': '5000' };
+  if (kind === 'taken up') headers['x-last'] = '7';
+  return relay.call(pathOf(kind), headers, `body of ${id}`);
 }
 
 interface Site { readonly relay: Relay; readonly faulty: RawEngine; readonly sound: RawEngine }
@@ -112,6 +115,8 @@
       // The engine's own answer is still to come.
       t.is(reply.status, 200, reply.text);
       t.is(reply.headers['x-signature'], 'faulty');
+      t.true(reply.text.includes('second') && !reply.text.includes('first'));
+      t.is(reply.text.includes('id: 8'), kind === 'taken up');
       t.deepEqual(sound.runs, []);
       return;
     }
@@ -140,3 +145,29 @@
     t.true(await eventually(async () => /extra_responses_total 1/.test(await relay.metrics())));
   });
 });
+
+const EVENT = 'id: 1\ndata: one\n\n';
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: second\r\nX-Signature: faulty\r\n';
+const MIDDLES: readonly { readonly framing: string; readonly begin: string }[] = [
+  {
+    framing: 'in chunks',
+    begin: `${HEAD}Transfer-Encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n`,
+  },
+  { framing: 'until the connection closes', begin: `${HEAD}\r\n${EVENT}` },
+];
+MIDDLES.forEach(({ framing, begin }) => {
+  test.serial(`an extra answer in the middle of a stream breaks it off: ${framing}`, async (t) => {
+    const { relay, faulty } = await siteOf(t, 'once', (request, engine) => {
+      if (request.id === 'first') request.socket.write(engine.sound(request));
+      else {
+        request.socket.write(begin);
+        setTimeout(() => (
+          request.socket.end(responseBytes(503, { ...NOT_RUN, ...EARLIER }, 'busy'))), RUN_MS);
+      }
+    }, false);
+    const reply = await send(relay, 'once', 'second');
+    t.false(reply.whole);
+    t.is(reply.text, EVENT);
+    t.deepEqual(faulty.runs, ['first', 'second']);
+  });
+});
--- a/test/relay-extraresponse.test.ts
+++ b/test/relay-extraresponse.test.ts
@@ -11,7 +11,7 @@
 import { ownerOf } from '../src/relay/responseclass.js';
 import { eventually } from './fakes/eventually.js';
 import { RawEngine, responseBytes } from './fakes/rawengine.js';
-import type { RawRequest } from './fakes/rawengine.js';
+import type { RawEngineOptions } from './fakes/rawengine.js';
 import { testDialect } from './fakes/relaydialect.js';
 
 const pause = (ms: number) => new Promise((resolve) => {
@@ -19,14 +19,19 @@
 });
 const PACKET_MS = 10;
 
-function send(engine: RawEngine, connections: Connections, id: string): Observable<ExchangeEvent> {
+function send(
+  engine: RawEngine,
+  connections: Connections,
+  id: string,
+  body = '',
+): Observable<ExchangeEvent> {
   return exchange({
     agent: connections.agent('s'),
     address: engine.address,
-    method: 'GET',
+    method: 'POST',
     target: '/',
-    headers: ['Host', 'h', 'X-Id', id],
-    body: Buffer.alloc(0),
+    headers: ['Host', 'h', 'X-Id', id, 'Content-Length', String(body.length)],
+    body: Buffer.from(body),
     reuse: true,
     ownerOf: (head) => ownerOf(head, id, testDialect),
   }, monotonicScheduler);
@@ -42,9 +47,12 @@
 
 async function engineOf(
   t: ExecutionContext,
-  respond: (request: RawRequest, engine: RawEngine) => unknown,
+  respond: RawEngineOptions['respond'],
+  accept?: RawEngineOptions['accept'],
 ): Promise<{ engine: RawEngine; connections: Connections }> {
-  const engine = await RawEngine.of({ id: 's', zone: 'a', respond });
+  const engine = await RawEngine.of({
+    id: 's', zone: 'a', respond, accept,
+  });
   const connections = Connections.of(Meter.of());
   t.teardown(() => engine.end());
   t.teardown(() => connections.closeAll());
@@ -130,8 +138,23 @@
   });
   await outcome(send(engine, connections, 'first'));
   const second = send(engine, connections, 'second').subscribe();
+  t.true(await eventually(() => engine.received.includes('second')));
   await pause(5 * PACKET_MS);
   t.false(isClosed);
   second.unsubscribe();
   t.true(await eventually(() => isClosed));
 });
+
+test('a response to an earlier request while the body is sent is not read past', async (t) => {
+  const { engine, connections } = await engineOf(t, ({ id, socket }) => (
+    socket.write(responseBytes(200, { 'X-Id': id }, id))
+  ), (socket) => socket.on('data', (bytes) => {
+    if (!bytes.includes('X-Id: second')) return;
+    socket.pause();
+    socket.write(REFUSAL);
+  }));
+  await outcome(send(engine, connections, 'first'));
+  t.is(await outcome(send(engine, connections, 'second', 'x'.repeat(20_000_000))), 'end busy');
+  t.is(await outcome(send(engine, connections, 'third')), 'end third');
+  t.is(engine.connections.size, 2);
+});
