Tests: extra answers of the store, and what an extra answer says of its server

Looked at and found sound: an extra answer of the store on an idle connection, in an answer's packet or in halves is not taken for the next call's; a rate limit, a pause, brittleness or leaving in an answer of nobody is not learnt. An extra answer of the store between a call and its own answer can't be told apart: its answers name no call; the protocol has the store send none.

--- a/test/relay-extraanswers.test.ts
+++ b/test/relay-extraanswers.test.ts
@@ -171,3 +171,26 @@
     t.deepEqual(faulty.runs, ['first', 'second']);
   });
 });
+
+[{}, EARLIER].forEach((named) => {
+  const name = 'X-Id' in named ? 'with an earlier id' : 'without an id';
+  test.serial(`nothing is learnt of a server from an extra answer ${name}`, async (t) => {
+    const { relay } = await siteOf(t, 'safe', (request, engine) => {
+      if (request.id !== 'first') {
+        request.socket.write(responseBytes(503, {
+          ...NOT_RUN,
+          ...named,
+          'X-Limit': '0.1',
+          'X-Leaving': '1',
+          'X-Brittle': '1',
+          'Retry-After': '100',
+        }));
+      }
+      setTimeout(() => request.socket.write(engine.sound(request)), RUN_MS);
+    });
+    t.is((await send(relay, 'safe', 'second')).status, 200);
+    ['server_limit', 'server_held', 'service_brittle'].forEach((event) => (
+      t.deepEqual(relay.log.of(event), [])));
+    t.true(relay.log.of('server_listed').every(({ state }) => state === 'ready'));
+  });
+});
--- a/test/store-client.test.ts
+++ b/test/store-client.test.ts
@@ -6,6 +6,7 @@
 import { Random } from '../src/common/random.js';
 import { MemoryObjects } from '../src/standin/objects.js';
 import { ObjectServer } from '../src/standin/objectserver.js';
+import { StoreCalls } from '../src/store/calls.js';
 import { HttpObjects } from '../src/store/client.js';
 import type { StoreError, WatchEvent } from '../src/store/objects.js';
 import { codeOf, expectOk } from './fakes/objects.js';
@@ -120,3 +121,37 @@
     t.is(codeOf(get), 'unavailable');
   });
 });
+
+const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n';
+const EXTRAS: readonly { readonly name: string; readonly extra: string; later: boolean }[] = [
+  { name: 'after an answer, on the idle connection', extra: `${ANSWER}x`, later: true },
+  { name: 'in the answer\'s packet', extra: `${ANSWER}x`, later: false },
+  { name: 'as the first half of an answer', extra: ANSWER, later: true },
+];
+EXTRAS.forEach(({ name, extra, later }) => {
+  test(`an extra answer of the store is not taken for the next call's: ${name}`, async (t) => {
+    let calls = 0;
+    const server = createServer((socket) => socket.on('error', () => undefined).on('data', () => {
+      calls += 1;
+      const own = `${ANSWER}${calls}`;
+      socket.write(calls === 1 && !later ? own + extra : own);
+      if (calls === 1 && later) setTimeout(() => socket.write(extra), 10);
+    }));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const store = StoreCalls.of(`127.0.0.1:${port}`, monotonicScheduler);
+    t.teardown(() => {
+      store.close();
+      server.close();
+    });
+    const text = async () => (await store.send({ method: 'GET', path: '/', headers: {} }, 5_000))
+      .match((answer) => answer.text, ({ message }) => message);
+    t.is(await text(), '1');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    t.is(await text(), '2');
+  });
+});
