Forwarded requests: one that an instance broke off isn't refused as not run

Callers saw 503, "not run and never will be", for repeatable requests that servers had run. Cause: an instance without a path to servers forwards a request; the other instance ends amid it (its stop), so it is offered to a second one. When that one can't be reached or refuses it unrun, the last outcome alone decided the status, and the first instance's servers were forgotten. Now an outcome that leaves open whether the request ran holds for all that follow: 502. Two of the three tests fail on the code before (ran: no instead of unknown), the third shows that 503 stays where all instances refuse unrun. relay-partition passes (10 tests).

--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -51,6 +51,9 @@
 
   #headSent: boolean;
 
+  /** Whether an instance to which it was sent may have had it run. */
+  #mayHaveRun = false;
+
   #head: ResponseHead | undefined;
 
   #chunks: Buffer[] = [];
@@ -83,7 +86,7 @@
       .subscribe(() => forwarded.#giveUp('unknown', 'the deadline has passed')));
     forwarded.#timers.add(context.stopping.limit.subscribe(({ message }) => (
       forwarded.#giveUp('unknown', message))));
-    forwarded.#sendNext('no', 'no instance reaches a backend server');
+    forwarded.#sendNext('no instance reaches a backend server');
     return () => forwarded.#stop();
   }
 
@@ -93,14 +96,14 @@
   }
 
   /** Offers the call to the next instance, or gives up. */
-  #sendNext(ran: 'no' | 'unknown', message: string, retryAfterMs?: number): void {
+  #sendNext(message: string, retryAfterMs?: number): void {
     this.#exchange.unsubscribe();
     const {
       targets, port, ip, progress,
     } = this.#options;
     const target = targets[this.#next];
     if (target === undefined || this.#next >= MAX_TARGETS) {
-      this.#giveUp(ran, message, retryAfterMs);
+      this.#giveUp(this.#mayHaveRun ? 'unknown' : 'no', message, retryAfterMs);
       return;
     }
     this.#next += 1;
@@ -219,7 +222,7 @@
         this.#onAnswered(head);
         break;
       case 'no':
-        this.#sendNext('no', 'the other instances can\'t serve it either', retryAfterMs);
+        this.#sendNext('the other instances can\'t serve it either', retryAfterMs);
         break;
       case 'unknown':
       case 'partly':
@@ -247,7 +250,8 @@
   #onFailure(ran: 'no' | 'unknown', message: string): void {
     const { repeat, delivery } = this.#call.route;
     const isRepeatable = repeat === 'safe' && delivery === 'whole';
-    if (ran === 'no' || isRepeatable) this.#sendNext(ran, message);
+    this.#mayHaveRun ||= ran === 'unknown';
+    if (ran === 'no' || isRepeatable) this.#sendNext(message);
     else this.#giveUp('unknown', message);
   }
 
