Send no hedge in a stop that isn't expected to end before its limit

Seen in the rig: a second copy of a safe call 4,349 ms after the signal, cut at 4,870 ms. The first goes on; what the second server does is wasted. The check of the time left counts for hedges too, and leaves the running attempt alone.

--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -27,7 +27,7 @@
 /** Share of the route's latency objective after which a repeatable call is hedged. */
 const HEDGE_AFTER_SHARE = 0.5;
 /** `Retry-After` when no server is up: about as long as a server takes to restart. */
-const NO_SERVER_RETRY_AFTER_MS = 300;
+const RETRY_AFTER_MS = 300;
 /** Limit on a response that is held in memory, as long as those of most services' interfaces. */
 const MAX_RESPONSE_BYTES = 8_388_608;
 
@@ -121,9 +121,10 @@
       return;
     }
     if (this.#reject(quarantineRefusal(this.#call, this.#context))) return;
-    // A hedge may come too late without harm.
-    const isHedge = this.#state.phase.kind === 'running';
-    if (!isHedge && this.#reject(stopRefusal(this.#call, this.#context))) return;
+    const stopped = stopRefusal(this.#call, this.#context);
+    // Without a hedge, the attempt that runs goes on.
+    if (stopped && this.#state.phase.kind === 'running') return;
+    if (this.#reject(stopped)) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
@@ -154,11 +155,7 @@
     this.#unassignable(THROTTLED_MESSAGE, throttledFields(candidates, this.#context), retryAfterMs);
   }
 
-  #unassignable(
-    message: string,
-    inputs: LogFields = {},
-    retryAfterMs = NO_SERVER_RETRY_AFTER_MS,
-  ): void {
+  #unassignable(message: string, inputs: LogFields = {}, retryAfterMs = RETRY_AFTER_MS): void {
     logUnplaced(this.#call, message, { ...inputs, tried: this.#state.tried }, this.#context);
     this.#apply({ kind: 'unassignable', message, retryAfterMs });
   }
