A stop: an unknown time counts only after the lag, and no stream is begun after it

In the lag a call without any measured time is sent as before. After the lag a stream is new only if its deadline fits, whatever others took: it is an estimate, and nothing has to be begun then.

--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -1,5 +1,5 @@
 /**
- * What a stopping instance still begins: only what is expected to end before the limit of its stop.
+ * What a stopping instance still begins: what may be expected to end before the limit of its stop.
  * Anything else is refused at once, as not run, so that its caller can go to another instance.
  */
 import { Subject } from 'rxjs';
@@ -22,6 +22,14 @@
   retryAfterMs: RETRY_AFTER_MS,
 };
 
+/** How far a call has got. */
+interface CallProgress {
+  /** Servers that it was sent to. */
+  readonly attempts: number;
+  /** How long its stream has run since the first event; 0 before it. */
+  readonly streamedMs: number;
+}
+
 /** Times that decide whether a call may begin. */
 interface StopTimes { readonly leftMs: number; readonly expectedMs: number }
 
@@ -47,16 +55,15 @@
     return new Stopping(drain, scheduler);
   }
 
-  /**
-   * The times of a call that isn't expected to end before the limit; undefined if it may begin.
-   *
-   * @param streamedMs how long its stream has run since the first event
-   */
-  lacking(call: Omit<Call, 'body'>, streamedMs: number): StopTimes | undefined {
-    const { leftMs } = this.#drain;
+  /** The times of a call that might not end before the limit; undefined if it may be sent. */
+  lacking(call: Omit<Call, 'body'>, { attempts, streamedMs }: CallProgress): StopTimes | undefined {
+    const { leftMs, hasLagPassed } = this.#drain;
     const now = this.#scheduler.now();
     if (call.deadlineAt - now < leftMs) return undefined;
-    const expectedMs = this.durations.expectedMs(call, streamedMs, now) ?? Infinity;
+    // How long a stream takes is an estimate, and nothing has to be begun after the lag.
+    const isLateStream = hasLagPassed && attempts === 0 && call.route.delivery === 'events';
+    const expectedMs = isLateStream ? Infinity
+      : this.durations.expectedMs(call, streamedMs, now) ?? (hasLagPassed ? Infinity : 0);
     return expectedMs * SPARE < leftMs ? undefined : { leftMs, expectedMs };
   }
 }
@@ -65,9 +72,9 @@
 export function stopRefusal(
   call: Omit<Call, 'body'>,
   context: Pick<RelayContext, 'stopping' | 'log'>,
-  streamedMs = 0,
+  progress: CallProgress = { attempts: 0, streamedMs: 0 },
 ): Refusal | undefined {
-  const times = context.stopping.lacking(call, streamedMs);
+  const times = context.stopping.lacking(call, progress);
   if (!times) return undefined;
   const { leftMs, expectedMs } = times;
   context.log.event('info', 'stop_refused', {
@@ -75,7 +82,8 @@
     service: call.service.name,
     left_ms: Math.round(leftMs),
     expected_ms: expectedMs === Infinity ? undefined : Math.round(expectedMs),
-    streamed_ms: Math.round(streamedMs) || undefined,
+    attempts: progress.attempts,
+    streamed_ms: Math.round(progress.streamedMs) || undefined,
   });
   return {
     code: 'stopping', message: 'the instance is stopping', ran: 'no', retryAfterMs: RETRY_AFTER_MS,
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -190,8 +190,9 @@
       this.#apply({ kind: 'expired', message: 'the request may run only once' });
       return;
     }
+    const progress = { attempts: this.#counts.sent, streamedMs: this.#recorder.streamedMs };
     const refusal = quarantineRefusal(this.#call, this.#context)
-      ?? stopRefusal(this.#call, this.#context, this.#recorder.streamedMs);
+      ?? stopRefusal(this.#call, this.#context, progress);
     if (this.#reject(refusal) || this.#handOver()) return;
     const reason = attemptDenialReason(this.#call, this.#counts, this.#context)
       ?? (this.#release.isAmbiguous ? UNKNOWN_ORIGIN_MESSAGE : undefined);
--- a/test/relay-forwardedextra.test.ts
+++ b/test/relay-forwardedextra.test.ts
@@ -1,5 +1,6 @@
 /** An instance that writes an earlier answer again on a connection between instances. */
 import test from 'ava';
+import { NEVER } from 'rxjs';
 import { monotonicScheduler } from '../src/common/time.js';
 import type { Call } from '../src/relay/call.js';
 import { Connections } from '../src/relay/connections.js';
@@ -63,6 +64,7 @@
       log: new RecordedLog(),
       meter: Meter.of(),
       dialect: testDialect,
+      stopping: { limit: NEVER },
     } as unknown as RelayContext;
     const [host = '', port] = instance.address.split(':');
     const forward = (call: Call) => new Promise<string>((resolve) => {
