Keep a stop that has reached its limit expired

The log told state=finishing and state=done after state=expired, if the limit came within the last part of the lag, or if both came due in one pause: the timer that ends the lag moved the state whatever it was by then. Seen on with a lag of 1000 ms and a limit of 950 ms: 'done' where 'expired' is right. Callers saw nothing of it; the exit was decided by the first end. Now the timer does nothing after an end.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -140,6 +140,7 @@
   #readLast(): void {
     const due = this.#scheduler.now() + FINAL_READ_MS;
     timer(FINAL_READ_MS, this.#scheduler).subscribe(() => {
+      if (this.#hasEnded) return;
       if (this.#scheduler.now() - due > PAUSE_THRESHOLD_MS) {
         this.#readLast();
         return;
--- a/test/entrydrain.test.ts
+++ b/test/entrydrain.test.ts
@@ -53,6 +53,15 @@
   t.deepEqual([drain.state, ended], ['expired', [false]]);
 });
 
+test('a stop whose limit comes before the end of the lag stays expired', (t) => {
+  const clock = new VirtualTimeScheduler();
+  const drain = Drain.of(clock, silentLog, { lagMs: 1_000, limitMs: 950 });
+  drain.begin();
+  clock.maxFrames = 2_000;
+  clock.flush();
+  t.is(drain.state, 'expired');
+});
+
 // Timers that came due in a pause fire before requests that arrived in it are read. One pause ends
 // long after the lag, the other together with it.
 [3_000, 1_000].forEach((pausedMs) => {
