Let only the last answer on a connection close it in a stop, and say so in its head

Callers saw: of two calls that one connection had sent together, the second lost though a server had it; and answers whose head was written after the signal said 'Connection: keep-alive' before their connection was closed, so that a caller could send its next request into the close and get nothing. Cause: the close of any answer ended the connection, whatever else was open on it; 'Connection: close' was set on every request that arrived in the stop, and on none that had arrived before. The listener knows all answers of a connection: it now marks the latest one whose head is unwritten, closes after the last, and passes on nothing that follows an answer which says that the connection closes. The product's own interface closes its connections in a stop as well.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -71,17 +71,21 @@
   openAnswers: number;
   /** Bytes read when its last answer closed; more show that another request has begun to arrive. */
   bytesAnswered: number;
+  /** The response to its latest request, while it is open. */
+  latest: ServerResponse | undefined;
 }
 
 /** Node's own server closes connections as idle whose answers have ended and are partly unsent. */
 export class CallerServer extends Server {
   readonly #connections = new Map<Socket, ConnectionUse>();
 
+  #isStopping = false;
+
   constructor(options: ServerOptions, listener: RequestListener) {
     super(options, listener);
     this.on('connection', (socket: Socket) => {
       closeGracefully(socket);
-      this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0 });
+      this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0, latest: undefined });
       socket.once('close', () => this.#connections.delete(socket));
     });
     this.prependListener('request', (_, res: ServerResponse) => this.#track(res));
@@ -99,6 +103,12 @@
    * not done before these connections have closed.
    */
   followDrain(drain: Drain): void {
+    drain.states.pipe(filter((state) => state !== 'serving'), take(1)).subscribe(() => {
+      this.#isStopping = true;
+      this.#connections.forEach(({ latest }) => {
+        if (latest && !latest.headersSent) latest.setHeader('Connection', 'close');
+      });
+    });
     drain.states.pipe(filter((state) => state === 'finishing'), take(1)).subscribe(() => {
       this.close();
       const closing = this.#unanswered(() => true);
@@ -117,14 +127,30 @@
       .map(([socket]) => socket);
   }
 
+  /** Whether no answer can be sent on the connection after those that are open. */
+  isEnding(socket: Socket): boolean {
+    const latest = this.#connections.get(socket)?.latest;
+    return socket.writableEnded
+      || (this.#isStopping && latest?.headersSent === true && latest.hasHeader('Connection'));
+  }
+
   #track(res: ServerResponse): void {
     const { socket } = res.req;
     const use = this.#connections.get(socket);
-    if (!use) return;
+    if (!use || this.isEnding(socket)) return;
+    if (this.#isStopping) {
+      // Only the last of the answers on a connection may close it.
+      if (use.latest && !use.latest.headersSent) use.latest.removeHeader('Connection');
+      res.setHeader('Connection', 'close');
+    }
+    use.latest = res;
     use.openAnswers += 1;
     res.once('close', () => {
       use.openAnswers -= 1;
       use.bytesAnswered = socket.bytesRead;
+      if (use.latest === res) use.latest = undefined;
+      // Heads that were written before the stop say that the connection stays open.
+      if (this.#isStopping && use.openAnswers === 0) socket.destroySoon();
     });
   }
 }
@@ -137,7 +163,7 @@
     noDelay: true,
   }, (req, res) => {
     // No answer could be sent on a connection that is being closed.
-    if (req.socket.writableEnded) req.resume();
+    if (server.isEnding(req.socket)) req.resume();
     else listener(req, res);
   });
   applyHeadLimits(server, DEFAULT_HEAD_LIMITS);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -121,8 +121,6 @@
       countResponse?.(res.statusCode);
     });
     whenReleased(res, leave);
-    // While the instance stops, the balancer's keep-alive connections close after their response.
-    if (this.#drain.state !== 'serving') res.setHeader('connection', 'close');
     if (this.#drain.hasLagPassed) {
       sendRefusal(res, STOPPING);
       return;
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -116,12 +116,14 @@
     const delivery = Delivery.of(res);
     const answer = OpenAnswer.of(fields.id, receivedAt, delivery);
     const leave = drain.enter(() => answer.describe(scheduler.now()));
-    // The head of a response that began before the drain said that the connection stays open.
-    res.on('close', () => {
-      if (drain.state !== 'serving') req.socket.destroySoon();
-    });
+    // The server for callers closes its connections itself.
+    if (forwarded) {
+      res.on('close', () => {
+        if (drain.state !== 'serving') req.socket.destroySoon();
+      });
+      if (drain.state !== 'serving') res.setHeader('Connection', 'close');
+    }
     whenReleased(res, leave);
-    if (drain.state !== 'serving') res.setHeader('Connection', 'close');
     const head = {
       fields, receivedAt, forwarded, delivery, answer,
     };
