Don't hold up a stop for callers that keep connections which were ended

Seen in a stop: an idle kept connection, or one whose request was malformed, whose caller didn't close it after the instance had ended its side held the drain for 5 s, or to the limit; the log then told state=expired and the process exited with 1 although every answer had been flushed. In service, a malformed request's connection was held for good. Cause: the drain waits for the close of each used connection, 5 s each; the answer to a malformed request ended the connection past the function that sets this bound. Seen on, in both tests: 'expired' where 'done' is right. Now idle connections have 1 s, and an answer to a malformed request is closed like any other.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -53,7 +53,7 @@
   const body = bodyOf({
     code: timedOut ? 'timeout' : code, message: error.message, ran: 'no',
   });
-  socket.end([
+  socket.write([
     `HTTP/1.1 ${timedOut ? '408 Request Timeout' : status}`,
     'content-type: application/json',
     `content-length: ${Buffer.byteLength(body)}`,
@@ -61,10 +61,13 @@
     '',
     body,
   ].join('\r\n'));
+  socket.destroySoon();
 }
 
 /** How long a server that closes waits for the rest of a head. */
 const HEAD_WAIT_MS = 1_000;
+/** How long the drain waits for callers to close connections that have been idle. */
+const IDLE_CLOSE_MS = 1_000;
 
 /** What a connection has been used for. */
 interface ConnectionUse {
@@ -112,8 +115,12 @@
     drain.states.pipe(filter((state) => state === 'finishing'), take(1)).subscribe(() => {
       this.close();
       const closing = this.#unanswered(() => true);
-      closing.forEach((socket) => (
-        socket.once('close', drain.enter(() => ({ stage: 'closing' })))));
+      closing.forEach((socket) => {
+        const leave = drain.enter(() => ({ stage: 'closing' }));
+        socket.once('close', leave);
+        const { bytesAnswered } = this.#connections.get(socket)!;
+        if (socket.bytesRead === bytesAnswered) setTimeout(leave, IDLE_CLOSE_MS);
+      });
       setTimeout(() => this.#unanswered((_, socket) => closing.includes(socket))
         .forEach((socket) => socket.destroySoon()), HEAD_WAIT_MS);
     });
--- a/test/relay-stopconnections.test.ts
+++ b/test/relay-stopconnections.test.ts
@@ -1,4 +1,7 @@
 /** Callers' kept connections while an instance stops: the lag is 2.5 s, the limit 4.85 s. */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
@@ -27,6 +30,20 @@
   return RawCaller.of({ host: relay.endpoint.ip, port: relay.endpoint.callersPort });
 }
 
+/** A caller that keeps its side of the connection open when the instance has ended its own. */
+async function keepingCaller(t: ExecutionContext, relay: Relay): Promise<Socket> {
+  const socket = connect({
+    host: relay.endpoint.ip, port: relay.endpoint.callersPort, allowHalfOpen: true,
+  });
+  socket.on('error', () => undefined);
+  socket.resume();
+  t.teardown(() => socket.destroy());
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  return socket;
+}
+
 const statuses = (text: string) => text.match(/HTTP\/1\.1 \d+/g) ?? [];
 
 test('a call that is open at the signal is not lost by the end of the one before it', async (t) => {
@@ -62,6 +79,27 @@
   t.regex(caller.text, /\r\nconnection: close\r\n/i);
 });
 
+test('a caller whose request was malformed does not hold up the end of a stop', async (t) => {
+  const relay = await servingRelay(t, SLOW);
+  const socket = await keepingCaller(t, relay);
+  socket.write('no request\r\n\r\n');
+  await pause(1_000);
+  relay.daemon.startDrain();
+  t.true(await eventually(() => ['done', 'expired'].includes(relay.daemon.drain.state)));
+  t.is(relay.daemon.drain.state, 'done');
+});
+
+test('a stop is not told as cut because a caller keeps an idle connection', async (t) => {
+  const relay = await servingRelay(t, { id: 'p1', zone: 'a' });
+  const socket = await keepingCaller(t, relay);
+  socket.write(headText({ id: 'before', path: '/safe/a' }));
+  t.true(await eventually(() => relay.log.of('answered').length === 1));
+  t.like(relay.log.of('answered')[0], { whole: true });
+  relay.daemon.startDrain();
+  t.true(await eventually(() => ['done', 'expired'].includes(relay.daemon.drain.state)));
+  t.is(relay.daemon.drain.state, 'done');
+});
+
 test('an answered upgrade or expectation leaves nothing open in a stop', async (t) => {
   const relay = await servingRelay(t, { id: 'p1', zone: 'a' });
   const upgrade = await callerOf(relay);
