Judge whether an instance is cut off by the services that routes name

An instance that reaches no backend server is to count as not ready, so that callers go elsewhere. One entry of an unknown service, to which nothing is ever sent, counted as a service that is reached, and the instance stayed in use. Only services that a route names count now; all of them as long as no configuration is known. Before: the new test of relay-partition fails (still ready 20 s after the cut).

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -150,7 +150,12 @@
       copyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       hasPeers: () => this.#peers.alive.length > 0,
     });
-    this.#reach = Reach.of({ ...shared, fleet: this.#fleet, identity });
+    this.#reach = Reach.of({
+      ...shared,
+      fleet: this.#fleet,
+      identity,
+      isRouted: (service) => this.#activeConfiguration.routes?.hasService(service) ?? true,
+    });
     this.#forwarding = Forwarding.of({
       ...shared,
       settings,
--- a/src/relay/reach.ts
+++ b/src/relay/reach.ts
@@ -29,6 +29,8 @@
 }
 
 export interface ReachContext {
+  /** Whether requests can go to a service; entries name others as well. */
+  readonly isRouted: (service: string) => boolean;
   readonly fleet: Fleet;
   readonly identity: IdentityContext;
   readonly scheduler: SchedulerLike;
@@ -100,7 +102,8 @@
   }
 
   get #services(): readonly string[] {
-    return [...new Set(this.#context.fleet.servers.map(({ entry }) => entry.service))];
+    const { fleet, isRouted } = this.#context;
+    return [...new Set(fleet.servers.map(({ entry }) => entry.service))].filter(isRouted);
   }
 
   #servers(service: string): readonly ServerState[] {
--- a/src/relay/routes.ts
+++ b/src/relay/routes.ts
@@ -77,6 +77,8 @@
 
   readonly #byKey = new Map<string, RelayWorkspace>();
 
+  readonly #services: ReadonlySet<string>;
+
   private constructor(configuration: RelayConfiguration) {
     this.configuration = configuration;
     configuration.routes.forEach((route) => {
@@ -84,6 +86,8 @@
       this.#byHost.set(host, [...this.#byHost.get(host) ?? [], route]);
     });
     this.#byHost.forEach((routes) => routes.sort((a, b) => b.prefix.length - a.prefix.length));
+    this.#services = new Set(configuration.routes.flatMap(({ targets }) => (
+      targets.map(({ service }) => service))));
     configuration.workspaces?.forEach((workspace) => {
       workspace.keys.forEach((key) => this.#byKey.set(key, workspace));
     });
@@ -98,6 +102,11 @@
     return this.#byHost.get(host.toLowerCase())?.find(({ prefix }) => path.startsWith(prefix));
   }
 
+  /** Whether requests of any route go to a service. */
+  hasService(service: string): boolean {
+    return this.#services.has(service);
+  }
+
   workspace(key: string): RelayWorkspace | undefined {
     return this.#byKey.get(key);
   }
--- a/test/relay-partition.test.ts
+++ b/test/relay-partition.test.ts
@@ -133,6 +133,17 @@
   });
 });
 
+test('an entry of an unknown service does not keep a cut-off instance in use', async (t) => {
+  const site = await createSite(t);
+  const { cutOff, cutOffPaths } = site;
+  await cutOff.putEntry(site.plain[0]!, 'unknown', { id: 'odd', address: '127.0.0.1:1' });
+  t.true(await eventually(() => cutOff.log.of('server_listed').some(({ server }) => (
+    server === 'odd'))));
+  await cutOffPaths.cut('refused');
+  await Promise.all(KINDS.map((kind) => load(cutOff, kind, 'cut')));
+  t.true(await eventually(() => !cutOff.daemon.ready));
+});
+
 [1, 2].forEach((cuts) => {
   test(`an instance that was cut off serves its callers itself: cut ${cuts} times`, async (t) => {
     const { cutOff, cutOffPaths } = await createSite(t);
