--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -7,6 +7,8 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import { VERSION_LIMIT } from '../store/epoch.js';
 import type { Listing, StoredObject } from '../store/objects.js';
@@ -62,6 +64,11 @@
   });
 }
 
+export function readSnapshot(response: unknown): Result<Snapshot, string> {
+  const read = SNAPSHOT.safeParse(response);
+  return read.success ? ok(read.data) : err(read.error.message);
+}
+
 /**
  * Rejects if the snapshot can't be read.
  * @param address `host:port` of the other daemon
@@ -73,7 +80,7 @@
   const response: unknown = client.snapshot.query(undefined, {
     signal: AbortSignal.timeout(TIMEOUT_MS),
   });
-  const read = SNAPSHOT.safeParse(await response);
-  if (!read.success) throw new Error(`the snapshot is unreadable: ${read.error.message}`);
-  return read.data;
+  const read = readSnapshot(await response);
+  if (read.isErr()) throw new Error(`the snapshot is unreadable: ${read.error}`);
+  return read.value;
 }
