Let one odd item of the list of instances hide no other

One instance in the platform's list with an unknown state, or without an address, made the whole list unreadable, so that an instance that started found no other. Items are read one by one; a list of which none can be read is still an error.

--- a/src/membership/listclient.ts
+++ b/src/membership/listclient.ts
@@ -6,12 +6,13 @@
 
 const DEADLINE_MS = 2_000;
 
-const listing = z.array(z.object({
+const listing = z.array(z.unknown());
+const instance = z.object({
   name: z.string().min(1),
   zone: z.string().min(1),
   peerAddress: z.string().min(1),
   state: z.enum(['live', 'leaving']),
-}));
+});
 
 export class HttpInstanceList implements InstanceList {
   readonly #url: string;
@@ -24,9 +25,15 @@
     return new HttpInstanceList(url);
   }
 
-  /** Rejects if the list can't be read before the deadline or doesn't match the schema. */
+  /**
+   * Leaves out what can't be read. Rejects if the list can't be read before the deadline, or if it
+   * has items and none can be read.
+   */
   async read(): Promise<readonly ListedInstance[]> {
-    return listing.parse(JSON.parse(await this.#get()));
+    const items = listing.parse(JSON.parse(await this.#get()));
+    const instances = items.flatMap((item) => instance.safeParse(item).data ?? []);
+    if (items.length > 0 && instances.length === 0) throw new Error('no instance can be read');
+    return instances;
   }
 
   #get(): Promise<string> {
