Take a token only at a position that can be counted

Token events are checked by hand for speed, and any integer passed as a position: -1, 1e300, or one that rounds to its neighbour. It is now a safe integer of at least 0, as in the schema of the other events; else the stream fails as one that breaks the protocol.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -41,12 +41,16 @@
     : failure('connect', 'no', error.message);
 }
 
+function isPosition(value: unknown): boolean {
+  return typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+}
+
 /** Checks token events, by far the most frequent ones, by hand and others with a schema. */
 function parseEvent(data: string): EngineEvent {
   try {
     const value = JSON.parse(data) as { kind?: unknown; position?: unknown; text?: unknown };
     const { kind, position, text } = value;
-    if (kind === 'token' && typeof text === 'string' && Number.isInteger(position)) {
+    if (kind === 'token' && typeof text === 'string' && isPosition(position)) {
       return value as EngineEvent;
     }
     return engineEvent.parse(value);
--- a/test/fuzz/parsers.test.ts
+++ b/test/fuzz/parsers.test.ts
@@ -126,6 +126,18 @@
   SOCKET_RUNS,
 );
 
+['1e300', '-1', '1e999', '1.5', '9007199254740993'].forEach((position) => {
+  test(`a token at position ${position} is a failure`, async (t) => {
+    const server = createServer((_, res) => res.end(
+      `data: {"kind":"token","position":${position},"text":"a"}\n\n`,
+    ));
+    const client = HttpEngineClient.of(await listen(server));
+    const events = await lastValueFrom(client.join('g', 1, 0).pipe(toArray()));
+    t.like(events, [{ kind: 'failed', cause: 'protocol' }]);
+    server.close();
+  });
+});
+
 testProp(
   'an engine that does not speak HTTP is a failure',
   [mutated([`HTTP/1.1 200 OK\r\ncontent-length: ${EVENTS.length}\r\n\r\n${EVENTS}`])],
