Reset a broken response to a caller of HTTP/1.0, whose end would look complete

A caller of HTTP/1.0 gets a response without length and chunks, which ends with its connection. When its stream, or a service's response, broke off, the connection was closed in order, and so the part that had come looked complete; relays and the product's own interface did the same. Now a response that isn't in chunks is broken off by a reset. A reset may discard what the caller has not read yet; callers of HTTP/1.1 get chunks, and nothing changes for them. Before: both new tests failed ("reset: false, whole: true"); now they pass, and a complete response to a caller of HTTP/1.0 still ends in order.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -6,6 +6,7 @@
 import type { SchedulerLike } from 'rxjs';
 import { bodyOf, retryAfterSeconds, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
+import { breakOff } from './closedelimited.js';
 
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Longest pause within a body. */
@@ -17,7 +18,7 @@
 /** Sends a refusal; a response that has already begun is aborted instead. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal): void {
   if (res.headersSent) {
-    res.destroy();
+    breakOff(res);
     return;
   }
   const retryAfter = retryAfterSeconds(refusal);
--- a/src/entry/closedelimited.ts
+++ b/src/entry/closedelimited.ts
@@ -1,9 +1,10 @@
 /**
- * Close-delimited responses, which have no length and end with their connection. When a reset
- * arrives together with the last bytes, Node reports an orderly end and no error. The socket's
- * remote address tells them apart: it is undefined after a reset, but not after an orderly end.
+ * Close-delimited responses, which have no length and end with their connection: of servers, and
+ * to callers of HTTP/1.0, who read no chunks. When a reset arrives together with the last bytes,
+ * Node reports an orderly end and no error. The socket's remote address tells them apart: it is
+ * undefined after a reset, but not after an orderly end.
  */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -31,3 +32,11 @@
   });
   return () => failure;
 }
+
+/** Breaks a response off that has begun, so that it can't be taken for a complete one. */
+export function breakOff(res: ServerResponse): void {
+  const { socket } = res;
+  // Without chunks, an orderly end of the connection may be that of the response.
+  if (socket && !socket.destroyed && !res.chunkedEncoding) socket.resetAndDestroy();
+  else res.destroy();
+}
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -5,7 +5,7 @@
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
 import { openRequest } from '../common/outgoing.js';
-import { isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
+import { breakOff, isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
 
 const HOP_BY_HOP: readonly string[] = [
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te',
@@ -142,7 +142,7 @@
         .then(() => connectionError() === undefined, () => false)
         .then((whole) => {
           if (whole) res.end();
-          else res.destroy();
+          else breakOff(res);
           settle({ kind: 'answered', whole });
         }, fail);
     });
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -4,6 +4,7 @@
 import type { Drain } from '../entry/drain.js';
 import { logAnswer } from '../entry/accesslog.js';
 import { readBody } from '../entry/body.js';
+import { breakOff } from '../entry/closedelimited.js';
 import { Delivery } from '../entry/delivery.js';
 import { whenReleased } from '../entry/gracefulclose.js';
 import { applyHeadLimits, createCallerServer } from '../entry/httpserver.js';
@@ -189,7 +190,7 @@
         res.write(bytes);
       },
       end: () => res.end(),
-      abort: () => res.destroy(),
+      abort: () => breakOff(res),
     };
     const onCallerGone = call.route.delivery === 'events'
       ? StreamRelay.start(call, caller, this.#context)
@@ -226,7 +227,7 @@
       after_ms: 'receivedAt' in request ? Math.round(scheduler.now() - request.receivedAt) : 0,
     });
     if (res.headersSent) {
-      res.destroy();
+      breakOff(res);
       return;
     }
     const body = Buffer.from(bodyOf(refused));
--- a/test/entryservice.test.ts
+++ b/test/entryservice.test.ts
@@ -11,6 +11,8 @@
 } from './fakes/entry.js';
 import type { EntryFixture } from './fakes/entry.js';
 import { eventually } from './fakes/eventually.js';
+import { KEY } from './fakes/deployment.js';
+import { callRaw } from './fakes/rawcaller.js';
 
 /** A listener that records its calls. */
 function recorder(answer: (req: IncomingMessage, res: ServerResponse) => void) {
@@ -155,6 +157,20 @@
   });
 });
 
+test('a response that is cut off is reset for a caller that reads no chunks', async (t) => {
+  const truncated = recorder((_, res) => {
+    res.write('half');
+    setTimeout(() => res.destroy(), 20);
+  });
+  await withEntry(t, { services: [truncated.listener] }, async ({ address }) => {
+    const [ip, port] = address.split(':');
+    const reply = await callRaw({ ip: ip!, callersPort: Number(port) }, [
+      'GET /services/stock/price HTTP/1.0', 'Host: x', `Authorization: Bearer ${KEY}`,
+    ]);
+    t.like(reply, { status: 200, reset: true, whole: false });
+  });
+});
+
 test('when the caller disconnects, the connection to the service is closed', async (t) => {
   const state = { taken: false, left: false };
   await withEntry(t, {
--- a/test/relay-streamevents.test.ts
+++ b/test/relay-streamevents.test.ts
@@ -37,9 +37,14 @@
   return { relay, attemptsOf };
 }
 
-function request(relay: Relay, id: string, path = '/stream/'): Promise<RawReply> {
+function request(
+  relay: Relay,
+  id: string,
+  path = '/stream/',
+  version = '1.1',
+): Promise<RawReply> {
   return callRaw(relay.endpoint, [
-    `POST ${path} HTTP/1.1`, `Host: ${HOST}`, `x-id: ${id}`, `x-key: ${KEY}`,
+    `POST ${path} HTTP/${version}`, `Host: ${HOST}`, `x-id: ${id}`, `x-key: ${KEY}`,
     'x-prompt: 80', 'x-output: 20', 'x-deadline: 4000',
   ], `prompt of ${id}`);
 }
@@ -235,3 +240,11 @@
     t.is(attemptsOf('r1').length, 1);
   });
 });
+
+test.serial('a stream that breaks off is reset for a caller that reads no chunks', async (t) => {
+  const { relay } = await startSite(t, { r1: [stream('data: wrong\n\n', eventsText(HELD))] });
+  const broken = await request(relay, 'r1', '/streams-once/', '1.0');
+  t.like(broken, { status: 200, whole: false, reset: true });
+  const complete = await request(relay, 'r2', '/streams-once/', '1.0');
+  t.like(complete, { status: 200, body: eventsText(EVENTS), whole: true });
+});
