--- a/test/relay-stopconnections.test.ts
+++ b/test/relay-stopconnections.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
-import { RawCaller, headText } from './fakes/rawcaller.js';
+import { CallerConnection, headText } from './fakes/callerconnection.js';
 import { Relay } from './fakes/relay.js';
 import type { RelayEngineOptions } from './fakes/relayengine.js';
 
@@ -26,8 +26,8 @@
   return relay;
 }
 
-function callerOf(relay: Relay): Promise<RawCaller> {
-  return RawCaller.of({ host: relay.endpoint.ip, port: relay.endpoint.callersPort });
+function callerOf(relay: Relay): Promise<CallerConnection> {
+  return CallerConnection.of({ host: relay.endpoint.ip, port: relay.endpoint.callersPort });
 }
 
 /** A caller that keeps its side of the connection open when the instance has ended its own. */
