--- a/test/relay-forwarding.test.ts
+++ b/test/relay-forwarding.test.ts
@@ -48,7 +48,7 @@
     stopping: { limit: NEVER },
   } as unknown as RelayContext;
   return new Promise((resolve) => {
-    const caller: Partial<Caller> = { refuse: resolve };
+    const caller: Partial<Caller> = { sending: () => undefined, refuse: resolve };
     ForwardedCall.start(call as Call, caller as Caller, context, {
       ip: '127.0.0.9', port, targets, progress: { attempts: 0 },
     });
