--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -90,10 +90,16 @@
     const server = createCallerServer((req, res) => entry.#onRequest(req, res));
     server.followDrain(entry.#drain);
     entry.#drain.states.pipe(filter((state) => state === 'expired'))
-      .subscribe(() => entry.#open.forEach((res) => sendRefusal(res, STOPPED)));
+      .subscribe(() => entry.#endOpen());
     return server;
   }
 
+  /** Ends the answers that are open at the limit of a stop; what has ended is flushed. */
+  #endOpen(): void {
+    [...this.#open].filter((res) => !res.writableEnded)
+      .forEach((res) => sendRefusal(res, STOPPED));
+  }
+
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
     const receivedAt = this.#scheduler.now();
     // `close` reports a broken connection; an `error` without a listener would end the process.
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -121,10 +121,10 @@
       return;
     }
     if (this.#reject(quarantineRefusal(this.#call, this.#context))) return;
-    const stopped = stopRefusal(this.#call, this.#context);
+    const isHedge = this.#state.phase.kind === 'running';
     // Without a hedge, the attempt that runs goes on.
-    if (stopped && this.#state.phase.kind === 'running') return;
-    if (this.#reject(stopped)) return;
+    if (isHedge && this.#context.stopping.lacking(this.#call)) return;
+    if (!isHedge && this.#reject(stopRefusal(this.#call, this.#context))) return;
     if (isRetry && retries.left(service.name, now) < 1) {
       this.#unassignable('the retry budget is used up');
       return;
--- a/src/relay/openanswer.ts
+++ b/src/relay/openanswer.ts
@@ -5,9 +5,10 @@
 /**
  * `reading`: its request is not complete. `placing`: no server has the request. `running`: a server
  * has it, and its caller has nothing. `answering`: the caller has a head. `flushing`: the answer
- * has ended, and some of it is unsent.
+ * has ended, and some of it is unsent. `closing`: its caller has not closed the connection yet.
  */
-export type AnswerStage = 'reading' | 'placing' | 'running' | 'answering' | 'flushing';
+export type AnswerStage =
+  | 'reading' | 'placing' | 'running' | 'answering' | 'flushing' | 'closing';
 
 export class OpenAnswer {
   readonly #request: string | undefined;
@@ -40,8 +41,8 @@
         if (!this.#isRead) return 'reading';
         return this.#server === undefined ? 'placing' : 'running';
       case 'begun': return 'answering';
-      case 'ended':
-      case 'flushed': return 'flushing';
+      case 'ended': return 'flushing';
+      case 'flushed': return 'closing';
     }
   }
 
--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -30,6 +30,8 @@
   readonly streamedMs: number;
 }
 
+const NOT_SENT: CallProgress = { attempts: 0, streamedMs: 0 };
+
 /** Times that decide whether a call may begin. */
 interface StopTimes { readonly leftMs: number; readonly expectedMs: number }
 
@@ -56,7 +58,10 @@
   }
 
   /** The times of a call that might not end before the limit; undefined if it may be sent. */
-  lacking(call: Omit<Call, 'body'>, { attempts, streamedMs }: CallProgress): StopTimes | undefined {
+  lacking(
+    call: Omit<Call, 'body'>,
+    { attempts, streamedMs }: CallProgress = NOT_SENT,
+  ): StopTimes | undefined {
     const { leftMs, hasLagPassed } = this.#drain;
     const now = this.#scheduler.now();
     if (call.deadlineAt - now < leftMs) return undefined;
@@ -72,7 +77,7 @@
 export function stopRefusal(
   call: Omit<Call, 'body'>,
   context: Pick<RelayContext, 'stopping' | 'log'>,
-  progress: CallProgress = { attempts: 0, streamedMs: 0 },
+  progress: CallProgress = NOT_SENT,
 ): Refusal | undefined {
   const times = context.stopping.lacking(call, progress);
   if (!times) return undefined;
