Judge what fits into a stop by the median of late, not by the longest

Seen: callers of a stopping instance were refused in the balancer's lag with up to 7.5 s left, though most streams take 5 s. Cause: the longest time to the first event and the longest time per token of the last minute were added, and a stream that had lost its engines set both.

The medians of the last 32 answers of the last minute count now. relay-durations fails with the sum of the longest; what is known still ages out and is bounded.

--- a/src/relay/durations.ts
+++ b/src/relay/durations.ts
@@ -1,34 +1,37 @@
 /**
- * How long answers have taken lately, by service: the longest time to the first event, the longest
- * time per requested token after it, and the longest whole answer of a plain service.
+ * How long answers have taken lately, by service: medians of the time to a stream's first event, of
+ * the time per requested token after it, and of the whole answers of a plain service. Streams that
+ * lost an engine on the way take much longer, and don't count for the others.
  */
-import {
-  largest, samplesSince, withSample,
-} from '../limits/slidingmax.js';
-import type { SlidingMax } from '../limits/slidingmax.js';
 import type { Call } from './call.js';
 
 type CallHead = Omit<Call, 'body'>;
 
 /** Long enough that most services have an answer in it, short enough to forget a burst. */
 const WINDOW_MS = 60_000;
+/** The newest answers of a service that count. */
+const MAX_SAMPLES = 32;
 /** A configuration has far fewer services; those no longer in it drop out as the least recent. */
 const MAX_SERVICES = 256;
 
-interface ServiceDurations {
-  readonly firstEvents: SlidingMax;
-  readonly perToken: SlidingMax;
-  readonly answers: SlidingMax;
+/** One answer; that of a plain service has no first event of its own. */
+interface Sample {
+  readonly at: number;
+  readonly firstMs: number;
+  readonly perTokenMs: number;
 }
 
-const NO_DURATIONS: ServiceDurations = { firstEvents: [], perToken: [], answers: [] };
-
 function tokensOf({ fields: { outputTokens } }: CallHead): number {
   return Math.max(1, outputTokens);
 }
 
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)]!;
+}
+
 export class Durations {
-  readonly #services = new Map<string, ServiceDurations>();
+  readonly #services = new Map<string, readonly Sample[]>();
 
   static of(): Durations {
     return new Durations();
@@ -41,49 +44,37 @@
    * @param restMs from the first event to the end
    */
   recordStream(call: CallHead, firstMs: number, restMs: number, now: number): void {
-    const { firstEvents, perToken, answers } = this.#recent(call, now);
-    this.#set(call, {
-      firstEvents: withSample(firstEvents, firstMs, now),
-      perToken: withSample(perToken, restMs / tokensOf(call), now),
-      answers,
-    });
+    this.#record(call, { at: now, firstMs, perTokenMs: restMs / tokensOf(call) });
   }
 
   /** Records a plain call that was answered. */
   recordAnswer(call: CallHead, now: number): void {
-    const { answers, ...others } = this.#recent(call, now);
-    this.#set(call, { ...others, answers: withSample(answers, now - call.receivedAt, now) });
+    this.#record(call, { at: now, firstMs: now - call.receivedAt, perTokenMs: 0 });
   }
 
   /**
-   * The time that an attempt of the call takes if it takes as long as the longest of late;
-   * undefined if there was none.
+   * The time that an attempt of the call takes if it takes as long as others of late; undefined if
+   * there were none.
    *
    * @param streamedMs how long the stream has run since its first event
    */
   expectedMs(call: CallHead, streamedMs: number, now: number): number | undefined {
-    const { firstEvents, perToken, answers } = this.#recent(call, now);
-    if (call.route.delivery === 'whole') {
-      return answers.length === 0 ? undefined : largest(answers, 0);
-    }
-    if (firstEvents.length === 0) return undefined;
-    const restMs = Math.max(0, largest(perToken, 0) * tokensOf(call) - streamedMs);
-    return largest(firstEvents, 0) + restMs;
+    const samples = this.#recent(call, now);
+    if (samples.length === 0) return undefined;
+    const perTokenMs = median(samples.map((sample) => sample.perTokenMs));
+    const restMs = Math.max(0, perTokenMs * tokensOf(call) - streamedMs);
+    return median(samples.map(({ firstMs }) => firstMs)) + restMs;
   }
 
-  #recent({ service: { name } }: CallHead, now: number): ServiceDurations {
-    const { firstEvents, perToken, answers } = this.#services.get(name) ?? NO_DURATIONS;
-    const from = now - WINDOW_MS;
-    return {
-      firstEvents: samplesSince(firstEvents, from),
-      perToken: samplesSince(perToken, from),
-      answers: samplesSince(answers, from),
-    };
+  #recent({ service: { name } }: CallHead, now: number): readonly Sample[] {
+    return (this.#services.get(name) ?? []).filter(({ at }) => at > now - WINDOW_MS);
   }
 
-  #set({ service: { name } }: CallHead, durations: ServiceDurations): void {
+  #record(call: CallHead, sample: Sample): void {
+    const samples = [...this.#recent(call, sample.at), sample].slice(-MAX_SAMPLES);
+    const { service: { name } } = call;
     this.#services.delete(name);
-    this.#services.set(name, durations);
+    this.#services.set(name, samples);
     const [oldest] = this.#services.keys();
     if (this.#services.size > MAX_SERVICES && oldest !== undefined) this.#services.delete(oldest);
   }
