Read what came in a pause before a stop's limit ends open calls

Callers saw: 502 of unknown fate for calls that a server had answered whole, unsafe ones too, when the instance stood still from before the answer until after the limit of its stop. Cause: after a pause the timer of the limit fires before the answer that waits in the socket is read. Now the open calls are ended after the next poll for input, in both interfaces.

The new test stops a process (SIGSTOP) over the limit: 502 before, 200 and whole after.

--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -10,7 +10,7 @@
 import { MAX_SEED } from '../common/random.js';
 import type { Random } from '../common/random.js';
 import type { Refusal, RefusalCode } from '../common/refusal.js';
-import { MILLISECONDS_PER_SECOND, monotonicScheduler } from '../common/time.js';
+import { afterNextPoll, MILLISECONDS_PER_SECOND, monotonicScheduler } from '../common/time.js';
 import type { Workspace } from '../configuration/configuration.js';
 import { AnswerStream, sendCompletion } from './answer.js';
 import { logAnswer } from './accesslog.js';
@@ -90,7 +90,7 @@
     const server = createCallerServer((req, res) => entry.#onRequest(req, res));
     server.followDrain(entry.#drain);
     entry.#drain.states.pipe(filter((state) => state === 'expired'))
-      .subscribe(() => entry.#endOpen());
+      .subscribe(() => afterNextPoll(() => entry.#endOpen()));
     return server;
   }
 
--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -5,6 +5,7 @@
 import { Subject } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Refusal } from '../common/refusal.js';
+import { afterNextPoll } from '../common/time.js';
 import type { Drain } from '../entry/drain.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
@@ -49,7 +50,8 @@
     this.#drain = drain;
     this.#scheduler = scheduler;
     drain.states.subscribe((state) => {
-      if (state === 'expired') this.limit.next(STOPPED);
+      // Answers that came in a pause of the process are read first.
+      if (state === 'expired') afterNextPoll(() => this.limit.next(STOPPED));
     });
   }
 
--- a/test/stop-process.test.ts
+++ b/test/stop-process.test.ts
@@ -213,3 +213,22 @@
   t.true(answer.whole, `${describe(answer, started, 'r1')}, ${connection.error ?? 'closed'}`);
   t.true(answer.body.equals(answerBody('r1', 3_000_000)));
 });
+
+test('a call answered while the instance stood still past the limit gets its answer', async (t) => {
+  const started = await running(t);
+  const { relay, record } = started;
+  const connection = await relay.connect();
+  const answered = connection.answer();
+  connection.send(emptyRequest('r1', '/unsafe/x?ms=1500'));
+  t.true(await eventually(() => record.of('r1').length === 1), 'the server has it');
+  relay.signal('SIGTERM');
+  const signalledAt = performance.now();
+  t.true(await eventually(async () => !await relay.isReady()), 'out of rotation');
+  relay.signal('SIGSTOP');
+  t.true(await eventually(() => performance.now() - signalledAt > GRACE_S * 1_000));
+  t.is(record.of('r1')[0]?.end, 'whole');
+  relay.signal('SIGCONT');
+  const answer = await answered;
+  t.is(answer.status, 200, describe(answer, started, 'r1'));
+  t.true(answer.whole);
+});
