--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -32,7 +32,8 @@
 
   /**
    * @param behaviour `respond(req, res, arrival, engine)` may answer in place of the engine and
-   * returns whether it did; `onEvent(event, arrival, engine, res)` is called after each event.
+   * returns whether it did; `onEvent(event, arrival, engine, res)` is called
+   * after each event and may go on with the answer in place of the engine.
    */
   constructor({
     store, ip, service, zone, version = 'v1', slots = 16, workMs = 20, stepMs = 20, events = 30,
@@ -173,7 +174,8 @@
         res.writeHead(200, { ...this.headers(arrival), 'Content-Type': 'text/event-stream' });
       }
       res.write(`id: ${event}\ndata: ${arrival.id} ${event}\n\n`);
-      this.behaviour.onEvent?.(event, arrival, this, res);
+      // Where this returns true, the behaviour itself goes on with the answer.
+      if (this.behaviour.onEvent?.(event, arrival, this, res)) return;
       await sleep(this.stepMs);
     }
     if (!res.destroyed) res.end();
