--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -37,7 +37,7 @@
 }
 
 /** A version of the configuration. */
-export function configuration(version, changes = {}) {
+export function configuration(version, { backups = false, ...changes } = {}) {
   return {
     Version: version,
     Routes: routes(),
@@ -49,7 +49,7 @@
         Protocol: 'h1',
         Tls: false,
         Engine: {
-          Slots: 64, KvCapacity: 88_000, Backups: false, Models: [{ Name: 'm' }],
+          Slots: 64, KvCapacity: 88_000, Backups: backups, Models: [{ Name: 'm' }],
         },
       },
       {
@@ -99,6 +99,7 @@
     ];
     this.engines = ZONES.flatMap((zone) => kinds.map((kind) => ({ zone, ...kind })))
       .map((kind, index) => new Engine({ store: this.store, ip: address(index + 100), ...kind }));
+    this.engines.forEach((engine) => Object.assign(engine, { peers: this.engines }));
     await Promise.all(this.engines.map((engine) => engine.start()));
     const ips = Array.from({ length: relays }, (_, index) => address(index + 1));
     const [front, ready, control, first, last] = await freePorts(5, ips);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -13,11 +13,18 @@
 const LAPSE_MS = 3 * HEARTBEAT_MS;
 
 export class Engine {
-  /** What arrived: { id, path, at, headers, ran, body, end, engine }. */
+  /** What arrived: { id, path, at, headers, ran, body, end, engine,
+   * runsFrom, worksUntil }. */
   arrivals = [];
 
   crashes = [];
 
+  /** Requests of whose memory this engine keeps a copy. */
+  copies = new Set();
+
+  /** Until when the engine neither reads nor sends anything. */
+  silentUntil = 0;
+
   state = 'ready';
 
   isUp = false;
@@ -102,6 +109,14 @@
     this.#lapse = setTimeout(() => this.store.remove('servers', this.id), LAPSE_MS);
   }
 
+  get isSilent() {
+    return now() < this.silentUntil;
+  }
+
+  async #untilAudible() {
+    while (this.isSilent) await sleep(Math.max(1, this.silentUntil - now()));
+  }
+
   /** Starts again under the same id, at the same address. */
   crashFor(ms, cause) {
     if (!this.isUp) return;
@@ -128,6 +143,7 @@
 
   async #serve(req, res) {
     const path = req.url.split('?')[0];
+    await this.#untilAudible();
     if (path === '/health') {
       res.writeHead(200, { 'Instance-Id': this.id }).end();
       return;
@@ -156,7 +172,11 @@
       res.writeHead(421, { 'Request-Id': id, 'Not-Executed': '1', 'Instance-Id': this.id }).end();
       return;
     }
-    Object.assign(arrival, { ran: true, body });
+    if (headers['kv-from'] !== undefined && !this.copies.delete(id)) {
+      res.writeHead(503, { 'Request-Id': id, 'Not-Executed': '1' }).end();
+      return;
+    }
+    Object.assign(arrival, { ran: true, body, runsFrom: now() });
     if (await this.behaviour.respond?.(req, res, arrival, this)) return;
     if (headers['token-counts'] !== undefined) await this.#stream(res, arrival);
     else {
@@ -165,19 +185,31 @@
     }
   }
 
+  /** Works on a stream; what is made while the engine is silent is sent afterwards. */
   async #stream(res, arrival) {
     const from = Number(arrival.headers['last-event-id'] ?? 0) + 1;
-    await sleep(this.firstMs);
+    const standby = this.peers?.find(({ address }) => address === arrival.headers['kv-backup']);
+    let unsent = '';
+    // A copy needs no prefill.
+    if (arrival.headers['kv-from'] === undefined) await sleep(this.firstMs);
     for (let event = from; event <= this.events; event += 1) {
-      if (res.destroyed) return;
-      if (!res.headersSent) {
-        res.writeHead(200, { ...this.headers(arrival), 'Content-Type': 'text/event-stream' });
+      // That its connection has closed shows once the engine reads again.
+      if (!this.isSilent && res.destroyed) break;
+      Object.assign(arrival, { worksUntil: now() });
+      unsent += `id: ${event}\ndata: ${arrival.id} ${event}\n\n`;
+      if (!this.isSilent) {
+        if (!res.headersSent) {
+          res.writeHead(200, { ...this.headers(arrival), 'Content-Type': 'text/event-stream' });
+        }
+        res.write(unsent);
+        unsent = '';
+        standby?.copies.add(arrival.id);
       }
-      res.write(`id: ${event}\ndata: ${arrival.id} ${event}\n\n`);
       // Where this returns true, the behaviour itself goes on with the answer.
       if (this.behaviour.onEvent?.(event, arrival, this, res)) return;
       await sleep(this.stepMs);
     }
-    if (!res.destroyed) res.end();
+    await this.#untilAudible();
+    if (!res.destroyed) res.end(unsent);
   }
 }
