--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")/../.." || exit 2
-exec node review/3/case.mjs
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+exec node "$here/case.mjs"
