--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -76,20 +76,21 @@
 
   /**
    * @param options numbers of `relays`, of `writers` and `plain` engines in each zone, and what the
-   * engines do beside what is usual
+   * engines do beside what is usual; `setUp` may change engines before they start
    */
   static async start({
     relays = 3, writers = 2, plain = 1, writer = {}, plainServer = {}, config = {},
+    setUp = () => undefined,
   } = {}) {
     const deployment = new Deployment();
     await deployment.#start({
-      relays, writers, plain, writer, plainServer, config,
+      relays, writers, plain, writer, plainServer, config, setUp,
     });
     return deployment;
   }
 
   async #start({
-    relays, writers, plain, writer, plainServer, config,
+    relays, writers, plain, writer, plainServer, config, setUp,
   }) {
     await this.store.listen(address(250));
     this.store.put('config', 'main', configuration(7, config));
@@ -100,6 +101,7 @@
     this.engines = ZONES.flatMap((zone) => kinds.map((kind) => ({ zone, ...kind })))
       .map((kind, index) => new Engine({ store: this.store, ip: address(index + 100), ...kind }));
     this.engines.forEach((engine) => Object.assign(engine, { peers: this.engines }));
+    setUp(this.engines);
     await Promise.all(this.engines.map((engine) => engine.start()));
     const ips = Array.from({ length: relays }, (_, index) => address(index + 1));
     const [front, ready, control, first, last] = await freePorts(5, ips);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -40,7 +40,8 @@
   /**
    * @param behaviour `respond(req, res, arrival, engine)` may answer in place of the engine and
    * returns whether it did; `onEvent(event, arrival, engine, res)` is called
-   * after each event and may go on with the answer in place of the engine.
+   * after each event and may go on with the answer in place of the engine; `held(engine)` lists the
+   * parts of prompts that it keeps.
    */
   constructor({
     store, ip, service, zone, version = 'v1', slots = 16, workMs = 20, stepMs = 20, events = 30,
@@ -150,7 +151,7 @@
     }
     if (path === '/kv-list') {
       res.writeHead(200, { 'Content-Type': 'application/json' })
-        .end(JSON.stringify({ epoch: 1, Next: 1, held: [] }));
+        .end(JSON.stringify({ epoch: 1, Next: 1, held: this.behaviour.held?.(this) ?? [] }));
       return;
     }
     const { headers } = req;
