--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -93,7 +93,8 @@
   const second = streams(deployment, shuffled(sessions));
   await sleep(KILL_AFTER_MS);
   if (isTroubled) {
-    note(`all machines are killed; engine ${newer.id} (${NEW_VERSION}) is silent for ${SILENCE_MS} ms`);
+    const silent = `engine ${newer.id} (${NEW_VERSION}) is silent for ${SILENCE_MS} ms`;
+    note(`all machines are killed; ${silent}`);
     deployment.relays.forEach((relay) => relay.signal('SIGKILL'));
     newer.silentUntil = now() + SILENCE_MS;
     await sleep(RESTART_MS);
