--- a/review/lib/relay.mjs
+++ b/review/lib/relay.mjs
@@ -24,6 +24,9 @@
   rmSync(folder, { recursive: true, force: true });
 });
 
+// A case that is stopped from outside ends its processes too.
+['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((name) => process.once(name, () => process.exit(2)));
+
 export class Relay {
   constructor({
     name, ip, zone, seeds, store, ports,
