Check a response's head once, and end answers that can't be written

Cause: Node.js reads heads that it refuses to write. writeHead threw, only uncaughtException saw it, and later events were written after a 200 of Node's own. Of two ids in a head the first one decided.

Fix: heads are checked where they enter the relay, and one that can't be written again, or that has two values of a field that decides, is no answer. Whatever is thrown while an answer is written, or in a step of the relay, ends the answer with 502 or by breaking it off, and the call. Bytes that are no response no longer make an engine suspect. The product's own interface checks the heads of plain services.

--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -6,6 +6,7 @@
 import { parseHostPort } from '../common/address.js';
 import { openRequest } from '../common/outgoing.js';
 import { breakOff, isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
+import { headFault } from './responsehead.js';
 
 const HOP_BY_HOP: readonly string[] = [
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te',
@@ -14,6 +15,9 @@
 /** Not forwarded. Services get the workspace's name in place of its key, which is secret. */
 const REPLACED_HEADERS: readonly string[] = ['authorization', 'host', 'expect', 'x-workspace'];
 
+/** Services' responses are passed on as they are; no field of them but HTTP's own is read. */
+const NO_FIELDS: ReadonlySet<string> = new Set();
+
 /**
  * `failed` is reported only if nothing was sent to the caller. A response that is not `whole` was
  * cut off, for the caller too.
@@ -130,6 +134,11 @@
       if (!responseStarted) fail(error.message);
     });
     upstream.on('response', (response) => {
+      const fault = headFault(response, NO_FIELDS);
+      if (fault !== undefined || res.headersSent) {
+        fail(fault ?? 'the call was refused meanwhile');
+        return;
+      }
       responseStarted = true;
       timeout.unsubscribe();
       response.setTimeout(timeoutMs, () => response.destroy(new Error('the response stalled')));
--- a/src/relay/attemptplan.ts
+++ b/src/relay/attemptplan.ts
@@ -1,4 +1,5 @@
 /** What is decided about an attempt of a stream before it starts, and how far it has got. */
+import type { Caller } from './context.js';
 import type { RunDemand } from './selection.js';
 import type { ServerEntry } from './serverentry.js';
 
@@ -32,4 +33,6 @@
   readonly emptyEndAt: number | undefined;
   /** Whether another engine could take over the stream now. */
   readonly canMigrate: () => boolean;
+  /** Told of errors of the relay's own. */
+  readonly caller: Pick<Caller, 'fail'>;
 }
--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -4,7 +4,7 @@
 import { endToEnd } from '../entry/upstream.js';
 import type { Assignment } from './assignment.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
-import type { CallAttempt } from './callstate.js';
+import type { CallAttempt, CallEvent } from './callstate.js';
 import { fingerprintOf } from './fingerprint.js';
 import type { ResponseClass } from './responseclass.js';
 import { NO_LOAD } from './serverstate.js';
@@ -61,6 +61,23 @@
   };
 }
 
+export function failedEvent(
+  { attempt: { number }, sent }: LiveAttempt,
+  {
+    ran, message, response, misdirected,
+  }: AttemptFailure,
+): CallEvent {
+  const arrival = misdirected ? 'other_server' : 'server';
+  return {
+    kind: 'failed',
+    attempt: number,
+    ran,
+    arrival: sent ? arrival : 'nowhere',
+    message,
+    response,
+  };
+}
+
 /** The whole response of an attempt that has ended. */
 export function bufferedResponse(
   { status, headers }: ResponseHead,
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -3,14 +3,15 @@
 import type { LogFields } from '../common/log.js';
 import type { Refusal } from '../common/refusal.js';
 import {
-  bufferedResponse, failureFields, liveAttempt, ONE_REQUEST,
+  bufferedResponse, failedEvent, failureFields, liveAttempt, ONE_REQUEST,
 } from './bufferedattempt.js';
 import type { AttemptFailure, LiveAttempt } from './bufferedattempt.js';
 import type { Call } from './call.js';
+import { watchCallEnds } from './callends.js';
 import { callState, callTransition } from './callstate.js';
 import type { CallAttempt, CallEffect, CallEvent } from './callstate.js';
 import type { Caller, RelayContext } from './context.js';
-import { countRetry, remainingMs } from './context.js';
+import { countRetry, guarded, remainingMs } from './context.js';
 import { quarantineRefusal, recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
@@ -66,14 +67,14 @@
 
   #begin(): void {
     const { scheduler } = this.#context;
-    this.#timers.add(timer(remainingMs(this.#call, this.#context), scheduler)
-      .subscribe(() => this.#apply({ kind: 'expired' })));
+    this.#timers.add(watchCallEnds(this.#call, this.#caller, this.#context, {
+      expired: () => this.#apply({ kind: 'expired' }),
+      rejected: (refusal) => this.#apply({ kind: 'rejected', refusal }),
+      isSuspect: () => true,
+    }));
     this.#timers.add(timer(this.#call.route.objectiveMs * HEDGE_AFTER_SHARE, scheduler)
-      .subscribe(() => this.#apply({ kind: 'slow' })));
-    this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
-      this.#reject(quarantineRefusal(this.#call, this.#context)))));
-    this.#timers.add(this.#context.stopping.limit.subscribe((refusal) => this.#reject(refusal)));
-    this.#apply({ kind: 'begin' });
+      .subscribe(guarded(this.#caller, () => this.#apply({ kind: 'slow' }))));
+    guarded(this.#caller, () => this.#apply({ kind: 'begin' }))();
   }
 
   /** Ends the call if there is a refusal; returns whether there is. */
@@ -193,7 +194,10 @@
     this.#caller.sending(attempt.server);
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
     subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
-      .subscribe((event) => this.#onExchangeEvent(number, event)));
+      .subscribe(guarded(
+        this.#caller,
+        (event: ExchangeEvent) => this.#onExchangeEvent(number, event),
+      )));
   }
 
   #onExchangeEvent(number: number, event: ExchangeEvent): void {
@@ -226,8 +230,11 @@
         this.#onFailure(number, { ran: 'no', message: event.message });
         break;
       case 'failed':
-        if (event.ran === 'no') fleet.markSuspect(server, event.message);
-        else this.#recordBroken(live);
+        // A server that sends what is no response is up.
+        if (event.cause === 'connection') {
+          if (event.ran === 'no') fleet.markSuspect(server, event.message);
+          else this.#recordBroken(live);
+        }
         this.#onFailure(number, { ran: event.ran, message: event.message });
         break;
     }
@@ -271,22 +278,13 @@
   }
 
   #onFailure(number: number, failure: AttemptFailure): void {
-    const { ran, message, response } = failure;
     const live = this.#liveAttempts.get(number);
     if (!live) return;
     this.#release(number);
     const { server } = live.attempt;
-    if (ran === 'unknown') this.#context.fleet.recordOutcome(server, true);
+    if (failure.ran === 'unknown') this.#context.fleet.recordOutcome(server, true);
     this.#context.log.event('info', 'attempt_failed', failureFields(this.#call, live, failure));
-    const arrival = failure.misdirected ? 'other_server' : 'server';
-    this.#apply({
-      kind: 'failed',
-      attempt: number,
-      ran,
-      arrival: live.sent ? arrival : 'nowhere',
-      message,
-      response,
-    });
+    this.#apply(failedEvent(live, failure));
   }
 
   #release(number: number): void {
--- a/src/relay/cachedprompts.ts
+++ b/src/relay/cachedprompts.ts
@@ -22,6 +22,9 @@
 /** Ten thousand parts. */
 const MAX_LIST_BYTES = 1_048_576;
 
+/** Nothing is decided by the headers of a list. */
+const NO_FIELDS: ReadonlySet<string> = new Set();
+
 /** Cached tokens of each prompt part, by the part's id. */
 export type CachedParts = ReadonlyMap<string, number>;
 
@@ -95,6 +98,7 @@
       headers: ['Host', engine.address],
       body: Buffer.alloc(0),
       reuse: true,
+      singleFields: NO_FIELDS,
       maxBodyBytes: MAX_LIST_BYTES,
     }, scheduler).pipe(
       reduce((body, event) => (
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -58,6 +58,22 @@
   end(): void;
   /** Aborts the response, so that it can't be taken for a complete one. */
   abort(): void;
+  /** Ends the response after an error of the relay's own, which is logged, and ends the call. */
+  fail(error: unknown): void;
+}
+
+/** A listener whose errors end a call, where otherwise its caller would wait. */
+export function guarded<Values extends readonly unknown[]>(
+  caller: Pick<Caller, 'fail'>,
+  listener: (...values: Values) => void,
+): (...values: Values) => void {
+  return (...values) => {
+    try {
+      listener(...values);
+    } catch (error) {
+      caller.fail(error);
+    }
+  };
 }
 
 /** Counts one more attempt of a call against the retry budget. */
--- a/src/relay/dialect.ts
+++ b/src/relay/dialect.ts
@@ -75,6 +75,8 @@
 }
 
 export interface Dialect {
+  /** Names, in lowercase, of the headers that `readResponse` reads. */
+  readonly responseFields: ReadonlySet<string>;
   readRequest(headers: RawHeaders): RequestFields;
   /** The caller's headers, with those that only the relay may set replaced by its own. */
   serverHeaders(headers: RawHeaders, fields: ForwardedFields): readonly string[];
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -11,6 +11,7 @@
 import { isOfRequest, openRequest } from '../common/outgoing.js';
 import { afterNextPoll, afterPendingInput } from '../common/time.js';
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
+import { headFault } from '../entry/responsehead.js';
 import type { ResponseHead } from './call.js';
 import type { RawHeaders } from './dialect.js';
 import type { ResponseOwner } from './responseclass.js';
@@ -36,6 +37,8 @@
   readonly reuse: boolean;
   /** Limit on the length of the response's body; undefined if it has none. */
   readonly maxBodyBytes?: number | undefined;
+  /** Names, in lowercase, of the header fields that decide, and may have one value only. */
+  readonly singleFields: ReadonlySet<string>;
   /** Whom a response names; on a kept connection one to another request is read past, once. */
   readonly ownerOf?: ((head: ResponseHead) => ResponseOwner) | undefined;
   /** When the request is no longer worth sending, by the scheduler's clock; never by default. */
@@ -45,6 +48,9 @@
 /** @property kept whether the connection had served an earlier request, to which it may belong */
 export interface ReceivedHead extends ResponseHead { readonly kept: boolean }
 
+/** Whether the connection was lost or refused, or the server sent what can't be relied on. */
+export type FailureCause = 'connection' | 'response';
+
 /**
  * `failed` with `ran: 'no'` means that no byte of the request was sent. `unsent` means the same and
  * says nothing of the server: the deadline passed first, a kept connection had been closed or
@@ -57,12 +63,22 @@
   | { readonly kind: 'piece'; readonly bytes: Buffer }
   | { readonly kind: 'end' }
   | { readonly kind: 'unsent'; readonly message: string }
-  | { readonly kind: 'failed'; readonly ran: 'no' | 'unknown'; readonly message: string };
+  | {
+    readonly kind: 'failed';
+    readonly ran: 'no' | 'unknown';
+    readonly cause: FailureCause;
+    readonly message: string;
+  };
 
 interface ResponseListener {
   chunk(bytes: Buffer): void;
   end(): void;
-  fail(message: string): void;
+  fail(message: string, cause?: FailureCause): void;
+}
+
+/** Errors of Node's parser are about bytes, but for one about an end that came too early. */
+function causeOf({ code = '' }: NodeJS.ErrnoException): FailureCause {
+  return code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE' ? 'response' : 'connection';
 }
 
 /** Reads one response; calls `end` only if it is complete. */
@@ -70,7 +86,7 @@
   const connectionError = isSelfDelimited(response, method)
     ? () => undefined : watchCloseDelimited(response);
   response.on('data', (bytes: Buffer) => listener.chunk(bytes));
-  response.once('error', (error) => listener.fail(error.message));
+  response.once('error', (error) => listener.fail(error.message, causeOf(error)));
   response.once('aborted', () => listener.fail('the response was cut off'));
   response.once('end', () => {
     const reason = response.complete ? connectionError() : 'the response was cut off';
@@ -115,7 +131,10 @@
     if (opened.isErr()) {
       const { message } = opened.error;
       subscriber.next(isOfRequest(opened.error)
-        ? { kind: 'unsent', message } : { kind: 'failed', ran: 'no', message });
+        ? { kind: 'unsent', message }
+        : {
+          kind: 'failed', ran: 'no', cause: 'connection', message,
+        });
       subscriber.complete();
       return undefined;
     }
@@ -128,9 +147,14 @@
       subscriber.next(event);
       if (ended) subscriber.complete();
     };
-    const fail = (message: string) => {
+    const fail = (message: string, cause: FailureCause = 'connection') => {
+      const ran = sent ? 'unknown' : 'no';
       if (!sent && request.reusedSocket) emit({ kind: 'unsent', message });
-      else emit({ kind: 'failed', ran: sent ? 'unknown' : 'no', message });
+      else {
+        emit({
+          kind: 'failed', ran, cause, message,
+        });
+      }
       reader.destroy();
     };
     const sendRequest = () => {
@@ -153,20 +177,26 @@
       fail('the connection attempt timed out'))));
     const onError = (error: Error) => {
       // Bytes after a complete response belong to no request, and its end is yet to be read.
-      if (!isComplete()) fail(error.message);
+      if (!isComplete()) fail(error.message, causeOf(error));
     };
     request.on('error', onError);
     request.once('socket', (socket) => {
       socket.setNoDelay(true);
       // Before the parser, which would take them for the response to the request.
       socket.prependOnceListener('data', () => {
-        if (!sent) fail('bytes came before the request was sent');
+        if (!sent) fail('bytes came before the request was sent', 'response');
       });
-      stopCounting = limitHead(socket, () => fail('the head of the response is too long'));
+      stopCounting = limitHead(socket, () => (
+        fail('the head of the response is too long', 'response')));
       if (socket.connecting) socket.once('connect', onConnected);
       else onConnected();
     });
     const onResponse = (response: IncomingMessage) => {
+      const fault = headFault(response, outgoing.singleFields);
+      if (fault !== undefined) {
+        fail(`the head of the response can't be relied on: ${fault}`, 'response');
+        return;
+      }
       const { statusCode: status = 0, rawHeaders: headers } = response;
       const head: ReceivedHead = { status, headers, kept: request.reusedSocket };
       const owner = head.kept ? outgoing.ownerOf?.(head) ?? 'own' : 'own';
@@ -189,7 +219,7 @@
       readResponse(response, outgoing.method, {
         chunk: (bytes) => {
           bodyLength += bytes.length;
-          if (bodyLength > maxBodyBytes) fail('the body of the response is too long');
+          if (bodyLength > maxBodyBytes) fail('the body of the response is too long', 'response');
           else emit({ kind: 'piece', bytes });
         },
         end: () => emit({ kind: 'end' }),
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -1,13 +1,16 @@
 /** One call that another instance serves: sends it there and passes the answer on. */
 import { Subscription, timer } from 'rxjs';
+import type { Refusal } from '../common/refusal.js';
 import { endToEnd } from '../entry/upstream.js';
 import { bufferedResponse } from './bufferedattempt.js';
 import type { Call, ResponseHead } from './call.js';
 import type { Caller, RelayContext } from './context.js';
-import { remainingMs } from './context.js';
+import { guarded, remainingMs } from './context.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent, ReceivedHead } from './exchange.js';
-import { forwardHeaders, readOutcome, withoutForwardHeaders } from './forwardedrequest.js';
+import {
+  forwardHeaders, OUTCOME_FIELDS, readOutcome, withoutForwardHeaders,
+} from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
 import { ownerOf } from './responseclass.js';
 import type { ResponseOwner } from './responseclass.js';
@@ -83,9 +86,11 @@
   ): () => void {
     const forwarded = new ForwardedCall(call, caller, context, options);
     forwarded.#timers.add(timer(remainingMs(call, context), context.scheduler)
-      .subscribe(() => forwarded.#giveUp('unknown', 'the deadline has passed')));
-    forwarded.#timers.add(context.stopping.limit.subscribe(({ message }) => (
-      forwarded.#giveUp('unknown', message))));
+      .subscribe(guarded(caller, () => (
+        forwarded.#giveUp('unknown', 'the deadline has passed')))));
+    forwarded.#timers.add(context.stopping.limit
+      .subscribe(guarded(caller, ({ message }: Refusal) => (
+        forwarded.#giveUp('unknown', message)))));
     forwarded.#sendNext('no instance reaches a backend server');
     return () => forwarded.#stop();
   }
@@ -133,9 +138,13 @@
       body: this.#call.body,
       // An instance that restarts closes connections on which a call that may run once would wait.
       reuse: this.#call.route.repeat === 'safe',
+      singleFields: new Set([...this.#context.dialect.responseFields, ...OUTCOME_FIELDS]),
       ownerOf: (head) => this.#ownerOf(head),
       expiresAt: this.#call.deadlineAt,
-    }, scheduler).subscribe((event) => this.#onEvent(event));
+    }, scheduler).subscribe(guarded(
+      this.#caller,
+      (event: ExchangeEvent) => this.#onEvent(event),
+    ));
   }
 
   #onEvent(event: ExchangeEvent): void {
--- a/src/relay/forwardedrequest.ts
+++ b/src/relay/forwardedrequest.ts
@@ -16,6 +16,9 @@
 const OUTCOME = `${PREFIX}outcome`;
 const RETRY_AFTER_MS = `${PREFIX}retry-after-ms`;
 
+/** Headers of the answer to a forwarded request that are read. */
+export const OUTCOME_FIELDS: readonly string[] = [OUTCOME, RETRY_AFTER_MS];
+
 /** What another instance has done of a request that it forwards. */
 export interface ForwardedRequest {
   /** IP address of the instance that forwards it. */
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -13,7 +13,8 @@
 import type { Refusal } from '../common/refusal.js';
 import { BufferedRelay } from './bufferedrelay.js';
 import type { Call } from './call.js';
-import type { Caller, RelayContext } from './context.js';
+import { CallerAnswer } from './calleranswer.js';
+import type { RelayContext } from './context.js';
 import type { RequestFields } from './dialect.js';
 import { outcomeHeaders, readForwarded } from './forwardedrequest.js';
 import type { ForwardedRequest } from './forwardedrequest.js';
@@ -172,29 +173,22 @@
   }
 
   #startRelay(call: Call, res: ServerResponse, { delivery: sent, answer }: Arrival): void {
-    const { retries, scheduler, meter } = this.#context;
+    const {
+      retries, scheduler, meter, log,
+    } = this.#context;
     // The instance that forwards a request has counted it.
     if (call.forwardedBy === undefined) retries.request(call.service.name, scheduler.now());
-    const outcome = call.forwardedBy === undefined ? [] : outcomeHeaders('answered');
-    const caller: Caller = {
-      sending: (server) => answer.markSent(server),
-      respond: ({ status, headers, body }) => {
-        res.writeHead(status, [...headers, ...outcome]);
-        res.end(body);
-      },
-      refuse: (refused) => this.#sendRefusal(res, refused, call),
-      begin: ({ status, headers }) => {
-        res.writeHead(status, [...headers, ...outcome]);
-      },
-      write: (bytes) => {
-        res.write(bytes);
-      },
-      end: () => res.end(),
-      abort: () => breakOff(res),
-    };
+    const caller = CallerAnswer.of(res, {
+      request: call.id,
+      log,
+      ownHeaders: call.forwardedBy === undefined ? [] : outcomeHeaders('answered'),
+      onSending: (server) => answer.markSent(server),
+      sendRefusal: (refused) => this.#sendRefusal(res, refused, call),
+    });
     const onCallerGone = call.route.delivery === 'events'
       ? StreamRelay.start(call, caller, this.#context)
       : BufferedRelay.start(call, caller, this.#context);
+    caller.whenFailed(onCallerGone);
     // The response closes some rounds of the event loop after its caller's end has been read.
     const { socket } = res.req;
     socket.once('end', onCallerGone);
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -56,11 +56,15 @@
     headers: ['Host', server.address],
     body: Buffer.alloc(0),
     reuse: false,
+    singleFields: dialect.responseFields,
   }, scheduler).pipe(
     filter((event) => event.kind === 'head' || event.kind === 'failed'),
     takeUntil(pendingInput(HEALTH_TIMEOUT_MS, scheduler)),
   );
   return firstValueFrom(response).then((event): Identity => {
+    if (event.kind === 'failed') {
+      return { kind: event.cause === 'response' ? 'reached' : 'unreached' };
+    }
     if (event.kind !== 'head') return { kind: 'unreached' };
     const { server: id } = dialect.readResponse(event.status, event.headers);
     return id === undefined || !isServerId(id) ? { kind: 'reached' } : { kind: 'known', id };
--- a/src/relay/serverrequest.ts
+++ b/src/relay/serverrequest.ts
@@ -61,6 +61,7 @@
     body: call.body,
     // An answer that names no request can't be told from the server's own on a kept connection.
     reuse: call.route.repeat === 'safe' || !agent.hadExtra(context.scheduler.now()),
+    singleFields: context.dialect.responseFields,
     ownerOf: (head) => ownerOf(head, call.id, context.dialect),
     expiresAt: call.deadlineAt,
   };
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -5,6 +5,7 @@
 import { AttemptLoad } from './attemptload.js';
 import type { AttemptOptions, AttemptPlan, AttemptStage } from './attemptplan.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
+import { guarded } from './context.js';
 import type { RelayContext } from './context.js';
 import { recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
@@ -129,15 +130,18 @@
         pauseObjectiveMs: this.#call.route.pauseObjectiveMs,
         hasStandby: standby !== undefined,
       }),
-      migrate: (reason) => {
+      migrate: guarded(this.#options.caller, (reason: string) => {
         if (this.#options.canMigrate()) this.#fail('unknown', reason);
-      },
+      }),
     }));
     const dueAt = this.#startedAt + overdueMs(this.#plan.expectedFirstMs);
     const { service } = server;
     this.#subscriptions.add(reach.watch({ service, startedAt: this.#startedAt, dueAt }));
     this.#subscriptions.add(exchange(outgoing, scheduler)
-      .subscribe((event) => this.#onExchangeEvent(event)));
+      .subscribe(guarded(
+        this.#options.caller,
+        (event: ExchangeEvent) => this.#onExchangeEvent(event),
+      )));
   }
 
   /** Closes the connection, which makes the engine stop the run. */
@@ -170,8 +174,11 @@
         this.#fail('no', event.message);
         break;
       case 'failed':
-        if (event.ran === 'unknown') this.#recordBroken();
-        fleet.markSuspect(server.id, event.message);
+        // A server that sends what is no response is up.
+        if (event.cause === 'connection') {
+          if (event.ran === 'unknown') this.#recordBroken();
+          fleet.markSuspect(server.id, event.message);
+        }
         this.#fail(event.ran, event.message);
         break;
     }
--- a/src/relay/streamrecorder.ts
+++ b/src/relay/streamrecorder.ts
@@ -1,4 +1,6 @@
 /** Logs and measures a relayed stream: its failed attempts and the gaps that its caller sees. */
+import type { AttemptFailure } from '../engines/engine.js';
+import type { Attempt, GenerationState } from '../generation/state.js';
 import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { RelayContext } from './context.js';
@@ -6,16 +8,15 @@
 import { sharedPartsField } from './routefields.js';
 import type { FoundOrigin } from './takeup.js';
 
+/** How far a failed attempt had got. */
 export interface FailedAttempt {
-  readonly number: number;
-  readonly server: string;
-  readonly ran: string;
-  readonly reason: string;
   /** Prompt tokens that were sent to the engine and not prefilled. */
   readonly pendingTokens: number;
   readonly stage: AttemptStage;
 }
 
+const NOT_STARTED: FailedAttempt = { pendingTokens: 0, stage: 'waiting' };
+
 export class StreamRecorder {
   readonly #call: Call;
 
@@ -66,10 +67,12 @@
     });
   }
 
-  /** @param eventCount events that were written to the caller */
-  attemptFailed({
-    number, server, ran, reason, pendingTokens, stage,
-  }: FailedAttempt, eventCount: number): void {
+  attemptFailed(
+    { number, server }: Attempt,
+    { ran, message }: Pick<AttemptFailure, 'ran' | 'message'>,
+    { accepted }: Pick<GenerationState, 'accepted'>,
+    { pendingTokens, stage }: FailedAttempt = NOT_STARTED,
+  ): void {
     const { log, scheduler, meter } = this.#context;
     const now = scheduler.now();
     this.#interruptedAt ??= now;
@@ -80,11 +83,11 @@
       server,
       attempt: number,
       ran,
-      reason,
+      reason: message,
       stage,
       parts: sharedPartsField(this.#call),
       fingerprint: ran === 'no' ? undefined : fingerprintOf(this.#call),
-      from: eventCount,
+      from: accepted.tokens,
       age_ms: Math.round(now - this.#call.receivedAt),
     });
   }
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -4,16 +4,16 @@
  * Each attempt names a second engine that keeps a standby copy of the run's KV cache, from which
  * the stream resumes when the first engine is lost.
  */
-import { Subscription, timer } from 'rxjs';
+import { Subscription } from 'rxjs';
 import type { LogFields } from '../common/log.js';
-import type { Refusal } from '../common/refusal.js';
 import type { GenerationEffect, GenerationEvent } from '../generation/event.js';
 import type { Attempt, GenerationState } from '../generation/state.js';
 import { transaction } from '../generation/transaction.js';
 import type { AttemptPlan } from './attemptplan.js';
 import type { Call } from './call.js';
+import { watchCallEnds } from './callends.js';
 import type { Caller, RelayContext } from './context.js';
-import { countRetry, remainingMs } from './context.js';
+import { countRetry, guarded, remainingMs } from './context.js';
 import { quarantineRefusal } from './crashguard.js';
 import { chooseEngines, RETRY_AFTER_MS } from './enginechoice.js';
 import type { EngineChoice } from './enginechoice.js';
@@ -29,10 +29,15 @@
 import { lastWritten, streamState } from './streamstate.js';
 import { StreamWriter } from './streamwriter.js';
 import { prepareTakeUp, UNKNOWN_ORIGIN_MESSAGE } from './takeup.js';
+import type { TakeUp } from './takeup.js';
+
+const EXPIRED: GenerationEvent = { kind: 'expired', message: 'the deadline has passed' };
 
 export class StreamRelay {
   readonly #call: Call;
 
+  readonly #caller: Caller;
+
   readonly #writer: StreamWriter;
 
   readonly #context: RelayContext;
@@ -63,6 +68,7 @@
 
   private constructor(call: Call, caller: Caller, context: RelayContext) {
     this.#call = call;
+    this.#caller = caller;
     this.#writer = StreamWriter.of(caller);
     this.#context = context;
     this.#handover = Handover.of(call, caller, context);
@@ -97,33 +103,29 @@
   }
 
   #begin(): void {
-    this.#timers.add(timer(remainingMs(this.#call, this.#context), this.#context.scheduler)
-      .subscribe(() => this.#apply({ kind: 'expired', message: 'the deadline has passed' })));
-    // A stream that runs may be sound; what crashes engines has lost its own.
-    this.#timers.add(this.#context.quarantines.changes.subscribe(() => (
-      this.#state.accepted.tokens === 0
-        && this.#reject(quarantineRefusal(this.#call, this.#context)))));
-    this.#timers.add(this.#context.stopping.limit.subscribe((refusal) => this.#reject(refusal)));
-    if (this.#state.accepted.tokens === 0) this.#apply({ kind: 'begin' });
-    else this.#takeUp();
+    this.#timers.add(watchCallEnds(this.#call, this.#caller, this.#context, {
+      expired: () => this.#apply(EXPIRED),
+      rejected: (refusal) => this.#apply({ kind: 'rejected', refusal }),
+      // A stream that runs may be sound; what crashes engines has lost its own.
+      isSuspect: () => this.#state.accepted.tokens === 0,
+    }));
+    guarded(this.#caller, () => {
+      if (this.#state.accepted.tokens > 0) this.#takeUp();
+      else this.#apply({ kind: 'begin' });
+    })();
   }
 
   /** Continues a stream of which the caller already has events. */
   #takeUp(): void {
-    prepareTakeUp(this.#call, this.#context).then(({ origin, cachedTokens }) => {
+    const begin = ({ origin, cachedTokens }: TakeUp) => {
       this.#cachedTokens = cachedTokens;
       this.#recorder.takenUp(origin);
-      if (origin) {
-        this.#release.takeUp(origin.software);
-        this.#apply({ kind: 'begin' });
-      } else this.#unassignable(UNKNOWN_ORIGIN_MESSAGE);
-    }, (error: unknown) => this.#unassignable(`${UNKNOWN_ORIGIN_MESSAGE}: ${String(error)}`));
-  }
-
-  /** Ends the call if there is a refusal; returns whether there is. */
-  #reject(refusal: Refusal | undefined): boolean {
-    if (refusal) this.#apply({ kind: 'rejected', refusal });
-    return refusal !== undefined;
+      if (origin) this.#release.takeUp(origin.software);
+      if (origin) this.#apply({ kind: 'begin' });
+      else this.#unassignable(UNKNOWN_ORIGIN_MESSAGE);
+    };
+    prepareTakeUp(this.#call, this.#context)
+      .then(guarded(this.#caller, begin), (error: unknown) => this.#caller.fail(error));
   }
 
   #apply(event: GenerationEvent): void {
@@ -179,7 +181,7 @@
   #assign(exclude: readonly string[]): void {
     const { service } = this.#call;
     if (remainingMs(this.#call, this.#context) <= 0) {
-      this.#apply({ kind: 'expired', message: 'the deadline has passed' });
+      this.#apply(EXPIRED);
       return;
     }
     if (!service.engine) {
@@ -193,7 +195,8 @@
     const progress = { attempts: this.#counts.sent, streamedMs: this.#recorder.streamedMs };
     const refusal = quarantineRefusal(this.#call, this.#context)
       ?? stopRefusal(this.#call, this.#context, progress);
-    if (this.#reject(refusal) || this.#handOver()) return;
+    if (refusal) this.#apply({ kind: 'rejected', refusal });
+    if (refusal || this.#handOver()) return;
     const reason = attemptDenialReason(this.#call, this.#counts, this.#context)
       ?? (this.#release.isAmbiguous ? UNKNOWN_ORIGIN_MESSAGE : undefined);
     if (reason !== undefined) {
@@ -266,6 +269,7 @@
         exclude: [...this.#state.excluded, attempt.server],
         release: this.#release.required(this.#state.version),
       }, this.#context),
+      caller: this.#caller,
     }, this.#context, (event) => this.#onAttemptEvent(attempt, event));
     this.#attempts.set(attempt.number, streamAttempt);
     this.#writer.sending(attempt.server);
@@ -275,14 +279,7 @@
   #onAttemptEvent(attempt: Attempt, event: GenerationEvent): void {
     if (event.kind === 'failed') {
       const streamAttempt = this.#attempts.get(attempt.number);
-      this.#recorder.attemptFailed({
-        number: attempt.number,
-        server: attempt.server,
-        ran: event.failure.ran,
-        reason: event.failure.message,
-        pendingTokens: streamAttempt?.pendingTokens ?? 0,
-        stage: streamAttempt?.stage ?? 'waiting',
-      }, this.#state.accepted.tokens);
+      this.#recorder.attemptFailed(attempt, event.failure, this.#state, streamAttempt);
       if (streamAttempt?.isEmptyEnd) this.#emptyEndAt = attempt.from;
       // A copy can be used only once, and an engine that refuses to use one doesn't have it.
       const unused = this.#copyHolder === attempt.server ? undefined : this.#copyHolder;
--- a/test/fakes/relaydialect.ts
+++ b/test/fakes/relaydialect.ts
@@ -21,6 +21,10 @@
 }
 
 export const testDialect: Dialect = {
+  responseFields: new Set([
+    'x-id', 'x-signature', 'x-not-run', 'x-server', 'x-limit', 'x-leaving', 'retry-after',
+    'x-brittle',
+  ]),
   readRequest: (raw) => ({
     id: headerOf(raw, 'x-id'),
     key: headerOf(raw, 'x-key'),
--- a/test/relay-exchange.test.ts
+++ b/test/relay-exchange.test.ts
@@ -61,6 +61,7 @@
     headers,
     body: Buffer.alloc(0),
     reuse: true,
+    singleFields: new Set(['x-id']),
     maxBodyBytes: MAX_BODY_BYTES,
   }, monotonicScheduler).pipe(toArray()));
 }
--- a/test/relay-extraresponse.test.ts
+++ b/test/relay-extraresponse.test.ts
@@ -33,6 +33,7 @@
     headers: ['Host', 'h', 'X-Id', id, 'Content-Length', String(body.length)],
     body: Buffer.from(body),
     reuse: true,
+    singleFields: testDialect.responseFields,
     ownerOf: (head) => ownerOf(head, id, testDialect),
   }, monotonicScheduler);
 }
--- a/test/relay-forwardedextra.test.ts
+++ b/test/relay-forwardedextra.test.ts
@@ -76,6 +76,7 @@
         write: () => undefined,
         end: () => undefined,
         abort: () => undefined,
+        fail: () => resolve('failed'),
       }, context, {
         ip: '127.0.0.2', targets: [host], port: Number(port), progress: { attempts: 0 },
       });
--- a/test/relay-forwardedstream.test.ts
+++ b/test/relay-forwardedstream.test.ts
@@ -13,6 +13,7 @@
 import { Meter } from '../src/relay/meter.js';
 import { RecordedLog } from './fakes/recordedlog.js';
 import { eventsText, relayConfiguration, ROUTES } from './fakes/relay.js';
+import { testDialect } from './fakes/relaydialect.js';
 import { chunk, EVENTS, LAST_CHUNK } from './fakes/scriptedengines.js';
 
 /** Events that callers have when a stream goes on elsewhere. */
@@ -89,6 +90,7 @@
     connections,
     log: new RecordedLog(),
     meter: Meter.of(),
+    dialect: testDialect,
     stopping: { limit: NEVER },
   } as unknown as RelayContext;
   return new Promise((resolve) => {
@@ -116,6 +118,7 @@
       },
       end: () => ended('end'),
       abort: () => ended('abort'),
+      fail: () => ended('abort'),
     };
     ForwardedCall.start(callOf(lastEvent), caller, context, {
       ip: '127.0.0.1',
--- a/test/relay-forwarding.test.ts
+++ b/test/relay-forwarding.test.ts
@@ -13,6 +13,7 @@
 import { Meter } from '../src/relay/meter.js';
 import { freePort } from './fakes/freeport.js';
 import { HOST, ROUTES } from './fakes/relay.js';
+import { testDialect } from './fakes/relaydialect.js';
 import { RecordedLog } from './fakes/recordedlog.js';
 
 /** Another instance, as far as it answers forwarded requests. */
@@ -45,6 +46,7 @@
     connections: Connections.of(meter),
     log: new RecordedLog(),
     meter,
+    dialect: testDialect,
     stopping: { limit: NEVER },
   } as unknown as RelayContext;
   return new Promise((resolve) => {
--- a/test/relay-late.test.ts
+++ b/test/relay-late.test.ts
@@ -194,6 +194,7 @@
     headers: ['Host', 'h'],
     body: Buffer.alloc(0),
     reuse: true,
+    singleFields: new Set<string>(),
     expiresAt,
   }, monotonicScheduler).pipe(toArray()));
 }
