Keep where streams began in the store while a service runs several versions

Cause: without a record, the version of the engines that list the request's own prompt part was taken for the stream's. The part is the session's: an earlier request may have been elsewhere, and an engine that doesn't answer counted as one that has read nothing. Evidence: taken_up lines with source=engines beside held_prompts_unread of the silent engine.

Fix: with several versions only a record counts. Instances save what they know of the last minute in the store, 4 writes a second of all together, none while one version runs. Where one version alone is listed, and no instance has saved another, engines that have read the prompt still suffice, so that streams are taken up at once after a total loss.

--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -14,6 +14,7 @@
 import type { Quarantines } from './quarantine.js';
 import type { Reach } from './reach.js';
 import type { RetrySchedules } from './retryafter.js';
+import type { SavedOrigins } from './savedorigins.js';
 import type { ServerNotices } from './servernotices.js';
 import type { SilenceWatch } from './silencewatch.js';
 import type { Stopping } from './stopping.js';
@@ -39,6 +40,7 @@
   readonly quarantines: Quarantines;
   readonly cachedPrompts: CachedPrompts;
   readonly origins: StreamOrigins;
+  readonly savedOrigins: Pick<SavedOrigins, 'read' | 'soleVersion'>;
   readonly uses: WorkspaceUses;
   readonly peerLoads: PeerLoads;
   readonly reach: Reach;
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -20,8 +20,8 @@
 import type { PeerLoads } from './fleetcontext.js';
 import { Forwarding } from './forwarding.js';
 import { Frontend } from './frontend.js';
+import { gaugesOf } from './gauges.js';
 import { Meter } from './meter.js';
-import type { RelayGauges } from './metrics.js';
 import { createPeers } from './peerexchange.js';
 import type { Peers } from './peers.js';
 import type { Platform } from './platform.js';
@@ -30,6 +30,7 @@
 import { RetrySchedules } from './retryafter.js';
 import type { RelayConfiguration } from './routes.js';
 import type { RelaySettings } from './settings.js';
+import { SavedOrigins } from './savedorigins.js';
 import { ServerNotices } from './servernotices.js';
 import { SilenceWatch } from './silencewatch.js';
 import { Stopping } from './stopping.js';
@@ -79,6 +80,8 @@
 
   readonly #origins: StreamOrigins;
 
+  readonly #savedOrigins: SavedOrigins;
+
   readonly #retries: RetryWindows;
 
   readonly #meter = Meter.of();
@@ -150,6 +153,16 @@
       copyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
       hasPeers: () => this.#peers.alive.length > 0,
     });
+    this.#savedOrigins = SavedOrigins.of({
+      ...shared,
+      reader: this.#store,
+      writer: this.#store.writer(context.platform.records, 'status'),
+      kind: context.platform.originKind,
+      name: settings.name,
+      origins: this.#origins,
+      instances: () => this.#peers.alive.length + 1,
+      wallClock: Date.now,
+    });
     this.#reach = Reach.of({
       ...shared,
       fleet: this.#fleet,
@@ -179,9 +192,8 @@
       storeFeed: () => this.#storeFeed,
     });
     this.#relayContext = {
+      ...shared,
       zone: settings.zone,
-      scheduler,
-      log,
       dialect,
       fleet: this.#fleet,
       notices: this.#notices,
@@ -197,6 +209,7 @@
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
       origins: this.#origins,
+      savedOrigins: this.#savedOrigins,
       uses,
       peerLoads,
       reach: this.#reach,
@@ -239,6 +252,7 @@
       childOfSubscription('silence', () => this.#relayContext.silence.start()),
       childOfSubscription('fleet', () => this.#fleet.start()),
       childOfSubscription('origins', () => this.#origins.start()),
+      childOfSubscription('saved_origins', () => this.#savedOrigins.start()),
       childOfSubscription('reach', () => this.#reach.start()),
       childOfSubscription('quarantines', () => this.#quarantines.start()),
       listenerOf('callers', settings.callers, () => this.#frontend.createServer()),
@@ -247,7 +261,15 @@
       deferredListeners({
         ...this.#context,
         meter: this.#meter,
-        gauges: this.#gauges(),
+        gauges: gaugesOf({
+          ...this.#context,
+          ...this.#relayContext,
+          drain: this.drain,
+          activeConfiguration: this.#activeConfiguration,
+          peers: this.#peers,
+          storeFeed: this.#storeFeed,
+          limits: this.#limits,
+        }),
         snapshot: () => this.#storeFeed.snapshot,
         onForwarded: (req, res) => this.#frontend.onForwarded(req, res),
       }),
@@ -255,21 +277,18 @@
     return Supervisor.of('relay', children, { scheduler, random, log });
   }
 
-  #createStoreFeed(): StoreFeed {
-    const {
-      settings, scheduler, random, log, platform,
-    } = this.#context;
-    const objects = MeteredReader.of(platform.objects, scheduler, (call) => (
+  get #store(): MeteredReader {
+    const { platform: { objects }, scheduler } = this.#context;
+    return MeteredReader.of(objects, scheduler, (call) => (
       this.#meter.record({ kind: 'store_call', call })));
+  }
+
+  #createStoreFeed(): StoreFeed {
     return StoreFeed.of({
-      platform: { ...platform, objects },
+      ...this.#context.settings,
+      ...this.#context,
+      platform: { ...this.#context.platform, objects: this.#store },
       fleet: this.#fleet,
-      scheduler,
-      random,
-      log,
-      heartbeatMs: settings.heartbeatMs,
-      configurationDelayMs: settings.configurationDelayMs,
-      leavingDelayMs: settings.leavingDelayMs,
       adopt: (configuration, from) => this.#applyConfiguration(configuration, from),
     });
   }
@@ -278,20 +297,4 @@
     this.#activeConfiguration.adopt(configuration, from);
     this.#frontend.applyHeadLimits();
   }
-
-  #gauges(): RelayGauges {
-    return {
-      droppedLogLines: this.#context.droppedLogLines,
-      servers: () => this.#fleet.servers,
-      configurationVersion: () => this.#activeConfiguration.version,
-      openAnswers: () => this.drain.open,
-      peers: () => this.#peers.alive.length,
-      storeSilentMs: () => this.#storeFeed.silentMs,
-      serverCopyAgeMs: () => this.#storeFeed.serverCopy.ageMs,
-      quarantines: () => this.#quarantines.found.length,
-      unreachedServices: () => this.#reach.unreached.length,
-      limitedServers: () => this.#limits.count,
-      retriesLeft: () => this.#retries.minLeft(this.#context.scheduler.now()),
-    };
-  }
 }
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -44,7 +44,7 @@
 /** A rate limit in the order of `ThrottleReport`; null for a server that names none any more. */
 const LIMIT = z.tuple([z.string(), COUNT, COUNT.nullable(), COUNT, z.boolean()], z.unknown());
 /** A stream and the software version that began it; null if that is ambiguous. */
-const ORIGIN = z.tuple([z.string(), z.string().nullable()], z.unknown());
+export const ORIGIN = z.tuple([z.string(), z.string().nullable()], z.unknown());
 /** A service, a workspace, and the tokens of memory that it uses there. */
 const USE = z.tuple([z.string(), z.string(), COUNT], z.unknown());
 /** A server and the start time of its process. */
--- a/src/relay/platform.ts
+++ b/src/relay/platform.ts
@@ -1,6 +1,6 @@
 /** The relay's interface to the platform it runs on, implemented by the platform's adapter. */
 import type { Result } from 'neverthrow';
-import type { ObjectReader } from '../store/objects.js';
+import type { ObjectReader, ObjectWriter } from '../store/objects.js';
 import type { CacheQuery } from './cachedprompts.js';
 import type { Dialect } from './dialect.js';
 import type { RelayConfiguration } from './routes.js';
@@ -8,12 +8,15 @@
 
 export interface Platform {
   readonly objects: ObjectReader;
+  readonly records: ObjectWriter;
   readonly dialect: Dialect;
   readonly cacheQuery: CacheQuery;
   /** Names of the kinds in the store, and of the object that holds the configuration. */
   readonly configurationKind: string;
   readonly configurationName: string;
   readonly serverKind: string;
+  /** The kind of the objects in which instances save where streams began. */
+  readonly originKind: string;
   /** Decodes the configuration; the error says why it is invalid. */
   readConfiguration(value: unknown): Result<RelayConfiguration, string>;
   /** Decodes a server's entry; undefined if it is invalid. */
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -42,7 +42,7 @@
 export type CopyReports = Readonly<Partial<Record<CopyKind, CopyReport | undefined>>>;
 
 export interface StoreFeedContext {
-  readonly platform: Platform;
+  readonly platform: Omit<Platform, 'records' | 'originKind'>;
   readonly fleet: Fleet;
   readonly scheduler: SchedulerLike;
   readonly random: Random;
--- a/src/relay/streamorigins.ts
+++ b/src/relay/streamorigins.ts
@@ -28,6 +28,8 @@
 const SEEK_TIMEOUT_MS = 100;
 const SEEK_INTERVAL_MS = 30;
 const SAMPLE_INTERVAL_MS = 500;
+/** Streams that are saved: what fits into an object of the store many times over. */
+const MAX_SAVED = 4_096;
 /** With an older copy of the servers' entries, a version may have been missed. */
 const MAX_COPY_AGE_MS = 5_000;
 /** How late the entry of a restarted server is, if its restart was not noticed. */
@@ -116,6 +118,30 @@
     return history && soleVersion(history, observedMs, this.#now());
   }
 
+  /** The versions that a service's engines have run lately. */
+  seenVersions(service: string): readonly string[] {
+    this.#sample();
+    return [...this.#histories.get(service)?.seenAt.keys() ?? []];
+  }
+
+  /** The same for each service that has run several. */
+  get severalVersions(): Readonly<Record<string, string[]>> {
+    return Object.fromEntries([...this.#histories].flatMap(([service, { seenAt }]) => (
+      seenAt.size > 1 ? [[service, [...seenAt.keys()].sort()]] : [])));
+  }
+
+  /** The newest streams that were learnt of within a time. */
+  recent(ageMs: number): readonly OriginReport[] {
+    const since = this.#now() - ageMs;
+    const reports: OriginReport[] = [];
+    // eslint-disable-next-line no-restricted-syntax -- ends at the first ones
+    for (const [stream, { origin, at }] of this.#beginnings.entries()) {
+      if (reports.length >= MAX_SAVED) break;
+      if (at >= since) reports.push({ stream, origin });
+    }
+    return reports;
+  }
+
   origin(stream: string): Origin | undefined {
     return this.#beginnings.get(stream)?.origin;
   }
--- a/src/relay/takeup.ts
+++ b/src/relay/takeup.ts
@@ -14,8 +14,8 @@
 
 export const UNKNOWN_ORIGIN_MESSAGE = 'the software version that began the stream is not known';
 
-/** Who told the version: an instance's record, the engines, or the lack of any other version. */
-export type OriginSource = 'record' | 'engines' | 'sole_version';
+/** Who told the version: an instance, the store, the engines, or the lack of any other version. */
+export type OriginSource = 'record' | 'store' | 'engines' | 'sole_version';
 
 export interface FoundOrigin { readonly software: string; readonly source: OriginSource }
 
@@ -26,51 +26,63 @@
   readonly cachedTokens: (engine: string) => number;
 }
 
-/** The version of the engines that have read a request's own part of the prompt, if it is one. */
-export function versionOfReaders(
-  engines: readonly ServerEntry[],
-  partsByEngine: ReadonlyMap<string, CachedParts>,
-  ownPart: PromptPart | undefined,
-): string | undefined {
-  if (!ownPart || ownPart.tokens === 0) return undefined;
-  const readers = engines.filter(({ id }) => (
-    (partsByEngine.get(id)?.get(ownPart.id) ?? 0) >= ownPart.tokens));
-  const versions = new Set(readers.map((entry) => releaseOf(entry).software));
-  return versions.size === 1 ? [...versions][0] : undefined;
-}
-
 function foundAt(software: string | undefined, source: OriginSource): FoundOrigin | undefined {
   return software === undefined ? undefined : { software, source };
 }
 
-/** @param record what the instances remember; without it, `elsewhere` is asked */
-function chooseOrigin(
-  record: Origin | undefined,
-  elsewhere: () => FoundOrigin | undefined,
-): FoundOrigin | undefined {
-  switch (record?.kind) {
-    case 'version': return foundAt(record.software, 'record');
+function recorded(origin: Origin, source: OriginSource): FoundOrigin | undefined {
+  switch (origin.kind) {
+    case 'version': return { software: origin.software, source };
     case 'ambiguous': return undefined;
-    case undefined: return elsewhere();
   }
 }
 
+/** Whether an engine of a version has read a request's own part of the prompt, if it has one. */
+function hasReader(
+  engines: readonly ServerEntry[],
+  software: string,
+  partsByEngine: ReadonlyMap<string, CachedParts>,
+  ownPart: PromptPart | undefined,
+): boolean {
+  if (!ownPart || ownPart.tokens === 0) return false;
+  return engines.some((entry) => releaseOf(entry).software === software
+    && (partsByEngine.get(entry.id)?.get(ownPart.id) ?? 0) >= ownPart.tokens);
+}
+
+/**
+ * Finds out at which version a stream began. Which engines have read its prompt tells only of its
+ * session, so with several versions nothing but a record does.
+ */
+async function findOrigin(
+  { service: { name }, fields: { resumes, parts } }: Call,
+  { origins, savedOrigins }: RelayContext,
+  engines: readonly ServerEntry[],
+  lookUp: Promise<ReadonlyMap<string, CachedParts>>,
+): Promise<FoundOrigin | undefined> {
+  // A caller that names no earlier attempt gives nothing to ask for.
+  if (resumes === undefined) return foundAt(origins.soleVersion(name, 0), 'sole_version');
+  const record = origins.origin(resumes) ?? await origins.seek(resumes);
+  if (record) return recorded(record, 'record');
+  const sole = origins.soleVersion(name, VERSION_MEMORY_MS);
+  if (sole !== undefined) return foundAt(sole, 'sole_version');
+  if (!await savedOrigins.read()) return undefined;
+  const saved = origins.origin(resumes);
+  if (saved) return recorded(saved, 'store');
+  const software = savedOrigins.soleVersion(name);
+  return software !== undefined && hasReader(engines, software, await lookUp, parts.at(-1))
+    ? foundAt(software, 'engines') : undefined;
+}
+
 export async function prepareTakeUp(call: Call, context: RelayContext): Promise<TakeUp> {
   const { fleet, cachedPrompts, origins } = context;
   const { name } = call.service;
   const { resumes, parts } = call.fields;
   const engines = fleet.candidates(name, []).filter(({ isLimited }) => !isLimited)
     .map(({ server }) => server.entry);
-  const known = resumes === undefined ? undefined : origins.origin(resumes);
-  const [partsByEngine, record] = await Promise.all([
-    cachedPrompts.lookUp(name, engines),
-    known || resumes === undefined ? known : origins.seek(resumes),
+  const lookUp = cachedPrompts.lookUp(name, engines);
+  const [partsByEngine, origin] = await Promise.all([
+    lookUp, findOrigin(call, context, engines, lookUp),
   ]);
-  // A caller that names no earlier attempt gives nothing to ask for.
-  const observedMs = resumes === undefined ? 0 : VERSION_MEMORY_MS;
-  const origin = chooseOrigin(record, () => (
-    foundAt(versionOfReaders(engines, partsByEngine, parts.at(-1)), 'engines')
-      ?? foundAt(origins.soleVersion(name, observedMs), 'sole_version')));
   if (origin && resumes !== undefined) origins.record(resumes, origin.software);
   return {
     origin,
--- a/src/store/calls.ts
+++ b/src/store/calls.ts
@@ -17,7 +17,7 @@
 export type Headers = Readonly<Record<string, string>>;
 
 export interface Call {
-  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly headers: Headers;
   readonly body?: string;
--- a/src/store/meteredreader.ts
+++ b/src/store/meteredreader.ts
@@ -1,9 +1,9 @@
-/** Wraps the reading part of the object API to count and time its calls. */
+/** Wraps parts of the object API to count and time their calls. */
 import type { Result } from 'neverthrow';
 import { tap } from 'rxjs';
 import type { Observable, SchedulerLike } from 'rxjs';
 import type {
-  CallClass, Listing, ObjectReader, StoreError, StoreErrorCode, WatchEvent,
+  CallClass, Listing, ObjectReader, ObjectWriter, StoreError, StoreErrorCode, WatchEvent,
 } from './objects.js';
 
 export type StoreCallKind = 'read' | 'write' | 'watch';
@@ -40,6 +40,15 @@
     return this.measured('read', callClass, () => this.#api.list(prefix, callClass));
   }
 
+  /** The writing part of the API, with its calls recorded as well. */
+  writer(api: ObjectWriter, callClass: CallClass): ObjectWriter {
+    return {
+      write: (kind, name, value) => (
+        this.measured('write', callClass, () => api.write(kind, name, value))),
+      remove: (kind, name) => this.measured('write', callClass, () => api.remove(kind, name)),
+    };
+  }
+
   /** Records a watch when it opens and when it fails. */
   watch(prefix: string, from: number, callClass: CallClass): Observable<WatchEvent> {
     const record = (outcome: StoreCall['outcome']) => this.#record({
--- a/src/store/objects.ts
+++ b/src/store/objects.ts
@@ -69,5 +69,12 @@
   watch(prefix: string, from: number, callClass: CallClass): Observable<WatchEvent>;
 }
 
+/** Writes objects that no other instance writes, without a condition; a write may be repeated. */
+export interface ObjectWriter {
+  write(kind: string, name: string, value: string): Promise<Result<void, StoreError>>;
+
+  remove(kind: string, name: string): Promise<Result<void, StoreError>>;
+}
+
 /** The reading part of the object API, sufficient to follow objects. */
 export type ObjectReader = Pick<ObjectApi, 'list' | 'watch'>;
