Hold crashes soon after a stream's first event against its prompt's parts

Cause: once an event had come, the crash was recorded without the parts of the prompt, and the first event cleared them. Evidence: a crash_recorded line for each crash, no parts_quarantined; with the crash before the first event the part was found after six crashes.

Fix: only an answer, a complete stream or one that has run for a second clears a part, as it does for a request. A crash before that counts against the parts, unless the stream has run for some time in an earlier attempt. Streams that survive clear what they share with the lost ones.

--- a/src/relay/attemptplan.ts
+++ b/src/relay/attemptplan.ts
@@ -27,6 +27,8 @@
   readonly demand: RunDemand;
   /** Engines that have failed the request since its last event. */
   readonly excluded: readonly string[];
+  /** Whether an earlier attempt has run for some time. */
+  readonly hasRun: boolean;
   /** Whether the caller's own request named a last event. */
   readonly reconnecting: boolean;
   /** Where another engine has ended the stream without an event; undefined if none has. */
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -243,7 +243,7 @@
   #recordBroken({ attempt: { server }, head, connectedAt }: LiveAttempt): void {
     const previous = this.#state.tried.filter((other) => other !== server);
     recordBroken(this.#call, {
-      server, stage: head ? 'starting' : 'waiting', previous, connectedAt,
+      server, stage: head ? 'starting' : 'waiting', previous, connectedAt, hasRun: false,
     }, this.#context);
   }
 
--- a/src/relay/crashguard.ts
+++ b/src/relay/crashguard.ts
@@ -13,6 +13,8 @@
   readonly previous: readonly string[];
   /** When the server accepted the connection; 0 if it was open before. */
   readonly connectedAt: number;
+  /** Whether an earlier attempt of the request has run soundly. */
+  readonly hasRun: boolean;
 }
 
 /** The refusal of a call that is known to crash servers, logged; undefined if it is not. */
@@ -27,7 +29,7 @@
 export function recordBroken(
   call: Call,
   {
-    server, stage, previous, connectedAt,
+    server, stage, previous, connectedAt, hasRun,
   }: BrokenAttempt,
   { fleet, quarantines }: RelayContext,
 ): void {
@@ -35,5 +37,7 @@
   // Servers that leave close the connections of requests that they no longer run.
   if (state?.entry.state !== 'ready' || state.expiresAt !== undefined) return;
   const aliveAt = Math.max(connectedAt, fleet.heardAt(server));
-  quarantines.markBroken(state.entry, call, { stage, previous, aliveAt });
+  quarantines.markBroken(state.entry, call, {
+    stage, previous, aliveAt, hasRun,
+  });
 }
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps requests that crash servers away from them. A request whose connection breaks before its
- * response or its first event is evidence against it, and against its prompt's parts, once the
- * server is found to be down or restarted. Instances pass the evidence on to each other in their
- * messages.
+ * response, or before its stream has run for some time, is evidence against it, and against its
+ * prompt's parts, once the server is found to be down or restarted. Instances pass the evidence on
+ * to each other in their messages.
  */
 import { interval, Subject } from 'rxjs';
 import type { Observable, SchedulerLike, Subscription } from 'rxjs';
@@ -37,6 +37,8 @@
 /** An attempt that was lost with its server. */
 export interface LostAttempt extends Pick<Crash, 'previous' | 'aliveAt'> {
   readonly stage: AttemptStage;
+  /** Whether the request has run soundly before, and so its prompt is not the cause. */
+  readonly hasRun: boolean;
 }
 
 export interface QuarantineContext {
@@ -134,18 +136,13 @@
     };
   }
 
-  /** Records the first event of a stream: the parts of its prompt did not crash the engine. */
-  markStarted(call: Call): void {
+  /** Records a response, or a stream that has run for some time: its first event shows nothing. */
+  markAnswered(call: Call): void {
     const now = this.#now();
     sharedParts(call.fields).forEach((part) => {
       this.#partAnsweredAt.set(part, now);
       this.#update(withAnswer(this.#evidence, part, now));
     });
-  }
-
-  /** Records a response, or a stream that has run for some time. */
-  markAnswered(call: Call): void {
-    const now = this.#now();
     const request = fingerprintOf(call);
     [request, withoutPrompt(request)].forEach((fingerprint) => {
       this.#requestAnsweredAt.set(fingerprint, now);
@@ -156,18 +153,19 @@
   /**
    * Called when the connection of a request broke before its response, or soon after its stream
    * began.
-   * @param stage how far the attempt had got; a prompt's parts are cleared by the first event
    */
   markBroken(
     server: ServerEntry,
     call: Call,
-    { stage, previous, aliveAt }: LostAttempt,
+    {
+      stage, previous, aliveAt, hasRun,
+    }: LostAttempt,
   ): void {
     const lost = {
       at: this.#now(),
       aliveAt,
-      started: stage === 'starting',
-      parts: stage === 'streaming' ? [] : sharedParts(call.fields),
+      started: stage !== 'waiting',
+      parts: hasRun ? [] : sharedParts(call.fields),
       requests: [fingerprintOf(call)],
       previous,
     };
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -97,6 +97,11 @@
     return this.#head ? 'starting' : 'waiting';
   }
 
+  /** Whether the engine has run the stream for some time. */
+  get isSound(): boolean {
+    return this.#soundRun.isSound;
+  }
+
   get head(): ResponseHead | undefined {
     return this.#head;
   }
@@ -184,15 +189,13 @@
     }
   }
 
-  /**
-   * Tells the quarantines of a broken connection. An attempt that goes on with a stream says
-   * nothing of the prompt's parts, and one that has run for some time was not the cause.
-   */
+  /** Tells the quarantines of a broken connection; what has run for some time was not the cause. */
   #recordBroken(): void {
     if (this.#soundRun.isSound) return;
     recordBroken(this.#call, {
       server: this.#plan.server.id,
-      stage: this.#hasBegun ? 'streaming' : this.stage,
+      stage: this.stage,
+      hasRun: this.#options.hasRun,
       previous: this.#options.excluded,
       connectedAt: this.#connectedAt,
     }, this.#context);
@@ -231,7 +234,6 @@
 
   #onEvent(position: number, text: string): void {
     if (this.#lastEventAt === undefined) {
-      this.#context.quarantines.markStarted(this.#call);
       this.#load?.prefilled();
       if (this.#plan.resumesFromCopy) this.#context.meter.record({ kind: 'copy', outcome: 'used' });
     }
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -262,6 +262,7 @@
       from: attempt.from,
       demand: this.#demand,
       excluded: this.#state.excluded,
+      hasRun: [...this.#attempts.values()].some(({ isSound }) => isSound),
       reconnecting: this.#call.fields.lastEvent !== undefined,
       emptyEndAt: this.#emptyEndAt,
       canMigrate: () => mayMigrate(this.#call, this.#counts, {
--- a/test/relay-quarantine.test.ts
+++ b/test/relay-quarantine.test.ts
@@ -1,4 +1,5 @@
 /** Requests that crash each engine which begins to answer them, at two instances. */
+import { setTimeout as pause } from 'node:timers/promises';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { eventually } from './fakes/eventually.js';
@@ -149,6 +150,90 @@
   t.is((await send(relay, 'sound', 'shared')).status, 200);
 });
 
+/** An engine that crashes some time after it has sent events of such a request's stream. */
+function lateFragileEngine(events: number, delayMs: number): (id: string) => RelayEngineOptions {
+  return (id) => ({
+    id,
+    zone: 'a',
+    respond: (req, res, engine) => {
+      if (!hasPart(req.headers['x-parts'], 'bad')) return false;
+      const first = Number(req.headers['x-last'] ?? 0) + 1;
+      res.writeHead(200, engine.responseHeaders(req));
+      res.write(Array.from({ length: events }, (_, index) => (
+        `id: ${first + index}\ndata: text ${first + index}\n\n`)).join(''));
+      setTimeout(() => engine.crash(), delayMs);
+      return true;
+    },
+  });
+}
+
+[[1, 0], [1, 10], [2, 10], [5, 10], [1, 250]].forEach(([events = 0, delayMs = 0]) => {
+  test(`a part is found that crashes engines ${delayMs} ms after ${events} events`, async (t) => {
+    const first = await firstInstance(t, lateFragileEngine(events, delayMs));
+    const second = await secondInstance(t, first);
+    // Sound requests that share all other parts, and end in between.
+    const sound = async (round: string) => {
+      const replies = await Promise.all([first, second].map((relay, index) => (
+        send(relay, `sound-${round}-${index}`, 'shared'))));
+      return replies.every(({ status }) => status === 200);
+    };
+    t.true(await sound('before'));
+    await send(first, 'bad-1', 'shared,bad');
+    await sound('between');
+    await send(second, 'bad-2', 'shared,bad');
+    await send(first, 'bad-3', 'shared,bad');
+    t.true(crashingRequests(first.engines) <= MAX_CRASHING, `${crashingRequests(first.engines)}`);
+    t.is((await send(first, 'bad-4', 'shared,bad')).status, 503);
+    t.true(await eventually(() => second.log.of('parts_quarantined').length > 0));
+    t.is((await send(second, 'bad-5', 'shared,bad')).status, 503);
+    t.true(await sound('after'));
+    t.is((await send(second, 'sound-other', 'shared,other')).status, 200);
+  });
+});
+
+test('a prompt that all share is served on while engines crash for another reason', async (t) => {
+  const relay = await firstInstance(t, (id) => ({
+    id, zone: 'a', stepMs: 20, events: 60,
+  }));
+  const replies: Promise<number>[] = [];
+  for (let wave = 0; wave < 5; wave += 1) {
+    for (let index = 0; index < 6; index += 1) {
+      replies.push(send(relay, `r${wave}-${index}`, 'shared').then(({ status }) => status));
+    }
+    // Streams of this wave have just begun, those of the ones before have run for some time.
+    // eslint-disable-next-line no-await-in-loop -- one wave after another
+    await pause(400);
+    relay.engines[wave]!.crash();
+  }
+  t.deepEqual((await Promise.all(replies)).filter((status) => status !== 200), []);
+  t.true(relay.log.of('crash_recorded').length > 0);
+  t.deepEqual(relay.log.of('parts_quarantined'), []);
+  t.is((await send(relay, 'later', 'shared')).status, 200);
+});
+
+test('a prompt that has run for some time is not held against its later attempts', async (t) => {
+  let crashes = 0;
+  const relay = await firstInstance(t, (id) => ({
+    id,
+    zone: 'a',
+    respond: (req, res, engine) => {
+      const from = Number(req.headers['x-last'] ?? 0) + 1;
+      // The first attempts run for some time, those after them crash their engines at once.
+      const isFirst = from === 1;
+      if (!isFirst && crashes >= 4) return false;
+      res.writeHead(200, engine.responseHeaders(req));
+      res.write(`id: ${from}\ndata: text ${from}\n\n`);
+      if (isFirst) setTimeout(() => res.write('id: 2\ndata: text 2\n\n'), 1_100);
+      else crashes += 1;
+      setTimeout(() => engine.crash(), isFirst ? 1_150 : 10);
+      return true;
+    },
+  }));
+  const replies = await Promise.all(['r1', 'r2', 'r3'].map((id) => send(relay, id, 'shared')));
+  t.deepEqual(replies.map(({ status, whole }) => [status, whole]), replies.map(() => [200, true]));
+  t.deepEqual(relay.log.of('parts_quarantined'), []);
+});
+
 test('an instance that started after the crashes refuses the part', async (t) => {
   const first = await firstInstance(t);
   await send(first, 'bad-1', 'shared,bad');
