Read a piece of one connection in a turn, and end answers of bytes that bring nothing on

Cause: blank lines counted as comments, and nothing limits those; each became an event, so that handling took longer than receiving; and all that Node.js reads of a connection in one turn was handled in that turn. Evidence: no attempt_failed before the deadline; relay-endless sees over 128 kB handled in one turn on.

Fix: one piece of a connection in a turn, for answers of servers, instances and the store and for callers' bodies. Comments, blank lines and the framing of chunks have a budget by amount, beside what was delivered; beyond it the attempt has failed and the stream goes on elsewhere.

relay-endless: 6 of 10 fail on (the others guard sound comments, and forms that ended before).

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -6,6 +6,8 @@
 import { parseHostPort } from '../common/address.js';
 import type { HostPort } from '../common/address.js';
 import { openRequest } from '../common/outgoing.js';
+import { readPieces } from '../common/pieces.js';
+import type { Pieces } from '../common/pieces.js';
 import type {
   AttemptFailure, AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder,
   LoadReport, OrderOutcome,
@@ -61,26 +63,34 @@
 }
 
 /** Emits the stream's events up to the first finish or failure. */
-function readEvents(res: IncomingMessage, next: (event: EngineEvent) => void): void {
+function readEvents(res: IncomingMessage, next: (event: EngineEvent) => void): Pieces {
   let ended = false;
+  let sinceEvent = 0;
   const emit = (event: EngineEvent) => {
     if (ended) return;
     ended = event.kind === 'finish' || event.kind === 'failed';
     next(event);
   };
   const parser = createParser({
-    onEvent: ({ data }) => emit(parseEvent(data)),
+    onEvent: ({ data }) => {
+      sinceEvent = 0;
+      emit(parseEvent(data));
+    },
     onError: ({ type, message }) => {
       if (type === 'max-buffer-size-exceeded') emit(failure('protocol', 'unknown', message));
     },
     maxBufferSize: MAX_EVENT_CHARACTERS,
   });
   res.setEncoding('utf8');
-  res.on('data', (chunk: string) => {
-    if (!ended) parser.feed(chunk);
-  });
   res.on('error', (error) => emit(failure('reset', 'unknown', error.message)));
   res.on('close', () => emit(failure('ended_early', 'unknown', 'stream ended without a finish')));
+  return readPieces<string>(res, (chunk) => {
+    if (ended) return;
+    sinceEvent += chunk.length;
+    parser.feed(chunk);
+    if (sinceEvent <= MAX_EVENT_CHARACTERS) return;
+    emit(failure('protocol', 'unknown', 'the engine sends too much beside its events'));
+  });
 }
 
 /** Failure for a status other than 200; only a 4xx or 503 says that the request has not run. */
@@ -159,7 +169,7 @@
       });
       req.on('response', (res) => {
         res.setEncoding('utf8');
-        res.on('data', (chunk: string) => parser.feed(chunk));
+        readPieces<string>(res, (chunk) => parser.feed(chunk));
         res.on('error', (error) => subscriber.error(error));
         res.on('close', () => subscriber.error(new Error('the stream of cache events ended')));
       });
@@ -211,8 +221,8 @@
           next(statusFailure(res.statusCode ?? SERVER_ERROR));
           return;
         }
-        readEvents(res, next);
-        if (paused) teardown.add(paused.subscribe((value) => (value ? res.pause() : res.resume())));
+        const pieces = readEvents(res, next);
+        if (paused) teardown.add(paused.subscribe((value) => pieces.setPaused(value)));
       });
       req.on('error', (error) => next(connectionFailure(error, connected)));
       req.setNoDelay(true);
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'neverthrow';
 import { Subscription, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
+import { readPieces } from '../common/pieces.js';
 import { bodyOf, retryAfterSeconds, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
 import { breakOff } from './closedelimited.js';
@@ -46,14 +47,15 @@
   return new Promise((resolve) => {
     let chunks: Buffer[] = [];
     let bytes = 0;
+    let isSettled = false;
     const timers = new Subscription();
     let idleTimer = Subscription.EMPTY;
     const settle = (result: Result<Buffer, Refusal>) => {
       timers.unsubscribe();
       idleTimer.unsubscribe();
       // The rest of the body is read and discarded, so that the caller can read the response.
-      req.removeAllListeners('data');
-      req.resume();
+      isSettled = true;
+      chunks = [];
       resolve(result);
     };
     const onTimeout = () => settle(err({
@@ -65,7 +67,8 @@
     };
     timers.add(timer(TOTAL_TIMEOUT_MS, scheduler).subscribe(onTimeout));
     restartIdleTimer();
-    req.on('data', (chunk: Buffer) => {
+    readPieces(req, (chunk) => {
+      if (isSettled) return;
       bytes += chunk.length;
       if (bytes > maxBytes) {
         settle(err({
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -5,6 +5,7 @@
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
 import { openRequest } from '../common/outgoing.js';
+import { piecesOf } from '../common/pieces.js';
 import { breakOff, isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
 import { headFault } from './responsehead.js';
 
@@ -147,7 +148,7 @@
       const connectionError = isSelfDelimited(response, req.method ?? '')
         ? () => undefined : watchCloseDelimited(response);
       // A response that is cut off is cut off for the caller too, so that it never looks complete.
-      pipeline(response, res, { end: false })
+      pipeline(piecesOf(response), res, { end: false })
         .then(() => connectionError() === undefined, () => false)
         .then((whole) => {
           if (whole) res.end();
--- a/src/relay/eventsplitter.ts
+++ b/src/relay/eventsplitter.ts
@@ -1,15 +1,14 @@
 /**
- * Splits a stream of server-sent events into complete events without changing their bytes. Text is
- * decoded as Latin-1, in which every byte is one character.
+ * Splits a stream of server-sent events into complete events without changing their bytes. What
+ * stands between them, blank lines and comments by which servers keep a connection open, is only
+ * counted. Text is decoded as Latin-1, in which every byte is one character.
  */
 
 export interface ServerSentEvent {
   /** The event, including the blank line that ends it. */
   readonly text: string;
-  /** Undefined if it has none, which only comments may lack. */
+  /** Undefined if it has none. */
   readonly id: number | undefined;
-  /** Whether it is only a comment, as servers send to keep a connection open. */
-  readonly isComment: boolean;
   /** Whether it has one id at most, and only such lines as events consist of. */
   readonly isWellFormed: boolean;
 }
@@ -17,7 +16,8 @@
 /** An event of some thousand tokens. */
 const MAX_EVENT_LENGTH = 65_536;
 const EVENT_END = /\r?\n\r?\n/g;
-const COMMENT = /^(?::[^\n]*\n|\r?\n)*$/;
+/** Whole comments, and blank lines in pairs: a single one belongs to the event that follows. */
+const COMMENTS = /(?:\r?\n\r?\n|(?:\r?\n)?(?::[^\n]*\n)+\r?\n)+/y;
 const EVENT_ID = /^id: ?(\d{1,15})\r?$/m;
 const ID_LINE = /^id(?::|\r?$)/gm;
 /**
@@ -33,9 +33,17 @@
   return WELL_FORMED.test(event) && (event.match(ID_LINE)?.length ?? 0) <= 1;
 }
 
+/** Where the event ends that begins at `from`; 0 if it is not complete. */
+function endOfEvent(text: string, from: number): number {
+  EVENT_END.lastIndex = from;
+  return EVENT_END.test(text) ? EVENT_END.lastIndex : 0;
+}
+
 export class EventSplitter {
   #pending = '';
 
+  #commentLength = 0;
+
   static of(): EventSplitter {
     return new EventSplitter();
   }
@@ -45,6 +53,11 @@
     return this.#pending.length > MAX_EVENT_LENGTH;
   }
 
+  /** Length of all comments and blank lines so far. */
+  get commentLength(): number {
+    return this.#commentLength;
+  }
+
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
     return this.#pending !== '';
@@ -54,20 +67,25 @@
   push(bytes: Buffer): readonly ServerSentEvent[] {
     const text = this.#pending + bytes.toString('latin1');
     const events: ServerSentEvent[] = [];
-    let from = 0;
-    EVENT_END.lastIndex = 0;
-    for (let end = EVENT_END.exec(text); end; end = EVENT_END.exec(text)) {
-      const event = text.slice(from, EVENT_END.lastIndex);
+    let from = this.#skipComments(text, 0);
+    for (let end = endOfEvent(text, from); end > 0; end = endOfEvent(text, from)) {
+      const event = text.slice(from, end);
       const id = EVENT_ID.exec(event)?.[1];
       events.push({
         text: event,
         id: id === undefined ? undefined : Number(id),
-        isComment: id === undefined && COMMENT.test(event),
         isWellFormed: isWellFormed(event),
       });
-      from = EVENT_END.lastIndex;
+      from = this.#skipComments(text, end);
     }
     this.#pending = text.slice(from);
     return events;
   }
+
+  #skipComments(text: string, from: number): number {
+    COMMENTS.lastIndex = from;
+    const length = COMMENTS.exec(text)?.[0].length ?? 0;
+    this.#commentLength += length;
+    return from + length;
+  }
 }
--- a/src/relay/streamresponse.ts
+++ b/src/relay/streamresponse.ts
@@ -47,6 +47,8 @@
 const OK = 200;
 const FIRST_REDIRECT = 300;
 const EVENT_STREAM = 'text/event-stream';
+/** Comments of some bytes, a few a second for many minutes, beside as much as the events hold. */
+const MAX_COMMENT_LENGTH = 131_072;
 /** The rest of a longer body that holds no events is not waited for. */
 const MAX_BODY_BYTES = 65_536;
 
@@ -101,6 +103,9 @@
 
   #length = 0;
 
+  /** Length of all events so far. */
+  #eventLength = 0;
+
   private constructor(reading: Reading, expected: ExpectedStream) {
     this.#reading = reading;
     this.#expected = expected;
@@ -178,17 +183,18 @@
   /** Nothing follows a failure. */
   #pushEvents(bytes: Buffer): readonly StreamPart[] {
     const parts: StreamPart[] = [];
-    const events = this.#splitter.push(bytes).filter(({ isComment }) => !isComment);
     // eslint-disable-next-line no-restricted-syntax -- the first failure ends it
-    for (const { id, text, isWellFormed } of events) {
+    for (const { id, text, isWellFormed } of this.#splitter.push(bytes)) {
       if (id === undefined) return [...parts, failure('an event of the stream has no id')];
       if (!isWellFormed) return [...parts, failure('an event has lines that are not its own')];
       const due = this.#position + FIRST_EVENT_ID;
       if (id !== due) return [...parts, failure(`event ${id} came in place of event ${due}`)];
       parts.push({ kind: 'event', position: this.#position, text });
       this.#position += 1;
+      this.#eventLength += text.length;
     }
-    return this.#splitter.isOverlong
-      ? [...parts, failure('an event of the stream is too long')] : parts;
+    if (this.#splitter.isOverlong) return [...parts, failure('an event of the stream is too long')];
+    return this.#splitter.commentLength > MAX_COMMENT_LENGTH + this.#eventLength
+      ? [...parts, failure('the stream holds too much beside its events')] : parts;
   }
 }
--- a/src/store/calls.ts
+++ b/src/store/calls.ts
@@ -10,6 +10,7 @@
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
 import type { HostPort } from '../common/address.js';
+import { readPieces } from '../common/pieces.js';
 
 export const MAX_ANSWER_CHARS = 16_777_216;
 const MAX_SOCKETS = 16;
@@ -54,7 +55,7 @@
   return new Promise((resolve, reject) => {
     let text = '';
     response.setEncoding('utf8');
-    response.on('data', (chunk: string) => {
+    readPieces<string>(response, (chunk) => {
       text += chunk;
       if (text.length > MAX_ANSWER_CHARS) reject(new Error('answer exceeds the size limit'));
     });
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -9,6 +9,7 @@
 import { map, Observable, timer } from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { z } from 'zod';
+import { readPieces } from '../common/pieces.js';
 import {
   collect, MAX_ANSWER_CHARS, parseJson, StoreCalls,
 } from './calls.js';
@@ -73,7 +74,7 @@
   return new Observable((subscriber) => {
     let rest = '';
     response.setEncoding('utf8');
-    response.on('data', (chunk: string) => {
+    readPieces<string>(response, (chunk) => {
       const lines = (rest + chunk).split('\n');
       rest = lines.pop() ?? '';
       if (rest.length > MAX_ANSWER_CHARS) subscriber.error(new Error('event exceeds the limit'));
