Refuse a take-up that fails as not run, and pace the removal of saved origins

Found by reading: an error while a take-up is prepared ended it with 502 since the change of heads, though nothing was sent; it is refused as not run again. A removal that fails was repeated each 250 ms whatever the number of instances; it has the pace of the writes now.

entrystop, what is open at the limit: the stop began once three answers were open, which may be before the service has the call, and 503 is then true.

--- a/src/relay/savedorigins.ts
+++ b/src/relay/savedorigins.ts
@@ -168,7 +168,10 @@
   }
 
   async #remove(): Promise<void> {
-    const { writer, kind, name } = this.#context;
+    const {
+      writer, kind, name, scheduler,
+    } = this.#context;
+    this.#writtenAt = scheduler.now();
     const result = await writer.remove(kind, name);
     if (result.isErr() && result.error.code !== 'not_found') {
       this.#logFailure('remove', result.error.message);
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -129,8 +129,8 @@
       if (origin) this.#apply({ kind: 'begin' });
       else this.#unassignable(UNKNOWN_ORIGIN_MESSAGE);
     };
-    prepareTakeUp(this.#call, this.#context)
-      .then(guarded(this.#caller, begin), (error: unknown) => this.#caller.fail(error));
+    const refuse = (error: unknown) => this.#unassignable(`${UNKNOWN_ORIGIN_MESSAGE}: ${error}`);
+    prepareTakeUp(this.#call, this.#context).then(guarded(this.#caller, begin), refuse);
   }
 
   #apply(event: GenerationEvent): void {
--- a/test/entrystop.test.ts
+++ b/test/entrystop.test.ts
@@ -41,8 +41,13 @@
 });
 
 test('what is open at the limit of a stop ends with a status, or not as complete', async (t) => {
+  let reached = 0;
   const { address, drain, engines } = await entryOf(t, {
-    engines: 1, engine: { stepMs: 300 }, services: [() => undefined],
+    engines: 1,
+    engine: { stepMs: 300 },
+    services: [() => {
+      reached += 1;
+    }],
   });
   const replies = Promise.all([
     call(address, '/services/stock/open'),
@@ -51,7 +56,7 @@
     }),
     post(address, '/v1/completions', { model: 'm', prompt: 'List', max_tokens: 100 }),
   ]);
-  t.true(await eventually(() => drain.open === 3));
+  t.true(await eventually(() => drain.open === 3 && reached === 1));
   drain.begin();
   const [service, stream, whole] = await replies;
   t.is(drain.state, 'expired');
