Forget saved versions after two minutes, and pace the readings before a write

Found by reading: an instance that was lost while two versions ran leaves an object with both; for ten minutes after the older one had gone, restarted instances would have refused streams that they had no record of. Versions count for two minutes now, twice as long as callers wait at most; where single streams began is adopted as before. With the store away, the reading before the first write was tried each second by every instance; it has the pace of the writes now.

relay-savedorigins: a new test, which fails without the bound (v1 is not the only version).

--- a/src/relay/savedorigins.ts
+++ b/src/relay/savedorigins.ts
@@ -17,7 +17,9 @@
 const SAVE_INTERVAL_MS = 250;
 /** How long callers that return share one reading. */
 const READ_TTL_MS = 1_000;
-/** Older objects are of instances that are gone; clocks of instances may differ by seconds. */
+/** An instance that runs several versions has new streams to save; clocks may differ by seconds. */
+const VERSIONS_TTL_MS = 2 * VERSION_MEMORY_MS;
+/** Older objects are of instances that are gone. */
 const STALE_MS = 10 * VERSION_MEMORY_MS;
 
 /** What an instance knows, at a Unix time in milliseconds. */
@@ -93,7 +95,9 @@
   }
 
   async #read(): Promise<boolean> {
-    const { reader, kind, origins } = this.#context;
+    const {
+      reader, kind, origins, wallClock,
+    } = this.#context;
     const listing = await reader.list(kind, 'status');
     if (listing.isErr()) {
       this.#versions = undefined;
@@ -105,6 +109,7 @@
       const saved = this.#decode(object);
       if (!saved) return;
       origins.adopt(saved.origins.map(decodeOrigin));
+      if (Math.abs(wallClock() - saved.at) > VERSIONS_TTL_MS) return;
       Object.entries(saved.versions).forEach(([service, names]) => {
         versions.set(service, new Set([...versions.get(service) ?? [], ...names]));
       });
@@ -136,10 +141,12 @@
     if (this.#isWriting || !isDue || (!isNeeded && this.#written === undefined)) return;
     this.#isWriting = true;
     try {
-      // What this instance wrote before it was restarted would be lost.
-      if (this.#written !== undefined || await this.read()) {
-        await (isNeeded ? this.#write(versions) : this.#remove());
+      if (this.#written === undefined) {
+        // What this instance wrote before it was restarted would be lost.
+        this.#writtenAt = scheduler.now();
+        if (!await this.read()) return;
       }
+      await (isNeeded ? this.#write(versions) : this.#remove());
     } finally {
       this.#isWriting = false;
     }
--- a/test/relay-savedorigins.test.ts
+++ b/test/relay-savedorigins.test.ts
@@ -138,6 +138,15 @@
   t.regex(store.objects.get('d1')!.value, /"r1","v1"/);
 });
 
+test('versions that were seen some minutes ago do not hold back later streams', async (t) => {
+  const store = new Store();
+  store.put('lost', { at: NOW - 180_000, versions: { s: ['v0', 'v1'] }, origins: [['r9', 'v0']] });
+  const { origins, saved } = instanceOf(store, 'd1', ['v1']);
+  t.true(await saved.read());
+  t.is(saved.soleVersion('s'), 'v1');
+  t.deepEqual(origins.origin('r9'), { kind: 'version', software: 'v0' });
+});
+
 test('objects that are odd or of instances long gone tell nothing', async (t) => {
   const store = new Store();
   const content = { versions: { s: ['v2'] }, origins: [['r9', 'v2']] };
