Expire a removed server before the one that stood at its address is listed

Cause: the removal lists the server that had the address before; that one superseded the removed one, which was recorded as one that may come back, and was listed as ready once the other left.

Fix: the removed server expires first, so that nothing is recorded. relay-superseded fails before and passes after; a server whose entry lapsed in an outage stays usable, as before.

--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -122,11 +122,12 @@
   /** Called when an entry is no longer in the store. */
   remove(id: string): void {
     this.#superseded.forget(id);
-    this.#listSuperseded(id);
     const state = this.#servers.get(id);
-    if (!state) return;
-    const lapsed = this.#now() < this.#graceUntil && state.entry.state === 'ready';
-    this.#expire(id, 'entry_gone', lapsed ? this.#graceUntil : undefined);
+    const lapsed = this.#now() < this.#graceUntil && state?.entry.state === 'ready';
+    // Before a server that is listed in its place takes it for one that may come back.
+    if (!lapsed) this.#expire(id, 'entry_gone');
+    this.#listSuperseded(id);
+    if (lapsed) this.#expire(id, 'entry_gone', this.#graceUntil);
   }
 
   /** Called when another server answers at this server's address; other instances are told. */
