Let streams stay at a silent engine that is reached while their instance stops

Cause: leaving for silence alone is a bet that the other engine goes on sooner, and a stop leaves no time to lose it.

Fix: while the instance stops, a stream leaves an engine only if that accepts no connections either, or has broken the connection. relay-stop: a new test, with the other engine silent for longer; those of a second of silence and of a crash hold as before.

--- a/src/relay/attemptplan.ts
+++ b/src/relay/attemptplan.ts
@@ -33,8 +33,8 @@
   readonly reconnecting: boolean;
   /** Where another engine has ended the stream without an event; undefined if none has. */
   readonly emptyEndAt: number | undefined;
-  /** Whether another engine could take over the stream now. */
-  readonly canMigrate: () => boolean;
+  /** Whether another engine could take over the stream now; `isLost` if this one is not reached. */
+  readonly canMigrate: (isLost: boolean) => boolean;
   /** Told of errors of the relay's own. */
   readonly caller: Pick<Caller, 'fail'>;
 }
--- a/src/relay/migration.ts
+++ b/src/relay/migration.ts
@@ -36,16 +36,19 @@
 
 /**
  * Silence alone does not end a stream: it stays on its engine unless the request may be
- * repeated and another engine has capacity for it.
+ * repeated and another engine has capacity for it. While the instance stops, it stays as long as
+ * the engine is reached: both engines may be silent, and no time is left to come back.
  */
 export function mayMigrate(
   call: Call,
   counts: AttemptCounts,
+  isLost: boolean,
   { run, exclude, release }: Omit<AttemptDemand, 'copyHolder' | 'isNew'>,
   context: RelayContext,
 ): boolean {
   const { engine, name } = call.service;
   if (!engine || call.route.repeat === 'never') return false;
+  if (context.stopping.isStopping && !isLost) return false;
   if (attemptDenialReason(call, counts, context) !== undefined) return false;
   const { fleet, scheduler } = context;
   const candidates = fleet.candidates(name, exclude)
--- a/src/relay/silencewatch.ts
+++ b/src/relay/silencewatch.ts
@@ -13,8 +13,12 @@
 export interface WatchedStream {
   readonly server: string;
   activity(): StreamActivity;
-  /** Asks the stream to move to another engine. */
-  migrate(reason: string): void;
+  /**
+   * Asks the stream to move to another engine.
+   *
+   * @param isLost whether the server accepts no connections either
+   */
+  migrate(reason: string, isLost: boolean): void;
 }
 
 export class SilenceWatch {
@@ -73,7 +77,7 @@
         startedAt: since,
         eventAt: activity.eventAt === undefined ? undefined : Math.max(since, activity.eventAt),
       };
-      if (isOverdue(adjusted, now)) stream.migrate('silent');
+      if (isOverdue(adjusted, now)) stream.migrate('silent', false);
     });
     [...this.#servers.keys()].filter((server) => !latestStarts.has(server))
       .forEach((server) => this.#servers.delete(server));
@@ -97,7 +101,7 @@
         this.#servers.delete(server);
         this.#fleet.markSuspect(server, `silent for ${Math.round(now - heardAt)} ms`);
         [...this.#streams].filter((stream) => stream.server === server)
-          .forEach((stream) => stream.migrate('the server is silent'));
+          .forEach((stream) => stream.migrate('the server is silent', true));
         break;
     }
   }
--- a/src/relay/stopping.ts
+++ b/src/relay/stopping.ts
@@ -49,6 +49,10 @@
     return new Stopping(drain, scheduler);
   }
 
+  get isStopping(): boolean {
+    return this.#drain.state !== 'serving';
+  }
+
   /**
    * The times of a call that might not end before the limit; undefined if it may be sent.
    *
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -135,8 +135,8 @@
         pauseObjectiveMs: this.#call.route.pauseObjectiveMs,
         hasStandby: standby !== undefined,
       }),
-      migrate: guarded(this.#options.caller, (reason: string) => {
-        if (this.#options.canMigrate()) this.#fail('unknown', reason);
+      migrate: guarded(this.#options.caller, (reason: string, isLost: boolean) => {
+        if (this.#options.canMigrate(isLost)) this.#fail('unknown', reason);
       }),
     }));
     const dueAt = this.#startedAt + overdueMs(this.#plan.expectedFirstMs);
--- a/src/relay/streamrelay.ts
+++ b/src/relay/streamrelay.ts
@@ -267,7 +267,7 @@
       hasRun: [...this.#attempts.values()].some(({ isSound }) => isSound),
       reconnecting: this.#call.fields.lastEvent !== undefined,
       emptyEndAt: this.#emptyEndAt,
-      canMigrate: () => this.#hasTime && mayMigrate(this.#call, this.#counts, {
+      canMigrate: (isLost) => this.#hasTime && mayMigrate(this.#call, this.#counts, isLost, {
         run: this.#demand,
         exclude: [...this.#state.excluded, attempt.server],
         release: this.#release.required(this.#state.version),
--- a/test/relay-stop.test.ts
+++ b/test/relay-stop.test.ts
@@ -204,6 +204,19 @@
   });
 });
 
+test('a stream stays at a silent engine in a stop when the other one is silent too', async (t) => {
+  const relay = await servingRelay(t, { engines: STANDBY_PAIR });
+  const begun = relay.call('/stream/a', { 'x-id': 'begun' });
+  const serving = () => relay.engines.find(({ streamed }) => streamed.has('begun'));
+  t.true(await eventually(() => serving() !== undefined));
+  relay.daemon.startDrain();
+  await pause(300);
+  relay.engines.forEach((engine) => engine.silence(engine === serving() ? 1_000 : 30_000));
+  const reply = await begun;
+  t.deepEqual([reply.status, reply.whole], [200, true]);
+  t.is(reply.text, eventsText(20));
+});
+
 test('a stream that has not begun stays at a silent engine in a stop', async (t) => {
   const relay = await servingRelay(t, { engines: STANDBY_PAIR });
   t.true((await relay.call('/stream/a', { 'x-id': 'known', 'x-output': '10' })).whole);
