--- a/test/entrystop.test.ts
+++ b/test/entrystop.test.ts
@@ -56,13 +56,14 @@
     }),
     post(address, '/v1/completions', { model: 'm', prompt: 'List', max_tokens: 100 }),
   ]);
-  t.true(await eventually(() => drain.open === 3 && reached === 1));
+  t.true(await eventually(() => (
+    drain.open === 3 && reached === 1 && engines[0]!.started.length === 2)));
   drain.begin();
   const [service, stream, whole] = await replies;
   t.is(drain.state, 'expired');
-  t.deepEqual([service.status, service.whole], [502, true]);
-  t.deepEqual([whole.status, whole.whole], [502, true]);
-  t.is(stream.status, 200);
+  t.deepEqual([service.status, service.whole], [502, true], service.text);
+  t.deepEqual([whole.status, whole.whole], [502, true], whole.text);
+  t.is(stream.status, 200, stream.text);
   t.false(stream.whole && stream.text.includes('[DONE]'));
   t.is(engines.length, 1);
 });
