--- a/bench/uncontrolled.ts
+++ b/bench/uncontrolled.ts
@@ -2,9 +2,10 @@
  * Plays one crowd of clients that nobody controls against the program as a process, by hand:
  * `tsx bench/uncontrolled.ts CROWD CONNECTIONS [SETTING=VALUE...]`. Prints the resident memory.
  */
-import { Crowd, openDescriptors, peakMegabytes } from '../test/fakes/crowd.js';
+import { Crowd } from '../test/fakes/crowd.js';
 import { CROWDS } from '../test/fakes/crowds.js';
 import { emptyRequest, ProcessDeployment } from '../test/fakes/processdeployment.js';
+import { openDescriptors, peakMegabytes } from '../test/fakes/processmeter.js';
 
 const [name = '', connections = '200', ...extraLines] = process.argv.slice(2);
 
--- a/test/alone/uncontrolled-clients.test.ts
+++ b/test/alone/uncontrolled-clients.test.ts
@@ -4,10 +4,11 @@
  * answers an ordinary request afterwards; no times, and no share of requests that are served.
  */
 import test from 'ava';
-import { Crowd, openDescriptors, peakMegabytes } from '../fakes/crowd.js';
+import { Crowd } from '../fakes/crowd.js';
 import { CROWDS } from '../fakes/crowds.js';
 import { eventually } from '../fakes/eventually.js';
 import { emptyRequest, ProcessDeployment } from '../fakes/processdeployment.js';
+import { openDescriptors, peakMegabytes } from '../fakes/processmeter.js';
 
 /** What the process may hold for clients: much less than the crowds send. */
 const BUDGET_BYTES = 16_777_216;
@@ -55,7 +56,7 @@
     t.true(isAnswered, 'an ordinary request is answered');
     t.is(status, 200);
     // A status that promises that a request has not run has to be true.
-    crowd.statuses.forEach((answered, index) => {
+    crowd.statuses.forEach(([answered], index) => {
       if (answered === 503) t.is(deployment.record.of(`crowd-${index}`).length, 0);
     });
   });
--- a/test/fakes/crowds.ts
+++ b/test/fakes/crowds.ts
@@ -6,16 +6,16 @@
 /** One-byte chunks cost the processor much more than they send. */
 const SMALL_CHUNK_CONNECTIONS = 30;
 
-const KILOBYTES_64 = 65_536;
-const LEGAL_PARTS = 64;
-const PART = Buffer.alloc(KILOBYTES_64, 'x');
-const LARGE_CHUNK = Buffer.concat([Buffer.from('10000\r\n'), PART, Buffer.from('\r\n')]);
-const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
-const CHUNKED = { 'Transfer-Encoding': 'chunked' };
-const LEGAL_LENGTH = { 'Content-Length': String(LEGAL_PARTS * KILOBYTES_64) };
-const EXCESSIVE_LENGTH = { 'Content-Length': String(4 * LEGAL_PARTS * KILOBYTES_64) };
+export const KILOBYTES_64 = 65_536;
+export const LEGAL_PARTS = 64;
+export const PART = Buffer.alloc(KILOBYTES_64, 'x');
+export const LARGE_CHUNK = Buffer.concat([Buffer.from('10000\r\n'), PART, Buffer.from('\r\n')]);
+export const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(10_000));
+export const CHUNKED = { 'Transfer-Encoding': 'chunked' };
+export const LEGAL_LENGTH = { 'Content-Length': String(LEGAL_PARTS * KILOBYTES_64) };
+export const EXCESSIVE_LENGTH = { 'Content-Length': String(4 * LEGAL_PARTS * KILOBYTES_64) };
 
-function head(target: string, headers: Readonly<Record<string, string>>) {
+export function head(target: string, headers: Readonly<Record<string, string>>) {
   return (index: number) => requestHead(`crowd-${index}`, target, headers);
 }
 
--- a/test/fakes/relayprocess.ts
+++ b/test/fakes/relayprocess.ts
@@ -2,11 +2,12 @@
 import { execFile, execFileSync, spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import {
-  closeSync, constants, mkdtempSync, openSync, rmSync, writeFileSync, writeSync,
+  closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync,
 } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
+import { getStaticTOMLValue, parseTOML } from 'toml-eslint-parser';
 import { eventually } from './eventually.js';
 import { RawConnection } from './rawconnection.js';
 
@@ -43,6 +44,15 @@
 process.once('exit', () => rmSync(folder, { recursive: true, force: true }));
 let build: Promise<unknown> | undefined;
 
+interface DeployFile { readonly roles: { readonly relay: { readonly run: string } } }
+
+/** Node's flags as the program is deployed: what stands between `node` and the program. */
+function deployedFlags(): readonly string[] {
+  const file = parseTOML(readFileSync('deploy/system.toml', 'utf8'));
+  const { roles: { relay: { run } } } = getStaticTOMLValue(file) as unknown as DeployFile;
+  return run.split(' ').slice(1, -1);
+}
+
 /** Builds the program as it is deployed, once. */
 function buildProgram(): Promise<unknown> {
   build ??= promisify(execFile)(process.execPath, [
@@ -117,7 +127,7 @@
     const pipe = settings.isOutputFull
       ? fullPipe(`${file}.out`) : { output: 'pipe' as const, remove: () => undefined };
     const child = spawn(process.execPath, [
-      '--max-semi-space-size=2', join(folder, 'shallotshuntd.mjs'),
+      ...deployedFlags(), join(folder, 'shallotshuntd.mjs'),
     ], {
       env: { SHALLOTSHUNT_SETTINGS: `${file}.conf` }, stdio: ['ignore', pipe.output, 'pipe'],
     });
