Derive limits from the memory and descriptors that the platform gives

What callers saw: on a machine of 178 MB an instance held up to 32 MiB for a crowd, and the process needed up to 250 MB. Cause: the budget came from the memory that the system shows, and the connections from the system's limit; the platform ends the process at `Limits.MemoryMb` and `Limits.MaxFds` of the settings file, which were read nowhere. The default share of the memory is 0.09 in place of 0.15, since buffers and the heap of a crowd come on top. From 350 MB on the budget is nearly what it was. Measured: the new test fails without the settings (undefined).

--- a/src/memory/machine.ts
+++ b/src/memory/machine.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 
 /** Share of the memory that may be held for others; the program itself needs 60 to 90 MB. */
-const MEMORY_SHARE = 0.15;
+const MEMORY_SHARE = 0.09;
 /** Callers inside their limits hold less than this together, also on a large machine. */
 const MAX_BUDGET_BYTES = 33_554_432;
 /** Room for some bodies of the largest size, also on the smallest machine. */
@@ -32,14 +32,23 @@
   }
 }
 
-/** Default of the memory held for others, in bytes. */
-export function defaultBudgetBytes(machineBytes = memoryBytes()): number {
-  const share = Math.floor(machineBytes * MEMORY_SHARE);
+/**
+ * Default of the memory held for others, in bytes.
+ *
+ * @param limitBytes memory that the process may use, if that is less than the machine's
+ */
+export function defaultBudgetBytes(limitBytes = Infinity): number {
+  const share = Math.floor(Math.min(limitBytes, memoryBytes()) * MEMORY_SHARE);
   return Math.max(MIN_BUDGET_BYTES, Math.min(MAX_BUDGET_BYTES, share));
 }
 
-/** Default limit on callers' connections. */
-export function defaultMaxConnections(descriptors = descriptorLimit()): number {
+/**
+ * Default limit on callers' connections.
+ *
+ * @param limit descriptors that the process may open, if that is less than the system allows
+ */
+export function defaultMaxConnections(limit = Infinity): number {
+  const descriptors = Math.min(limit, descriptorLimit());
   const connections = (descriptors - OWN_DESCRIPTORS) / DESCRIPTORS_PER_CONNECTION;
   return Math.max(MIN_CONNECTIONS, Math.floor(connections));
 }
--- a/src/relay/memorylimits.ts
+++ b/src/relay/memorylimits.ts
@@ -24,11 +24,13 @@
 }
 
 export function createMemory(
-  { memoryBudgetBytes, maxConnections }: RelaySettings,
+  {
+    memoryBytes, descriptors, memoryBudgetBytes, maxConnections,
+  }: RelaySettings,
   log: Log,
 ): MemoryLimits {
-  const budget = MemoryBudget.of(memoryBudgetBytes ?? defaultBudgetBytes());
-  const connections = maxConnections ?? defaultMaxConnections();
+  const budget = MemoryBudget.of(memoryBudgetBytes ?? defaultBudgetBytes(memoryBytes));
+  const connections = maxConnections ?? defaultMaxConnections(descriptors);
   log.event('info', 'memory_limits', { budget_bytes: budget.capacity, connections });
   let refusedConnections = 0;
   return {
--- a/src/relay/settings.ts
+++ b/src/relay/settings.ts
@@ -37,7 +37,11 @@
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
-  /** Bytes held for others at most; derived from the machine's memory by default. */
+  /** Bytes of memory that the process may use, if the platform says less than the machine. */
+  readonly memoryBytes?: number | undefined;
+  /** The same for open descriptors of connections. */
+  readonly descriptors?: number | undefined;
+  /** Bytes held for others at most; derived from the memory by default. */
   readonly memoryBudgetBytes?: number | undefined;
   /** Callers' connections at most; derived from the limit on descriptors by default. */
   readonly maxConnections?: number | undefined;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -14,6 +14,7 @@
 import { formatFinding } from '../src/common/finding.js';
 import { monotonicScheduler } from '../src/common/time.js';
 import { DEFAULT_HEAD_LIMITS } from '../src/entry/httpserver.js';
+import { createMemory } from '../src/relay/memorylimits.js';
 import { RecordedLog } from './fakes/recordedlog.js';
 
 const SETTINGS = `NodeName=front-a-1
@@ -38,6 +39,18 @@
   t.deepEqual(settings?.seeds, ['10.1.0.19', '10.2.0.13']);
 });
 
+test('settings: the memory and descriptors that the platform gives are not taken for more', (t) => {
+  const limited = `${SETTINGS}Limits.MemoryMb=178\nLimits.MaxFds=2212\n`;
+  const { settings } = readPlatformSettings('s', limited);
+  t.like(settings, { memoryBytes: 178_000_000, descriptors: 2_012 });
+  const { budget } = createMemory(settings!, new RecordedLog());
+  t.true(budget.capacity <= 17_000_000, `${budget.capacity}`);
+  t.true(budget.hasRoomFor(4_194_304));
+  const unlimited = readPlatformSettings('s', SETTINGS).settings;
+  t.is(unlimited?.memoryBytes, undefined);
+  t.is(unlimited?.descriptors, undefined);
+});
+
 test('settings: all errors are reported with their lines', (t) => {
   const wrong = SETTINGS.replace('Ip=10.1.0.19', 'Ip=ten').replace('Zone=a\n', '')
     .replace('GraceS=8', 'GraceS=x');
