Bound the connections that linger after they were ended

What callers saw: beside clients that are refused and come again at once an instance kept 400 and more connections that it had ended. Cause: a connection that is closed with input to come stays open for up to 5 s, so that its answer isn't lost to a reset. Nothing bounded how many do, and each holds a descriptor and up to 128 KiB that have arrived unread. Clients that come again leave one behind each time. Change: 32 of them linger; for one more the oldest is closed, which had the longest time to read its answer.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -8,7 +8,7 @@
 import { equalSecrets, sha256 } from '../common/hash.js';
 import type { Log } from '../common/log.js';
 import { closeIfUnread } from '../entry/body.js';
-import { closeGracefully } from '../entry/gracefulclose.js';
+import { Lingering } from '../entry/gracefulclose.js';
 import { joinSmallChunks } from '../entry/smallchunks.js';
 import type { AdminRouter } from './router.js';
 
@@ -69,7 +69,8 @@
     });
     handler(req, res);
   });
-  server.on('connection', closeGracefully);
+  const lingering = Lingering.of();
+  server.on('connection', (socket) => lingering.closeGracefully(socket));
   server.maxConnections = MAX_CONNECTIONS;
   return server;
 }
--- a/src/entry/gracefulclose.ts
+++ b/src/entry/gracefulclose.ts
@@ -8,6 +8,8 @@
 
 /** How long a caller may leave a connection open that the server has ended. */
 const LINGER_MS = 5_000;
+/** Each holds a descriptor, and input that has arrived unread. */
+const MAX_LINGERING = 32;
 
 /** What is read at once is followed by a pause, so that a caller that goes on sending is slowed. */
 const DISCARD_PAUSE_MS = 100;
@@ -25,18 +27,38 @@
   socket.resume();
 }
 
-/** Replaces the function by which Node closes a connection after its last response. */
-export function closeGracefully(socket: Socket): void {
-  Object.assign(socket, {
-    destroySoon: () => {
-      if (socket.writableEnded || socket.destroyed) return;
-      socket.end(() => {
-        const deadline = setTimeout(() => socket.destroy(), LINGER_MS);
-        socket.once('close', () => clearTimeout(deadline));
-      });
-      discardSlowly(socket);
-    },
-  });
+/** The connections of a server that it has ended and that their callers have not closed yet. */
+export class Lingering {
+  /** In the order in which they were ended. */
+  readonly #sockets = new Set<Socket>();
+
+  static of(): Lingering {
+    return new Lingering();
+  }
+
+  /** Replaces the function by which Node closes a connection after its last response. */
+  closeGracefully(socket: Socket): void {
+    Object.assign(socket, {
+      destroySoon: () => {
+        if (socket.writableEnded || socket.destroyed) return;
+        socket.end(() => this.#add(socket));
+        discardSlowly(socket);
+      },
+    });
+  }
+
+  #add(socket: Socket): void {
+    if (socket.destroyed) return;
+    const deadline = setTimeout(() => socket.destroy(), LINGER_MS);
+    this.#sockets.add(socket);
+    socket.once('close', () => {
+      clearTimeout(deadline);
+      this.#sockets.delete(socket);
+    });
+    if (this.#sockets.size <= MAX_LINGERING) return;
+    const [oldest] = this.#sockets;
+    oldest?.destroy();
+  }
 }
 
 /** Calls `listener` once the response is closed, and its connection if that is being closed. */
--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -11,7 +11,7 @@
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
 import type { Drain } from './drain.js';
-import { closeGracefully } from './gracefulclose.js';
+import { Lingering } from './gracefulclose.js';
 import { joinSmallChunks } from './smallchunks.js';
 
 /** Limits on the size of a request's head and on the time it may take to arrive. */
@@ -85,12 +85,14 @@
 export class CallerServer extends Server {
   readonly #connections = new Map<Socket, ConnectionUse>();
 
+  readonly #lingering = Lingering.of();
+
   #isStopping = false;
 
   constructor(options: ServerOptions, listener: RequestListener) {
     super(options, listener);
     this.on('connection', (socket: Socket) => {
-      closeGracefully(socket);
+      this.#lingering.closeGracefully(socket);
       this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0, latest: undefined });
       socket.once('close', () => this.#connections.delete(socket));
     });
--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -13,7 +13,7 @@
 import { VERSION_LIMIT } from '../store/epoch.js';
 import type { Listing, StoredObject } from '../store/objects.js';
 import { closeIfUnread } from '../entry/body.js';
-import { closeGracefully } from '../entry/gracefulclose.js';
+import { Lingering } from '../entry/gracefulclose.js';
 import { joinSmallChunks } from '../entry/smallchunks.js';
 import { readForwarded } from './forwardedrequest.js';
 
@@ -77,7 +77,8 @@
     }
   });
   // An instance whose forwarded request is refused may still be sending its body.
-  server.on('connection', closeGracefully);
+  const lingering = Lingering.of();
+  server.on('connection', (socket) => lingering.closeGracefully(socket));
   server.maxConnections = MAX_CONNECTIONS;
   return server;
 }
