Run one request of a connection at a time, and bound those sent ahead

What callers saw: clients that send their requests without waiting for the answers took all descriptors of an instance (4,131 of 2,012 with 100 connections), 250 MB, and with the shortest requests 1,012 MB; ordinary callers were told "overloaded". After such clients had left, large requests of others were refused for good. Cause: Node parses all that it has read, and every request was run as soon as it was parsed: each took a connection to a server. A single read of 64 KiB holds 2,000 requests of 30 bytes, of 5 kB each once they are parsed. And Node closes only the response that is being sent when a connection closes: bodies of those behind it stayed in the budget. Change: src/entry/requestline.ts keeps the requests of a connection in their order. They are read at once, under the budget, so that a caller that leaves is noticed; only the first runs, and until its turn one can give way. One more than 16 ahead of an answer is dropped unread with all that follows, and the connection closes after the answers. When a connection closes, all of its responses do. Tried and given up: feeding Node's parser slice by slice, so that nothing is parsed ahead. It takes the connection from the parser's own reading, whose buffer is used again, and crowds of bodies then needed 289 MB for 224.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -11,6 +11,7 @@
 import type { MemoryBudget } from '../memory/budget.js';
 import { ByteBuffer } from '../memory/bytebuffer.js';
 import { breakOff } from './closedelimited.js';
+import { whenFirst } from './requestline.js';
 import { hasTooSmallChunks } from './smallchunks.js';
 
 export const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -18,6 +19,9 @@
 const IDLE_TIMEOUT_MS = 10_000;
 const TOTAL_TIMEOUT_MS = 60_000;
 
+/** About what Node holds of a request besides its body while it waits for its turn. */
+const HEAD_BYTES = 8_192;
+
 /** Input of a refused request that is read to its end, so that its connection can be kept. */
 const MAX_DISCARDED_BYTES = 65_536;
 
@@ -82,7 +86,10 @@
   };
 }
 
-/** Resolves to the whole body, or to a refusal if it is too large, too slow or cut off. */
+/**
+ * Resolves to the whole body once the request is the first of its connection, or to a refusal if it
+ * is too large, too slow or cut off. Until then it can give way.
+ */
 export function readBody(
   req: IncomingMessage,
   scheduler: SchedulerLike,
@@ -159,9 +166,19 @@
       }
     });
     req.on('end', () => {
-      if (isSettled) return;
-      holding.fix();
-      settle(ok(body.take()));
+      timers.unsubscribe();
+      idleTimer.unsubscribe();
+      let isWaiting = true;
+      whenFirst(res, () => {
+        isWaiting = false;
+        if (isSettled) return;
+        holding.resize(body.length, scheduler.now());
+        holding.fix();
+        settle(ok(body.take()));
+      });
+      if (isWaiting && !holding.resize(body.length + HEAD_BYTES, scheduler.now())) {
+        settle(err(memoryRefusal(budget)));
+      }
     });
     req.on('error', (error) => settle(err({
       code: 'bad_request', message: `the body was cut off: ${error.message}`, ran: 'no',
--- a/src/entry/gracefulclose.ts
+++ b/src/entry/gracefulclose.ts
@@ -15,7 +15,7 @@
 const DISCARD_PAUSE_MS = 100;
 
 /** Discards input, a part in a while, without parsing it. */
-function discardSlowly(socket: Socket): void {
+export function discardSlowly(socket: Socket): void {
   // A listener of this kind also takes the connection from Node's parser.
   socket.removeAllListeners('data');
   let resumed: NodeJS.Timeout | undefined;
--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -11,7 +11,8 @@
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
 import type { Drain } from './drain.js';
-import { Lingering } from './gracefulclose.js';
+import { discardSlowly, Lingering } from './gracefulclose.js';
+import { RequestLine } from './requestline.js';
 import { joinSmallChunks } from './smallchunks.js';
 
 /** Limits on the size of a request's head and on the time it may take to arrive. */
@@ -74,11 +75,23 @@
 
 /** What a connection has been used for. */
 interface ConnectionUse {
-  openAnswers: number;
+  readonly line: RequestLine;
   /** Bytes read when its last answer closed; more show that another request has begun to arrive. */
   bytesAnswered: number;
   /** The response to its latest request, while it is open. */
   latest: ServerResponse | undefined;
+  /** Whether later requests were dropped, so that it closes after that response. */
+  isLast: boolean;
+}
+
+/** Drops the requests that Node has read and not parsed yet, before it prepares their answers. */
+function dropRequests(socket: Socket): void {
+  const { parser } = socket as unknown as { readonly parser: object | null };
+  if (parser) Object.assign(parser, { onIncoming: () => 0 });
+  // The parser can't be taken from the connection while it calls back.
+  setImmediate(() => {
+    if (!socket.destroyed) discardSlowly(socket);
+  });
 }
 
 /** Node's own server closes connections as idle whose answers have ended and are partly unsent. */
@@ -93,7 +106,9 @@
     super(options, listener);
     this.on('connection', (socket: Socket) => {
       this.#lingering.closeGracefully(socket);
-      this.#connections.set(socket, { openAnswers: 0, bytesAnswered: 0, latest: undefined });
+      this.#connections.set(socket, {
+        line: RequestLine.of(socket), bytesAnswered: 0, latest: undefined, isLast: false,
+      });
       socket.once('close', () => this.#connections.delete(socket));
     });
     this.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
@@ -111,8 +126,8 @@
     this.on('connection', (socket: Socket) => {
       if (this.#connections.size <= max) return;
       // In the order in which they were opened.
-      const [oldest] = [...this.#connections].find(([other, { openAnswers }]) => (
-        other !== socket && openAnswers === 0)) ?? [socket];
+      const [oldest] = [...this.#connections].find(([other, { line }]) => (
+        other !== socket && line.length === 0)) ?? [socket];
       oldest.destroy();
       this.#connections.delete(oldest);
       onClosed();
@@ -155,14 +170,14 @@
   #unanswered(filterUse: (use: ConnectionUse, socket: Socket) => boolean): readonly Socket[] {
     return [...this.#connections]
       .filter(([socket, use]) => (
-        use.openAnswers === 0 && socket.bytesRead > 0 && filterUse(use, socket)))
+        use.line.length === 0 && socket.bytesRead > 0 && filterUse(use, socket)))
       .map(([socket]) => socket);
   }
 
   /** Whether no answer can be sent on the connection after those that are open. */
   isEnding(socket: Socket): boolean {
-    const latest = this.#connections.get(socket)?.latest;
-    return socket.writableEnded
+    const { latest, isLast } = this.#connections.get(socket) ?? {};
+    return socket.writableEnded || isLast === true
       || (this.#isStopping && latest?.headersSent === true && latest.hasHeader('Connection'));
   }
 
@@ -170,19 +185,25 @@
     const { socket } = res.req;
     const use = this.#connections.get(socket);
     if (!use || this.isEnding(socket)) return;
+    const { line } = use;
+    if (line.isFull) {
+      use.isLast = true;
+      if (use.latest && !use.latest.headersSent) use.latest.setHeader('Connection', 'close');
+      dropRequests(socket);
+      return;
+    }
     if (this.#isStopping) {
       // Only the last of the answers on a connection may close it.
       if (use.latest && !use.latest.headersSent) use.latest.removeHeader('Connection');
       res.setHeader('Connection', 'close');
     }
     use.latest = res;
-    use.openAnswers += 1;
+    line.add(res);
     res.once('close', () => {
-      use.openAnswers -= 1;
       use.bytesAnswered = socket.bytesRead;
       if (use.latest === res) use.latest = undefined;
       // Heads that were written before the stop say that the connection stays open.
-      if (this.#isStopping && use.openAnswers === 0) socket.destroySoon();
+      if ((this.#isStopping || use.isLast) && line.length === 0) socket.destroySoon();
     });
   }
 }
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -18,6 +18,7 @@
 } from './body.js';
 import { claimRefusal } from './claimrefusal.js';
 import type { Gateway } from './gateway.js';
+import { untilFirst } from './requestline.js';
 import { ServiceFingerprint } from './servicefingerprint.js';
 import { forward } from './upstream.js';
 import type { ForwardResult } from './upstream.js';
@@ -106,6 +107,7 @@
       if (read.isErr()) return sendRefusal(res, read.error);
       body = read.value;
     }
+    await untilFirst(res);
     const admitted = this.#gateway.admit(workspace.name, route.priority);
     if (admitted.isErr()) return sendRefusal(res, admitted.error);
     whenClosed(res, () => admitted.value.release());
