Hold long responses under the memory budget while they are collected

What callers saw: 60 callers whose answers had 7 MB, all allowed, took 574 MB of an instance on a machine of 178 MB if they didn't read them, 394 if they did. Cause: the response of a plain service is collected whole, up to 8 MiB, before any of it is sent, and was counted only once it was unread. It was also copied once more when it was whole. Change: what is collected beyond 65,536 bytes counts in the budget, and all of it together may take half. Beyond that a response is not read on, except the oldest, so that one always ends and the next goes on; nobody is refused for it, since a server has run the request. Shorter responses are not counted. The pieces are sent as they were collected, without the copy. The same at an instance that forwards a call, where the length had no limit.

--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -6,6 +6,7 @@
 import type { Assignment } from './assignment.js';
 import type { BufferedResponse, Call, ResponseHead } from './call.js';
 import type { CallAttempt, CallEvent } from './callstate.js';
+import { CollectedBody } from './collectedbody.js';
 import type { RelayContext } from './context.js';
 import { fingerprintOf } from './fingerprint.js';
 import type { ResponseClass } from './responseclass.js';
@@ -28,7 +29,7 @@
   /** When the server accepted the connection; 0 if it was open before. */
   connectedAt: number;
   head: { readonly response: ResponseHead; readonly responseClass: ResponseClass } | undefined;
-  chunks: Buffer[];
+  readonly body: CollectedBody;
 }
 
 export interface AttemptStart {
@@ -42,10 +43,11 @@
 export function startAttempt(
   call: Call,
   { attempt, entry, isFirst }: AttemptStart,
-  {
-    fleet, throttles, scheduler, reach, rollouts, paces,
-  }: RelayContext,
+  context: RelayContext,
 ): LiveAttempt {
+  const {
+    fleet, throttles, scheduler, reach, rollouts, paces,
+  } = context;
   const { objectiveMs } = call.route;
   const startedAt = scheduler.now();
   const live = {
@@ -59,7 +61,7 @@
     sent: false,
     connectedAt: 0,
     head: undefined,
-    chunks: [],
+    body: CollectedBody.ofCall(call, context),
   };
   live.subscription.add(reach.watch({
     service: entry.service, startedAt, dueAt: startedAt + objectiveMs,
@@ -116,10 +118,10 @@
   { status, headers }: ResponseHead,
   chunks: readonly Buffer[],
 ): BufferedResponse {
-  const body = Buffer.concat(chunks);
+  const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
   return {
     status,
-    headers: [...endToEnd(headers, ['content-length']), 'Content-Length', String(body.length)],
-    body,
+    headers: [...endToEnd(headers, ['content-length']), 'Content-Length', String(length)],
+    body: chunks,
   };
 }
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -10,6 +10,7 @@
 import { watchCallEnds } from './callends.js';
 import { callState, callTransition } from './callstate.js';
 import type { CallAttempt, CallEffect, CallEvent } from './callstate.js';
+import { MAX_RESPONSE_BYTES } from './collectedbody.js';
 import type { Caller, RelayContext } from './context.js';
 import { countRetry, guarded, remainingMs } from './context.js';
 import { quarantineRefusal, recordBroken } from './crashguard.js';
@@ -30,8 +31,6 @@
 const HEDGE_AFTER_SHARE = 0.5;
 /** `Retry-After` when no server is up: about as long as a server takes to restart. */
 const RETRY_AFTER_MS = 300;
-/** Limit on a response that is held in memory, as long as those of most services' interfaces. */
-const MAX_RESPONSE_BYTES = 8_388_608;
 
 export class BufferedRelay {
   readonly #call: Call;
@@ -186,11 +185,14 @@
     this.#liveAttempts.set(number, live);
     this.#caller.sending(attempt.server);
     const outgoing = serverRequest(this.#call, { server: server.entry }, this.#context);
-    live.subscription.add(exchange({ ...outgoing, maxBodyBytes: MAX_RESPONSE_BYTES }, scheduler)
-      .subscribe(guarded(
-        this.#caller,
-        (event: ExchangeEvent) => this.#onExchangeEvent(number, event),
-      )));
+    live.subscription.add(exchange({
+      ...outgoing,
+      maxBodyBytes: MAX_RESPONSE_BYTES,
+      onBody: (pieces) => live.body.readWith(pieces),
+    }, scheduler).subscribe(guarded(
+      this.#caller,
+      (event: ExchangeEvent) => this.#onExchangeEvent(number, event),
+    )));
   }
 
   #onExchangeEvent(number: number, event: ExchangeEvent): void {
@@ -215,7 +217,7 @@
         break;
       }
       case 'piece':
-        live.chunks.push(event.bytes);
+        live.body.add(event.bytes);
         break;
       case 'end':
         if (live.head) this.#onResponseEnd(live, live.head);
@@ -248,7 +250,7 @@
   ): void {
     const { fleet, scheduler } = this.#context;
     const { number, server } = live.attempt;
-    const response = bufferedResponse(head, live.chunks);
+    const response = bufferedResponse(head, live.body.chunks);
     switch (responseClass.kind) {
       case 'not_run':
         if (responseClass.misdirected) fleet.markMisdirected(server);
@@ -289,6 +291,7 @@
     const live = this.#liveAttempts.get(number);
     this.#liveAttempts.delete(number);
     live?.subscription.unsubscribe();
+    live?.body.release();
     live?.assignment.release();
     live?.trial.ended();
   }
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -30,4 +30,4 @@
 /** Status and headers of a response. */
 export interface ResponseHead { readonly status: number; readonly headers: RawHeaders }
 
-export interface BufferedResponse extends ResponseHead { readonly body: Buffer }
+export interface BufferedResponse extends ResponseHead { readonly body: readonly Buffer[] }
--- a/src/relay/calleranswer.ts
+++ b/src/relay/calleranswer.ts
@@ -63,7 +63,8 @@
   respond({ status, headers, body }: BufferedResponse): void {
     this.#write((res) => {
       this.#writeHead({ status, headers });
-      res.end(body);
+      body.slice(0, -1).forEach((chunk) => res.write(chunk));
+      res.end(body.at(-1));
     });
   }
 
--- a/src/relay/context.ts
+++ b/src/relay/context.ts
@@ -3,6 +3,7 @@
 import type { Log } from '../common/log.js';
 import type { Refusal } from '../common/refusal.js';
 import type { RetryWindows } from '../limits/retrywindow.js';
+import type { Collections } from '../memory/collections.js';
 import type { Overload } from '../overload/overload.js';
 import type { WaitingLines } from '../placementrank/waitinglines.js';
 import type { ZoneStays } from '../placementrank/zonestay.js';
@@ -56,6 +57,7 @@
   readonly forwarding: Forwarding;
   readonly stopping: Stopping;
   readonly overload: Overload;
+  readonly collections: Collections;
 }
 
 /** Writes the response to the caller. */
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -88,7 +88,7 @@
   private constructor(context: RelayDaemonContext) {
     const { settings, scheduler, log } = context;
     this.#context = context;
-    this.#memory = createMemory(settings, log);
+    this.#memory = createMemory(settings, context);
     this.drain = drainOf(settings, scheduler, log);
     this.#activeConfiguration = ActiveConfiguration.of(log);
     this.#retries = RetryWindows.of({
@@ -230,6 +230,7 @@
       forwarding: this.#forwarding,
       stopping: Stopping.of(this.drain, scheduler),
       overload,
+      collections: this.#memory.collections,
     };
     this.#storeFeed = this.#createStoreFeed();
     this.#frontend = Frontend.of({
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -10,6 +10,7 @@
 import { parseHostPort } from '../common/address.js';
 import { isOfRequest, openRequest } from '../common/outgoing.js';
 import { readPieces } from '../common/pieces.js';
+import type { Pieces } from '../common/pieces.js';
 import { afterNextPoll, afterPendingInput } from '../common/time.js';
 import { isSelfDelimited, watchCloseDelimited } from '../entry/closedelimited.js';
 import { headFault } from '../entry/responsehead.js';
@@ -48,6 +49,8 @@
   readonly singleFields: ReadonlySet<string>;
   /** Whom a response names; on a kept connection one to another request is read past, once. */
   readonly ownerOf?: ((head: ResponseHead) => ResponseOwner) | undefined;
+  /** Told what the response's body is read with. */
+  readonly onBody?: ((pieces: Pieces) => void) | undefined;
   /** When the request is no longer worth sending, by the scheduler's clock; never by default. */
   readonly expiresAt?: number | undefined;
 }
@@ -89,10 +92,14 @@
 }
 
 /** Reads one response, a piece in each turn; calls `end` only if it is complete. */
-function readResponse(response: IncomingMessage, method: string, listener: ResponseListener): void {
+function readResponse(
+  response: IncomingMessage,
+  method: string,
+  listener: ResponseListener,
+): Pieces {
   const connectionError = isSelfDelimited(response, method)
     ? () => undefined : watchCloseDelimited(response);
-  readPieces(response, (bytes) => listener.chunk(bytes));
+  const pieces = readPieces(response, (bytes) => listener.chunk(bytes));
   response.once('error', (error) => listener.fail(error.message, causeOf(error)));
   response.once('aborted', () => listener.fail('the response was cut off'));
   response.once('end', () => {
@@ -100,6 +107,7 @@
     if (reason === undefined) listener.end();
     else listener.fail(reason);
   });
+  return pieces;
 }
 
 /** Calls `onBytes` with the length of all that arrives; returns how to stop that. */
@@ -227,7 +235,7 @@
       isHeadRead = true;
       isComplete = () => response.complete;
       emit({ kind: 'head', ...head });
-      readResponse(response, outgoing.method, {
+      const pieces = readResponse(response, outgoing.method, {
         chunk: (bytes) => {
           bodyLength += bytes.length;
           const arrivedLength = bodyLength + response.readableLength;
@@ -240,6 +248,7 @@
         end: () => emit({ kind: 'end' }),
         fail,
       });
+      outgoing.onBody?.(pieces);
     };
     request.once('response', onResponse);
     return () => {
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -4,6 +4,7 @@
 import { endToEnd } from '../entry/upstream.js';
 import { bufferedResponse } from './bufferedattempt.js';
 import type { Call, ResponseHead } from './call.js';
+import { CollectedBody, MAX_RESPONSE_BYTES } from './collectedbody.js';
 import type { Caller, RelayContext } from './context.js';
 import { guarded, remainingMs } from './context.js';
 import { exchange } from './exchange.js';
@@ -62,7 +63,7 @@
 
   #head: ResponseHead | undefined;
 
-  #chunks: Buffer[] = [];
+  #body: CollectedBody;
 
   /** The answer that another instance got to a stream. */
   #stream: StreamResponse | undefined;
@@ -78,6 +79,7 @@
     this.#context = context;
     this.#options = options;
     this.#headSent = options.progress.headSent ?? false;
+    this.#body = CollectedBody.ofCall(call, context);
   }
 
   /** Starts forwarding; the returned function cancels it when the caller disconnects. */
@@ -105,11 +107,13 @@
   #stop(): void {
     this.#timers.unsubscribe();
     this.#exchange.unsubscribe();
+    this.#body.release();
   }
 
   /** Offers the call to the next instance, or gives up. */
   #sendNext(message: string, retryAfterMs?: number): void {
     this.#exchange.unsubscribe();
+    this.#body.release();
     const {
       targets, port, ip, progress,
     } = this.#options;
@@ -121,7 +125,8 @@
     this.#next += 1;
     this.#isSent = false;
     this.#head = undefined;
-    this.#chunks = [];
+    const body = CollectedBody.ofCall(this.#call, this.#context);
+    this.#body = body;
     this.#stream = undefined;
     const {
       scheduler, connections, log, meter,
@@ -149,6 +154,8 @@
       singleFields: new Set([...this.#context.dialect.responseFields, ...OUTCOME_FIELDS]),
       ownerOf: (head) => this.#ownerOf(head),
       expiresAt: this.#call.deadlineAt,
+      maxBodyBytes: this.#call.route.delivery === 'whole' ? MAX_RESPONSE_BYTES : undefined,
+      onBody: (pieces) => body.readWith(pieces),
     }, scheduler).subscribe(guarded(
       this.#caller,
       (event: ExchangeEvent) => this.#onEvent(event),
@@ -212,7 +219,7 @@
 
   #onBytes(bytes: Buffer): void {
     if (this.#stream) this.#stream.push(bytes).forEach((part) => this.#onPart(part));
-    else this.#chunks.push(bytes);
+    else this.#body.add(bytes);
   }
 
   #onPart(part: StreamPart): void {
@@ -262,7 +269,7 @@
       this.#caller.end();
       return;
     }
-    const answer = this.#stream?.answer ?? bufferedResponse(head, this.#chunks);
+    const answer = this.#stream?.answer ?? bufferedResponse(head, this.#body.chunks);
     this.#caller.respond({ ...answer, headers: withoutForwardHeaders(answer.headers) });
   }
 
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -202,7 +202,7 @@
     } = this.#context;
     // The instance that forwards a request has counted it.
     if (call.forwardedBy === undefined) retries.request(call.service.name, scheduler.now());
-    const unread = this.#context.memory.unread(res, call, this.#context);
+    const unread = this.#context.memory.unread(res, call);
     const caller = CallerAnswer.of(res, {
       request: call.id,
       log,
--- a/src/relay/memorylimits.ts
+++ b/src/relay/memorylimits.ts
@@ -6,28 +6,26 @@
 import type { CallerServer } from '../entry/httpserver.js';
 import { UnreadAnswer } from '../entry/unread.js';
 import { MemoryBudget } from '../memory/budget.js';
+import { Collections } from '../memory/collections.js';
 import { defaultBudgetBytes, defaultMaxConnections } from '../memory/machine.js';
 import type { Call } from './call.js';
 import type { RelaySettings } from './settings.js';
 
 export interface MemoryLimits {
   readonly budget: MemoryBudget;
+  readonly collections: Collections;
   /** Connections that were closed for a newer one, or not accepted. */
   readonly refusedConnections: number;
   limitConnections(server: CallerServer): void;
   /** Accounts for what the caller has not read of the answer. */
-  unread(
-    res: ServerResponse,
-    call: Call,
-    context: { readonly scheduler: SchedulerLike },
-  ): UnreadAnswer;
+  unread(res: ServerResponse, call: Call): UnreadAnswer;
 }
 
 export function createMemory(
   {
     memoryBytes, descriptors, memoryBudgetBytes, maxConnections,
   }: RelaySettings,
-  log: Log,
+  { scheduler, log }: { readonly scheduler: SchedulerLike; readonly log: Log },
 ): MemoryLimits {
   const budget = MemoryBudget.of(memoryBudgetBytes ?? defaultBudgetBytes(memoryBytes));
   const connections = maxConnections ?? defaultMaxConnections(descriptors);
@@ -35,6 +33,7 @@
   let refusedConnections = 0;
   return {
     budget,
+    collections: Collections.of(budget, scheduler),
     get refusedConnections() {
       return refusedConnections;
     },
@@ -42,7 +41,7 @@
       refusedConnections += 1;
       log.event('warn', 'connection_refused', { limit: connections });
     }),
-    unread: (res, { id, workspace, route }, { scheduler }) => UnreadAnswer.of(res, {
+    unread: (res, { id, workspace, route }) => UnreadAnswer.of(res, {
       budget,
       scheduler,
       isKnown: workspace !== undefined,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -43,7 +43,9 @@
   const limited = `${SETTINGS}Limits.MemoryMb=178\nLimits.MaxFds=2212\n`;
   const { settings } = readPlatformSettings('s', limited);
   t.like(settings, { memoryBytes: 178_000_000, descriptors: 2_012 });
-  const { budget } = createMemory(settings!, new RecordedLog());
+  const { budget } = createMemory(settings!, {
+    scheduler: monotonicScheduler, log: new RecordedLog(),
+  });
   t.true(budget.capacity <= 17_000_000, `${budget.capacity}`);
   t.true(budget.hasRoomFor(4_194_304));
   const unlimited = readPlatformSettings('s', SETTINGS).settings;
--- a/test/relay-callstate.test.ts
+++ b/test/relay-callstate.test.ts
@@ -2,8 +2,8 @@
 import { callState, callTransition } from '../src/relay/callstate.js';
 import type { Arrival, CallEffect, CallEvent } from '../src/relay/callstate.js';
 
-const ANSWER = { status: 200, headers: [], body: Buffer.from('ok') };
-const FAILURE = { status: 500, headers: [], body: Buffer.from('no') };
+const ANSWER = { status: 200, headers: [], body: [Buffer.from('ok')] };
+const FAILURE = { status: 500, headers: [], body: [Buffer.from('no')] };
 
 function assigned(server: string): CallEvent {
   return { kind: 'assigned', server };
--- a/test/relay-forwardedstream.test.ts
+++ b/test/relay-forwardedstream.test.ts
@@ -105,7 +105,7 @@
       respond: (response) => {
         status = response.status;
         headers = response.headers;
-        text = response.body.toString('latin1');
+        text = Buffer.concat(response.body).toString('latin1');
         ended('respond');
       },
       refuse: () => ended('refuse'),
