Count requests, not lingering connections, for a lone request

Cause: whether a request is alone was taken from the drain, which counts an answer until its connection is closed. A connection that lingers does so up to 5 s after its answer. Change: the frontend counts requests until their answers have ended. The test of the smallest machine waits until the crowd has really gone: descriptors as before it came, 4 at most more, instead of 60 in all; the first bound let up to 30 connections of the crowd stand, and what came then was no request in calm. It is stricter than before. New in it: the crowd of all kinds while the instance is told to stop, is paused, or has no store.

--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -118,7 +118,7 @@
       meter: this.#meter,
       routes: () => this.#activeConfiguration.routes,
       peers: () => this.#peers,
-      open: () => this.drain.open,
+      open: () => this.#frontend.open,
     });
     this.#fleet = Fleet.of({
       ...shared,
--- a/src/relay/frontend.ts
+++ b/src/relay/frontend.ts
@@ -76,6 +76,9 @@
 
   #server: CallerServer | undefined;
 
+  /** Requests whose answers have not ended. */
+  #open = 0;
+
   private constructor(context: FrontendContext) {
     this.#context = context;
     this.#inputDelay = InputDelay.of(context.scheduler, (lateMs) => (
@@ -107,6 +110,10 @@
     if (this.#server && heads) applyHeadLimits(this.#server, heads);
   }
 
+  get open(): number {
+    return this.#open;
+  }
+
   /** Handles a request that another instance forwards. */
   onForwarded(req: IncomingMessage, res: ServerResponse): void {
     this.#onRequest(req, res, readForwarded(req.rawHeaders));
@@ -136,6 +143,10 @@
       if (drain.state !== 'serving') res.setHeader('Connection', 'close');
     }
     whenReleased(res, leave);
+    this.#open += 1;
+    res.once('close', () => {
+      this.#open -= 1;
+    });
     const head = {
       fields, receivedAt, forwarded, delivery, answer,
     };
--- a/test/alone/small-machine.test.ts
+++ b/test/alone/small-machine.test.ts
@@ -4,8 +4,11 @@
  * stays within the machine's memory and descriptors, that a stream that was under way ends whole,
  * that an ordinary request is answered beside the crowd, and that all is served after it has gone.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
 import { Crowd } from '../fakes/crowd.js';
+import type { CrowdPlan } from '../fakes/crowd.js';
 import { LEGAL_LENGTH, LEGAL_PARTS, PART } from '../fakes/crowds.js';
 import { eventually } from '../fakes/eventually.js';
 import { MACHINE_CROWDS } from '../fakes/machinecrowds.js';
@@ -17,8 +20,8 @@
 const MACHINE_DESCRIPTORS = 2_212;
 /** Reserved for files; connections have the rest. */
 const FILE_DESCRIPTORS = 200;
-/** Of an instance that serves nobody. */
-const OWN_DESCRIPTORS = 60;
+/** Connections to the store and servers come and go. */
+const OTHER_DESCRIPTORS = 4;
 const EVENTS = 40;
 
 /** The answer to one request on a connection of its own. */
@@ -30,36 +33,49 @@
   return answer;
 }
 
+/** A deployment of one instance with the settings of the smallest machine. */
+async function smallMachine(t: ExecutionContext) {
+  const deployment = await ProcessDeployment.of({
+    instances: 1,
+    engines: 1,
+    graceS: 5,
+    limits: { IdleTimeoutMs: 2_000 },
+    extraLines: [
+      `Limits.MemoryMb=${MACHINE_MEGABYTES}`, `Limits.MaxFds=${MACHINE_DESCRIPTORS}`,
+    ],
+  });
+  t.teardown(() => deployment.close());
+  const relay = await deployment.start(0);
+  t.true(await relay.untilReady(), 'ready');
+  const meter = ProcessMeter.start(relay.pid, relay.settings.ports.callers);
+  t.teardown(() => meter.stop());
+  return { deployment, relay, meter };
+}
+
+function startCrowds(t: ExecutionContext, relay: RelayProcess, plans: readonly CrowdPlan[]) {
+  const { ip, ports } = relay.settings;
+  const crowds = plans.map((plan) => Crowd.start(ip, ports.callers, plan));
+  t.teardown(() => crowds.forEach((crowd) => crowd.close()));
+  return crowds;
+}
+
 Object.entries(MACHINE_CROWDS).forEach(([name, plans]) => {
   test.serial(`the smallest machine holds against ${name}`, async (t) => {
-    const deployment = await ProcessDeployment.of({
-      instances: 1,
-      engines: 1,
-      graceS: 5,
-      limits: { IdleTimeoutMs: 2_000 },
-      extraLines: [
-        `Limits.MemoryMb=${MACHINE_MEGABYTES}`, `Limits.MaxFds=${MACHINE_DESCRIPTORS}`,
-      ],
-    });
-    t.teardown(() => deployment.close());
-    const relay = await deployment.start(0);
-    t.true(await relay.untilReady(), 'ready');
-    const { ip, ports } = relay.settings;
-    const meter = ProcessMeter.start(relay.pid, ports.callers);
-    t.teardown(() => meter.stop());
+    const { deployment, relay, meter } = await smallMachine(t);
+    const own = openDescriptors(relay.pid);
     const stream = ask(relay, emptyRequest('stream', `/stream/x?events=${EVENTS}&step=100`));
-    const crowds = plans.map((plan) => Crowd.start(ip, ports.callers, plan));
-    t.teardown(() => crowds.forEach((crowd) => crowd.close()));
+    const crowds = startCrowds(t, relay, plans);
     await Promise.all(crowds.map((crowd) => crowd.untilSettled()));
     const beside = await ask(relay, emptyRequest('beside', '/safe/x'));
     const { whole, body } = await stream;
     crowds.forEach((crowd) => crowd.close());
-    const isReleased = await eventually(() => openDescriptors(relay.pid) <= OWN_DESCRIPTORS);
+    const isReleased = await eventually(() => (
+      openDescriptors(relay.pid) <= own + OTHER_DESCRIPTORS));
     const large = await ask(relay, requestHead('large', '/safe/x', LEGAL_LENGTH), ...(
       Array.from({ length: LEGAL_PARTS }, () => PART)));
     const after = await ask(relay, emptyRequest('after', '/safe/x'));
     const { megabytes, descriptors } = meter;
-    t.log(`${megabytes} MB, ${descriptors} descriptors, then ${openDescriptors(relay.pid)}; `
+    t.log(`${megabytes} MB, ${own} descriptors, ${descriptors}, ${openDescriptors(relay.pid)}; `
       + `beside: ${beside.status}, large: ${large.status}, after: ${after.status}; `
       + `crowd: ${crowds.map(({ counts }) => counts).join('; ')}`);
     t.is(relay.exit, undefined, 'the process lives');
@@ -80,3 +96,40 @@
     }));
   });
 });
+
+const ALL_KINDS = MACHINE_CROWDS['clients of all kinds at once']!;
+const DISTURBANCE_MS = 2_000;
+
+test.serial('a crowd does not keep an instance that is told to stop from ending', async (t) => {
+  const { relay, meter } = await smallMachine(t);
+  startCrowds(t, relay, ALL_KINDS);
+  await sleep(DISTURBANCE_MS / 2);
+  relay.signal('SIGTERM');
+  const { code, signal } = await relay.exited;
+  t.log(`${meter.megabytes} MB, ${meter.descriptors} descriptors, ends with ${code}`);
+  t.is(signal, null, 'it ends by itself');
+  t.true(meter.megabytes <= MACHINE_MEGABYTES, `${meter.megabytes} MB`);
+});
+
+const DISTURBANCES: Readonly<Record<string, (
+  (deployment: ProcessDeployment, relay: RelayProcess, isOn: boolean) => void)>> = {
+  'while it is paused': (_, relay, isOn) => relay.signal(isOn ? 'SIGSTOP' : 'SIGCONT'),
+  'while the store is away': ({ store }, _, isOn) => store.setOutage(isOn),
+};
+
+Object.entries(DISTURBANCES).forEach(([name, disturb]) => {
+  test.serial(`the smallest machine holds against a crowd that comes ${name}`, async (t) => {
+    const { deployment, relay, meter } = await smallMachine(t);
+    disturb(deployment, relay, true);
+    const crowds = startCrowds(t, relay, ALL_KINDS);
+    await sleep(DISTURBANCE_MS);
+    disturb(deployment, relay, false);
+    await Promise.all(crowds.map((crowd) => crowd.untilSettled()));
+    const beside = await ask(relay, emptyRequest('beside', '/safe/x'));
+    t.log(`${meter.megabytes} MB, ${meter.descriptors} descriptors, beside: ${beside.status}`);
+    t.is(relay.exit, undefined, 'the process lives');
+    t.true(meter.megabytes <= MACHINE_MEGABYTES, `${meter.megabytes} MB`);
+    t.true(meter.descriptors <= MACHINE_DESCRIPTORS - FILE_DESCRIPTORS);
+    t.not(beside.status, 0, 'an ordinary request is answered');
+  });
+});
--- a/test/fakes/processmeter.ts
+++ b/test/fakes/processmeter.ts
@@ -53,7 +53,8 @@
 
   /** Resident memory and what has arrived unread, at the same moment. */
   get megabytes(): number {
-    return Math.max(Math.round(this.#megabytes), peakMegabytes(this.#pid));
+    this.#read();
+    return Math.round(this.#megabytes);
   }
 
   get descriptors(): number {
@@ -68,7 +69,7 @@
     try {
       const resident = kilobytes(this.#pid, 'VmRSS') * BYTES_PER_KILOBYTE;
       const megabytes = (resident + unreadBytes(this.#port)) / BYTES_PER_MEGABYTE;
-      this.#megabytes = Math.max(this.#megabytes, megabytes);
+      this.#megabytes = Math.max(this.#megabytes, megabytes, peakMegabytes(this.#pid));
       this.#descriptors = Math.max(this.#descriptors, openDescriptors(this.#pid));
     } catch {
       // The process has ended.
