Log why a connection is closed for a limit

Cause: a connection that closes since too many requests were sent ahead left no line in the log, so that its caller's operator could not tell. Change: `connection_refused` names its reason, `connections` or `requests_ahead`, and counts both in `connections_refused`.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -7,7 +7,7 @@
   IncomingMessage, RequestListener, ServerOptions, ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import { filter, take } from 'rxjs';
+import { filter, Subject, take } from 'rxjs';
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
 import type { Drain } from './drain.js';
@@ -73,6 +73,9 @@
 /** How long the drain waits for callers to close connections that have been idle. */
 const IDLE_CLOSE_MS = 1_000;
 
+/** Why a connection is closed: there are too many, or it has too many requests sent ahead. */
+export type ClosingReason = 'connections' | 'requests_ahead';
+
 /** What a connection has been used for. */
 interface ConnectionUse {
   readonly line: RequestLine;
@@ -100,6 +103,8 @@
 
   readonly #lingering = Lingering.of();
 
+  readonly #closings = new Subject<ClosingReason>();
+
   #isStopping = false;
 
   constructor(options: ServerOptions, listener: RequestListener) {
@@ -120,9 +125,10 @@
   /**
    * Bounds the connections. In place of a new one, the oldest is closed that has no request.
    *
-   * @param onClosed called for each connection that is closed for that
+   * @param onClosed called for each connection that is closed since it exceeds a limit
    */
-  limitConnections(max: number, onClosed: () => void): void {
+  limitConnections(max: number, onClosed: (reason: ClosingReason) => void): void {
+    this.#closings.subscribe(onClosed);
     this.on('connection', (socket: Socket) => {
       if (this.#connections.size <= max) return;
       // In the order in which they were opened.
@@ -130,7 +136,7 @@
         other !== socket && line.length === 0)) ?? [socket];
       oldest.destroy();
       this.#connections.delete(oldest);
-      onClosed();
+      this.#closings.next('connections');
     });
   }
 
@@ -190,6 +196,7 @@
       use.isLast = true;
       if (use.latest && !use.latest.headersSent) use.latest.setHeader('Connection', 'close');
       dropRequests(socket);
+      this.#closings.next('requests_ahead');
       return;
     }
     if (this.#isStopping) {
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -95,8 +95,8 @@
   static of(gateway: Gateway, random: Random, options: EntryOptions = {}): Server {
     const entry = new EntryServer(gateway, random, options);
     const server = createCallerServer((req, res) => entry.#onRequest(req, res));
-    server.limitConnections(defaultMaxConnections(), () => (
-      gateway.log.event('warn', 'connection_refused', {})));
+    server.limitConnections(defaultMaxConnections(), (reason) => (
+      gateway.log.event('warn', 'connection_refused', { reason })));
     server.followDrain(entry.#drain);
     entry.#drain.states.pipe(filter((state) => state === 'expired'))
       .subscribe(() => afterNextPoll(() => entry.#endOpen()));
--- a/src/relay/memorylimits.ts
+++ b/src/relay/memorylimits.ts
@@ -14,7 +14,7 @@
 export interface MemoryLimits {
   readonly budget: MemoryBudget;
   readonly collections: Collections;
-  /** Connections that were closed for a newer one, or not accepted. */
+  /** Connections that were closed for a newer one, or since too many requests were sent ahead. */
   readonly refusedConnections: number;
   limitConnections(server: CallerServer): void;
   /** Accounts for what the caller has not read of the answer. */
@@ -37,9 +37,9 @@
     get refusedConnections() {
       return refusedConnections;
     },
-    limitConnections: (server) => server.limitConnections(connections, () => {
+    limitConnections: (server) => server.limitConnections(connections, (reason) => {
       refusedConnections += 1;
-      log.event('warn', 'connection_refused', { limit: connections });
+      log.event('warn', 'connection_refused', { reason, limit: connections });
     }),
     unread: (res, { id, workspace, route }) => UnreadAnswer.of(res, {
       budget,
