Let less garbage wait, and keep fewer free segments

Change: a collection is asked for after 12 MiB that were let go instead of 16, and 64 free segments are kept instead of 128.

--- a/src/memory/bytebuffer.ts
+++ b/src/memory/bytebuffer.ts
@@ -6,7 +6,7 @@
 const MIN_BYTES = 4_096;
 const SEGMENT_BYTES = 65_536;
 /** Segments that are kept for the next bodies; some bodies of the largest size. */
-const MAX_FREE_SEGMENTS = 128;
+const MAX_FREE_SEGMENTS = 64;
 
 const freeSegments: Buffer[] = [];
 
--- a/src/memory/garbage.ts
+++ b/src/memory/garbage.ts
@@ -5,7 +5,7 @@
  */
 
 /** What may wait for a collection. */
-const MAX_GARBAGE_BYTES = 16_777_216;
+const MAX_GARBAGE_BYTES = 12_582_912;
 
 let garbageBytes = 0;
 
