Bound only the lingering connections on which input comes

Cause: the bound of 32 counted every connection that an instance ended. In a stop it ends all idle ones at once, and the oldest of more than 32 would have been closed while a caller might still read its last answer; input that arrives then resets the connection. Found by reading. Change: a connection counts from the first input after its end. Those are the ones of clients that were refused and go on sending. Measured: the test of lingering connections, whose callers now send on, counts 60 of 60 on the untouched code and passes here; the tests of stops, in which many connections end, pass.

--- a/src/entry/gracefulclose.ts
+++ b/src/entry/gracefulclose.ts
@@ -9,7 +9,7 @@
 
 /** How long a caller may leave a connection open that the server has ended. */
 const LINGER_MS = 5_000;
-/** Each holds a descriptor, and input that has arrived unread. */
+/** Connections with input after their end; each may have some that has arrived unread. */
 const MAX_LINGERING = 32;
 
 /** What is read at once is followed by a pause, so that a caller that goes on sending is slowed. */
@@ -29,9 +29,9 @@
   socket.resume();
 }
 
-/** The connections of a server that it has ended and that their callers have not closed yet. */
+/** The connections that a server has ended and on which input still comes. */
 export class Lingering {
-  /** In the order in which they were ended. */
+  /** In the order in which input came after their end. */
   readonly #sockets = new Set<Socket>();
 
   static of(): Lingering {
@@ -43,20 +43,19 @@
     Object.assign(socket, {
       destroySoon: () => {
         if (socket.writableEnded || socket.destroyed) return;
-        socket.end(() => this.#add(socket));
+        socket.end(() => {
+          const deadline = setTimeout(() => socket.destroy(), LINGER_MS);
+          socket.once('close', () => clearTimeout(deadline));
+          socket.once('data', () => this.#add(socket));
+        });
         discardSlowly(socket);
       },
     });
   }
 
   #add(socket: Socket): void {
-    if (socket.destroyed) return;
-    const deadline = setTimeout(() => socket.destroy(), LINGER_MS);
     this.#sockets.add(socket);
-    socket.once('close', () => {
-      clearTimeout(deadline);
-      this.#sockets.delete(socket);
-    });
+    socket.once('close', () => this.#sockets.delete(socket));
     if (this.#sockets.size <= MAX_LINGERING) return;
     const [oldest] = this.#sockets;
     oldest?.destroy();
