--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -36,6 +36,14 @@
     return this.#options.id;
   }
 
+  get service() {
+    return this.#options.service;
+  }
+
+  get address() {
+    return this.#options.address;
+  }
+
   get version() {
     return this.#options.version;
   }
