--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -26,7 +26,7 @@
 
   /**
    * @param options `id`, `service`, `address`, `zone`, `version`, `slots`, `stepMs` and `events` of
-   * a stream, `workMs` of a call, `store`, `note`
+   * a stream, `workMs` of a call, `failsAfter` (number of a run), `store`, `note`
    */
   constructor(options) {
     this.#options = { ...options };
@@ -139,11 +139,15 @@
   }
 
   #call(req, res, echoed) {
-    const { workMs, version, id } = this.#options;
+    const {
+      workMs, version, id, failsAfter,
+    } = this.#options;
     this.runs.push({ request: echoed['Request-Id'], from: 0, version });
+    // After its work, it fails those of its runs whose number this names.
+    const status = failsAfter?.(this.runs.length) ? 503 : 200;
     setTimeout(() => {
       const body = `answer of ${id} to ${echoed['Request-Id']}`;
-      res.writeHead(200, {
+      res.writeHead(status, {
         ...echoed, 'Response-Signature': `s.${id}`, 'Content-Length': String(body.length),
       });
       res.end(body);
