--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -85,6 +85,11 @@
  */
 export async function run(record, play, end) {
   let code = NOT_RUN;
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.once(signal, () => {
+    record.note(`ended by ${signal}`);
+    end();
+    process.exit(NOT_RUN);
+  }));
   const limit = setTimeout(() => {
     record.note('the case took too long');
     end();
