Successors only of servers that were seen to run, by when their answers were sent

What callers saw: whole answers from engines of another service (ROUTE), after a machine had stood still while engines ended, their addresses were used again and the store was away.

Cause: a server found under another id counts as the same one, restarted, while its address can't have gone to another service. That time was counted from when bytes of it were read, and after a pause these are old. A connection that somebody accepted, a refusal by another server and a probe that found another id moved it as well; a server that was never heard counted as heard at the process's start; and what another instance said was believed without evidence.

Change: answers show that a server ran only if they are its own, and as of the time up to which input had been handled before (InputHorizon), by the monotonic clock and by date. Instances tell for how long at most a server had been gone; a report of an older build, which doesn't tell it, needs the receiver's own evidence.

--- a/bench/relaycontrolpeers.ts
+++ b/bench/relaycontrolpeers.ts
@@ -86,7 +86,7 @@
     log: { event: () => undefined },
     listener: {
       onLeaving: () => undefined,
-      onSuccessor: () => undefined,
+      onSuccession: () => undefined,
       onSuspect: () => undefined,
       onCopies: () => undefined,
       onCrashes: () => undefined,
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -18,7 +18,7 @@
 import { exchange } from './exchange.js';
 import type { ExchangeEvent } from './exchange.js';
 import { Handover } from './handover.js';
-import { classifyResponse } from './responseclass.js';
+import { classifyResponse, isOwnAnswer } from './responseclass.js';
 import {
   callRouteFields, logUnplaced, THROTTLED_MESSAGE, throttledFields,
 } from './routefields.js';
@@ -207,8 +207,8 @@
         if (!event.reused) live.connectedAt = this.#context.scheduler.now();
         break;
       case 'head': {
-        fleet.markHeard(server);
         const responseClass = classifyResponse(event, this.#call.id, dialect);
+        fleet.markHeard(server, isOwnAnswer(responseClass, this.#call.id));
         this.#context.notices.observe(live.entry, responseClass);
         live.head = { response: event, responseClass };
         if (responseClass.kind === 'foreign') {
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -1,6 +1,9 @@
 /** The backend servers as this instance sees them: entries, observed health and assigned load. */
 import { interval } from 'rxjs';
 import type { Subscription } from 'rxjs';
+import { REGISTRATION_MS, RenewalGrace } from '../liveness/renewalgrace.js';
+import { Successors } from '../liveness/successors.js';
+import type { Succession } from '../liveness/successors.js';
 import { trackAssignment } from './assignment.js';
 import type { Assignment } from './assignment.js';
 import { candidatesOf } from './candidates.js';
@@ -20,34 +23,33 @@
 import { ZoneFailures } from './zonefailures.js';
 
 const SWEEP_MS = 500;
-/** Servers that live register within this time, also after an outage of the store. */
-export const REGISTRATION_MS = 2_000;
 
 export class Fleet {
   readonly #context: FleetContext;
 
   readonly #servers = new Map<string, ServerState>();
 
-  /** When bytes from a server last arrived. */
+  /** When bytes from a server's address were last read, or a connection to it was accepted. */
   readonly #lastHeardAt = new Map<string, number>();
 
   readonly #probes: Probes;
 
-  /** Servers that restarted under a new id, by their previous id, as found by this instance. */
-  readonly #successors = new Map<string, string>();
+  readonly successors: Successors;
 
   readonly #zoneFailures = ZoneFailures.of();
 
   readonly #superseded = SupersededServers.of();
 
-  /** Entries that disappear before this time may have expired during an outage of the store. */
-  #graceUntil = 0;
+  /** While it lasts, entries that disappear may have expired during an outage of the store. */
+  readonly #grace: RenewalGrace;
 
   #loaded = false;
 
   private constructor(context: FleetContext) {
     this.#context = context;
     this.#probes = Probes.of(context);
+    this.successors = Successors.of(context);
+    this.#grace = RenewalGrace.of(context.scheduler);
   }
 
   static of(context: FleetContext): Fleet {
@@ -123,11 +125,11 @@
   remove(id: string): void {
     this.#superseded.forget(id);
     const state = this.#servers.get(id);
-    const lapsed = this.#now() < this.#graceUntil && state?.entry.state === 'ready';
+    const lapsed = this.renewalMs > 0 && state?.entry.state === 'ready';
     // Before a server that is listed in its place takes it for one that may come back.
     if (!lapsed) this.#expire(id, 'entry_gone');
     this.#listSuperseded(id);
-    if (lapsed) this.#expire(id, 'entry_gone', this.#graceUntil);
+    if (lapsed) this.#expire(id, 'entry_gone', this.#now() + this.renewalMs);
   }
 
   /** Called when another server answers at this server's address; other instances are told. */
@@ -159,17 +161,17 @@
     const state = this.#servers.get(id);
     if (!state || state.entry.startedAt !== startedAt || state.health.kind === 'suspect') return;
     this.#probes.verify(state.entry, (accepted) => (accepted
-      ? this.markHeard(id) : this.markSuspect(id, `reported unreachable by ${from}`, true)));
+      ? this.markHeard(id, false) : this.markSuspect(id, `reported unreachable by ${from}`, true)));
   }
 
   /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
   awaitRenewals(ms = REGISTRATION_MS): void {
-    this.#graceUntil = Math.max(this.#graceUntil, this.#now() + Math.min(ms, REGISTRATION_MS));
+    this.#grace.extend(ms);
   }
 
   /** How much longer servers whose entries disappear stay usable. */
   get renewalMs(): number {
-    return Math.max(0, this.#graceUntil - this.#now());
+    return this.#grace.remainingMs;
   }
 
   /** Runs the cleanup and the probes until the subscription ends. */
@@ -177,6 +179,7 @@
     const { scheduler, connections } = this.#context;
     const running = interval(SWEEP_MS, scheduler).subscribe(() => this.#sweep());
     running.add(this.#probes.run());
+    running.add(this.successors.horizon.start());
     running.add(() => connections.closeAll());
     return running;
   }
@@ -188,7 +191,7 @@
       if (now < (state.expiresAt ?? Infinity) || state.ownLoad.running > 0) return;
       this.#servers.delete(id);
       this.#lastHeardAt.delete(id);
-      this.#successors.delete(id);
+      this.successors.forget(id);
       this.#context.connections.close(id);
     });
   }
@@ -211,13 +214,18 @@
     if (state) this.#servers.set(id, withOutcome(state, failed, durationMs, this.#now()));
   }
 
-  markHeard(id: string): void {
+  /**
+   * Called when somebody has answered, or accepted a connection, at a server's address.
+   *
+   * @param isOwn whether it is certain that the server itself has answered
+   */
+  markHeard(id: string, isOwn: boolean): void {
+    if (isOwn) this.successors.markSeen(id);
     this.#lastHeardAt.set(id, this.#now());
-    const state = this.#servers.get(id);
-    if (state?.health.kind === 'suspect') this.#markReached(id, 'answer');
+    this.#markReached(id, 'answer');
   }
 
-  /** When bytes from a server last arrived; 0 if none have. */
+  /** When the server was last reached, or somebody else at its address; 0 if never. */
   heardAt(id: string): number {
     return this.#lastHeardAt.get(id) ?? 0;
   }
@@ -230,29 +238,32 @@
     this.#zoneFailures.record(state.entry, this.#now());
     if (!isReported) this.#context.onUrgentChange();
     this.#context.connections.close(id);
-    const aliveAt = this.heardAt(id);
-    const ago = Math.round(this.#now() - aliveAt);
+    const ago = Math.round(this.#now() - this.heardAt(id));
     this.#context.log.event('warn', 'server_suspected', { server: id, reason, heard_ms_ago: ago });
     this.#probes.start(id, () => {
       const current = this.#servers.get(id);
       return current?.health.kind === 'suspect' ? current.entry : undefined;
-    }, (identity) => this.#handleIdentity(id, identity, aliveAt));
+    }, (identity) => this.#handleIdentity(id, identity));
   }
 
-  #handleIdentity(id: string, identity: Identity, aliveAt: number): void {
-    const state = this.#servers.get(id);
-    if (!state) return;
-    switch (identity.kind) {
-      case 'unreached': break;
-      case 'reached':
-      case 'silent':
-        this.#markReached(id, 'connection');
-        break;
-      case 'known':
-        if (identity.id === id) this.#markReached(id, 'health');
-        else this.#handleReplacement(state.entry, identity.id, aliveAt);
-        break;
+  #handleIdentity(id: string, identity: Identity): void {
+    if (identity.kind === 'known') this.markIdentified(id, identity.id);
+    else if (identity.kind !== 'unreached') this.#markReached(id, 'connection');
+  }
+
+  /** Called when whoever has a server's address has named its id. */
+  markIdentified(id: string, foundId: string): void {
+    const server = this.#servers.get(id)?.entry;
+    if (!server) return;
+    if (foundId === id) this.#markReached(id, 'health');
+    else {
+      this.#expire(id, 'succeeded');
+      const succession = this.successors.identify(id, foundId);
+      if (succession && !this.#servers.has(foundId)) {
+        this.#addSuccessor(server, succession, 'health');
+      }
     }
+    if (this.#servers.has(foundId)) this.markHeard(foundId, true);
   }
 
   /** Whether the server accepts a connection now. */
@@ -261,33 +272,21 @@
     return entry !== undefined && isReachable(entry, this.#context.connections);
   }
 
-  /**
-   * Handles a response of another server at a server's address. While the platform can't have
-   * reused the address for another service yet, it is the same server, restarted.
-   */
-  #handleReplacement(previous: ServerEntry, id: string, aliveAt: number): void {
-    this.#expire(previous.id, 'succeeded');
-    if (this.#servers.has(id) || this.#now() - aliveAt > this.#context.reuseAfterMs) return;
-    this.#registerSuccessor(previous, id, 'health');
-  }
-
-  #registerSuccessor(previous: ServerEntry, id: string, from: string): void {
-    this.upsert(successorOf(previous, id), from);
-    this.#successors.set(previous.id, id);
+  #addSuccessor(previous: ServerEntry, succession: Succession, from: string): void {
+    this.upsert(successorOf(previous, succession.id), from);
+    this.successors.record(succession);
     this.#context.onUrgentChange();
   }
 
-  /** Previous and new ids of restarted servers, to be reported to other instances. */
-  get successors(): readonly (readonly [string, string])[] {
-    return [...this.#successors];
-  }
-
   /** Called when another instance reports that a server restarted under a new id. */
-  addSuccessor(previousId: string, id: string, from: string): void {
+  adoptSuccession(reported: Succession, from: string): void {
+    const { previousId, id } = reported;
     const state = this.#servers.get(previousId);
     if (!state || this.#servers.has(id) || state.expiresAt !== undefined) return;
+    const succession = this.successors.verify(reported);
+    if (!succession) return;
     this.#expire(previousId, 'succeeded');
-    this.#registerSuccessor(state.entry, id, from);
+    this.#addSuccessor(state.entry, succession, from);
   }
 
   #markReached(id: string, by: string): void {
--- a/src/relay/fleetcontext.ts
+++ b/src/relay/fleetcontext.ts
@@ -1,6 +1,7 @@
 /** The dependencies of the fleet of backend servers. */
 import type { Log } from '../common/log.js';
 import type { Random } from '../common/random.js';
+import type { SuccessorsContext } from '../liveness/successors.js';
 import type { IdentityContext } from './identity.js';
 import type { Pacing } from './pacing.js';
 import type { ServerEntry } from './serverentry.js';
@@ -10,11 +11,9 @@
 /** Loads on a server that other instances report. */
 export type PeerLoads = (server: string) => readonly Load[];
 
-export interface FleetContext extends IdentityContext {
+export interface FleetContext extends IdentityContext, SuccessorsContext {
   readonly random: Random;
   readonly log: Log;
-  /** How long the platform keeps a stopped server's address from being reused by other services. */
-  readonly reuseAfterMs: number;
   readonly peerLoads: PeerLoads;
   /** What each server takes well; all alike if undefined. */
   readonly paces?: { readonly pacing: (server: ServerEntry) => Pacing } | undefined;
--- a/src/relay/localmessage.ts
+++ b/src/relay/localmessage.ts
@@ -1,12 +1,13 @@
 /** Builds the message in which this instance tells the others what it knows. */
 import type { Random } from '../common/random.js';
+import type { Succession } from '../liveness/successors.js';
 import type { RankReport } from '../placementrank/ranks.js';
 import { encodeRank } from '../placementrank/rankwire.js';
 import { encodePace } from '../pace/report.js';
 import type { PaceReport } from '../pace/report.js';
 import type { CrashReport } from './crashnews.js';
 import {
-  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin, encodeUse,
+  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin, encodeSuccession, encodeUse,
 } from './peermessage.js';
 import type { PeerMessage } from './messageschema.js';
 import { PROTOCOL } from './protocol.js';
@@ -25,7 +26,7 @@
   readonly configuration: number;
   readonly copies: PeerMessage['copies'];
   readonly servers: readonly ServerState[];
-  readonly successors: readonly (readonly [string, string])[];
+  readonly successors: readonly Succession[];
   readonly crashes: readonly CrashReport[];
   readonly limits: readonly ThrottleReport[];
   readonly origins: readonly OriginReport[];
@@ -94,8 +95,7 @@
     loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
     gone: processes(leaving, random),
     suspect: processes(suspect, random),
-    successors: randomWindow(successors, MAX_LISTED, random)
-      .map(([previousId, id]) => [previousId, id]),
+    successors: randomWindow(successors, MAX_LISTED, random).map(encodeSuccession),
     peers: [ip, ...listed.map((peer) => peer.ip)],
     ages: [0, ...listed.map(({ ageMs }) => Math.max(0, Math.round(ageMs)))],
     ...encodeCrashes(crashes),
--- a/src/relay/messageschema.ts
+++ b/src/relay/messageschema.ts
@@ -48,6 +48,10 @@
   /** Servers that the sender can't reach. */
   suspect: z.array(PROCESS).default([]),
   /** Restarted servers, each with its previous and its new id. */
+  /**
+   * Servers that restarted under a new id: the previous one, the new one, and for how long at most
+   * the server had been gone; older daemons leave the last out.
+   */
   successors: z.array(z.tuple([SERVER, SERVER], z.unknown())).default([]),
   peers: z.array(ADDRESS).default([]),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -79,7 +79,7 @@
     log,
     listener: {
       onLeaving: (id, startedAt, from) => fleet.markLeaving(id, startedAt, from),
-      onSuccessor: (previousId, id, from) => fleet.addSuccessor(previousId, id, from),
+      onSuccession: (succession, from) => fleet.adoptSuccession(succession, from),
       onSuspect: (id, startedAt, from) => fleet.verifySuspect(id, startedAt, from),
       onCopies: (copies, from) => {
         if (storeFeed().compare(copies)) requestSnapshot(from);
@@ -102,7 +102,7 @@
       configuration: activeConfiguration.version,
       copies: storeFeed().reports,
       servers: fleet.servers,
-      successors: fleet.successors,
+      successors: fleet.successors.found,
       crashes: quarantines.reports,
       limits: throttles.reports,
       origins: origins.reports,
--- a/src/relay/peerlistener.ts
+++ b/src/relay/peerlistener.ts
@@ -1,8 +1,11 @@
 /** Whom the messages of other instances concern. */
+import type { Succession } from '../liveness/successors.js';
 import { decodePace } from '../pace/report.js';
 import type { PaceReport } from '../pace/report.js';
 import type { CrashReport } from './crashnews.js';
-import { decodeCrashes, decodeLimit, decodeOrigin } from './peermessage.js';
+import {
+  decodeCrashes, decodeLimit, decodeOrigin, decodeSuccession,
+} from './peermessage.js';
 import type { PeerMessage } from './messageschema.js';
 import type { DecodedMessage } from './peermessage.js';
 import type { OriginReport } from './streamorigins.js';
@@ -14,7 +17,7 @@
   /** Another instance can't reach a server. */
   onSuspect(id: string, startedAt: number, from: string): void;
   /** Another instance reports that a server restarted under a new id. */
-  onSuccessor(previousId: string, id: string, from: string): void;
+  onSuccession(succession: Succession, from: string): void;
   /** Another instance reports its copies of the store's objects. */
   onCopies(copies: PeerMessage['copies'], from: string): void;
   /** Another instance reports engines that crashed. */
@@ -47,7 +50,8 @@
   listener: PeerListener,
 ): readonly OriginReport[] {
   message.gone.forEach(([id, startedAt]) => listener.onLeaving(id, startedAt, from));
-  message.successors.forEach(([previousId, id]) => listener.onSuccessor(previousId, id, from));
+  message.successors.map(decodeSuccession)
+    .forEach((succession) => listener.onSuccession(succession, from));
   message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, from));
   if (told.has('copies')) listener.onCopies(message.copies, from);
   // A partial message doesn't count the instances.
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -16,6 +16,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import type { Succession } from '../liveness/successors.js';
 import type { AnswerReport, CrashReport } from './crashnews.js';
 import type { Load } from './serverstate.js';
 import { CHECKS, isObject } from './messagecheck.js';
@@ -127,6 +128,19 @@
   };
 }
 
+export function encodeSuccession(
+  { previousId, id, goneMs }: Succession,
+): PeerMessage['successors'][number] {
+  return goneMs === undefined ? [previousId, id] : [previousId, id, Math.ceil(goneMs)];
+}
+
+export function decodeSuccession(
+  [previousId, id, goneMs]: PeerMessage['successors'][number],
+): Succession {
+  const isTold = typeof goneMs === 'number' && goneMs >= 0;
+  return { previousId, id, goneMs: isTold ? goneMs : undefined };
+}
+
 export function encodeUse({ service, workspace, tokens }: UseReport): PeerMessage['uses'][number] {
   return [service, workspace, Math.round(tokens)];
 }
--- a/src/relay/reach.ts
+++ b/src/relay/reach.ts
@@ -145,8 +145,9 @@
     const { fleet, identity, random } = this.#context;
     const servers = random.shuffled(this.#servers(service)).slice(0, PROBED_SERVERS);
     Promise.all(servers.map(async ({ entry }) => {
-      const { kind } = await identify(entry, identity);
-      if (kind === 'known' || kind === 'reached') fleet.markHeard(entry.id);
+      const found = await identify(entry, identity);
+      if (found.kind === 'known') fleet.markIdentified(entry.id, found.id);
+      else if (found.kind === 'reached') fleet.markHeard(entry.id, false);
     })).then(() => this.#conclude(service, now), (error: unknown) => (
       this.#context.log.event('error', 'probe_failed', { service, reason: String(error) })));
   }
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -40,6 +40,22 @@
   return response.id === id ? 'own' : 'other';
 }
 
+/**
+ * Whether the server that was asked has answered itself. Another one at its address refuses, and
+ * may name the request.
+ */
+export function isOwnAnswer(
+  responseClass: ResponseClass & { readonly response: ResponseFields },
+  id: string,
+): boolean {
+  switch (responseClass.kind) {
+    case 'answer':
+    case 'failed': return responseClass.response.id === id;
+    case 'not_run': return responseClass.response.id === id && !responseClass.misdirected;
+    case 'foreign': return false;
+  }
+}
+
 /** @param id the request that the response must belong to */
 export function classifyResponse(
   { status, headers, kept }: ReceivedHead,
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -11,7 +11,7 @@
 import { recordBroken } from './crashguard.js';
 import { exchange } from './exchange.js';
 import type { ExchangeEvent, ReceivedHead } from './exchange.js';
-import { classifyResponse } from './responseclass.js';
+import { classifyResponse, isOwnAnswer } from './responseclass.js';
 import { serverRequest, streamTarget } from './serverrequest.js';
 import type { ServerEntry } from './serverentry.js';
 import type { StreamObserver } from './serverpaces.js';
@@ -56,6 +56,9 @@
 
   #head: ResponseHead | undefined;
 
+  /** Whether the server itself has answered, by the head of the response. */
+  #isOwn = false;
+
   #response: StreamResponse | undefined;
 
   /** What the attempt says of the engine's version. */
@@ -178,11 +181,10 @@
         if (!event.reused) this.#connectedAt = this.#context.scheduler.now();
         break;
       case 'head':
-        fleet.markHeard(server.id);
         this.#onHead(event);
         break;
       case 'piece':
-        fleet.markHeard(server.id);
+        fleet.markHeard(server.id, this.#isOwn);
         this.#response?.push(event.bytes).forEach((part) => this.#onPart(part));
         break;
       case 'end':
@@ -220,6 +222,8 @@
     const { server } = this.#plan;
     const responseClass = classifyResponse(head, this.#call.id, dialect);
     notices.observe(server, responseClass);
+    this.#isOwn = isOwnAnswer(responseClass, this.#call.id);
+    fleet.markHeard(server.id, this.#isOwn);
     if (responseClass.kind === 'not_run' && responseClass.misdirected) {
       fleet.markMisdirected(server.id);
       this.sent = false;
