A server's own 503, 429 or 408 is never told as the promise that nothing ran

Cause: an answer with such a status, without the header that says that nothing ran, was rightly taken for one that may have run, but passed on with its status; a signed 429 or 408 counted as an answer to a call or a stream.

Change: promisesNotRun names the statuses. A server's own answer with one is a failure: what may be repeated goes to another server, anything else is refused as 502, unknown.

--- a/src/common/refusal.ts
+++ b/src/common/refusal.ts
@@ -49,10 +49,18 @@
 /** Statuses that tell callers that a request has not run and will not run. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
+/**
+ * Whether callers take a status for the promise that the request has not run and will not run. A
+ * backend server that answers with one may have run the request all the same.
+ */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.includes(status);
+}
+
 /** The HTTP status of the refusal; one that promises that the request has not run only if so. */
 export function statusOf({ code, ran }: Refusal): number {
   const status = STATUS[code];
-  return ran !== 'no' && NOT_RUN_STATUSES.includes(status) ? BAD_GATEWAY : status;
+  return ran !== 'no' && promisesNotRun(status) ? BAD_GATEWAY : status;
 }
 
 /** The `Retry-After` header's value in whole seconds, rounded up. */
--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -8,6 +8,7 @@
 import { openRequest } from '../common/outgoing.js';
 import { readPieces } from '../common/pieces.js';
 import type { Pieces } from '../common/pieces.js';
+import { promisesNotRun } from '../common/refusal.js';
 import type {
   AttemptFailure, AttemptRequest, CacheEvent, CancelOutcome, EngineClient, EngineEvent, FencedOrder,
   LoadReport, OrderOutcome,
@@ -22,7 +23,6 @@
 const OK = 200;
 const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
-const UNAVAILABLE = 503;
 
 type Method = 'GET' | 'POST' | 'DELETE';
 
@@ -93,9 +93,12 @@
   });
 }
 
-/** Failure for a status other than 200; only a 4xx or 503 says that the request has not run. */
+/**
+ * Failure for a status other than 200. A 4xx says that the request was not accepted, but for those
+ * that an engine, or what stands before it, may also use for a request that has run.
+ */
 function statusFailure(status: number): AttemptFailure {
-  const isRefused = (status >= CLIENT_ERROR && status < SERVER_ERROR) || status === UNAVAILABLE;
+  const isRefused = status >= CLIENT_ERROR && status < SERVER_ERROR && !promisesNotRun(status);
   return failure('refused', isRefused ? 'no' : 'unknown', `the engine answered ${status}`);
 }
 
--- a/src/entry/upstream.ts
+++ b/src/entry/upstream.ts
@@ -6,6 +6,7 @@
 import { parseHostPort } from '../common/address.js';
 import { openRequest } from '../common/outgoing.js';
 import { piecesOf } from '../common/pieces.js';
+import { promisesNotRun } from '../common/refusal.js';
 import { breakOff, isSelfDelimited, watchCloseDelimited } from './closedelimited.js';
 import { headFault } from './responsehead.js';
 
@@ -135,7 +136,9 @@
       if (!responseStarted) fail(error.message);
     });
     upstream.on('response', (response) => {
-      const fault = headFault(response, NO_FIELDS);
+      const { statusCode = 0 } = response;
+      const fault = headFault(response, NO_FIELDS)
+        ?? (promisesNotRun(statusCode) ? `it answered ${statusCode}` : undefined);
       if (fault !== undefined || res.headersSent) {
         fail(fault ?? 'the call was refused meanwhile');
         return;
--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -1,6 +1,7 @@
 /** An attempt of a call whose response is buffered. */
 import { Subscription } from 'rxjs';
 import type { LogFields } from '../common/log.js';
+import { promisesNotRun } from '../common/refusal.js';
 import { endToEnd } from '../entry/upstream.js';
 import type { Trial } from '../rollout/trial.js';
 import type { Assignment } from './assignment.js';
@@ -109,7 +110,7 @@
     ran,
     arrival: sent ? arrival : 'nowhere',
     message,
-    response,
+    response: response && promisesNotRun(response.status) ? undefined : response,
   };
 }
 
--- a/src/relay/forwardedcall.ts
+++ b/src/relay/forwardedcall.ts
@@ -1,5 +1,6 @@
 /** One call that another instance serves: sends it there and passes the answer on. */
 import { Subscription, timer } from 'rxjs';
+import { promisesNotRun } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
 import { endToEnd } from '../entry/upstream.js';
 import { bufferedResponse } from './bufferedattempt.js';
@@ -12,7 +13,7 @@
 import {
   forwardHeaders, OUTCOME_FIELDS, readOutcome, withoutForwardHeaders,
 } from './forwardedrequest.js';
-import type { ForwardedRequest } from './forwardedrequest.js';
+import type { Progress } from './forwardedrequest.js';
 import { ownerOf } from './responseclass.js';
 import type { ResponseOwner } from './responseclass.js';
 import { FIRST_EVENT_ID } from './serverrequest.js';
@@ -24,12 +25,6 @@
 /** `Retry-After` when no other instance could serve the call either. */
 const RETRY_AFTER_MS = 300;
 
-/** How far an instance has got with a call that it hands over. */
-export interface Progress extends Pick<ForwardedRequest, 'attempts' | 'lastEvent' | 'software'> {
-  /** Whether the head of the response has been sent to the caller. */
-  readonly headSent?: boolean;
-}
-
 export interface ForwardedCallOptions {
   readonly ip: string;
   /** The instances that may serve the call, by IP address, the preferred one first. */
@@ -245,7 +240,9 @@
     const { outcome, retryAfterMs } = readOutcome(head.headers);
     switch (outcome) {
       case 'answered':
-        this.#onAnswered(head);
+        // Older builds pass such a status of a server on.
+        if (promisesNotRun(head.status)) this.#giveUp('unknown', 'a server failed');
+        else this.#onAnswered(head);
         break;
       case 'no':
         this.#sendNext('the other instances can\'t serve it either', retryAfterMs);
--- a/src/relay/forwardedrequest.ts
+++ b/src/relay/forwardedrequest.ts
@@ -34,6 +34,12 @@
   readonly software?: string | undefined;
 }
 
+/** How far an instance has got with a call that it hands over. */
+export interface Progress extends Pick<ForwardedRequest, 'attempts' | 'lastEvent' | 'software'> {
+  /** Whether the head of the response has been sent to the caller. */
+  readonly headSent?: boolean;
+}
+
 /** `answered` by a server, or refused by the instance itself. */
 export type ForwardOutcome = 'answered' | Refusal['ran'];
 
--- a/src/relay/forwarding.ts
+++ b/src/relay/forwarding.ts
@@ -6,7 +6,7 @@
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
 import { ForwardedCall } from './forwardedcall.js';
-import type { Progress } from './forwardedcall.js';
+import type { Progress } from './forwardedrequest.js';
 import type { Reach } from './reach.js';
 import type { RelaySettings } from './settings.js';
 
--- a/src/relay/handover.ts
+++ b/src/relay/handover.ts
@@ -1,7 +1,7 @@
 /** Hands one call over to another instance, once, and cancels it there. */
 import type { Call } from './call.js';
 import type { Caller, RelayContext } from './context.js';
-import type { Progress } from './forwardedcall.js';
+import type { Progress } from './forwardedrequest.js';
 
 export class Handover {
   readonly #call: Call;
--- a/src/relay/responseclass.ts
+++ b/src/relay/responseclass.ts
@@ -1,12 +1,14 @@
 /** Classifies a backend server's response to one attempt by its head. */
+import { promisesNotRun } from '../common/refusal.js';
 import type { ResponseHead } from './call.js';
 import type { Dialect, RawHeaders, ResponseFields } from './dialect.js';
 import type { ReceivedHead } from './exchange.js';
 
 /**
- * `answer`: the server's response to the request. `failed`: a server error; the request may have
- * run. `not_run`: the server says that it has not run the request, and `misdirected` that another
- * server has the address. `foreign`: not a response to this request.
+ * `answer`: the server's response to the request. `failed`: the server's error, or its own answer
+ * with a status that callers take for a promise; the request may have run. `not_run`: the server
+ * says that it has not run the request, and `misdirected` that another server has the address.
+ * `foreign`: not a response to this request.
  */
 export type ResponseClass =
   | { readonly kind: 'answer' }
@@ -88,7 +90,7 @@
   if (isSuccess(status) && (response.signature === undefined || response.id === undefined)) {
     return { kind: 'foreign', message: 'the response is not signed', response };
   }
-  if (status >= MIN_SERVER_ERROR) {
+  if (status >= MIN_SERVER_ERROR || promisesNotRun(status)) {
     return { kind: 'failed', message: `the server failed with ${status}`, response };
   }
   return response.signature === undefined
--- a/src/relay/streamresponse.ts
+++ b/src/relay/streamresponse.ts
@@ -6,6 +6,7 @@
  * event. While the caller has nothing of the stream, a signed answer that is no success is passed
  * on as it is. Everything else is a failed attempt.
  */
+import { promisesNotRun } from '../common/refusal.js';
 import { bufferedResponse } from './bufferedattempt.js';
 import type { BufferedResponse, ResponseHead } from './call.js';
 import type { RawHeaders } from './dialect.js';
@@ -70,7 +71,7 @@
 function readSignedHead(head: ResponseHead, { method, hasBegun }: ExpectedStream): Reading {
   const { status, headers } = head;
   const isAnswer = status >= FIRST_REDIRECT || (status === OK && method === 'HEAD');
-  if (isAnswer && !hasBegun) return { kind: 'answer', head };
+  if (isAnswer && !hasBegun && !promisesNotRun(status)) return { kind: 'answer', head };
   if (status !== OK) return failure(`the server answered ${status} to a stream`);
   return isEventStream(headers)
     ? { kind: 'events' } : failure('the response is not a stream of events');
--- a/test/entryservice.test.ts
+++ b/test/entryservice.test.ts
@@ -91,6 +91,30 @@
   });
 });
 
+[408, 429, 503].forEach((status) => {
+  const fails = () => recorder((_, res) => {
+    res.writeHead(status, { 'retry-after': '1' }).end('busy');
+  });
+
+  test(`never: a service's own ${status} does not tell callers that nothing ran`, async (t) => {
+    const service = fails();
+    await withEntry(t, { services: [service.listener] }, async ({ address }) => {
+      const reply = await call(address, '/services/stock/reserve', { method: 'POST', body: '{}' });
+      t.is(reply.status, 502);
+      t.like(JSON.parse(reply.text), { error: { ran: 'unknown' } });
+      t.is(service.seen.length, 1);
+    });
+  });
+
+  test(`a read that a service fails with ${status} is retried on another server`, async (t) => {
+    await withEntry(t, {
+      services: [fails().listener, ok().listener],
+    }, async ({ address }) => {
+      t.is((await call(address, '/services/stock/price')).text, 'ok');
+    });
+  });
+});
+
 test('never: after a refused connection the call is retried with its body', async (t) => {
   const bodies: string[] = [];
   const down = ok();
--- a/test/relay-forwardedstream.test.ts
+++ b/test/relay-forwardedstream.test.ts
@@ -9,7 +9,7 @@
 import { Connections } from '../src/relay/connections.js';
 import type { Caller, RelayContext } from '../src/relay/context.js';
 import { ForwardedCall } from '../src/relay/forwardedcall.js';
-import type { Progress } from '../src/relay/forwardedcall.js';
+import type { Progress } from '../src/relay/forwardedrequest.js';
 import { Meter } from '../src/relay/meter.js';
 import { RecordedLog } from './fakes/recordedlog.js';
 import { eventsText, relayConfiguration, ROUTES } from './fakes/relay.js';
--- a/test/relay-forwarding.test.ts
+++ b/test/relay-forwarding.test.ts
@@ -28,15 +28,20 @@
   });
 }
 
-/** Forwards a call that may be repeated; resolves to how it is refused. */
-function refusalOf(port: number, targets: readonly string[]): Promise<Refusal> {
+/** Forwards a call; resolves to how it is refused. */
+function refusalOf(
+  port: number,
+  targets: readonly string[],
+  route: keyof typeof ROUTES = 'safe',
+): Promise<Refusal> {
   const call: Partial<Call> = {
     id: 'r1',
     method: 'GET',
     target: '/safe/1',
     headers: ['Host', HOST],
     body: Buffer.alloc(0),
-    route: ROUTES.safe,
+    route: ROUTES[route],
+    fields: testDialect.readRequest([]),
     service: { name: 'plain', engine: undefined, healthPath: undefined },
     deadlineAt: monotonicScheduler.now() + 60_000,
   };
@@ -49,8 +54,13 @@
     dialect: testDialect,
     stopping: { limit: NEVER },
   } as unknown as RelayContext;
-  return new Promise((resolve) => {
-    const caller: Partial<Caller> = { sending: () => undefined, refuse: resolve };
+  return new Promise((resolve, reject) => {
+    const caller: Partial<Caller> = {
+      sending: () => undefined,
+      refuse: resolve,
+      respond: ({ status }) => reject(new Error(`answered with ${status}`)),
+      fail: reject,
+    };
     ForwardedCall.start(call as Call, caller as Caller, context, {
       ip: '127.0.0.9', port, targets, progress: { attempts: 0 },
     });
@@ -82,3 +92,15 @@
   await instance(t, '127.0.0.2', port, refuse);
   t.like(await refusalOf(port, ['127.0.0.2', '127.0.0.3']), { ran: 'no' });
 });
+
+(['stream', 'safe', 'unsafe'] as const).forEach((route) => {
+  test(`a server's own 503 that an older instance passes on is no refusal: ${route}`, async (t) => {
+    const port = await freePort();
+    await instance(t, '127.0.0.2', port, (_, res) => {
+      res.writeHead(503, [...outcomeHeaders('answered'), 'x-id', 'r1', 'x-signature', 's']);
+      res.end('busy');
+    });
+    const refusal = await refusalOf(port, ['127.0.0.2'], route);
+    t.like(refusal, { code: 'backend_failed', ran: 'unknown' });
+  });
+});
