--- a/src/relay/peersnapshot.ts
+++ b/src/relay/peersnapshot.ts
@@ -4,12 +4,13 @@
  */
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
-import { createTRPCClient, httpLink } from '@trpc/client';
 import { initTRPC } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import { monotonicScheduler } from '../common/time.js';
+import { parseJson, StoreCalls } from '../store/calls.js';
 import { VERSION_LIMIT } from '../store/epoch.js';
 import type { Listing, StoredObject } from '../store/objects.js';
 import { closeIfUnread } from '../entry/body.js';
@@ -55,14 +56,15 @@
   renewalMs: z.number().min(0),
 });
 
+/** The answer to a query, as tRPC sends it over HTTP. */
+const ANSWER = z.object({ result: z.object({ data: z.unknown() }) });
+
 const trpc = initTRPC.create();
 
 function createRouter(snapshot: () => Snapshot) {
   return trpc.router({ snapshot: trpc.procedure.query(snapshot) });
 }
 
-type SnapshotRouter = ReturnType<typeof createRouter>;
-
 /** Serves other daemons: snapshots, and the requests that they forward. */
 export function peerServer(snapshot: () => Snapshot, onForwarded: RequestListener): Server {
   const onSnapshot = createHTTPHandler({
@@ -89,17 +91,16 @@
 }
 
 /**
- * Rejects if the snapshot can't be read.
+ * Rejects if the snapshot can't be read. tRPC's client would read an answer of any length.
  * @param address `host:port` of the other daemon
  */
 export async function fetchSnapshot(address: string): Promise<Snapshot> {
-  const client = createTRPCClient<SnapshotRouter>({
-    links: [httpLink({ url: `http://${address}` })],
-  });
-  const response: unknown = client.snapshot.query(undefined, {
-    signal: AbortSignal.timeout(TIMEOUT_MS),
-  });
-  const read = readSnapshot(await response);
+  const calls = StoreCalls.of(address, monotonicScheduler);
+  const query = { method: 'GET', path: '/snapshot', headers: {} } as const;
+  const answer = await calls.send(query, TIMEOUT_MS, 'own');
+  if (answer.isErr()) throw new Error(`no snapshot: ${answer.error.message}`);
+  const { result } = ANSWER.safeParse(parseJson(answer.value.text)).data ?? {};
+  const read = readSnapshot(result?.data);
   if (read.isErr()) throw new Error(`the snapshot is unreadable: ${read.error}`);
   return read.value;
 }
--- a/test/relay-endless.test.ts
+++ b/test/relay-endless.test.ts
@@ -4,10 +4,12 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { monotonicScheduler } from '../src/common/time.js';
+import { HttpEngineClient } from '../src/engines/client.js';
 import { Connections } from '../src/relay/connections.js';
 import { exchange } from '../src/relay/exchange.js';
 import type { ExchangeEvent } from '../src/relay/exchange.js';
 import { Meter } from '../src/relay/meter.js';
+import { fetchSnapshot } from '../src/relay/peersnapshot.js';
 import { StreamResponse } from '../src/relay/streamresponse.js';
 import { eventually } from './fakes/eventually.js';
 import { callRaw } from './fakes/rawcaller.js';
@@ -89,9 +91,15 @@
   }
 });
 
-/** Serves one response that goes on without end, and counts the connections. */
-async function endless(t: ExecutionContext, first: string, bytes: Buffer): Promise<string> {
+/** Serves responses that go on without end. */
+async function endless(
+  t: ExecutionContext,
+  first: string,
+  bytes: Buffer,
+  sockets: Socket[] = [],
+): Promise<string> {
   const server = createServer((socket) => {
+    sockets.push(socket);
     socket.on('error', () => undefined);
     socket.once('data', () => {
       socket.write(first);
@@ -151,3 +159,36 @@
     connections.closeAll();
   });
 });
+
+/** More than is read of any answer, with what the system buffers. */
+const MAX_READ_BYTES = 32_000_000;
+const LINE = Buffer.from('a'.repeat(65_536));
+
+/** Resolves to the bytes that were sent, once the connection has been closed. */
+async function sentUntilClosed(sockets: readonly Socket[]): Promise<number> {
+  await eventually(() => sockets[0]?.destroyed ?? false);
+  return sockets[0]?.bytesWritten ?? 0;
+}
+
+test.serial('another instance can\'t fill the memory with a snapshot without end', async (t) => {
+  const sockets: Socket[] = [];
+  const address = await endless(t, `${HEAD}\r\n{"result":"`, LINE, sockets);
+  await t.throwsAsync(fetchSnapshot(address), { message: /snapshot/ });
+  const sent = await sentUntilClosed(sockets);
+  t.true(sent <= MAX_READ_BYTES, `${sent} bytes`);
+});
+
+['a line', 'comments'].forEach((what) => {
+  test.serial(`an engine can't fill the memory with cache events: ${what}`, async (t) => {
+    const sockets: Socket[] = [];
+    const bytes = what === 'a line' ? LINE : Buffer.from(': kept open\n\n'.repeat(5_000));
+    const first = `${HEAD}Content-Type: text/event-stream\r\n\r\n`;
+    const address = await endless(t, first, bytes, sockets);
+    const failed = new Promise((resolve) => {
+      HttpEngineClient.of(address).cacheEvents().subscribe({ error: resolve });
+    });
+    t.regex(String(await failed), /too much/);
+    const sent = await sentUntilClosed(sockets);
+    t.true(sent <= MAX_READ_BYTES, `${sent} bytes`);
+  });
+});
