Cache events of engines have the limits of other streams

What would be seen: an engine that sends a line, or comments, without end in its stream of cache events ends the process (own interface).

Cause: the parser of cache events had no limit on its buffer, and nothing counted what brings no event. Change: both count up to MAX_EVENT_CHARACTERS, as in streams of tokens; then the stream of events fails, as when it breaks off, and is opened again by the same rules.

Evidence: relay-endless, 'an engine can't fill the memory with cache events', ended the test process out of memory before (SIGABRT); passes, closed after less than 32 MB.

--- a/src/engines/client.ts
+++ b/src/engines/client.ts
@@ -161,8 +161,10 @@
   cacheEvents(): Observable<CacheEvent> {
     return new Observable((subscriber) => {
       const req = httpRequest({ ...this.#options('GET', '/v1/cache-events'), agent: false });
+      let sinceEvent = 0;
       const parser = createParser({
         onEvent: ({ data }) => {
+          sinceEvent = 0;
           try {
             subscriber.next(cacheEvent.parse(JSON.parse(data)));
           } catch (error) {
@@ -172,7 +174,12 @@
       });
       req.on('response', (res) => {
         res.setEncoding('utf8');
-        readPieces<string>(res, (chunk) => parser.feed(chunk));
+        readPieces<string>(res, (chunk) => {
+          sinceEvent += chunk.length;
+          parser.feed(chunk);
+          if (sinceEvent <= MAX_EVENT_CHARACTERS) return;
+          subscriber.error(new Error('the engine sends too much beside its events'));
+        });
         res.on('error', (error) => subscriber.error(error));
         res.on('close', () => subscriber.error(new Error('the stream of cache events ended')));
       });
