Join small chunks of responses before they are buffered

What would be seen: servers that send chunks of one byte end the process. Eight servers at once and 60 callers, on a machine of 160 MB: 872 MB resident.

Cause: Node's parser gives each chunk as a buffer of its own, and the stream's limit counts their bytes. Bodies of requests were joined before; the limit on framing of responses takes effect when a piece is handled, one in each turn, while more are read.

Change: readPieces keeps up to 64 waiting chunks as they are and joins further ones; ordinary answers are read as before. ByteBuffer moves to common for that.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -9,7 +9,7 @@
 import { bodyOf, retryAfterSeconds, statusOf } from '../common/refusal.js';
 import type { Refusal } from '../common/refusal.js';
 import type { MemoryBudget } from '../memory/budget.js';
-import { ByteBuffer } from '../memory/bytebuffer.js';
+import { ByteBuffer } from '../common/bytebuffer.js';
 import { countGarbage } from '../memory/garbage.js';
 import { breakOff } from './closedelimited.js';
 import { whenFirst } from './requestline.js';
--- a/src/entry/smallchunks.ts
+++ b/src/entry/smallchunks.ts
@@ -5,7 +5,7 @@
  * loop, so that the others are served meanwhile.
  */
 import type { IncomingMessage } from 'node:http';
-import { ByteBuffer } from '../memory/bytebuffer.js';
+import { ByteBuffer } from '../common/bytebuffer.js';
 
 /** Chunks in one turn of the event loop beyond which a connection waits for its next turn. */
 const MAX_CHUNKS_PER_TURN = 64;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -238,7 +238,7 @@
       const pieces = readResponse(response, outgoing.method, {
         chunk: (bytes) => {
           bodyLength += bytes.length;
-          const arrivedLength = bodyLength + response.readableLength;
+          const arrivedLength = bodyLength + response.readableLength + pieces.joinedBytes;
           if (bodyLength > maxBodyBytes) fail('the body of the response is too long', 'response');
           else if (framedLength - arrivedLength
             > MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * arrivedLength) {
--- a/test/fakes/scriptedengine.ts
+++ b/test/fakes/scriptedengine.ts
@@ -2,8 +2,8 @@
  * A backend server that speaks the platform's protocol and does what a request's query asks for:
  * `/stream/x?events=9&step=100` or `/safe/x?ms=100&bytes=1000`. With `broken=N` the first server
  * that runs the request breaks off after N events or, with 0, without an answer; with `refuse=1`
- * the first one refuses it unrun. It listens on one address for each instance, so that it can be
- * cut off from some of them.
+ * the first one refuses it unrun. With `flood=NAME` it sends a flood. It listens on one address
+ * for each instance, so that it can be cut off from some of them.
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -11,6 +11,7 @@
 import { finished } from 'node:stream/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { EngineRecord } from './enginerecord.js';
+import { sendFlood } from './floods.js';
 
 /** The body of a plain answer. */
 export function answerBody(id: string, bytes: number): Buffer {
@@ -28,6 +29,9 @@
 
   port = 0;
 
+  /** Whether it sends a flood when it is asked for the prompts that it holds. */
+  floodsLists = false;
+
   readonly #record: EngineRecord;
 
   readonly #servers = new Map<string, Server>();
@@ -126,6 +130,10 @@
       res.writeHead(200, { 'Instance-Id': this.id }).end();
       return;
     }
+    if (pathname === '/kv-list' && this.floodsLists) {
+      sendFlood(req.socket, 'a body until it closes', '');
+      return;
+    }
     if (pathname === '/kv-list') {
       res.end('{"epoch":1,"Next":1,"held":[]}');
       return;
@@ -158,6 +166,11 @@
       }
       run.endedAt = performance.now();
     });
+    const flood = searchParams.get('flood');
+    if (flood !== null) {
+      sendFlood(req.socket, flood, id);
+      return;
+    }
     const brokenAfter = isFirst ? asks('broken', Infinity) : Infinity;
     const headers = { 'Request-Id': id, 'Response-Signature': `${this.id}.${id}` };
     const breakOff = () => {
--- a/test/memory.test.ts
+++ b/test/memory.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { MemoryBudget } from '../src/memory/budget.js';
 import type { Holding, HoldingOptions } from '../src/memory/budget.js';
-import { ByteBuffer } from '../src/memory/bytebuffer.js';
+import { ByteBuffer } from '../src/common/bytebuffer.js';
 import { defaultBudgetBytes, defaultMaxConnections } from '../src/memory/machine.js';
 
 const LARGE = 4_194_304;
