Evidence of crashes is updated by what is new, and searched once a turn

A profile showed a third and more of what an instance runs in the handling of other instances' reports of crashes.

Cause: each report, known or not, built the evidence anew and found all quarantines in it. The search counted the requests behind each part to the end, compared each suspect with each other one, and began again for what was unexplained.

Change: a report that shows nothing new costs a look; the reports of a message are added together; quarantines are searched once for all that is learnt in a turn, or when they are asked for, and for no more than a slightly earlier time within a second. The search counts requests up to the number that matters and looks crashes up in sets. What is found is the same: the tests of limits, among them those of order, pass unchanged.

--- a/src/limits/crashevidence.ts
+++ b/src/limits/crashevidence.ts
@@ -25,7 +25,8 @@
 
 /** The fingerprint without the prompt. */
 export function withoutPrompt(request: Fingerprint): Fingerprint {
-  return request.split('/', 1)[0]!;
+  const end = request.indexOf('/');
+  return end < 0 ? request : request.slice(0, end);
 }
 
 export interface Crash {
@@ -72,6 +73,17 @@
   };
 }
 
+function holdsAll(items: readonly string[], others: readonly string[]): boolean {
+  return others.every((other) => items.includes(other));
+}
+
+/** Whether a report shows nothing that is not known of its crash. */
+function addsNothing(known: Crash, crash: Crash): boolean {
+  if (crash.at < known.at || (crash.started && !known.started)) return false;
+  return holdsAll(known.requests, crash.requests) && (known.started !== crash.started || (
+    holdsAll(known.parts, crash.parts) && holdsAll(known.previous, crash.previous)));
+}
+
 function isSameSet(left: readonly string[], right: readonly string[]): boolean {
   return left.length === right.length && left.every((item) => right.includes(item));
 }
@@ -88,30 +100,63 @@
     && right.aliveAt <= left.at + REPORT_DELAY_MS;
 }
 
+interface Subjects {
+  /** The requests, with their prompts and without. */
+  readonly requests: ReadonlySet<Fingerprint>;
+  /** The parts and requests. */
+  readonly all: ReadonlySet<string>;
+}
+
+/** Evidence is searched far more often than it changes. */
+const knownSubjects = new WeakMap<Crash, Subjects>();
+
+function readSubjects(crash: Crash): Subjects {
+  const known = knownSubjects.get(crash);
+  if (known) return known;
+  const requests = new Set([...crash.requests, ...crash.requests.map(withoutPrompt)]);
+  const subjects = { requests, all: new Set([...crash.parts, ...requests]) };
+  knownSubjects.set(crash, subjects);
+  return subjects;
+}
+
+/** The requests that a crash may count against, with their prompts and without. */
+export function requestsOf(crash: Crash): ReadonlySet<Fingerprint> {
+  return readSubjects(crash).requests;
+}
+
 /** The parts and requests that a crash may count against. */
-export function subjectsOf({ parts, requests }: Crash): readonly string[] {
-  return [...parts, ...requests, ...requests.map(withoutPrompt)];
+export function subjectsOf(crash: Crash): ReadonlySet<string> {
+  return readSubjects(crash).all;
 }
 
 /** Leaves out what is too old or too much, and the answers to what occurs in no crash. */
 function prune({ crashes, answers }: CrashEvidence, now: number): CrashEvidence {
   const kept = crashes.filter(({ at }) => at > now - EVIDENCE_MS).slice(-MAX_CRASHES);
-  const subjects = new Set(kept.flatMap(subjectsOf));
+  const subjects = new Set(kept.flatMap((crash) => [...subjectsOf(crash)]));
   return {
     crashes: kept,
     answers: new Map([...answers].filter(([subject]) => subjects.has(subject))),
   };
 }
 
+/** Whether all subjects of a crash are among those of what it was merged into. */
+function keepsSubjects(crash: Crash, merged: Crash): boolean {
+  const subjects = subjectsOf(merged);
+  return [...subjectsOf(crash)].every((subject) => subjects.has(subject));
+}
+
 /** Adds a crash, which this instance or another has observed. */
 export function withCrash(evidence: CrashEvidence, crash: Crash, now: number): CrashEvidence {
   const { crashes, answers } = evidence;
   const known = crashes.find((other) => isSameCrash(other, crash));
+  if (known && addsNothing(known, crash)) return evidence;
   const merged = known ? mergeCrash(known, crash) : crash;
   if (known && known.at === merged.at && isSameState(known, merged)) return evidence;
   const others = crashes.filter((other) => other !== known);
   const sorted = [...others, merged].sort((left, right) => left.at - right.at);
-  return prune({ crashes: sorted, answers }, now);
+  const isWhole = sorted.length <= MAX_CRASHES && sorted[0]!.at > now - EVIDENCE_MS
+    && (!known || keepsSubjects(known, merged));
+  return isWhole ? { crashes: sorted, answers } : prune({ crashes: sorted, answers }, now);
 }
 
 /** Adds an answer to a request, or to one with a part, unless it clears nothing. */
@@ -120,7 +165,7 @@
   const known = answers.get(subject);
   const clears = crashes.some((crash) => (
     (known === undefined || (known < crash.at && crash.at <= at))
-    && subjectsOf(crash).includes(subject)));
+    && subjectsOf(crash).has(subject)));
   return clears ? { crashes, answers: new Map(answers).set(subject, at) } : evidence;
 }
 
--- a/src/limits/partquarantine.ts
+++ b/src/limits/partquarantine.ts
@@ -42,17 +42,26 @@
 interface Incident {
   readonly at: number;
   readonly weight: number;
-  readonly crashes: readonly Crash[];
 }
 
-function withIncident(incidents: readonly Incident[], crash: Crash): readonly Incident[] {
-  const weight = crash.started ? STARTED_WEIGHT : WAITING_WEIGHT;
-  const last = incidents.at(-1);
-  const isNew = !last || crash.at - last.at >= INCIDENT_MS
-    || last.crashes.some((other) => areConsecutive(other, crash));
-  if (isNew) return [...incidents, { at: crash.at, weight, crashes: [crash] }];
-  const crashes = [...last.crashes, crash];
-  return [...incidents.slice(0, -1), { ...last, weight: Math.max(last.weight, weight), crashes }];
+/** The incidents of crashes, which are given the oldest first. */
+function incidentsOf(crashes: readonly Crash[]): readonly Incident[] {
+  const incidents: Incident[] = [];
+  let together: Crash[] = [];
+  crashes.forEach((crash) => {
+    const weight = crash.started ? STARTED_WEIGHT : WAITING_WEIGHT;
+    const last = incidents.at(-1);
+    const isNew = !last || crash.at - last.at >= INCIDENT_MS
+      || together.some((other) => areConsecutive(other, crash));
+    if (isNew) {
+      incidents.push({ at: crash.at, weight });
+      together = [crash];
+    } else {
+      incidents[incidents.length - 1] = { ...last, weight: Math.max(last.weight, weight) };
+      together.push(crash);
+    }
+  });
+  return incidents;
 }
 
 function totalWeight(incidents: readonly Incident[]): number {
@@ -87,16 +96,21 @@
   crashes.forEach((crash) => crash.requests.forEach((request) => {
     if (!isCleared(evidence, request, crash)) counts.set(request, (counts.get(request) ?? 0) + 1);
   }));
-  return [...counts].sort(([left, leftCount], [right, rightCount]) => (
-    rightCount - leftCount || (left < right ? -1 : 1)))[0]?.[0];
+  let [most, mostCount]: [Fingerprint | undefined, number] = [undefined, 0];
+  counts.forEach((count, request) => {
+    const isFirst = most === undefined || request < most;
+    if (count > mostCount || (count === mostCount && isFirst)) [most, mostCount] = [request, count];
+  });
+  return most;
 }
 
-/** The number of requests that explain the crashes without a part that they share. */
-function requestCount(crashes: readonly Crash[], evidence: CrashEvidence): number {
+/** Whether so many requests, or more, explain the crashes without a part that they share. */
+function needRequests(crashes: readonly Crash[], count: number, evidence: CrashEvidence): boolean {
+  if (count <= 0) return true;
   const request = mostFrequentRequest(crashes, evidence);
-  if (request === undefined) return crashes.length;
+  if (request === undefined) return crashes.length >= count;
   const others = crashes.filter(({ requests }) => !requests.includes(request));
-  return 1 + requestCount(others, evidence);
+  return needRequests(others, count - 1, evidence);
 }
 
 /** The parts with enough crashes since their last answer, those with the most first. */
@@ -104,11 +118,13 @@
   return [...crashesByPart(evidence)].map(([part, crashes]): Suspect => ({
     part,
     crashes,
-    incidents: crashes.reduce(withIncident, []),
+    incidents: incidentsOf(crashes),
     required: evidence.answers.has(part) ? MIN_WEIGHT_AFTER_ANSWER : MIN_WEIGHT,
   })).filter(({ incidents, required }) => totalWeight(incidents) >= required)
-    .filter(({ part, crashes }) => requestCount(crashes, evidence)
-      >= (evidence.answers.has(part) ? MIN_REQUESTS_AFTER_ANSWER : MIN_REQUESTS))
+    .filter(({ part, crashes }) => {
+      const count = evidence.answers.has(part) ? MIN_REQUESTS_AFTER_ANSWER : MIN_REQUESTS;
+      return needRequests(crashes, count, evidence);
+    })
     .sort((left, right) => totalWeight(right.incidents) - totalWeight(left.incidents)
       || left.required - right.required || (left.part < right.part ? -1 : 1));
 }
@@ -136,12 +152,12 @@
   first: Suspect,
   others: readonly Suspect[],
 ): readonly PartQuarantine[] {
-  const subsets = others.filter(({ crashes }) => (
-    crashes.every((crash) => first.crashes.includes(crash))));
+  const explained = new Set(first.crashes);
+  const subsets = others.filter(({ crashes }) => crashes.every((crash) => explained.has(crash)));
   const same = [first, ...subsets.filter(({ crashes }) => isSameList(crashes, first.crashes))];
-  const narrower = subsets.filter((suspect) => !same.includes(suspect));
-  const isCovered = first.crashes.every((crash) => (
-    narrower.some(({ crashes }) => crashes.includes(crash))));
+  const narrower = subsets.filter(({ crashes }) => !isSameList(crashes, first.crashes));
+  const covered = new Set(narrower.flatMap(({ crashes }) => crashes));
+  const isCovered = first.crashes.every((crash) => covered.has(crash));
   return isCovered
     ? narrower.map((suspect) => quarantineBy(suspect, [...same, suspect]))
     : [quarantineBy(first, same)];
@@ -151,7 +167,8 @@
 export function partQuarantines(evidence: CrashEvidence): readonly PartQuarantine[] {
   const [first, ...others] = suspects(evidence);
   if (!first) return [];
-  const unexplained = evidence.crashes.filter((crash) => !first.crashes.includes(crash));
+  const explained = new Set(first.crashes);
+  const unexplained = evidence.crashes.filter((crash) => !explained.has(crash));
   return [
     ...quarantinesFor(first, others), ...partQuarantines({ ...evidence, crashes: unexplained }),
   ];
--- a/src/limits/quarantine.ts
+++ b/src/limits/quarantine.ts
@@ -19,6 +19,14 @@
   return [...requestQuarantines(evidence), ...partQuarantines(evidence)];
 }
 
+/** What a quarantine refuses, for the log. */
+export function nameOf(quarantine: Quarantine): string {
+  switch (quarantine.kind) {
+    case 'parts': return quarantine.parts.join(',');
+    case 'request': return quarantine.request;
+  }
+}
+
 function concerns(quarantine: Quarantine, { parts, request }: Subject): boolean {
   switch (quarantine.kind) {
     case 'parts': return quarantine.parts.every((part) => parts.includes(part));
--- a/src/limits/requestquarantine.ts
+++ b/src/limits/requestquarantine.ts
@@ -4,7 +4,7 @@
  * others. Of requests that waited in the same crashes each may be the cause.
  */
 import {
-  EVIDENCE_MS, isCleared, isSameList, withoutPrompt,
+  EVIDENCE_MS, isCleared, isSameList, requestsOf, withoutPrompt,
 } from './crashevidence.js';
 import type { Crash, CrashEvidence, Fingerprint } from './crashevidence.js';
 
@@ -32,8 +32,7 @@
 function crashesByRequest(evidence: CrashEvidence): ReadonlyMap<Fingerprint, readonly Crash[]> {
   const byRequest = new Map<Fingerprint, Crash[]>();
   evidence.crashes.forEach((crash) => {
-    const fingerprints = new Set([...crash.requests, ...crash.requests.map(withoutPrompt)]);
-    fingerprints.forEach((request) => {
+    requestsOf(crash).forEach((request) => {
       if (isCleared(evidence, request, crash)) return;
       const others = byRequest.get(request);
       if (others) others.push(crash);
@@ -62,8 +61,9 @@
 
 /** Leaves out requests that stand in the list with their prompt as well. */
 function mostSpecific(list: readonly Suspect[]): readonly Suspect[] {
-  return list.filter(({ request }) => !list.some((other) => (
-    other.request !== request && withoutPrompt(other.request) === request)));
+  const bodies = new Set(list.map(({ request }) => request)
+    .filter((request) => withoutPrompt(request) !== request).map(withoutPrompt));
+  return list.filter(({ request }) => !bodies.has(request));
 }
 
 /** The requests that are to be refused. */
@@ -71,7 +71,8 @@
   const [first, ...others] = suspects(evidence);
   if (!first) return [];
   const same = [first, ...others.filter(({ crashes }) => isSameList(crashes, first.crashes))];
-  const unexplained = evidence.crashes.filter((crash) => !first.crashes.includes(crash));
+  const explained = new Set(first.crashes);
+  const unexplained = evidence.crashes.filter((crash) => !explained.has(crash));
   return [
     ...mostSpecific(same).map(quarantineBy),
     ...requestQuarantines({ ...evidence, crashes: unexplained }),
--- a/src/relay/crashnews.ts
+++ b/src/relay/crashnews.ts
@@ -16,6 +16,12 @@
 /** Crashes are no longer passed on this long before they are forgotten, so that none comes back. */
 const EXPIRY_MARGIN_MS = 10_000;
 
+/**
+ * What is new in evidence: a crash, something else about one, or no more than its time, which each
+ * report shows to be a little earlier.
+ */
+export type EvidenceChange = 'crash' | 'detail' | 'time';
+
 /** A prompt part or a request, with the age of its last answer if one is known. */
 export interface AnswerReport {
   readonly subject: string;
@@ -53,6 +59,17 @@
   };
 }
 
+/** Whether a subject of a crash was answered between two states of the evidence. */
+function answersChanged(
+  before: CrashEvidence['answers'],
+  after: CrashEvidence['answers'],
+): (crash: Crash) => boolean {
+  if (before === after) return () => false;
+  const changed = [...after].filter(([subject, at]) => before.get(subject) !== at)
+    .map(([subject]) => subject);
+  return (crash) => changed.some((subject) => subjectsOf(crash).has(subject));
+}
+
 export class CrashNews {
   readonly #scheduler: SchedulerLike;
 
@@ -71,29 +88,32 @@
   }
 
   /**
-   * Notes which crashes, or answers to their requests, are new; returns whether a crash is. What is
-   * learnt of known ones can wait for the next message: each victim changes it at every instance.
+   * Notes which crashes, or answers to their requests, are new. What is learnt of known ones can
+   * wait for the next message: each victim changes it at every instance.
    */
-  update(previous: CrashEvidence, { crashes, answers }: CrashEvidence): boolean {
+  update(previous: CrashEvidence, { crashes, answers }: CrashEvidence): EvidenceChange {
     const now = this.#scheduler.now();
     const servers = new Set(crashes.map(({ server }) => server));
     [...this.#changedAt.keys()].filter((server) => !servers.has(server))
       .forEach((server) => this.#changedAt.delete(server));
     let isNew = false;
+    const unchanged = new Set(previous.crashes);
+    const isAnswered = answersChanged(previous.answers, answers);
     const changed = crashes.filter((crash) => {
+      if (unchanged.has(crash)) return isAnswered(crash);
       const known = previous.crashes.find((other) => isSameCrash(other, crash));
       isNew ||= !known;
-      return !known || !isSameState(known, crash) || subjectsOf(crash).some((subject) => (
-        answers.get(subject) !== previous.answers.get(subject)));
+      return !known || !isSameState(known, crash) || isAnswered(crash);
     });
     changed.forEach(({ server }) => this.#changedAt.set(server, now));
-    return isNew;
+    if (isNew) return 'crash';
+    return changed.length > 0 ? 'detail' : 'time';
   }
 
   /** What a message tells. */
   reports(
     evidence: CrashEvidence,
-    isQuarantined: (crash: Crash) => boolean,
+    isQuarantined: (server: string) => boolean,
   ): readonly CrashReport[] {
     const now = this.#scheduler.now();
     const lasting = evidence.crashes
@@ -103,7 +123,7 @@
       .sort((left, right) => changedAt(right) - changedAt(left)).slice(0, MAX_NEWS);
     // Repeated, one by one, for instances that have just started.
     const known = this.#random.shuffled(lasting.filter((crash) => !news.includes(crash)));
-    const quarantined = known.find(isQuarantined);
+    const quarantined = known.find(({ server }) => isQuarantined(server));
     const repeated = [...new Set([known[0], quarantined])].filter((crash) => crash !== undefined);
     return [...repeated, ...news].map((crash) => reportOf(crash, evidence, now));
   }
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -4,7 +4,7 @@
  * prompt's parts, once the server is found to be down or restarted. Instances pass the evidence on
  * to each other in their messages.
  */
-import { interval, Subject } from 'rxjs';
+import { interval } from 'rxjs';
 import type { Observable, SchedulerLike, Subscription } from 'rxjs';
 import { LRUCache } from 'lru-cache';
 import { hash64 } from '../common/hash.js';
@@ -15,8 +15,9 @@
   EVIDENCE_MS, NO_EVIDENCE, subjectsOf, withAnswer, withCrash, withoutExpired, withoutPrompt,
 } from '../limits/crashevidence.js';
 import type { Crash, CrashEvidence } from '../limits/crashevidence.js';
-import { quarantineOf, quarantines } from '../limits/quarantine.js';
+import { nameOf, quarantineOf } from '../limits/quarantine.js';
 import type { Quarantine } from '../limits/quarantine.js';
+import { QuarantineSearch } from '../limits/quarantinesearch.js';
 import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { CrashCheck } from './crashcheck.js';
@@ -55,14 +56,6 @@
   return parts.slice(0, -1).map(({ id }) => hash64(`${model ?? ''}\n${id}`));
 }
 
-/** What a quarantine refuses, for the log. */
-function nameOf(quarantine: Quarantine): string {
-  switch (quarantine.kind) {
-    case 'parts': return quarantine.parts.join(',');
-    case 'request': return quarantine.request;
-  }
-}
-
 function refusalMessage({ kind, crashes: { length } }: Quarantine): string {
   switch (kind) {
     case 'parts': return `${length} engines crashed on requests with a part of this prompt`;
@@ -75,7 +68,7 @@
 
   #evidence: CrashEvidence = NO_EVIDENCE;
 
-  #found: readonly Quarantine[] = [];
+  readonly #search: QuarantineSearch;
 
   /** When requests with a part were last answered by way of this instance. */
   readonly #partAnsweredAt = new LRUCache<string, number>({ max: MAX_ANSWERED });
@@ -88,11 +81,10 @@
   /** Requests that were lost with a server whose crash is not confirmed yet. */
   readonly #unconfirmed = new Map<string, Omit<Crash, 'server'>[]>();
 
-  readonly #changes = new Subject<void>();
-
   private constructor(context: QuarantineContext) {
     this.#context = context;
     this.#news = CrashNews.of(context.scheduler, context.random);
+    this.#search = QuarantineSearch.of(context, () => this.#evidence);
   }
 
   static of(context: QuarantineContext): Quarantines {
@@ -101,24 +93,28 @@
 
   /** Emits when other requests than before are to be refused. */
   get changes(): Observable<void> {
-    return this.#changes;
+    return this.#search.changes;
   }
 
   get found(): readonly Quarantine[] {
-    return this.#found;
+    return this.#search.found;
   }
 
   /** Forgets old evidence until the subscription ends. */
   start(): Subscription {
     return interval(EXPIRY_INTERVAL_MS, this.#context.scheduler)
-      .subscribe(() => this.#update(withoutExpired(this.#evidence, this.#now())));
+      .subscribe(() => {
+        this.#update(withoutExpired(this.#evidence, this.#now()));
+        this.#search.run();
+      });
   }
 
   /** Why a request may not be sent to a server, with the inputs; undefined if it may. */
   check(call: Call): Rejection | undefined {
-    if (this.#found.length === 0) return undefined;
+    const { found } = this;
+    if (found.length === 0) return undefined;
     const subject = { parts: sharedParts(call.fields), request: fingerprintOf(call) };
-    const quarantine = quarantineOf(this.#found, subject);
+    const quarantine = quarantineOf(found, subject);
     if (!quarantine) return undefined;
     const { crashes, until } = quarantine;
     return {
@@ -139,15 +135,15 @@
   /** Records a response, or a stream that has run for some time: its first event shows nothing. */
   markAnswered(call: Call): void {
     const now = this.#now();
-    sharedParts(call.fields).forEach((part) => {
-      this.#partAnsweredAt.set(part, now);
-      this.#update(withAnswer(this.#evidence, part, now));
-    });
+    const parts = sharedParts(call.fields);
     const request = fingerprintOf(call);
-    [request, withoutPrompt(request)].forEach((fingerprint) => {
-      this.#requestAnsweredAt.set(fingerprint, now);
-      this.#update(withAnswer(this.#evidence, fingerprint, now));
-    });
+    const requests = [request, withoutPrompt(request)];
+    parts.forEach((part) => this.#partAnsweredAt.set(part, now));
+    requests.forEach((fingerprint) => this.#requestAnsweredAt.set(fingerprint, now));
+    this.#update([...parts, ...requests].reduce(
+      (evidence, subject) => withAnswer(evidence, subject, now),
+      this.#evidence,
+    ));
   }
 
   /**
@@ -188,81 +184,78 @@
     this.#context.log.event('info', 'crash_recorded', {
       server, requests: lost.length, started: lost.filter(({ started }) => started).length,
     });
-    lost.forEach((crash) => this.#addCrash({ ...crash, server }));
+    this.#update(lost.reduce(
+      (evidence, crash) => this.#withCrash(evidence, { ...crash, server }),
+      this.#evidence,
+    ));
   }
 
-  #addCrash(crash: Crash): void {
-    const known = subjectsOf(crash).flatMap((subject) => {
+  /** Adds a crash, and the answers to its requests that this instance has seen. */
+  #withCrash(evidence: CrashEvidence, crash: Crash): CrashEvidence {
+    const now = this.#now();
+    const added = withCrash(evidence, crash, now);
+    if (added === evidence) return evidence;
+    return [...subjectsOf(crash)].reduce((answered, subject) => {
       const at = this.#partAnsweredAt.get(subject) ?? this.#requestAnsweredAt.get(subject);
-      return at === undefined || at <= this.#now() - EVIDENCE_MS ? [] : [{ subject, at }];
-    });
-    this.#update(known.reduce(
-      (evidence, { subject, at }) => withAnswer(evidence, subject, at),
-      withCrash(this.#evidence, crash, this.#now()),
-    ));
+      return at === undefined || at <= now - EVIDENCE_MS
+        ? answered : withAnswer(answered, subject, at);
+    }, added);
   }
 
   /** What a message tells other instances. */
   get reports(): readonly CrashReport[] {
-    return this.#news.reports(this.#evidence, (crash) => (
-      this.#found.some(({ crashes }) => crashes.includes(crash))));
+    const servers = new Set(this.found.flatMap(({ crashes }) => (
+      crashes.map(({ server }) => server))));
+    return this.#news.reports(this.#evidence, (server) => servers.has(server));
   }
 
   /** Adds what another instance reports. */
   adopt(reports: readonly CrashReport[]): void {
-    const now = this.#now();
-    reports.forEach(({
+    this.#update(reports.reduce(
+      (evidence, report) => this.#withReport(evidence, report),
+      this.#evidence,
+    ));
+  }
+
+  #withReport(
+    evidence: CrashEvidence,
+    {
       server, ageMs, aliveAgeMs, started, parts, requests, previous,
-    }) => {
-      this.#addCrash({
-        server,
-        at: now - ageMs,
-        aliveAt: now - (aliveAgeMs ?? Infinity),
-        started,
-        parts: parts.map(({ subject }) => subject),
-        requests: requests.map(({ subject }) => subject),
-        previous,
-      });
-      [...parts, ...requests].forEach(({ subject, answerAgeMs }) => {
-        if (answerAgeMs === undefined) return;
-        const at = now - answerAgeMs;
-        this.#update(withAnswer(this.#evidence, subject, at));
-        this.#update(withAnswer(this.#evidence, withoutPrompt(subject), at));
-      });
-    });
+    }: CrashReport,
+  ): CrashEvidence {
+    const now = this.#now();
+    const crash = {
+      server,
+      at: now - ageMs,
+      aliveAt: now - (aliveAgeMs ?? Infinity),
+      started,
+      parts: parts.map(({ subject }) => subject),
+      requests: requests.map(({ subject }) => subject),
+      previous,
+    };
+    return [...parts, ...requests].reduce((answered, { subject, answerAgeMs }) => {
+      if (answerAgeMs === undefined) return answered;
+      const at = now - answerAgeMs;
+      return withAnswer(withAnswer(answered, subject, at), withoutPrompt(subject), at);
+    }, this.#withCrash(evidence, crash));
   }
 
   #update(evidence: CrashEvidence): void {
     if (evidence === this.#evidence) return;
     const previous = this.#evidence;
     this.#evidence = evidence;
-    if (this.#news.update(previous, evidence)) this.#context.onUrgentChange();
-    this.#setFound(quarantines(evidence));
-  }
-
-  #setFound(found: readonly Quarantine[]): void {
-    const { log } = this.#context;
-    const before = this.#found;
-    this.#found = found;
-    const isIn = (list: readonly Quarantine[], quarantine: Quarantine) => (
-      list.some((other) => nameOf(other) === nameOf(quarantine)));
-    const added = found.filter((quarantine) => !isIn(before, quarantine));
-    const removed = before.filter((quarantine) => !isIn(found, quarantine));
-    added.forEach((quarantine) => {
-      const { kind, crashes, until } = quarantine;
-      log.event('warn', kind === 'parts' ? 'parts_quarantined' : 'request_quarantined', {
-        [kind]: nameOf(quarantine),
-        crashed: crashes.map(({ server }) => server).join(','),
-        for_ms: Math.round(until - this.#now()),
-      });
-    });
-    removed.forEach((quarantine) => {
-      const { kind } = quarantine;
-      log.event('info', kind === 'parts' ? 'parts_released' : 'request_released', {
-        [kind]: nameOf(quarantine),
-      });
-    });
-    if (added.length + removed.length > 0) this.#changes.next();
+    const change = this.#news.update(previous, evidence);
+    switch (change) {
+      case 'crash':
+        this.#context.onUrgentChange();
+        this.#search.schedule();
+        break;
+      case 'detail':
+        this.#search.schedule();
+        break;
+      // A few milliseconds can wait until expired evidence is looked for.
+      case 'time': break;
+    }
   }
 
   #now(): number {
