One crash counts once, however late its reports are read

Cause: two reports are of one crash unless the server was seen to run in between. Times travel as ages, so a report that waits before it is read shows the crash, and when the server was last seen before it, later by that time: after 50 ms it was another crash, which was told on. The time last seen was also moved by whoever accepted a connection at the server's address.

Change: when a server was seen counts from answers of its own, as of the time up to which input had been handled (as for successors), and a report's is earlier by how long it may have waited.

--- a/bench/crashes.ts
+++ b/bench/crashes.ts
@@ -57,6 +57,7 @@
     random: Random.of(1),
     log: silentLog,
     crashCheck: { hasCrashed: () => Promise.resolve(false) },
+    horizon: { delayMs: 0 },
     onUrgentChange: () => undefined,
   });
 }
--- a/src/liveness/inputhorizon.ts
+++ b/src/liveness/inputhorizon.ts
@@ -40,6 +40,11 @@
     return this.#handledUntil;
   }
 
+  /** How long input that is read now may have waited; infinite until that is known. */
+  get delayMs(): number {
+    return this.#handledUntil ? this.elapsedMs(this.#handledUntil) : Infinity;
+  }
+
   /** An upper bound of the time since an instant, suspensions of the machine included. */
   elapsedMs({ at, date }: Instant): number {
     return Math.max(this.#scheduler.now() - at, this.#wallClock() - date);
--- a/src/relay/bufferedattempt.ts
+++ b/src/relay/bufferedattempt.ts
@@ -27,8 +27,6 @@
   readonly recordPace: (status: number) => void;
   readonly trial: Trial;
   sent: boolean;
-  /** When the server accepted the connection; 0 if it was open before. */
-  connectedAt: number;
   head: { readonly response: ResponseHead; readonly responseClass: ResponseClass } | undefined;
   readonly body: CollectedBody;
 }
@@ -60,7 +58,6 @@
     startedAt,
     trial: rollouts.trial(call, entry, objectiveMs, isFirst),
     sent: false,
-    connectedAt: 0,
     head: undefined,
     body: CollectedBody.ofCall(call, context),
   };
--- a/src/relay/bufferedrelay.ts
+++ b/src/relay/bufferedrelay.ts
@@ -204,7 +204,6 @@
       case 'sent':
         live.sent = true;
         this.#apply({ kind: 'sent', attempt: number });
-        if (!event.reused) live.connectedAt = this.#context.scheduler.now();
         break;
       case 'head': {
         const responseClass = classifyResponse(event, this.#call.id, dialect);
@@ -237,10 +236,10 @@
     }
   }
 
-  #recordBroken({ attempt: { server }, head, connectedAt }: LiveAttempt): void {
+  #recordBroken({ attempt: { server }, head }: LiveAttempt): void {
     const previous = this.#state.tried.filter((other) => other !== server);
     recordBroken(this.#call, {
-      server, stage: head ? 'starting' : 'waiting', previous, connectedAt, hasRun: false,
+      server, stage: head ? 'starting' : 'waiting', previous, hasRun: false,
     }, this.#context);
   }
 
--- a/src/relay/crashguard.ts
+++ b/src/relay/crashguard.ts
@@ -11,8 +11,6 @@
   readonly stage: AttemptStage;
   /** Servers that had failed the request before. */
   readonly previous: readonly string[];
-  /** When the server accepted the connection; 0 if it was open before. */
-  readonly connectedAt: number;
   /** Whether an earlier attempt of the request has run soundly. */
   readonly hasRun: boolean;
 }
@@ -29,14 +27,14 @@
 export function recordBroken(
   call: Call,
   {
-    server, stage, previous, connectedAt, hasRun,
+    server, stage, previous, hasRun,
   }: BrokenAttempt,
   { fleet, quarantines }: RelayContext,
 ): void {
   const state = fleet.server(server);
   // Servers that leave close the connections of requests that they no longer run.
   if (state?.entry.state !== 'ready' || state.expiresAt !== undefined) return;
-  const aliveAt = Math.max(connectedAt, fleet.heardAt(server));
+  const aliveAt = fleet.successors.seenAt(server);
   quarantines.markBroken(state.entry, call, {
     stage, previous, aliveAt, hasRun,
   });
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -15,7 +15,6 @@
 import { CrashCheck } from './crashcheck.js';
 import type { RelayDaemonContext } from './daemoncontext.js';
 import { Fleet } from './fleet.js';
-import type { PeerLoads } from './fleetcontext.js';
 import { Forwarding } from './forwarding.js';
 import { Frontend } from './frontend.js';
 import { createMemory } from './memorylimits.js';
@@ -95,7 +94,7 @@
       ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowMs,
     });
     this.#retries.count(settings.seeds.length, scheduler.now());
-    const peerLoads: PeerLoads = (server) => this.#peers.loads(server);
+    const peerLoads = (server: string) => this.#peers.loads(server);
     const paces = ServerPaces.of({ ...context, peerLoads, server: (id) => this.#fleet.server(id) });
     const shared = {
       scheduler,
@@ -143,8 +142,9 @@
       hasSeeds: settings.seeds.some((ip) => ip !== settings.ip && ip !== ''),
       peers: () => ({ heard: this.#peers.alive, idle: (entry) => this.#peers.idle(entry) }),
     });
+    const { horizon } = this.#fleet.successors;
     this.#quarantines = Quarantines.of({
-      ...shared, crashCheck: CrashCheck.of({ ...shared, fleet: this.#fleet, identity }),
+      ...shared, horizon, crashCheck: CrashCheck.of({ ...shared, fleet: this.#fleet, identity }),
     });
     this.#origins = StreamOrigins.of({
       ...shared,
--- a/src/relay/quarantine.ts
+++ b/src/relay/quarantine.ts
@@ -18,6 +18,7 @@
 import { nameOf, quarantineOf } from '../limits/quarantine.js';
 import type { Quarantine } from '../limits/quarantine.js';
 import { QuarantineSearch } from '../limits/quarantinesearch.js';
+import type { InputHorizon } from '../liveness/inputhorizon.js';
 import type { AttemptStage } from './attemptplan.js';
 import type { Call } from './call.js';
 import type { CrashCheck } from './crashcheck.js';
@@ -47,6 +48,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly crashCheck: Pick<CrashCheck, 'hasCrashed'>;
+  /** How long a message that is read now may have waited. */
+  readonly horizon: Pick<InputHorizon, 'delayMs'>;
   /** Called when other instances should learn of a change soon. */
   readonly onUrgentChange: () => void;
 }
@@ -223,11 +226,13 @@
       server, ageMs, aliveAgeMs, started, parts, requests, previous,
     }: CrashReport,
   ): CrashEvidence {
+    const { horizon } = this.#context;
     const now = this.#now();
     const crash = {
       server,
       at: now - ageMs,
-      aliveAt: now - (aliveAgeMs ?? Infinity),
+      // Of a message that was read late, this time would be after the crash.
+      aliveAt: now - (aliveAgeMs ?? Infinity) - horizon.delayMs,
       started,
       parts: parts.map(({ subject }) => subject),
       requests: requests.map(({ subject }) => subject),
--- a/src/relay/streamattempt.ts
+++ b/src/relay/streamattempt.ts
@@ -47,9 +47,6 @@
 
   #startedAt = 0;
 
-  /** When the engine accepted the connection; 0 if it was open before. */
-  #connectedAt = 0;
-
   #lastEventAt: number | undefined;
 
   readonly #soundRun = SoundRun.of();
@@ -178,7 +175,6 @@
       case 'sent':
         this.sent = true;
         this.arrived = true;
-        if (!event.reused) this.#connectedAt = this.#context.scheduler.now();
         break;
       case 'head':
         this.#onHead(event);
@@ -213,7 +209,6 @@
       stage: this.stage,
       hasRun: this.#options.hasRun,
       previous: this.#options.excluded,
-      connectedAt: this.#connectedAt,
     }, this.#context);
   }
 
--- a/test/relay-quarantinereports.test.ts
+++ b/test/relay-quarantinereports.test.ts
@@ -30,6 +30,9 @@
 
   readonly #random = Random.of(5);
 
+  /** How long messages may have waited before they are read. */
+  readonly horizon = { delayMs: 0 };
+
   add(): Quarantines {
     const { clock: scheduler } = this;
     const instance = Quarantines.of({
@@ -37,6 +40,7 @@
       random: Random.of(this.instances.length),
       log: silentLog,
       crashCheck: { hasCrashed: () => Promise.resolve(false) },
+      horizon: this.horizon,
       onUrgentChange: () => undefined,
     });
     instance.start();
@@ -106,3 +110,32 @@
   instance.adopt(Array.from({ length: 300 }, (_, index) => report(`e${index}`, index)));
   t.true(instance.reports.length <= 5);
 });
+
+/** A crash under a request, of a server that was seen to run just before. */
+function lost(server: string, ageMs: number): CrashReport {
+  return {
+    ...report(server, ageMs, []),
+    aliveAgeMs: ageMs + 20,
+    requests: [{ subject: 'request', answerAgeMs: undefined }],
+  };
+}
+
+test('reports of one crash that are read late are not taken for further crashes', (t) => {
+  const fleet = new Fleet();
+  const instance = fleet.add();
+  instance.adopt([lost('e1', 3_000)]);
+  [2_500, 2_000, 1_500].forEach((lateMs) => {
+    fleet.horizon.delayMs = lateMs;
+    instance.adopt([lost('e1', 3_000 - lateMs)]);
+  });
+  t.is(instance.reports.length, 1);
+  t.deepEqual(instance.found, []);
+});
+
+test('crashes of a server that starts again under its id count each', (t) => {
+  const fleet = new Fleet();
+  const instance = fleet.add();
+  fleet.horizon.delayMs = 150;
+  [3_000, 2_000, 1_000].forEach((ageMs) => instance.adopt([lost('e1', ageMs)]));
+  t.is(instance.found.length, 1);
+});
