Ask others for a change only when the own watch can't bring it in time

Change: while the store answers, a change may be missing for half of the time in which it has to be in force, which is when the store would be read again too; while it doesn't, or before it has, for 0.3 s as before.

Evidence: relay-storefeed, 'a change that the own watch may bring', fails before (asked after 300 ms); that one is asked for soon in an outage passes in both.

--- a/src/relay/freshness.ts
+++ b/src/relay/freshness.ts
@@ -20,7 +20,7 @@
 }
 
 /** Twice the time that a change takes at most to arrive through a working watch. */
-const MISSING_MS = 300;
+export const MISSING_MS = 300;
 
 export const NEVER_CONFIRMED: Freshness = { confirmedAt: -Infinity, missing: undefined };
 
@@ -42,6 +42,11 @@
 }
 
 /** Whether a change is missing for longer than the instance's own watch needs to deliver it. */
-export function isBehind({ missing }: Freshness, position: number, now: number): boolean {
-  return missing !== undefined && missing.version > position && now - missing.since >= MISSING_MS;
+export function isBehind(
+  { missing }: Freshness,
+  position: number,
+  now: number,
+  missingMs = MISSING_MS,
+): boolean {
+  return missing !== undefined && missing.version > position && now - missing.since >= missingMs;
 }
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -19,8 +19,9 @@
 import type { Throttles } from './throttles.js';
 import type { WorkspaceUses } from './workspaceuses.js';
 
-/** Shortest time between two requests for another daemon's snapshot. */
+/** Shortest time between two requests for another daemon's snapshot; after failures, longest. */
 const SNAPSHOT_INTERVAL_MS = 500;
+const MAX_SNAPSHOT_INTERVAL_MS = 4_000;
 
 export interface PeerExchangeContext {
   readonly settings: RelaySettings;
@@ -50,14 +51,19 @@
   }: PeerExchangeContext,
 ): (ip: string) => void {
   let lastAt = -Infinity;
+  let intervalMs = SNAPSHOT_INTERVAL_MS;
   return (ip) => {
     const now = scheduler.now();
-    if (now - lastAt < SNAPSHOT_INTERVAL_MS) return;
+    if (now - lastAt < intervalMs) return;
     lastAt = now;
     import('./peersnapshot.js')
       .then(({ fetchSnapshot }) => fetchSnapshot(`${ip}:${settings.peerPort}`))
-      .then((snapshot) => storeFeed().adopt(snapshot, ip))
+      .then((snapshot) => {
+        intervalMs = SNAPSHOT_INTERVAL_MS;
+        storeFeed().adopt(snapshot, ip);
+      })
       .catch((error: unknown) => {
+        intervalMs = Math.min(MAX_SNAPSHOT_INTERVAL_MS, 2 * intervalMs);
         log.event('warn', 'peer_snapshot_failed', { peer: ip, reason: String(error) });
       });
   };
--- a/src/relay/storecopy.ts
+++ b/src/relay/storecopy.ts
@@ -12,7 +12,7 @@
 import { SeenVersions } from '../store/versions.js';
 import type { StoreChange } from '../store/versions.js';
 import {
-  isBehind, NEVER_CONFIRMED, withConfirmation, withReport,
+  isBehind, MISSING_MS, NEVER_CONFIRMED, withConfirmation, withReport,
 } from './freshness.js';
 import type { CopyReport } from './freshness.js';
 
@@ -95,7 +95,14 @@
     const { position } = this.versions;
     const now = this.#now();
     this.#freshness = withReport(this.#freshness, report, position, now);
-    return isBehind(this.#freshness, position, now);
+    return isBehind(this.#freshness, position, now, this.#missingMs);
+  }
+
+  /** How long a change may be missing before another instance is asked for it. */
+  get #missingMs(): number {
+    const isAnswering = this.#lostAt === undefined && Number.isFinite(this.ageMs);
+    // A late instance would ask for each change, while its own watch brings it a moment later.
+    return isAnswering ? this.#context.maxAgeMs * READ_AGE_SHARE : MISSING_MS;
   }
 
   /** Admits another instance's copy and returns the changes in it. */
--- a/test/relay-storefeed.test.ts
+++ b/test/relay-storefeed.test.ts
@@ -130,6 +130,30 @@
   t.is(objects.counts().reads, before);
 });
 
+/** Hears of a change that the store does not bring; resolves to when a snapshot is asked for. */
+async function askedAfterMs({ clock, feed }: Awaited<ReturnType<typeof startFeed>>) {
+  const heardAt = clock.now();
+  while (clock.now() - heardAt < 10_000) {
+    const reports = { servers: { newestChange: 1_000, ageMs: 50 } };
+    if (feed.compare(reports)) break;
+    await clock.advance(50); // eslint-disable-line no-await-in-loop -- one report after another
+  }
+  return clock.now() - heardAt;
+}
+
+test('a change that the own watch may bring is not asked for at once, but in time', async (t) => {
+  const askedMs = await askedAfterMs(await startFeed(t));
+  t.true(askedMs >= BOUND_MS / 2 && askedMs < BOUND_MS * 0.6, `${askedMs}`);
+});
+
+test('a change is asked for soon while the store does not answer', async (t) => {
+  const started = await startFeed(t);
+  started.objects.setFaults({ outage: true });
+  await started.clock.advance(3_000);
+  const askedMs = await askedAfterMs(started);
+  t.true(askedMs <= 400, `${askedMs}`);
+});
+
 test('servers unknown to the store stay usable while it is down, and no longer', async (t) => {
   const { clock, objects, fleet } = await startFeed(t);
   const { version } = expectOk(await objects.get('server/e1', 'status'));
