Successors keep the form of the first protocol in messages

What would be seen: beside instances of the first protocol (production) every full message that tells of a restarted server would be refused as a whole by them.

Cause: added a value at the end of an entry of the first protocol, whose reader takes entries of exactly its length. Change: the field successions tells the same with the time, as protocol 4; successors is written as before.

--- a/src/relay/localmessage.ts
+++ b/src/relay/localmessage.ts
@@ -7,7 +7,7 @@
 import type { PaceReport } from '../pace/report.js';
 import type { CrashReport } from './crashnews.js';
 import {
-  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin, encodeSuccession, encodeUse,
+  encodeCrashes, encodeLimit, encodeLoad, encodeOrigin, encodeSuccessions, encodeUse,
 } from './peermessage.js';
 import type { PeerMessage } from './messageschema.js';
 import { PROTOCOL } from './protocol.js';
@@ -95,7 +95,7 @@
     loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
     gone: processes(leaving, random),
     suspect: processes(suspect, random),
-    successors: randomWindow(successors, MAX_LISTED, random).map(encodeSuccession),
+    ...encodeSuccessions(randomWindow(successors, MAX_LISTED, random)),
     peers: [ip, ...listed.map((peer) => peer.ip)],
     ages: [0, ...listed.map(({ ageMs }) => Math.max(0, Math.round(ageMs)))],
     ...encodeCrashes(crashes),
--- a/src/relay/messagecheck.ts
+++ b/src/relay/messagecheck.ts
@@ -66,6 +66,7 @@
   gone: listOf(isProcess),
   suspect: listOf(isProcess),
   successors: listOf(beginsWith(isServer, isServer)),
+  successions: listOf(beginsWith(isServer, isServer, isCount)),
   peers: listOf(isAddress),
   crashes: listOf(beginsWith(isText, isCount, isFlag, areAnswers, listOf(isText))),
   crashRequests: listOf(beginsWith(nullable(isCount), areAnswers)),
--- a/src/relay/messageschema.ts
+++ b/src/relay/messageschema.ts
@@ -48,10 +48,7 @@
   /** Servers that the sender can't reach. */
   suspect: z.array(PROCESS).default([]),
   /** Restarted servers, each with its previous and its new id. */
-  /**
-   * Servers that restarted under a new id: the previous one, the new one, and for how long at most
-   * the server had been gone; older daemons leave the last out.
-   */
+  /** Restarted servers, each with its previous and its new id. */
   successors: z.array(z.tuple([SERVER, SERVER], z.unknown())).default([]),
   peers: z.array(ADDRESS).default([]),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
@@ -72,6 +69,8 @@
   ranks: z.array(RANK).default([]),
   /** How fast servers are, by what the sender observed; empty from daemons that don't report it. */
   paces: z.array(PACE).default([]),
+  /** The same as `successors`, with how long at most, in ms, the server had been gone. */
+  successions: z.array(z.tuple([SERVER, SERVER, COUNT], z.unknown())).default([]),
   /** Streams of which the sender wants to know where they began. */
   sought: z.array(z.string()).default([]),
   /** What the sender sheds: 0 for nothing, 1 for everything but rank 0. */
--- a/src/relay/peerlistener.ts
+++ b/src/relay/peerlistener.ts
@@ -4,7 +4,7 @@
 import type { PaceReport } from '../pace/report.js';
 import type { CrashReport } from './crashnews.js';
 import {
-  decodeCrashes, decodeLimit, decodeOrigin, decodeSuccession,
+  decodeCrashes, decodeLimit, decodeOrigin, decodeSuccessions,
 } from './peermessage.js';
 import type { PeerMessage } from './messageschema.js';
 import type { DecodedMessage } from './peermessage.js';
@@ -50,8 +50,7 @@
   listener: PeerListener,
 ): readonly OriginReport[] {
   message.gone.forEach(([id, startedAt]) => listener.onLeaving(id, startedAt, from));
-  message.successors.map(decodeSuccession)
-    .forEach((succession) => listener.onSuccession(succession, from));
+  decodeSuccessions(message).forEach((succession) => listener.onSuccession(succession, from));
   message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, from));
   if (told.has('copies')) listener.onCopies(message.copies, from);
   // A partial message doesn't count the instances.
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -128,17 +128,26 @@
   };
 }
 
-export function encodeSuccession(
-  { previousId, id, goneMs }: Succession,
-): PeerMessage['successors'][number] {
-  return goneMs === undefined ? [previousId, id] : [previousId, id, Math.ceil(goneMs)];
+/** Entries in the form of the first protocol may not grow, so that the times have their own. */
+export function encodeSuccessions(
+  successions: readonly Succession[],
+): Pick<PeerMessage, 'successors' | 'successions'> {
+  return {
+    successors: successions.map(({ previousId, id }) => [previousId, id]),
+    successions: successions.flatMap(({ previousId, id, goneMs }) => (
+      goneMs === undefined ? [] : [[previousId, id, Math.ceil(goneMs)]])),
+  };
 }
 
-export function decodeSuccession(
-  [previousId, id, goneMs]: PeerMessage['successors'][number],
-): Succession {
-  const isTold = typeof goneMs === 'number' && goneMs >= 0;
-  return { previousId, id, goneMs: isTold ? goneMs : undefined };
+export function decodeSuccessions(
+  { successors, successions }: PeerMessage,
+): readonly Succession[] {
+  const timed = new Set(successions.map(([previousId]) => previousId));
+  return [
+    ...successions.map(([previousId, id, goneMs]) => ({ previousId, id, goneMs })),
+    ...successors.filter(([previousId]) => !timed.has(previousId))
+      .map(([previousId, id]) => ({ previousId, id, goneMs: undefined })),
+  ];
 }
 
 export function encodeUse({ service, workspace, tokens }: UseReport): PeerMessage['uses'][number] {
@@ -161,10 +170,11 @@
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
     gone, suspect, successors, peers, ages, crashes, crashRequests, limits, origins, sought, uses,
-    paces, ranks, rollouts,
+    paces, ranks, rollouts, successions,
   } = message;
   const lists = [
-    gone, suspect, successors, peers, limits, origins, sought, uses, paces, ranks, rollouts,
+    gone, suspect, successors, successions, peers, limits, origins, sought, uses, paces, ranks,
+    rollouts,
   ];
   if (lists.some(({ length }) => length > 0)) {
     return {
@@ -172,6 +182,7 @@
       gone: secondHalf(gone),
       suspect: secondHalf(suspect),
       successors: secondHalf(successors),
+      successions: secondHalf(successions),
       peers: secondHalf(peers),
       ages: secondHalf(ages),
       limits: secondHalf(limits),
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -4,7 +4,7 @@
  */
 
 /** What this build writes. */
-export const PROTOCOL = 3;
+export const PROTOCOL = 4;
 
 /** The oldest protocol whose builds read partial messages and rely on no fixed interval. */
 export const PARTIAL_PROTOCOL = 3;
--- a/test/relay-compatibility.test.ts
+++ b/test/relay-compatibility.test.ts
@@ -11,7 +11,8 @@
   forwardHeaders, outcomeHeaders, readForwarded, readOutcome,
 } from '../src/relay/forwardedrequest.js';
 import {
-  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, encodeMessage,
+  decodeCrashes, decodeLimit, decodeLoad, decodeMessage, decodeOrigin, decodeSuccessions,
+  encodeMessage, encodeSuccessions,
 } from '../src/relay/peermessage.js';
 import type { PeerMessage } from '../src/relay/messageschema.js';
 import type { DecodedMessage } from '../src/relay/peermessage.js';
@@ -78,6 +79,18 @@
   t.is(written.protocol, PROTOCOL);
 });
 
+test('a restarted server is told in the form of the first protocol, and with its time', (t) => {
+  const told = encodeSuccessions([
+    { previousId: 's-4', id: 's-5', goneMs: 900.2 },
+    { previousId: 's-6', id: 's-7', goneMs: undefined },
+  ]);
+  t.deepEqual(told, {
+    successors: [['s-4', 's-5'], ['s-6', 's-7']], successions: [['s-4', 's-5', 901]],
+  });
+  t.deepEqual(decodeSuccessions({ ...read(MESSAGE).message, ...told }).map(({ id, goneMs }) => (
+    [id, goneMs])), [['s-5', 901], ['s-7', undefined]]);
+});
+
 interface LaterForm { readonly name: string; readonly change: object; readonly unread: string[] }
 
 const LATER_FORMS: readonly LaterForm[] = [
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -448,6 +448,7 @@
     gone: ids.map((id) => [id, 1]),
     suspect: ids.map((id) => [id, 1]),
     successors: ids.map((id) => [id, id]),
+    successions: ids.map((id) => [id, id, 1_000]),
     peers: ids,
     crashes: ids.map((id) => [id, 20, true, [['part', null], ['answered', 50]], ['e1']]),
     crashRequests: ids.map((id) => [null, [[id, null]]]),
--- a/test/relay-mixedbuilds.test.ts
+++ b/test/relay-mixedbuilds.test.ts
@@ -149,9 +149,11 @@
   t.true(await eventually(() => isListedAgain(relay)));
 });
 
+const LATE: OldMessage = { successions: [['p-s1', 'p-s1-again', 2_001]] };
+
 [
   { sender: 'an old instance', message: RESTARTED },
-  { sender: 'an instance that was late', message: { successors: [['p-s1', 'p-s1-again', 2_001]] } },
+  { sender: 'an instance that was late', message: LATE },
 ].forEach(({ sender, message }) => {
   test(`the word of ${sender} alone makes no server a successor`, async (t) => {
     const relay = await startRelay(t);
@@ -166,7 +168,7 @@
 test('an instance that was in time tells of a restarted server', async (t) => {
   const relay = await startRelay(t);
   const old = await OldInstance.of(t, relay);
-  old.told = { successors: [['p-s1', 'p-s1-again', 1_500]] };
+  old.told = { successions: [['p-s1', 'p-s1-again', 1_500]] };
   t.true(await eventually(() => isListedAgain(relay)));
 });
 
