Ask a server that was lost for the start of its process

While the store is down, an engine that crashed and came back under its id at another software version was taken for the process that its entry describes.

A server that was suspect is used again only after it has told when its process started. If that is later than its entry tells, it counts as restarted, of unknown software until its own entry is read; other instances are told. A stream that began on it can be taken up elsewhere once the entry of that process is read.

Before: relay-software "streams of an engine that restarted unlisted do not go on at the old version" and "a stream of an engine that restarted unlisted goes on once its entry is read" fail, relay-mixedbuilds "the software of a server that another instance found restarted is not known" too.

--- a/bench/relaycontrolpeers.ts
+++ b/bench/relaycontrolpeers.ts
@@ -87,6 +87,7 @@
     listener: {
       onLeaving: () => undefined,
       onSuccession: () => undefined,
+      onRestart: () => undefined,
       onSuspect: () => undefined,
       onCopies: () => undefined,
       onCrashes: () => undefined,
--- a/src/liveness/renewalgrace.ts
+++ b/src/liveness/renewalgrace.ts
@@ -17,7 +17,8 @@
     return new RenewalGrace(scheduler);
   }
 
-  extend(ms: number): void {
+  /** Called after an outage of the store, or another instance's. */
+  extend(ms = REGISTRATION_MS): void {
     const until = this.#scheduler.now() + Math.min(ms, REGISTRATION_MS);
     this.#until = Math.max(this.#until, until);
   }
--- a/src/relay/cachedprompts.ts
+++ b/src/relay/cachedprompts.ts
@@ -4,14 +4,11 @@
  * without another prefill. Engines are queried only when a caller reconnects: callers reconnect
  * together after a loss, and one lookup serves all that come before it expires.
  */
-import {
-  catchError, firstValueFrom, of, reduce, timeout,
-} from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import type { Log } from '../common/log.js';
 import type { Connections } from './connections.js';
 import type { PromptPart } from './dialect.js';
-import { exchange } from './exchange.js';
+import { fetchBody } from './exchange.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Longest delay for a reconnecting caller: half the prefill of a short prompt. */
@@ -22,9 +19,6 @@
 /** Ten thousand parts. */
 const MAX_LIST_BYTES = 1_048_576;
 
-/** Nothing is decided by the headers of a list. */
-const NO_FIELDS: ReadonlySet<string> = new Set();
-
 /** Cached tokens of each prompt part, by the part's id. */
 export type CachedParts = ReadonlyMap<string, number>;
 
@@ -90,25 +84,17 @@
     const {
       scheduler, connections, cacheQuery, log,
     } = this.#context;
-    return firstValueFrom(exchange({
+    return fetchBody({
       agent: connections.agent(engine.id),
       address: engine.address,
-      method: 'GET',
       target: cacheQuery.target,
-      headers: ['Host', engine.address],
-      body: Buffer.alloc(0),
       reuse: true,
-      singleFields: NO_FIELDS,
       maxBodyBytes: MAX_LIST_BYTES,
-    }, scheduler).pipe(
-      reduce((body, event) => (
-        event.kind === 'piece' ? body + event.bytes.toString('utf8') : body), ''),
-      timeout({ first: QUERY_TIMEOUT_MS, scheduler }),
+      timeoutMs: QUERY_TIMEOUT_MS,
+    }, scheduler).catch((error: unknown) => {
       // An engine that fails to answer counts as having nothing cached: another prefill.
-      catchError((error: unknown) => {
-        log.event('info', 'held_prompts_unread', { server: engine.id, reason: String(error) });
-        return of('');
-      }),
-    )).then((body) => cacheQuery.read(body));
+      log.event('info', 'held_prompts_unread', { server: engine.id, reason: String(error) });
+      return '';
+    }).then((body) => cacheQuery.read(body));
   }
 }
--- a/src/relay/daemon.ts
+++ b/src/relay/daemon.ts
@@ -104,11 +104,11 @@
       onUrgentChange: () => this.#peers.sendSoon(),
       onRoutineChange: () => this.#peers.sendSoon('routine'),
     };
-    const { dialect, cacheQuery } = context.platform;
+    const { platform } = context;
     const identity = {
+      ...platform,
       scheduler,
       connections: this.#connections,
-      dialect,
       healthPath: (service: string) => (
         this.#activeConfiguration.routes?.configuration.services[service]?.healthPath),
     };
@@ -155,8 +155,8 @@
     this.#savedOrigins = SavedOrigins.of({
       ...shared,
       reader: this.#store,
-      writer: this.#store.writer(context.platform.records, 'status'),
-      kind: context.platform.originKind,
+      writer: this.#store.writer(platform.records, 'status'),
+      kind: platform.originKind,
       name: settings.name,
       origins: this.#origins,
       instances: () => this.#peers.alive.length + 1,
@@ -179,7 +179,7 @@
     this.#rollouts = RelayRollouts.of({
       ...shared,
       settings,
-      orders: context.platform.orders,
+      orders: platform.orders,
       reader: () => this.#store,
       meter: this.#meter,
       fleet: this.#fleet,
@@ -206,7 +206,7 @@
     this.#relayContext = {
       ...shared,
       zone: settings.zone,
-      dialect,
+      dialect: platform.dialect,
       fleet: this.#fleet,
       notices: this.#notices,
       throttles: this.#throttles,
@@ -216,7 +216,7 @@
       retrySchedules: RetrySchedules.of(),
       meter: this.#meter,
       cachedPrompts: CachedPrompts.of({
-        ...identity, log, cacheQuery, scheduler: context.lookupScheduler ?? scheduler,
+        ...identity, log, scheduler: context.lookupScheduler ?? scheduler,
       }),
       silence: SilenceWatch.of(this.#fleet, scheduler, log),
       quarantines: this.#quarantines,
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -5,7 +5,9 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { Observable, Subscription } from 'rxjs';
+import {
+  firstValueFrom, Observable, reduce, Subscription, timeout,
+} from 'rxjs';
 import type { SchedulerLike } from 'rxjs';
 import { parseHostPort } from '../common/address.js';
 import { isOfRequest, openRequest } from '../common/outgoing.js';
@@ -260,3 +262,28 @@
     };
   });
 }
+
+export interface BodyRequest extends Pick<
+  OutgoingRequest, 'agent' | 'address' | 'target' | 'reuse'
+> {
+  readonly maxBodyBytes: number;
+  readonly timeoutMs: number;
+}
+
+/** Sends a GET request; resolves to the body of the response, of which no header decides. */
+export function fetchBody(
+  { timeoutMs, ...request }: BodyRequest,
+  scheduler: SchedulerLike,
+): Promise<string> {
+  return firstValueFrom(exchange({
+    ...request,
+    method: 'GET',
+    headers: ['Host', request.address],
+    body: Buffer.alloc(0),
+    singleFields: new Set(),
+  }, scheduler).pipe(
+    reduce((body, event) => (
+      event.kind === 'piece' ? body + event.bytes.toString('utf8') : body), ''),
+    timeout({ first: timeoutMs, scheduler }),
+  ));
+}
--- a/src/relay/fleet.ts
+++ b/src/relay/fleet.ts
@@ -1,7 +1,7 @@
 /** The backend servers as this instance sees them: entries, observed health and assigned load. */
 import { interval } from 'rxjs';
 import type { Subscription } from 'rxjs';
-import { REGISTRATION_MS, RenewalGrace } from '../liveness/renewalgrace.js';
+import { RenewalGrace } from '../liveness/renewalgrace.js';
 import { Successors } from '../liveness/successors.js';
 import type { Succession } from '../liveness/successors.js';
 import { trackAssignment } from './assignment.js';
@@ -9,9 +9,9 @@
 import { candidatesOf } from './candidates.js';
 import type { FleetContext } from './fleetcontext.js';
 import { isReachable } from './identity.js';
-import type { Identity } from './identity.js';
+import type { ServerProcess } from './identity.js';
 import { Probes } from './probes.js';
-import { successorOf } from './release.js';
+import { restartedEntry, successorOf } from './release.js';
 import type { Candidate } from './selection.js';
 import type { ServerEntry } from './serverentry.js';
 import {
@@ -41,7 +41,7 @@
   readonly #superseded = SupersededServers.of();
 
   /** While it lasts, entries that disappear may have expired during an outage of the store. */
-  readonly #grace: RenewalGrace;
+  readonly renewals: RenewalGrace;
 
   #loaded = false;
 
@@ -49,7 +49,7 @@
     this.#context = context;
     this.#probes = Probes.of(context);
     this.successors = Successors.of(context);
-    this.#grace = RenewalGrace.of(context.scheduler);
+    this.renewals = RenewalGrace.of(context.scheduler);
   }
 
   static of(context: FleetContext): Fleet {
@@ -95,7 +95,8 @@
     if (!prior) this.#supersede(entry);
     if (entry.state === 'leaving') this.#listSuperseded(entry.id);
     const isSame = prior !== undefined && sameProcess(prior.entry, state.entry);
-    if (isSame && prior.entry.state === entry.state && prior.expiresAt === undefined) return;
+    if (isSame && prior.entry.software !== entry.software) this.#context.onRestart(prior, entry);
+    else if (isSame && prior.entry.state === entry.state && prior.expiresAt === undefined) return;
     if (prior && !isSame) {
       this.#context.connections.close(entry.id);
       this.#context.onRestart(prior, entry);
@@ -125,11 +126,11 @@
   remove(id: string): void {
     this.#superseded.forget(id);
     const state = this.#servers.get(id);
-    const lapsed = this.renewalMs > 0 && state?.entry.state === 'ready';
+    const lapsed = this.renewals.remainingMs > 0 && state?.entry.state === 'ready';
     // Before a server that is listed in its place takes it for one that may come back.
     if (!lapsed) this.#expire(id, 'entry_gone');
     this.#listSuperseded(id);
-    if (lapsed) this.#expire(id, 'entry_gone', this.#now() + this.renewalMs);
+    if (lapsed) this.#expire(id, 'entry_gone', this.#now() + this.renewals.remainingMs);
   }
 
   /** Called when another server answers at this server's address; other instances are told. */
@@ -164,16 +165,6 @@
       ? this.markHeard(id, false) : this.markSuspect(id, `reported unreachable by ${from}`, true)));
   }
 
-  /** Keeps servers whose entries disappear usable for a time, as after an outage of the store. */
-  awaitRenewals(ms = REGISTRATION_MS): void {
-    this.#grace.extend(ms);
-  }
-
-  /** How much longer servers whose entries disappear stay usable. */
-  get renewalMs(): number {
-    return this.#grace.remainingMs;
-  }
-
   /** Runs the cleanup and the probes until the subscription ends. */
   start(): Subscription {
     const { scheduler, connections } = this.#context;
@@ -243,10 +234,11 @@
     this.#probes.start(id, () => {
       const current = this.#servers.get(id);
       return current?.health.kind === 'suspect' ? current.entry : undefined;
-    }, (identity) => this.#handleIdentity(id, identity));
+    }, (found) => this.#handleProcess(id, found));
   }
 
-  #handleIdentity(id: string, identity: Identity): void {
+  #handleProcess(id: string, { identity, startedAt = 0 }: ServerProcess): void {
+    this.markStarted(id, startedAt, 'report');
     if (identity.kind === 'known') this.markIdentified(id, identity.id);
     else if (identity.kind !== 'unreached') this.#markReached(id, 'connection');
   }
@@ -266,6 +258,15 @@
     if (this.#servers.has(foundId)) this.markHeard(foundId, true);
   }
 
+  /** Called when a server is found to run a process that started later than its entry tells. */
+  markStarted(id: string, startedAt: number, from: string): void {
+    const state = this.#servers.get(id);
+    if (!state || startedAt <= state.entry.startedAt) return;
+    if (state.expiresAt !== undefined) this.#expire(id, 'restarted');
+    else this.upsert(restartedEntry(state.entry, startedAt), from);
+    this.#context.onUrgentChange();
+  }
+
   /** Whether the server accepts a connection now. */
   async check(id: string): Promise<boolean> {
     const entry = this.#servers.get(id)?.entry;
--- a/src/relay/localmessage.ts
+++ b/src/relay/localmessage.ts
@@ -11,6 +11,7 @@
 } from './peermessage.js';
 import type { PeerMessage } from './messageschema.js';
 import { PROTOCOL } from './protocol.js';
+import { isUnknownSoftware } from './release.js';
 import type { ServerState } from './serverstate.js';
 import type { OriginReport } from './streamorigins.js';
 import type { ThrottleReport } from './throttles.js';
@@ -87,6 +88,8 @@
   const leaving = servers.filter((server) => server.entry.state === 'leaving');
   const suspect = told.filter((server) => (
     server.health.kind === 'suspect' && server.expiresAt === undefined));
+  const restarted = servers.filter(({ entry, expiresAt }) => (
+    isUnknownSoftware(entry) && expiresAt === undefined));
   return {
     ip,
     protocol: PROTOCOL,
@@ -95,6 +98,7 @@
     loads: Object.fromEntries(busy.map(({ entry, ownLoad }) => [entry.id, encodeLoad(ownLoad)])),
     gone: processes(leaving, random),
     suspect: processes(suspect, random),
+    restarts: processes(restarted, random),
     ...encodeSuccessions(randomWindow(successors, MAX_LISTED, random)),
     peers: [ip, ...listed.map((peer) => peer.ip)],
     ages: [0, ...listed.map(({ ageMs }) => Math.max(0, Math.round(ageMs)))],
--- a/src/relay/messagecheck.ts
+++ b/src/relay/messagecheck.ts
@@ -65,6 +65,7 @@
   loads: (value) => isObject(value) && Object.values(value).every(isLoad),
   gone: listOf(isProcess),
   suspect: listOf(isProcess),
+  restarts: listOf(isProcess),
   successors: listOf(beginsWith(isServer, isServer)),
   successions: listOf(beginsWith(isServer, isServer, isCount)),
   peers: listOf(isAddress),
--- a/src/relay/messageschema.ts
+++ b/src/relay/messageschema.ts
@@ -48,7 +48,6 @@
   /** Servers that the sender can't reach. */
   suspect: z.array(PROCESS).default([]),
   /** Restarted servers, each with its previous and its new id. */
-  /** Restarted servers, each with its previous and its new id. */
   successors: z.array(z.tuple([SERVER, SERVER], z.unknown())).default([]),
   peers: z.array(ADDRESS).default([]),
   /** Crashed engines and the prompt parts involved; empty from daemons that don't report them. */
@@ -71,6 +70,8 @@
   paces: z.array(PACE).default([]),
   /** The same as `successors`, with how long at most, in ms, the server had been gone. */
   successions: z.array(z.tuple([SERVER, SERVER, COUNT], z.unknown())).default([]),
+  /** Servers that restarted under the ids that they had, of unknown software until then. */
+  restarts: z.array(PROCESS).default([]),
   /** Streams of which the sender wants to know where they began. */
   sought: z.array(z.string()).default([]),
   /** What the sender sheds: 0 for nothing, 1 for everything but rank 0. */
--- a/src/relay/peerexchange.ts
+++ b/src/relay/peerexchange.ts
@@ -86,6 +86,7 @@
     listener: {
       onLeaving: (id, startedAt, from) => fleet.markLeaving(id, startedAt, from),
       onSuccession: (succession, from) => fleet.adoptSuccession(succession, from),
+      onRestart: (id, startedAt, from) => fleet.markStarted(id, startedAt, from),
       onSuspect: (id, startedAt, from) => fleet.verifySuspect(id, startedAt, from),
       onCopies: (copies, from) => {
         if (storeFeed().compare(copies)) requestSnapshot(from);
--- a/src/relay/peerlistener.ts
+++ b/src/relay/peerlistener.ts
@@ -16,6 +16,8 @@
   onLeaving(id: string, startedAt: number, from: string): void;
   /** Another instance can't reach a server. */
   onSuspect(id: string, startedAt: number, from: string): void;
+  /** Another instance reports the process of a server of which it doesn't know the software. */
+  onRestart(id: string, startedAt: number, from: string): void;
   /** Another instance reports that a server restarted under a new id. */
   onSuccession(succession: Succession, from: string): void;
   /** Another instance reports its copies of the store's objects. */
@@ -51,6 +53,7 @@
 ): readonly OriginReport[] {
   message.gone.forEach(([id, startedAt]) => listener.onLeaving(id, startedAt, from));
   decodeSuccessions(message).forEach((succession) => listener.onSuccession(succession, from));
+  message.restarts.forEach(([id, startedAt]) => listener.onRestart(id, startedAt, from));
   message.suspect.forEach(([id, startedAt]) => listener.onSuspect(id, startedAt, from));
   if (told.has('copies')) listener.onCopies(message.copies, from);
   // A partial message doesn't count the instances.
--- a/src/relay/peermessage.ts
+++ b/src/relay/peermessage.ts
@@ -170,17 +170,18 @@
 function shortened(message: PeerMessage): PeerMessage | undefined {
   const {
     gone, suspect, successors, peers, ages, crashes, crashRequests, limits, origins, sought, uses,
-    paces, ranks, rollouts, successions,
+    paces, ranks, rollouts, successions, restarts,
   } = message;
   const lists = [
-    gone, suspect, successors, successions, peers, limits, origins, sought, uses, paces, ranks,
-    rollouts,
+    gone, suspect, restarts, successors, successions, peers, limits, origins, sought, uses, paces,
+    ranks, rollouts,
   ];
   if (lists.some(({ length }) => length > 0)) {
     return {
       ...message,
       gone: secondHalf(gone),
       suspect: secondHalf(suspect),
+      restarts: secondHalf(restarts),
       successors: secondHalf(successors),
       successions: secondHalf(successions),
       peers: secondHalf(peers),
--- a/src/relay/platform.ts
+++ b/src/relay/platform.ts
@@ -7,6 +7,7 @@
 } from '../store/objects.js';
 import type { CacheQuery } from './cachedprompts.js';
 import type { Dialect } from './dialect.js';
+import type { StartQuery } from './identity.js';
 import type { RelayConfiguration } from './routes.js';
 import type { ServerEntry } from './serverentry.js';
 
@@ -27,6 +28,8 @@
   readonly records: ObjectWriter;
   readonly dialect: Dialect;
   readonly cacheQuery: CacheQuery;
+  /** Undefined on platforms whose servers don't tell when they started. */
+  readonly startQuery?: StartQuery | undefined;
   /** Names of the kinds in the store, and of the object that holds the configuration. */
   readonly configurationKind: string;
   readonly configurationName: string;
--- a/src/relay/probes.ts
+++ b/src/relay/probes.ts
@@ -1,8 +1,8 @@
 /** Probes suspect servers until they can be reached again, and identifies them then. */
 import { Subscription } from 'rxjs';
 import type { Log } from '../common/log.js';
-import { identify, isReachable } from './identity.js';
-import type { Identity, IdentityContext } from './identity.js';
+import { identifyProcess, isReachable } from './identity.js';
+import type { IdentityContext, ServerProcess } from './identity.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** How often a suspect server is probed: restarts after a crash commonly take a second. */
@@ -46,19 +46,19 @@
   start(
     id: string,
     getEntry: () => ServerEntry | undefined,
-    onResult: (identity: Identity) => void,
+    onResult: (process: ServerProcess) => void,
   ): void {
     if (this.#probing.has(id)) return;
     this.#probing.add(id);
     const probe = async (): Promise<void> => {
       const server = getEntry();
-      const identity = server && await identify(server, this.#context);
-      if (identity?.kind === 'unreached') {
+      const found = server && await identifyProcess(server, this.#context);
+      if (found?.identity.kind === 'unreached') {
         this.#schedule(id, probe);
         return;
       }
       this.#probing.delete(id);
-      if (identity) onResult(identity);
+      if (found) onResult(found);
     };
     this.#schedule(id, probe);
   }
--- a/src/relay/release.ts
+++ b/src/relay/release.ts
@@ -20,6 +20,16 @@
   return `unknown at ${server}`;
 }
 
+/** The same for a process of a server that restarted under the id that it had. */
+function unknownProcess(server: string, startedAt: number): string {
+  return `${unknownSoftware(server)} since ${startedAt}`;
+}
+
+/** Whether a server was found without the entry of its process. */
+export function isUnknownSoftware({ id, startedAt, software }: ServerEntry): boolean {
+  return software === unknownSoftware(id) || software === unknownProcess(id, startedAt);
+}
+
 /** A server that was found in place of another, until its own entry is read. */
 export function successorOf(previous: ServerEntry, id: string): ServerEntry {
   return {
@@ -27,6 +37,17 @@
   };
 }
 
+/**
+ * A server that was found to run another process than its entry tells, until the entry of that
+ * process is read.
+ */
+export function restartedEntry(previous: ServerEntry, startedAt: number): ServerEntry {
+  const { id } = previous;
+  return {
+    ...previous, startedAt, software: unknownProcess(id, startedAt), state: 'ready',
+  };
+}
+
 /** @param release undefined if any release will do */
 export function runsRelease(entry: ServerEntry, release: Release | undefined): boolean {
   if (!release) return true;
--- a/src/relay/rolloutview.ts
+++ b/src/relay/rolloutview.ts
@@ -1,7 +1,7 @@
 /** What a service runs, as far as the steps of a rollout depend on it. */
 import type { ServiceView } from '../rollout/progress.js';
 import type { PeerLoads } from './fleetcontext.js';
-import { releaseOf, unknownSoftware } from './release.js';
+import { isUnknownSoftware, releaseOf } from './release.js';
 import type { ServerEntry } from './serverentry.js';
 import { isUsable } from './serverstate.js';
 import type { ServerState } from './serverstate.js';
@@ -12,7 +12,7 @@
 
 /** Whether a server was found in place of another, and its own entry has not been read. */
 export function isUnread(entry: ServerEntry): boolean {
-  return entry.software === unknownSoftware(entry.id);
+  return isUnknownSoftware(entry);
 }
 
 function slotsOf(servers: readonly ServerState[], now: number): number {
--- a/src/relay/serverstate.ts
+++ b/src/relay/serverstate.ts
@@ -3,6 +3,7 @@
  * and the load assigned to it. The state is immutable; each function returns the next state.
  */
 import type { LogFields } from '../common/log.js';
+import { isUnknownSoftware } from './release.js';
 import type { ServerEntry } from './serverentry.js';
 
 /** Half-life of the failure rate, so that a partly failing server is retried within seconds. */
@@ -105,7 +106,7 @@
 /** Whether two entries describe the same process of a server. */
 export function sameProcess(left: ServerEntry, right: ServerEntry): boolean {
   return left.startedAt === right.startedAt && left.address === right.address
-    && left.software === right.software;
+    && (left.software === right.software || isUnknownSoftware(left));
 }
 
 /** Applies a newer entry; a restarted server begins with a fresh state. */
--- a/src/relay/storefeed.ts
+++ b/src/relay/storefeed.ts
@@ -136,14 +136,14 @@
         configuration: this.#configuration.versions.listing,
         servers: this.#servers.versions.listing,
       },
-      renewalMs: this.#context.fleet.renewalMs,
+      renewalMs: this.#context.fleet.renewals.remainingMs,
     };
   }
 
   /** Applies what is newer in another instance's snapshot. */
   adopt({ copies, renewalMs }: Snapshot, from: string): void {
     const { fleet } = this.#context;
-    fleet.awaitRenewals(renewalMs);
+    fleet.renewals.extend(renewalMs);
     this.#configuration.adopt(copies.configuration)
       .forEach((change) => this.#applyConfiguration(change, from));
     const changes = this.#servers.adopt(copies.servers);
@@ -199,7 +199,7 @@
     const epoch = epochOf(this.#servers.versions.position);
     if (this.#epoch !== undefined && epoch > this.#epoch) {
       log.event('warn', 'store_restored', { epoch, before: this.#epoch, from });
-      fleet.awaitRenewals();
+      fleet.renewals.extend();
     }
     this.#epoch = Math.max(epoch, this.#epoch ?? 0);
   }
@@ -214,7 +214,7 @@
         this.#checkEpoch('store');
         // While other instances confirmed the copy, the store was up and entries were renewed.
         if (outageMs !== undefined && outageMs > heartbeatMs * LAPSE_HEARTBEATS) {
-          fleet.awaitRenewals();
+          fleet.renewals.extend();
         }
         break;
       case 'put':
--- a/src/relay/streamorigins.ts
+++ b/src/relay/streamorigins.ts
@@ -14,12 +14,15 @@
 import type { Log } from '../common/log.js';
 import { releaseOf } from './release.js';
 import type { ServerEntry } from './serverentry.js';
+import { sameProcess } from './serverstate.js';
 import type { ServerState } from './serverstate.js';
 import { soleVersion, withGap, withVersions } from './versionhistory.js';
 import type { VersionHistory } from './versionhistory.js';
 
 /** Streams remembered: those that a large deployment begins in the time that callers wait. */
 const MAX_STREAMS = 32_768;
+/** Servers whose entries were read after they had been found. */
+const MAX_VERSIONS = 4_096;
 /** How long a report is repeated: datagrams are lost, and one interval doesn't reach all peers. */
 const REPORT_MS = 2_000;
 /** Maximum number of streams in a message. */
@@ -73,6 +76,9 @@
   /** Streams that messages name, with the time until which they do. */
   readonly #reported = new Map<string, number>();
 
+  /** Versions that stood for those of servers without an entry, with what their entries told. */
+  readonly #versions = new LRUCache<string, string>({ max: MAX_VERSIONS });
+
   readonly #sought = new Set<string>();
 
   readonly #found = new Subject<string>();
@@ -139,13 +145,24 @@
     // eslint-disable-next-line no-restricted-syntax -- ends at the first ones
     for (const [stream, { origin, at }] of this.#beginnings.entries()) {
       if (reports.length >= MAX_SAVED) break;
-      if (at >= since) reports.push({ stream, origin });
+      if (at >= since) reports.push({ stream, origin: this.#resolved(origin) });
     }
     return reports;
   }
 
   origin(stream: string): Origin | undefined {
-    return this.#beginnings.get(stream)?.origin;
+    const origin = this.#beginnings.get(stream)?.origin;
+    return origin && this.#resolved(origin);
+  }
+
+  /** The version for which another one stood, once it is known. */
+  version(software: string): string {
+    return this.#versions.get(software) ?? software;
+  }
+
+  #resolved(origin: Origin): Origin {
+    return origin.kind === 'version'
+      ? { kind: 'version', software: this.version(origin.software) } : origin;
   }
 
   /** Records the first event of a stream, or at which version one was found to have begun. */
@@ -156,7 +173,9 @@
 
   #add(stream: string, beginning: Beginning): void {
     const known = this.#beginnings.get(stream);
-    if (known && isSameOrigin(known.origin, beginning.origin)) return;
+    if (known && isSameOrigin(this.#resolved(known.origin), this.#resolved(beginning.origin))) {
+      return;
+    }
     // Instances that contradict each other don't know the version.
     this.#beginnings.set(stream, known ? { ...known, origin: { kind: 'ambiguous' } } : beginning);
     if (known?.origin.kind === 'version') {
@@ -172,10 +191,14 @@
   }
 
   /**
-   * Called when a server runs another process than before: streams that began after the previous
-   * one was lost may have begun at either version.
+   * Called when a server runs another process than before, or its software has become known:
+   * streams that began after the previous process was lost may have begun at either version.
    */
   markRestarted({ entry, lostAt }: ServerState, restarted: ServerEntry): void {
+    if (sameProcess(entry, restarted)) {
+      this.#versions.set(releaseOf(entry).software, releaseOf(restarted).software);
+      return;
+    }
     if (releaseOf(entry).software === releaseOf(restarted).software) return;
     const since = lostAt ?? this.#now() - RESTART_NOTICE_MS;
     this.#beginnings.forEach((beginning, stream) => {
--- a/src/relay/streamrelease.ts
+++ b/src/relay/streamrelease.ts
@@ -43,6 +43,7 @@
 
   /** @param weights version of the weights of earlier attempts; undefined if there were none */
   required(weights: string | undefined): Release | undefined {
-    return this.#software === undefined ? undefined : { software: this.#software, weights };
+    if (this.#software === undefined) return undefined;
+    return { software: this.#origins.version(this.#software), weights };
   }
 }
--- a/test/fakes/relay.ts
+++ b/test/fakes/relay.ts
@@ -238,6 +238,7 @@
           target: '/held',
           read: (body) => new Map(body.split(',').map((id) => [id, 10])),
         },
+        startQuery: { target: '/started', read: (body) => Number(body) },
         configurationKind: 'configuration',
         configurationName: 'configuration',
         serverKind: 'server/',
--- a/test/fakes/relayengine.ts
+++ b/test/fakes/relayengine.ts
@@ -44,6 +44,9 @@
 
   address = '';
 
+  /** When its process started, as it tells it. */
+  startedAt = 1;
+
   readonly #copies = new Set<string>();
 
   readonly #sockets = new Set<Socket>();
@@ -116,6 +119,13 @@
     await this.start();
   }
 
+  /** Listens again after a crash, as a process of another software version with the same id. */
+  async restartAt(software: string): Promise<void> {
+    (this.options as { software?: string }).software = software;
+    this.startedAt += 1;
+    await this.start();
+  }
+
   /** Crashes and doesn't start again. */
   end(): void {
     this.#hasEnded = true;
@@ -143,6 +153,10 @@
       res.writeHead(200, { 'x-server': id }).end();
       return;
     }
+    if (req.url === '/started') {
+      res.writeHead(200).end(String(this.startedAt));
+      return;
+    }
     if (req.url === '/held') {
       res.writeHead(200).end([...this.cachedParts].join(','));
       return;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -8,6 +8,7 @@
 import { readConfiguration } from '../platform/configuration.js';
 import { platformDialect } from '../platform/headers.js';
 import { cacheQuery } from '../platform/cachedparts.js';
+import { startQuery } from '../platform/report.js';
 import { readServer } from '../platform/servers.js';
 import { readPlatformSettings } from '../platform/settings.js';
 import { PlatformStore } from '../platform/store.js';
@@ -236,6 +237,13 @@
   t.is(cacheQuery.read('{"held":[[').size, 0);
 });
 
+test('reports: a start that is no whole number is not read', (t) => {
+  t.is(startQuery.read('{"Stage":"both","born":12}'), 12);
+  ['{"born":1.5}', '{"born":"12"}', '{}', '{"born":12'].forEach((body) => {
+    t.is(startQuery.read(body), undefined);
+  });
+});
+
 /** Status, body and the store's era, if the answer names one. */
 type StoreAnswer = readonly [number, unknown] | readonly [number, unknown, number];
 
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -447,6 +447,7 @@
     loads: {},
     gone: ids.map((id) => [id, 1]),
     suspect: ids.map((id) => [id, 1]),
+    restarts: ids.map((id) => [id, 1]),
     successors: ids.map((id) => [id, id]),
     successions: ids.map((id) => [id, id, 1_000]),
     peers: ids,
--- a/test/relay-mixedbuilds.test.ts
+++ b/test/relay-mixedbuilds.test.ts
@@ -172,6 +172,16 @@
   t.true(await eventually(() => isListedAgain(relay)));
 });
 
+test('the software of a server that another instance found restarted is not known', async (t) => {
+  const relay = await startRelay(t);
+  const other = await OldInstance.of(t, relay);
+  other.told = { restarts: [['s1', 2]] };
+  t.true(await eventually(() => relay.log.of('server_listed').some((fields) => (
+    fields.server === 's1' && fields.started_at === 2 && fields.software !== 'v1'))));
+  t.true(await other.hears('restarts', (value) => (
+    JSON.stringify(value) === JSON.stringify([['s1', 2]]))));
+});
+
 test('an old instance tells of a server that it can\'t reach', async (t) => {
   const relay = await startRelay(t);
   const old = await OldInstance.of(t, relay);
--- a/test/relay-peers.test.ts
+++ b/test/relay-peers.test.ts
@@ -29,6 +29,7 @@
     listener: {
       onLeaving: () => undefined,
       onSuccession: () => undefined,
+      onRestart: () => undefined,
       onSuspect: () => undefined,
       onCopies: () => undefined,
       onCrashes: () => undefined,
--- a/test/relay-software.test.ts
+++ b/test/relay-software.test.ts
@@ -308,6 +308,49 @@
   t.deepEqual([...new Set(replies.map(({ status }) => status))], [503]);
 });
 
+/** An engine of `relay` restarts with its id at another version, while the store is down. */
+async function restartUnlisted(t: ExecutionContext, relay: Relay): Promise<RelayEngine> {
+  const [engine] = relay.engines;
+  relay.objects.setFaults({ outage: true });
+  engine!.crash();
+  await Promise.all(IDS.map((id) => (
+    relay.call('/stream/', streamHeaders(`lost-${id}`), promptOf(`lost-${id}`)))));
+  t.true(await eventually(() => relay.log.of('server_suspected').length > 0));
+  await engine!.restartAt('v2');
+  t.true(await eventually(() => relay.log.of('server_listed').some(({ started_at: startedAt }) => (
+    startedAt === engine!.startedAt))));
+  return engine!;
+}
+
+// Without their entries, engines that restart at another version under their ids look unchanged.
+test('streams of an engine that restarted unlisted do not go on at the old version', async (t) => {
+  const relay = await ready(t, await Relay.of(t, { engines: enginesOf('v1', 2) }), 2);
+  const engine = await restartUnlisted(t, relay);
+  const streams = IDS.map((id) => relay.call('/stream/', streamHeaders(id), promptOf(id)));
+  t.true(await eventually(() => engine.streamed.size > 2));
+  const begun = [...engine.streamed];
+  engine.crash();
+  await Promise.all(streams);
+  const others = relay.engines.slice(1);
+  t.deepEqual(begun.filter((id) => versionsOf(others, id).size > 0), []);
+});
+
+test('a stream of an engine that restarted unlisted goes on once its entry is read', async (t) => {
+  const engines = [...enginesOf('v1', 1), ...enginesOf('v2', 3)];
+  const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
+  const engine = await restartUnlisted(t, relay);
+  await beginAndLeave(relay);
+  const begun = IDS.filter((id) => engine.streamed.has(id));
+  t.true(begun.length > 0);
+  relay.objects.setFaults({ outage: false });
+  await relay.putEntry(engine, 'engines', { startedAt: engine.startedAt });
+  t.true(await eventually(() => relay.log.of('server_listed').some((line) => (
+    line.server === engine.options.id && line.software === 'v2'))));
+  engine.end();
+  const replies = await Promise.all(begun.map((id) => takeUp(relay, id)));
+  t.is(replies.filter(isComplete).length, begun.length);
+});
+
 test('streams begin at a software version in proportion to its engines', async (t) => {
   const engines = [...enginesOf('v1', 1), ...enginesOf('v2', 5)];
   const relay = await ready(t, await Relay.of(t, { engines }), engines.length);
--- a/test/relay-superseded.test.ts
+++ b/test/relay-superseded.test.ts
@@ -64,7 +64,7 @@
   const { fleet, usable, close } = fleetOf();
   t.teardown(close);
   fleet.upsert(entryOf('only'), 'store');
-  fleet.awaitRenewals();
+  fleet.renewals.extend();
   fleet.remove('only');
   t.deepEqual(usable(), ['only']);
 });
