--- a/src/relay/cachedprompts.ts
+++ b/src/relay/cachedprompts.ts
@@ -18,6 +18,8 @@
 
 /** Ten thousand parts. */
 const MAX_LIST_BYTES = 1_048_576;
+/** Shared by the lists of all engines that one lookup reads at once. */
+const MAX_LOOKUP_BYTES = 16_777_216;
 
 /** Cached tokens of each prompt part, by the part's id. */
 export type CachedParts = ReadonlyMap<string, number>;
@@ -73,14 +75,15 @@
     const now = this.#context.scheduler.now();
     const lookup = this.#lookups.get(service);
     if (lookup && now - lookup.startedAt < LOOKUP_TTL_MS) return lookup.partsByEngine;
+    const maxBytes = Math.min(MAX_LIST_BYTES, MAX_LOOKUP_BYTES / engines.length);
     const partsByEngine = Promise.all(engines.map(async (engine) => (
-      [engine.id, await this.#query(engine)] as const)))
+      [engine.id, await this.#query(engine, maxBytes)] as const)))
       .then((pairs) => new Map(pairs));
     this.#lookups.set(service, { startedAt: now, partsByEngine });
     return partsByEngine;
   }
 
-  #query(engine: ServerEntry): Promise<CachedParts> {
+  #query(engine: ServerEntry, maxBodyBytes: number): Promise<CachedParts> {
     const {
       scheduler, connections, cacheQuery, log,
     } = this.#context;
@@ -89,7 +92,7 @@
       address: engine.address,
       target: cacheQuery.target,
       reuse: true,
-      maxBodyBytes: MAX_LIST_BYTES,
+      maxBodyBytes,
       timeoutMs: QUERY_TIMEOUT_MS,
     }, scheduler).catch((error: unknown) => {
       // An engine that fails to answer counts as having nothing cached: another prefill.
