Hold back first reads beside bodies in many small chunks

Cause: Node parses a whole first read of a connection, up to 64 KiB or some 11,000 chunks, before anything can pause it, and accepts one connection in each turn of the event loop, so that an ordinary caller waits for the first reads of the whole crowd.

Once a connection brings many chunks in a turn, first reads of others are held back: connections that wait to be accepted go first, then the held ones are read in batches, the newest first.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -11,6 +11,7 @@
 import { bodyOf } from '../common/refusal.js';
 import type { RefusalCode } from '../common/refusal.js';
 import type { Drain } from './drain.js';
+import { FirstReads } from './firstreads.js';
 import { discardSlowly, Lingering } from './gracefulclose.js';
 import { RequestLine } from './requestline.js';
 import { joinSmallChunks } from './smallchunks.js';
@@ -103,6 +104,8 @@
 
   readonly #lingering = Lingering.of();
 
+  readonly #firstReads = FirstReads.of();
+
   readonly #closings = new Subject<ClosingReason>();
 
   #isStopping = false;
@@ -111,13 +114,14 @@
     super(options, listener);
     this.on('connection', (socket: Socket) => {
       this.#lingering.closeGracefully(socket);
+      this.#firstReads.add(socket);
       this.#connections.set(socket, {
         line: RequestLine.of(socket), bytesAnswered: 0, latest: undefined, isLast: false,
       });
       socket.once('close', () => this.#connections.delete(socket));
     });
     this.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
-      joinSmallChunks(req);
+      joinSmallChunks(req, () => this.#firstReads.holdBack(this.#connections.keys()));
       this.#track(res);
     });
   }
--- a/src/entry/smallchunks.ts
+++ b/src/entry/smallchunks.ts
@@ -41,8 +41,12 @@
   return waiting.length > 0 && chunks > FREE_CHUNKS + bytes / MIN_MEAN_CHUNK_BYTES;
 }
 
-/** Must be called before any of the body is read. */
-export function joinSmallChunks(req: IncomingMessage): void {
+/**
+ * Must be called before any of the body is read.
+ *
+ * @param onMany called in each turn in which many chunks come
+ */
+export function joinSmallChunks(req: IncomingMessage, onMany = () => {}): void {
   if (req.headers['transfer-encoding'] === undefined) return;
   const count: Counts = { chunks: 0, bytes: 0 };
   counts.set(req, count);
@@ -75,6 +79,7 @@
         count.chunks += 1;
         count.bytes += chunk.length;
         chunksInTurn += 1;
+        if (chunksInTurn === MAX_CHUNKS_PER_TURN + 1) onMany();
       }
       schedule();
       return chunksInTurn <= MAX_CHUNKS_PER_TURN && joined.length < MAX_JOINED_BYTES;
