Connections whose bodies have stalled give way at the limit

Cause: at the limit only connections without a request give way, and one whose body has stopped has a request until the body times out.

If no idle connection is there, the one that has waited for the rest of a body for the longest time is closed, a second at least; they are spread over that second, as callers that are closed together come back together.

--- a/src/entry/httpserver.ts
+++ b/src/entry/httpserver.ts
@@ -15,6 +15,7 @@
 import { discardSlowly, Lingering } from './gracefulclose.js';
 import { RequestLine } from './requestline.js';
 import { joinSmallChunks } from './smallchunks.js';
+import { StalledBodies } from './stalledbodies.js';
 
 /** Limits on the size of a request's head and on the time it may take to arrive. */
 export interface HeadLimits {
@@ -127,19 +128,22 @@
   }
 
   /**
-   * Bounds the connections. In place of a new one, the oldest is closed that has no request.
+   * Bounds the connections. In place of a new one, the oldest is closed that has no request, or the
+   * one that has waited for the rest of a body for the longest time.
    *
    * @param onClosed called for each connection that is closed since it exceeds a limit
    */
   limitConnections(max: number, onClosed: (reason: ClosingReason) => void): void {
     this.#closings.subscribe(onClosed);
+    const stalled = StalledBodies.of();
     this.on('connection', (socket: Socket) => {
       if (this.#connections.size <= max) return;
       // In the order in which they were opened.
       const [oldest] = [...this.#connections].find(([other, { line }]) => (
-        other !== socket && line.length === 0)) ?? [socket];
-      oldest.destroy();
-      this.#connections.delete(oldest);
+        other !== socket && line.length === 0)) ?? [];
+      const closed = oldest ?? stalled.take(this.#connections, performance.now()) ?? socket;
+      closed.destroy();
+      this.#connections.delete(closed);
       this.#closings.next('connections');
     });
   }
