A server whose entry is read late stays the same process

A server that was found without the entry of its process was compared with its entry once that was read, and taken for another process: a connection to it that broke later counted as a crash. "server: one whose entry is read late counts as another process" of relay-decisions fails before, in the second of its three comparisons.

--- a/src/relay/serverstate.ts
+++ b/src/relay/serverstate.ts
@@ -103,10 +103,10 @@
   };
 }
 
-/** Whether two entries describe the same process of a server. */
+/** Whether two entries describe the same process of a server, whose software may be unknown. */
 export function sameProcess(left: ServerEntry, right: ServerEntry): boolean {
   return left.startedAt === right.startedAt && left.address === right.address
-    && (left.software === right.software || isUnknownSoftware(left));
+    && (left.software === right.software || [left, right].some(isUnknownSoftware));
 }
 
 /** Applies a newer entry; a restarted server begins with a fresh state. */
--- a/test/relay-decisions.test.ts
+++ b/test/relay-decisions.test.ts
@@ -17,12 +17,13 @@
 import { EventSplitter } from '../src/relay/eventsplitter.js';
 import { cachedTokens } from '../src/relay/cachedprompts.js';
 import { decodeMessage, encodeMessage, MAX_MESSAGE_BYTES } from '../src/relay/peermessage.js';
+import { restartedEntry } from '../src/relay/release.js';
 import { classifyResponse } from '../src/relay/responseclass.js';
 import type { ResponseClass } from '../src/relay/responseclass.js';
 import { pickTarget } from '../src/relay/requesthead.js';
 import { RouteTable } from '../src/relay/routes.js';
 import {
-  isUsable, markReached, markSuspect, NO_LOAD, serverState, withEntry, withOutcome,
+  isUsable, markReached, markSuspect, NO_LOAD, sameProcess, serverState, withEntry, withOutcome,
 } from '../src/relay/serverstate.js';
 import type { Load, ServerState } from '../src/relay/serverstate.js';
 import { isOverdue, nextAction } from '../src/relay/silence.js';
@@ -182,6 +183,15 @@
   t.is(withEntry(again, before.entry), again);
 });
 
+// Evidence of crashes compares entries as they were and as they are.
+test('server: one whose entry is read late counts as another process', (t) => {
+  const listed = { ...server('e1').entry, startedAt: 2, software: 'v2' };
+  const found = restartedEntry(server('e1').entry, 2);
+  t.true(sameProcess(found, listed));
+  t.true(sameProcess(listed, found));
+  t.false(sameProcess(server('e1').entry, found));
+});
+
 const STREAM = {
   startedAt: 0, eventAt: undefined, expectedFirstMs: 1_000, pauseObjectiveMs: 700, hasStandby: true,
 };
