--- a/src/entry/stalledbodies.ts
+++ b/src/entry/stalledbodies.ts
@@ -9,6 +9,7 @@
 /** A body that pauses for longer gives way. */
 const STALL_MS = 1_000;
 const SAMPLE_INTERVAL_MS = 250;
+/** The longest time between two connections that give way, if others are there. */
 const MAX_SPACING_MS = 10;
 
 /** What was read of a connection, and since when it is no more. */
--- a/src/relay/identity.ts
+++ b/src/relay/identity.ts
@@ -18,7 +18,7 @@
 const HEALTH_TIMEOUT_MS = 250;
 const START_TIMEOUT_MS = 250;
 
-/** Many times a server's report on itself with all of its runs. */
+/** Many times the length of a server's report on itself with all of its runs. */
 const MAX_REPORT_BYTES = 262_144;
 
 /**
--- a/src/relay/messageschema.ts
+++ b/src/relay/messageschema.ts
@@ -70,7 +70,7 @@
   paces: z.array(PACE).default([]),
   /** The same as `successors`, with how long at most, in ms, the server had been gone. */
   successions: z.array(z.tuple([SERVER, SERVER, COUNT], z.unknown())).default([]),
-  /** Servers that restarted under the ids that they had, of unknown software until then. */
+  /** Servers of unknown software, which may have restarted under the ids that they had. */
   restarts: z.array(PROCESS).default([]),
   /** Streams of which the sender wants to know where they began. */
   sought: z.array(z.string()).default([]),
